--- /dev/null
+++ b/.prettierrc.js
@@ -0,0 +1,1 @@
+module.exports = {...require('gts/.prettierrc.json')};
--- /dev/null
+++ b/scripts/mark_programs.js
@@ -0,0 +1,5 @@
+// Sets the run bit on the two compiled programs.
+const fs = require('node:fs');
+for (const program of ['build/src/daemon/main.js', 'build/src/tool/main.js']) {
+  fs.chmodSync(program, 0o755);
+}
--- /dev/null
+++ b/src/base/node/http_client.ts
@@ -0,0 +1,90 @@
+/** Requests over node:http with bounded waiting. */
+import * as http from 'node:http';
+import * as deadline from '../common/deadline';
+
+/** What to send. */
+export interface HttpCall {
+  readonly method: string;
+  readonly url: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string | Buffer;
+  readonly timeoutMilliseconds: number;
+  readonly agent?: http.Agent;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** Keeps connections to the same peers open between calls. */
+export const sharedAgent = new http.Agent({
+  keepAlive: true,
+  maxSockets: 64,
+  timeout: 60_000,
+});
+
+/** Sends a request and returns the answer once its headers arrived. Rejects on connection errors. */
+export function openHttp(call: HttpCall): Promise<http.IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const request = http.request(call.url, {
+      method: call.method,
+      headers: call.headers,
+      agent: call.agent ?? sharedAgent,
+    });
+    const expire = () =>
+      request.destroy(new deadline.DeadlineError(call.timeoutMilliseconds));
+    const timer = setTimeout(expire, call.timeoutMilliseconds);
+    request.once('response', response => {
+      clearTimeout(timer);
+      resolve(response);
+    });
+    request.once('error', error => {
+      clearTimeout(timer);
+      reject(error);
+    });
+    request.end(call.body);
+  });
+}
+
+/** Sends a request and reads the whole answer within the time limit. */
+export async function callHttp(call: HttpCall): Promise<HttpAnswer> {
+  const startedAt = performance.now();
+  const response = await openHttp(call);
+  const left = Math.max(
+    1,
+    call.timeoutMilliseconds - (performance.now() - startedAt),
+  );
+  const body = await readBody(response, left);
+  return {status: response.statusCode ?? 0, headers: response.headers, body};
+}
+
+function readBody(
+  response: http.IncomingMessage,
+  milliseconds: number,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    const timer = setTimeout(
+      () => response.destroy(new deadline.DeadlineError(milliseconds)),
+      milliseconds,
+    );
+    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.once('end', () => resolve(Buffer.concat(chunks)));
+    response.once('error', reject);
+    response.once('close', () => {
+      clearTimeout(timer);
+      reject(new Error('the connection closed before the answer was whole'));
+    });
+  });
+}
+
+/** Whether the error proves that the request never left this process. */
+export function neverSent(error: unknown): boolean {
+  const code = (error as NodeJS.ErrnoException).code;
+  return (
+    code === 'ECONNREFUSED' || code === 'EHOSTUNREACH' || code === 'ENETUNREACH'
+  );
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,160 @@
+#!/usr/bin/env node
+/** The daemon: an entry or a side process, by its settings. */
+import * as clipanion from 'clipanion';
+import * as neverthrow from 'neverthrow';
+import * as failure from '../base/common/failure';
+import * as resultCode from '../base/common/result_code';
+import * as log from '../base/node/log';
+import * as settingsFile from '../base/node/settings_file';
+import * as version from '../base/node/version';
+import * as daemonSettings from './daemon_settings';
+
+/** A running role. */
+interface RunningProcess {
+  start(): Promise<string>;
+  leave(): Promise<void>;
+}
+
+function readToken(path: string): neverthrow.Result<string, failure.Failure> {
+  return settingsFile.readTextFile(path).map(text => text.trim());
+}
+
+async function createEntry(
+  file: daemonSettings.EntryFile,
+): Promise<neverthrow.Result<RunningProcess, failure.Failure>> {
+  const [entryProcess, entryMetrics, metrics, httpPlatform] = await Promise.all(
+    [
+      import('../entry/node/entry_process.js'),
+      import('../entry/node/entry_metrics.js'),
+      import('../base/node/metrics.js'),
+      import('../platform/node/http_platform.js'),
+    ],
+  );
+  return neverthrow.Result.combine([
+    readToken(file.cluster.token_file),
+    readToken(file.platform.token_file),
+    readToken(file.operators.token_file),
+  ]).map(([clusterToken, platformToken, operatorToken]) => {
+    const registry = new metrics.MetricsRegistry({
+      instance: file.instance.name,
+    });
+    const entryMetric = new entryMetrics.EntryMetrics(registry);
+    const onDidCall = (operation: string) =>
+      entryMetric.storeCalls.inc({operation});
+    const target = {url: file.platform.url, token: platformToken, onDidCall};
+    return new entryProcess.EntryProcess({
+      instance: file.instance,
+      callers: file.callers,
+      links: file.links,
+      clusterToken,
+      operatorToken,
+      registry,
+      metrics: entryMetric,
+      store: new httpPlatform.HttpObjectStore(target),
+      instances: new httpPlatform.HttpInstanceList(target),
+      traceCollector: file.observability.trace_collector,
+    });
+  });
+}
+
+async function createSide(
+  file: daemonSettings.SideFile,
+): Promise<neverthrow.Result<RunningProcess, failure.Failure>> {
+  const [sideProcess, httpPlatform] = await Promise.all([
+    import('../side/node/side_process.js'),
+    import('../platform/node/http_platform.js'),
+  ]);
+  return neverthrow.Result.combine([
+    readToken(file.cluster.token_file),
+    readToken(file.platform.token_file),
+  ]).map(
+    ([clusterToken, platformToken]) =>
+      new sideProcess.SideProcess({
+        instance: file.instance,
+        endpoint: file.endpoint,
+        admission: file.admission,
+        attempts: file.attempts,
+        clusterToken,
+        store: new httpPlatform.HttpObjectStore({
+          url: file.platform.url,
+          token: platformToken,
+        }),
+        traceCollector: file.observability.trace_collector,
+      }),
+  );
+}
+
+/** Runs one role until it is asked to leave. */
+class RunCommand extends clipanion.Command {
+  static override paths = [clipanion.Command.Default];
+  static override usage = clipanion.Command.Usage({
+    description: 'Run an entry or a side process',
+    details:
+      'The role is in the settings file. SIGTERM and SIGINT make the process refuse new work, finish what it has and exit with 0. Only SIGKILL cuts work off.',
+    examples: [['Run an entry', 'rhubarbvaned --config entry.ini']],
+  });
+
+  config = clipanion.Option.String('--config', {
+    required: true,
+    description: 'Settings file in INI form',
+  });
+
+  async execute(): Promise<number> {
+    const settings = daemonSettings.readDaemonSettings(this.config);
+    if (settings.isErr()) {
+      return this.refuse(settings.error);
+    }
+    const observability = (settings.value.entry ?? settings.value.side)!
+      .observability;
+    log.enableLogs(observability.logs);
+    const created = settings.value.entry
+      ? await createEntry(settings.value.entry)
+      : await createSide(settings.value.side!);
+    if (created.isErr()) {
+      return this.refuse(created.error);
+    }
+    return this.run(created.value);
+  }
+
+  private async run(running: RunningProcess): Promise<number> {
+    const left = new Promise<void>(resolve => {
+      let hasBegun = false;
+      const leave = () => {
+        if (!hasBegun) {
+          hasBegun = true;
+          void running.leave().then(resolve);
+        }
+      };
+      process.on('SIGTERM', leave);
+      process.on('SIGINT', leave);
+    });
+    try {
+      const address = await running.start();
+      this.context.stdout.write(
+        JSON.stringify({url: `http://${address}`}) + '\n',
+      );
+    } catch (error) {
+      const code = resultCode.ResultCode.AddressInUse;
+      return this.refuse(
+        failure.notRun(code, `[instance] listen: ${String(error)}`),
+      );
+    }
+    await left;
+    return resultCode.ResultCode.Ok;
+  }
+
+  private refuse(cause: failure.Failure): number {
+    this.context.stderr.write(`rhubarbvaned: ${cause.message}\n`);
+    return cause.code;
+  }
+}
+
+const cli = new clipanion.Cli({
+  binaryLabel: 'rhubarbvaned',
+  binaryName: 'rhubarbvaned',
+  binaryVersion: version.readVersion(),
+});
+cli.register(RunCommand);
+cli.register(clipanion.Builtins.HelpCommand);
+cli.register(clipanion.Builtins.VersionCommand);
+void cli.run(process.argv.slice(2)).then(code => process.exit(code));
--- /dev/null
+++ b/src/decision/common/admission_system.ts
@@ -0,0 +1,237 @@
+/** Decides which waiting attempts an engine is given. */
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as generationRequest from '../../protocol/common/generation_request';
+import * as attemptTable from './attempt_table';
+import * as fairShare from './fair_share';
+import * as memoryForecast from './memory_forecast';
+
+/** Limits of admission. */
+export interface AdmissionPolicy {
+  /** Standard deviations of forecast memory to keep free. */
+  readonly memoryDeviations: number;
+  /** Share of the engine's memory that the forecast may fill. */
+  readonly memoryShare: number;
+  /** Largest number of attempts given to the engine. */
+  readonly maxRunning: number;
+  /** Waiting time after which a draft goes before quick work, in milliseconds. */
+  readonly draftPatienceMilliseconds: number;
+  /** Expected waiting time beyond which quick work is refused, in milliseconds. */
+  readonly quickWaitLimitMilliseconds: number;
+  /** Expected waiting time beyond which drafts are refused, in milliseconds. */
+  readonly draftWaitLimitMilliseconds: number;
+  /** Orders customers by service received. */
+  readonly isFair: boolean;
+  /** Puts quick work before drafts. */
+  readonly isQuickFirst: boolean;
+  /** Forecasts memory; without it an attempt is admitted while its prompt fits. */
+  readonly usesForecast: boolean;
+}
+
+/** Settings that suit a mix of short and long work. */
+export const DEFAULT_ADMISSION_POLICY: AdmissionPolicy = {
+  memoryDeviations: 1,
+  memoryShare: 0.95,
+  maxRunning: 128,
+  draftPatienceMilliseconds: 60_000,
+  quickWaitLimitMilliseconds: 5_000,
+  draftWaitLimitMilliseconds: 300_000,
+  isFair: true,
+  isQuickFirst: true,
+  usesForecast: true,
+};
+
+/** What admission knows of the engine. */
+export interface EngineView {
+  readonly capacityTokens: number;
+  /** Output tokens a second that the endpoint lately produced. */
+  readonly tokensPerSecond: number;
+}
+
+/** Priorities given to engines; the highest runs first and is preempted last. */
+const QUICK_PRIORITY = 2;
+const DRAFT_PRIORITY = 1;
+
+/** Returns the engine priority of a class of work. */
+export function enginePriority(
+  requestClass: generationRequest.RequestClass,
+): number {
+  return requestClass === generationRequest.RequestClass.Quick
+    ? QUICK_PRIORITY
+    : DRAFT_PRIORITY;
+}
+
+/** Chooses attempts for one engine. */
+export class AdmissionSystem {
+  readonly shares = new fairShare.FairShare();
+
+  constructor(private readonly policy: AdmissionPolicy) {}
+
+  /** Returns the waiting attempts that the engine has room for now, in the order to start them. */
+  admit(
+    table: attemptTable.AttemptTable,
+    engine: EngineView,
+    now: number,
+  ): attemptTable.Attempt[] {
+    const waiting = table.waiting();
+    if (waiting.length === 0) {
+      return [];
+    }
+    const running = table.running();
+    this.shares.advance(
+      [...waiting, ...running].map(attempt => attempt.request.customer),
+    );
+    const forecast = this.forecastOf(running);
+    const admitted: attemptTable.Attempt[] = [];
+    let hasSuspect = running.some(attempt => attempt.request.isSuspect);
+    for (const attempt of this.ordered(waiting, now)) {
+      if (running.length + admitted.length >= this.policy.maxRunning) {
+        break;
+      }
+      if (attempt.request.isSuspect && hasSuspect) {
+        continue;
+      }
+      const isEngineEmpty = running.length + admitted.length === 0;
+      if (!isEngineEmpty && !this.fits(forecast, attempt, engine)) {
+        break;
+      }
+      forecast.add(this.memoryUser(attempt));
+      hasSuspect = hasSuspect || attempt.request.isSuspect;
+      admitted.push(attempt);
+    }
+    return admitted;
+  }
+
+  /** Charges the customer of an attempt for its tokens. */
+  charge(attempt: attemptTable.Attempt, tokens: number): void {
+    this.shares.charge(
+      attempt.request.customer,
+      tokens,
+      attempt.request.weight,
+    );
+  }
+
+  /** Refuses work that would wait too long. */
+  refuse(
+    request: generationRequest.GenerationRequest,
+    table: attemptTable.AttemptTable,
+    engine: EngineView,
+  ): failure.Failure | undefined {
+    const waitMilliseconds = this.expectedWait(request, table, engine);
+    const isQuick =
+      request.requestClass === generationRequest.RequestClass.Quick;
+    const limit = isQuick
+      ? this.policy.quickWaitLimitMilliseconds
+      : this.policy.draftWaitLimitMilliseconds;
+    if (waitMilliseconds <= limit) {
+      return undefined;
+    }
+    const message = `about ${Math.round(waitMilliseconds / 1000)} s of ${request.requestClass} work wait here`;
+    const retryAfterSeconds = Math.ceil((waitMilliseconds - limit) / 1000) + 1;
+    return failure.notRun(
+      resultCode.ResultCode.Overloaded,
+      message,
+      retryAfterSeconds,
+    );
+  }
+
+  /** Forecast memory of the running work over the engine's capacity. */
+  pressure(table: attemptTable.AttemptTable, engine: EngineView): number {
+    return (
+      this.forecastOf(table.running()).peak(this.policy.memoryDeviations) /
+      Math.max(1, engine.capacityTokens)
+    );
+  }
+
+  private fits(
+    forecast: memoryForecast.MemoryForecast,
+    attempt: attemptTable.Attempt,
+    engine: EngineView,
+  ): boolean {
+    const room = engine.capacityTokens * this.policy.memoryShare;
+    const extended = forecast.copy();
+    extended.add(this.memoryUser(attempt));
+    return extended.peak(this.policy.memoryDeviations) <= room;
+  }
+
+  private ordered(
+    waiting: attemptTable.Attempt[],
+    now: number,
+  ): attemptTable.Attempt[] {
+    const rank = (attempt: attemptTable.Attempt) =>
+      this.classRank(attempt, now);
+    return waiting.sort(
+      (left, right) =>
+        rank(left) - rank(right) || this.compareWithinClass(left, right),
+    );
+  }
+
+  private classRank(attempt: attemptTable.Attempt, now: number): number {
+    const isQuick =
+      attempt.request.requestClass === generationRequest.RequestClass.Quick;
+    if (!this.policy.isQuickFirst) {
+      return 0;
+    }
+    if (
+      !isQuick &&
+      now - attempt.arrivedAt > this.policy.draftPatienceMilliseconds
+    ) {
+      return 0;
+    }
+    return isQuick ? 1 : 2;
+  }
+
+  private compareWithinClass(
+    left: attemptTable.Attempt,
+    right: attemptTable.Attempt,
+  ): number {
+    if (!this.policy.isFair) {
+      return left.arrivedAt - right.arrivedAt;
+    }
+    const leftTime = this.shares.virtualTime(left.request.customer);
+    const rightTime = this.shares.virtualTime(right.request.customer);
+    return leftTime - rightTime || left.arrivedAt - right.arrivedAt;
+  }
+
+  private expectedWait(
+    request: generationRequest.GenerationRequest,
+    table: attemptTable.AttemptTable,
+    engine: EngineView,
+  ): number {
+    const isQuick =
+      request.requestClass === generationRequest.RequestClass.Quick;
+    let tokensAhead = 0;
+    for (const attempt of table.waiting()) {
+      const goesBefore =
+        !isQuick ||
+        attempt.request.requestClass === generationRequest.RequestClass.Quick;
+      if (goesBefore) {
+        tokensAhead += attempt.distribution.expectedRemaining(
+          0,
+          attempt.request.maxTokens,
+        );
+      }
+    }
+    return (tokensAhead * 1000) / Math.max(1, engine.tokensPerSecond);
+  }
+
+  private forecastOf(
+    running: readonly attemptTable.Attempt[],
+  ): memoryForecast.MemoryForecast {
+    const forecast = new memoryForecast.MemoryForecast();
+    running.forEach(attempt => forecast.add(this.memoryUser(attempt)));
+    return forecast;
+  }
+
+  private memoryUser(attempt: attemptTable.Attempt): memoryForecast.MemoryUser {
+    const generated = attempt.tokens.length;
+    return {
+      promptTokens: attempt.request.promptTokens,
+      generated,
+      maxTokens: this.policy.usesForecast
+        ? attempt.request.maxTokens
+        : generated,
+      distribution: attempt.distribution,
+    };
+  }
+}
--- /dev/null
+++ b/src/decision/common/attempt_table.ts
@@ -0,0 +1,163 @@
+/** Attempts known to a side process. */
+import * as failure from '../../base/common/failure';
+import * as generationRequest from '../../protocol/common/generation_request';
+import * as lengthPredictor from './length_predictor';
+
+/** Where an attempt stands. */
+export enum AttemptState {
+  /** Held here until the engine has room. */
+  Waiting = 'waiting',
+  /** Given to the engine. */
+  Running = 'running',
+  Completed = 'completed',
+  Failed = 'failed',
+}
+
+/** One run of a generation at one endpoint instance. */
+export interface Attempt {
+  readonly id: string;
+  readonly request: generationRequest.GenerationRequest;
+  readonly distribution: lengthPredictor.LengthDistribution;
+  /** Monotonic milliseconds. */
+  readonly arrivedAt: number;
+  state: AttemptState;
+  /** Monotonic milliseconds. */
+  startedAt: number;
+  /** Output so far; the position in the array is the index. */
+  readonly tokens: string[];
+  finishReason: string;
+  failure: failure.Failure | undefined;
+  /** Link that receives the output; empty while no entry is attached. */
+  link: string;
+  /** Whether output is held back because the caller reads slowly. */
+  isPaused: boolean;
+  /** Index of the next token to send on the link. */
+  nextToSend: number;
+  /** Monotonic milliseconds since when no entry is attached. */
+  detachedAt: number;
+  /** Monotonic milliseconds at which the attempt ended. */
+  endedAt: number;
+}
+
+/** Whether the attempt still needs the engine. */
+export function isOpen(attempt: Attempt): boolean {
+  return (
+    attempt.state === AttemptState.Waiting ||
+    attempt.state === AttemptState.Running
+  );
+}
+
+/** Forbids the late hand-off of an attempt. */
+export interface Tombstone {
+  /** Monotonic milliseconds. */
+  readonly at: number;
+  /** Whether the attempt surely never ran at this incarnation. */
+  readonly neverStarted: boolean;
+}
+
+/** Holds attempts and the tombstones of withdrawn ones. */
+export class AttemptTable {
+  private readonly attempts = new Map<string, Attempt>();
+  private readonly open = new Set<Attempt>();
+  private readonly tombstones = new Map<string, Tombstone>();
+
+  get size(): number {
+    return this.attempts.size;
+  }
+
+  get(id: string): Attempt | undefined {
+    return this.attempts.get(id);
+  }
+
+  add(
+    id: string,
+    request: generationRequest.GenerationRequest,
+    distribution: lengthPredictor.LengthDistribution,
+    link: string,
+    now: number,
+  ): Attempt {
+    const attempt: Attempt = {
+      id,
+      request,
+      distribution,
+      arrivedAt: now,
+      state: AttemptState.Waiting,
+      startedAt: 0,
+      tokens: [],
+      finishReason: '',
+      failure: undefined,
+      link,
+      isPaused: false,
+      nextToSend: 0,
+      detachedAt: now,
+      endedAt: 0,
+    };
+    this.attempts.set(id, attempt);
+    this.open.add(attempt);
+    return attempt;
+  }
+
+  /** Forgets an attempt and forbids a late hand-off of it. */
+  remove(attempt: Attempt, now: number): void {
+    const neverStarted = attempt.startedAt === 0;
+    this.attempts.delete(attempt.id);
+    this.open.delete(attempt);
+    this.tombstones.set(attempt.id, {at: now, neverStarted});
+  }
+
+  /** Ends an attempt; its output stays until it is removed. */
+  end(
+    attempt: Attempt,
+    state: AttemptState.Completed | AttemptState.Failed,
+    now: number,
+  ): void {
+    attempt.state = state;
+    attempt.endedAt = now;
+    this.open.delete(attempt);
+  }
+
+  /** Forbids an attempt that is not in the table, and tells what is known of it. */
+  bury(id: string, now: number): Tombstone {
+    const known = this.tombstones.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const tombstone = {at: now, neverStarted: true};
+    this.tombstones.set(id, tombstone);
+    return tombstone;
+  }
+
+  isBuried(id: string): boolean {
+    return this.tombstones.has(id);
+  }
+
+  /** Forgets tombstones older than the time. */
+  forgetTombstones(before: number): void {
+    for (const [id, tombstone] of this.tombstones) {
+      if (tombstone.at >= before) {
+        return;
+      }
+      this.tombstones.delete(id);
+    }
+  }
+
+  all(): Iterable<Attempt> {
+    return this.attempts.values();
+  }
+
+  waiting(): Attempt[] {
+    return [...this.open].filter(
+      attempt => attempt.state === AttemptState.Waiting,
+    );
+  }
+
+  running(): Attempt[] {
+    return [...this.open].filter(
+      attempt => attempt.state === AttemptState.Running,
+    );
+  }
+
+  get openCount(): number {
+    return this.open.size;
+  }
+}
--- /dev/null
+++ b/src/decision/common/change_system.ts
@@ -0,0 +1,233 @@
+/** Checks change sets of operators against the configuration in force. */
+import * as protobuf from '@bufbuild/protobuf';
+import * as neverthrow from 'neverthrow';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as operator from '../../protocol/generated/rhubarbvane/v1/operator_pb';
+import * as configurationTable from './configuration_table';
+
+/** One object that an operator wants to put or to remove. */
+export interface WantedChange {
+  readonly object: operator.DeclaredObject;
+  readonly isRemoval: boolean;
+  /** Version that the operator saw; 0 for none. */
+  readonly expectedVersion: number;
+}
+
+/** A change that may be accepted. */
+export interface CheckedChange {
+  readonly object: operator.DeclaredObject;
+  readonly isRemoval: boolean;
+}
+
+const NAME_PATTERN = /^[a-z0-9-]{1,63}$/;
+const TOKEN_PATTERN = /^[0-9a-f]{64}$/;
+
+const CASE_BY_KIND: Readonly<
+  Partial<Record<operator.ObjectKind, operator.DeclaredObject['spec']['case']>>
+> = {
+  [operator.ObjectKind.MODEL]: 'model',
+  [operator.ObjectKind.ROUTE]: 'route',
+  [operator.ObjectKind.ENDPOINT]: 'endpoint',
+  [operator.ObjectKind.CUSTOMER]: 'customer',
+  [operator.ObjectKind.DEPLOYMENT]: 'deployment',
+};
+
+/**
+ * Gives the changes that differ from what is in force, in their order.
+ * Errors: Conflict with the version in force, InvalidDeclaration.
+ */
+export function checkChanges(
+  table: configurationTable.ConfigurationTable,
+  changes: readonly WantedChange[],
+): neverthrow.Result<CheckedChange[], failure.Failure> {
+  const checked: CheckedChange[] = [];
+  for (const change of changes) {
+    const cause =
+      checkVersion(table, change) ?? checkObject(table, change, changes);
+    if (cause !== undefined) {
+      return neverthrow.err(cause);
+    }
+    if (differs(table, change)) {
+      checked.push({object: change.object, isRemoval: change.isRemoval});
+    }
+  }
+  return neverthrow.ok(checked);
+}
+
+function label(object: operator.DeclaredObject): string {
+  return `${operator.ObjectKind[object.kind]?.toLowerCase()} ${object.name}`;
+}
+
+function checkVersion(
+  table: configurationTable.ConfigurationTable,
+  change: WantedChange,
+): failure.Failure | undefined {
+  const present = table.get(change.object.kind, change.object.name);
+  const version = Number(present?.version ?? 0);
+  if (version === change.expectedVersion) {
+    return undefined;
+  }
+  const message = `${label(change.object)}: expected version ${change.expectedVersion}, version ${version} is in force`;
+  return failure.notRun(resultCode.ResultCode.Conflict, message);
+}
+
+function checkObject(
+  table: configurationTable.ConfigurationTable,
+  change: WantedChange,
+  all: readonly WantedChange[],
+): failure.Failure | undefined {
+  const problem = change.isRemoval
+    ? removalProblem(table, change, all)
+    : objectProblem(table, change.object, all);
+  if (problem === undefined) {
+    return undefined;
+  }
+  const message = `${label(change.object)}: ${problem}`;
+  return failure.notRun(resultCode.ResultCode.InvalidDeclaration, message);
+}
+
+function removalProblem(
+  table: configurationTable.ConfigurationTable,
+  change: WantedChange,
+  all: readonly WantedChange[],
+): string | undefined {
+  const {kind, name} = change.object;
+  if (table.get(kind, name) === undefined) {
+    return 'does not exist';
+  }
+  const users = table
+    .list(operator.ObjectKind.ROUTE)
+    .filter(route => refersTo(route, kind, name));
+  const remaining = users.find(
+    route =>
+      !all.some(
+        other =>
+          other.object.kind === route.kind && other.object.name === route.name,
+      ),
+  );
+  return remaining === undefined ? undefined : `is used by ${label(remaining)}`;
+}
+
+function refersTo(
+  object: operator.DeclaredObject,
+  kind: operator.ObjectKind,
+  name: string,
+): boolean {
+  if (object.spec.case !== 'route') {
+    return false;
+  }
+  const route = object.spec.value;
+  const isModel = kind === operator.ObjectKind.MODEL && route.model === name;
+  const isEndpoint =
+    kind === operator.ObjectKind.ENDPOINT && route.endpoints.includes(name);
+  const isCustomer =
+    kind === operator.ObjectKind.CUSTOMER && route.customers.includes(name);
+  return isModel || isEndpoint || isCustomer;
+}
+
+function objectProblem(
+  table: configurationTable.ConfigurationTable,
+  object: operator.DeclaredObject,
+  all: readonly WantedChange[],
+): string | undefined {
+  if (!NAME_PATTERN.test(object.name)) {
+    return 'name: expected up to 63 characters of a-z, 0-9 and -';
+  }
+  if (
+    object.spec.case === undefined ||
+    CASE_BY_KIND[object.kind] !== object.spec.case
+  ) {
+    return 'spec: does not fit the kind';
+  }
+  const exists = (kind: operator.ObjectKind, name: string) => {
+    const change = all.find(
+      other => other.object.kind === kind && other.object.name === name,
+    );
+    return change === undefined
+      ? table.get(kind, name) !== undefined
+      : !change.isRemoval;
+  };
+  switch (object.spec.case) {
+    case 'model':
+      return modelProblem(object.spec.value);
+    case 'route':
+      return routeProblem(object.spec.value, exists);
+    case 'endpoint':
+      return object.spec.value.kind === operator.EndpointKind.UNSPECIFIED
+        ? 'kind: engine or service'
+        : undefined;
+    case 'customer':
+      return customerProblem(object.spec.value);
+    case 'deployment':
+      return deploymentProblem(object.name, object.spec.value);
+  }
+}
+
+function dateProblem(date: string): string | undefined {
+  const isValid = date === '' || !Number.isNaN(Date.parse(date));
+  return isValid
+    ? undefined
+    : `wind_down_at: saw ${JSON.stringify(date)}, expected a time such as 2027-01-31T12:00:00Z`;
+}
+
+function modelProblem(model: operator.ServedModel): string | undefined {
+  if (model.contextTokens === 0) {
+    return 'context_tokens: expected a number above 0';
+  }
+  return dateProblem(model.windDownAt);
+}
+
+function routeProblem(
+  route: operator.Route,
+  exists: (kind: operator.ObjectKind, name: string) => boolean,
+): string | undefined {
+  if (route.endpoints.length === 0) {
+    return 'endpoints: expected at least one';
+  }
+  if (route.model !== '' && !exists(operator.ObjectKind.MODEL, route.model)) {
+    return `model: ${route.model} is not declared`;
+  }
+  const endpoint = route.endpoints.find(
+    name => !exists(operator.ObjectKind.ENDPOINT, name),
+  );
+  if (endpoint !== undefined) {
+    return `endpoints: ${endpoint} is not declared`;
+  }
+  const customer = route.customers.find(
+    name => name !== '*' && !exists(operator.ObjectKind.CUSTOMER, name),
+  );
+  if (customer !== undefined) {
+    return `customers: ${customer} is not declared`;
+  }
+  return dateProblem(route.windDownAt);
+}
+
+function customerProblem(customer: operator.Customer): string | undefined {
+  if (!TOKEN_PATTERN.test(customer.tokenSha256)) {
+    return 'token_sha256: expected 64 hexadecimal digits in lower case';
+  }
+  return customer.weight < 0 ? 'weight: expected 0 or more' : undefined;
+}
+
+function deploymentProblem(
+  name: string,
+  deployment: operator.Deployment,
+): string | undefined {
+  if (name !== configurationTable.DEPLOYMENT_NAME) {
+    return `name: expected ${configurationTable.DEPLOYMENT_NAME}`;
+  }
+  return dateProblem(deployment.windDownAt);
+}
+
+function differs(
+  table: configurationTable.ConfigurationTable,
+  change: WantedChange,
+): boolean {
+  const present = table.get(change.object.kind, change.object.name);
+  if (change.isRemoval || present === undefined) {
+    return true;
+  }
+  const wanted = {...change.object, version: present.version};
+  return !protobuf.equals(operator.DeclaredObjectSchema, present, wanted);
+}
--- /dev/null
+++ b/src/decision/common/configuration_table.ts
@@ -0,0 +1,209 @@
+/** Declared objects in force at one instance. */
+import * as protobuf from '@bufbuild/protobuf';
+import * as rxjs from 'rxjs';
+import * as configurationMessages from '../../protocol/common/configuration_messages';
+import * as operator from '../../protocol/generated/rhubarbvane/v1/operator_pb';
+
+/** Number of accepted changes kept to answer peers that lag. */
+const KEPT_CHANGES = 256;
+
+/** Name of the only object of kind deployment. */
+export const DEPLOYMENT_NAME = 'deployment';
+
+/** Writes an object in the form in which it is kept and relayed. */
+export function toStored(
+  object: operator.DeclaredObject,
+  version: number,
+): configurationMessages.StoredObject {
+  return {
+    kind: object.kind,
+    name: object.name,
+    version,
+    isRemoved: false,
+    json: protobuf.toJsonString(operator.DeclaredObjectSchema, {
+      ...object,
+      version: BigInt(version),
+    }),
+  };
+}
+
+/** Writes the removal of an object in the form in which it is kept and relayed. */
+export function toRemoved(
+  object: operator.DeclaredObject,
+  version: number,
+): configurationMessages.StoredObject {
+  return {
+    kind: object.kind,
+    name: object.name,
+    version,
+    isRemoved: true,
+    json: '',
+  };
+}
+
+/** An object that changed. */
+export interface ConfigurationChange {
+  readonly kind: operator.ObjectKind;
+  readonly name: string;
+  /** Undefined for a removed object. */
+  readonly object: operator.DeclaredObject | undefined;
+  readonly revision: number;
+}
+
+function keyOf(kind: operator.ObjectKind, name: string): string {
+  return `${kind}/${name}`;
+}
+
+/** Holds the highest revision seen, and never goes back. */
+export class ConfigurationTable {
+  private readonly objects = new Map<string, operator.DeclaredObject>();
+  private readonly customersByToken = new Map<
+    string,
+    operator.DeclaredObject
+  >();
+  private readonly changes: configurationMessages.AcceptedChange[] = [];
+  private readonly changed = new rxjs.Subject<ConfigurationChange>();
+  private readonly raised = new rxjs.Subject<number>();
+  private current = 0;
+
+  /** Revision in force. */
+  get revision(): number {
+    return this.current;
+  }
+
+  /** Fires for each object that changes. */
+  get onDidChange(): rxjs.Observable<ConfigurationChange> {
+    return this.changed;
+  }
+
+  /** Fires with each new revision. */
+  get onDidRaise(): rxjs.Observable<number> {
+    return this.raised;
+  }
+
+  /** Puts an accepted change in force if it directly follows the present revision; gives whether it did. */
+  applyChange(change: configurationMessages.AcceptedChange): boolean {
+    if (change.revision !== this.current + 1) {
+      return false;
+    }
+    change.objects.forEach(stored => this.put(stored, change.revision));
+    this.changes.push(change);
+    this.changes.splice(0, Math.max(0, this.changes.length - KEPT_CHANGES));
+    this.raise(change.revision);
+    return true;
+  }
+
+  /** Puts a relayed state in force if it is higher than the present one; gives whether it did. */
+  applySync(
+    sync: configurationMessages.SyncReply,
+    fromRevision: number,
+  ): boolean {
+    if (sync.revision <= this.current) {
+      return false;
+    }
+    if (!sync.isSnapshot && fromRevision > this.current) {
+      return false;
+    }
+    if (sync.isSnapshot) {
+      this.removeMissing(sync);
+    }
+    sync.objects.forEach(stored => this.put(stored, sync.revision));
+    // The single steps to this revision are not known, so lagging peers get a snapshot.
+    this.changes.length = 0;
+    this.raise(sync.revision);
+    return true;
+  }
+
+  /** Answers a peer that has the revision. */
+  since(
+    revision: number,
+    withoutCustomers: boolean,
+  ): configurationMessages.SyncReply {
+    const isWanted = (stored: configurationMessages.StoredObject) =>
+      !withoutCustomers || stored.kind !== operator.ObjectKind.CUSTOMER;
+    const oldest = this.changes[0]?.revision ?? Infinity;
+    if (revision > 0 && revision + 1 >= oldest) {
+      const objects = this.changes
+        .filter(change => change.revision > revision)
+        .flatMap(change => change.objects)
+        .filter(isWanted);
+      return {revision: this.current, isSnapshot: false, objects};
+    }
+    return {
+      revision: this.current,
+      isSnapshot: true,
+      objects: this.snapshot().filter(isWanted),
+    };
+  }
+
+  /** Every object in the form in which it is kept. */
+  snapshot(): configurationMessages.StoredObject[] {
+    return [...this.objects.values()].map(object =>
+      toStored(object, Number(object.version)),
+    );
+  }
+
+  get(
+    kind: operator.ObjectKind,
+    name: string,
+  ): operator.DeclaredObject | undefined {
+    return this.objects.get(keyOf(kind, name));
+  }
+
+  /** Lists the objects of a kind, or of every kind. */
+  list(kind: operator.ObjectKind): operator.DeclaredObject[] {
+    const all = [...this.objects.values()];
+    const isEvery = kind === operator.ObjectKind.UNSPECIFIED;
+    return isEvery ? all : all.filter(object => object.kind === kind);
+  }
+
+  /** Finds a customer by the SHA-256 of its token. */
+  customerByToken(tokenSha256: string): operator.DeclaredObject | undefined {
+    return this.customersByToken.get(tokenSha256);
+  }
+
+  private removeMissing(sync: configurationMessages.SyncReply): void {
+    const present = new Set(
+      sync.objects.map(stored => keyOf(stored.kind, stored.name)),
+    );
+    for (const object of [...this.objects.values()]) {
+      if (!present.has(keyOf(object.kind, object.name))) {
+        this.put(toRemoved(object, sync.revision), sync.revision);
+      }
+    }
+  }
+
+  private put(
+    stored: configurationMessages.StoredObject,
+    revision: number,
+  ): void {
+    const key = keyOf(stored.kind, stored.name);
+    const before = this.objects.get(key);
+    if (
+      before !== undefined &&
+      Number(before.version) === stored.version &&
+      !stored.isRemoved
+    ) {
+      return;
+    }
+    if (before?.spec.case === 'customer') {
+      this.customersByToken.delete(before.spec.value.tokenSha256);
+    }
+    this.objects.delete(key);
+    const object = stored.isRemoved
+      ? undefined
+      : protobuf.fromJsonString(operator.DeclaredObjectSchema, stored.json);
+    if (object !== undefined) {
+      this.objects.set(key, object);
+    }
+    if (object?.spec.case === 'customer') {
+      this.customersByToken.set(object.spec.value.tokenSha256, object);
+    }
+    this.changed.next({kind: stored.kind, name: stored.name, object, revision});
+  }
+
+  private raise(revision: number): void {
+    this.current = revision;
+    this.raised.next(revision);
+  }
+}
--- /dev/null
+++ b/src/decision/common/placement_system.ts
@@ -0,0 +1,102 @@
+/** Chooses the endpoint instance for an attempt. */
+import * as generationRequest from '../../protocol/common/generation_request';
+import * as endpointTable from './endpoint_table';
+import * as prefixTable from './prefix_table';
+
+/** What is to be placed. */
+export interface PlacementRequest {
+  readonly endpoints: readonly string[];
+  readonly excluded: ReadonlySet<string>;
+  readonly request: Pick<
+    generationRequest.GenerationRequest,
+    'prompt' | 'promptTokens' | 'requestClass'
+  >;
+  readonly expectedTokens: number;
+}
+
+/** Weights of placement. */
+export interface PlacementPolicy {
+  /** Output tokens that one prompt token found in the prefix cache is worth. */
+  readonly prefixWorth: number;
+  /** Cost of memory that is forecast to overflow, in output tokens for each share of the memory. */
+  readonly overflowCost: number;
+}
+
+/** Weights that suit prompts with shared templates. */
+export const DEFAULT_PLACEMENT_POLICY: PlacementPolicy = {
+  prefixWorth: 0.5,
+  overflowCost: 20_000,
+};
+
+/** Memory pressure from which overflow is charged. */
+const PRESSURE_KNEE = 0.8;
+
+/** Answer of placement. */
+export interface Placement {
+  readonly row: endpointTable.EndpointInstance | undefined;
+  /** Whether an instance may become usable shortly. */
+  readonly isPending: boolean;
+}
+
+/** Weighs shared prefixes against load and forecast memory. */
+export class PlacementSystem {
+  readonly prefixes = new prefixTable.PrefixTable();
+  private rotation = 0;
+
+  constructor(private readonly policy: PlacementPolicy) {}
+
+  /** Chooses an instance that takes work, and counts the work on it until its next load report. */
+  place(
+    table: endpointTable.EndpointTable,
+    wanted: PlacementRequest,
+    now: number,
+  ): Placement {
+    const reachable = [...table.all()].filter(
+      row =>
+        wanted.endpoints.includes(row.endpoint) &&
+        !wanted.excluded.has(row.instance),
+    );
+    const usable = reachable.filter(endpointTable.takesWork);
+    if (usable.length === 0) {
+      const isPending = reachable.some(
+        row => row.state === endpointTable.LinkState.Connecting,
+      );
+      return {row: undefined, isPending};
+    }
+    const hashes = prefixTable.chunkHashes(wanted.request.prompt);
+    // Starting at a rotating position spreads ties evenly.
+    this.rotation++;
+    let best = usable[this.rotation % usable.length];
+    let bestCost = this.cost(best, wanted, hashes, now);
+    for (const row of usable) {
+      const cost = this.cost(row, wanted, hashes, now);
+      if (cost < bestCost) {
+        best = row;
+        bestCost = cost;
+      }
+    }
+    best.dispatchedTokens +=
+      wanted.expectedTokens + wanted.request.promptTokens;
+    this.prefixes.note(best.instance, hashes, now);
+    return {row: best, isPending: false};
+  }
+
+  private cost(
+    row: endpointTable.EndpointInstance,
+    wanted: PlacementRequest,
+    hashes: readonly string[],
+    now: number,
+  ): number {
+    const load = row.load!;
+    const sharedTokens =
+      this.prefixes.sharedChunks(row.instance, hashes, now) *
+      prefixTable.CHUNK_TOKENS;
+    const overflow = Math.max(0, load.memoryPressure - PRESSURE_KNEE);
+    return (
+      load.outstandingTokens +
+      row.dispatchedTokens +
+      this.policy.overflowCost * overflow -
+      this.policy.prefixWorth * sharedTokens
+    );
+  }
+}
--- /dev/null
+++ b/src/decision/common/throughput_meter.ts
@@ -0,0 +1,43 @@
+/** Estimates how many tokens a second an endpoint can produce. */
+
+const WINDOW_MILLISECONDS = 1_000;
+const SMOOTHING = 0.3;
+/** Rate assumed before anything was measured, a second. */
+const ASSUMED_PER_SECOND = 1_000;
+
+/**
+ * Smoothed rate of tokens. A window in which no work was waiting shows the
+ * demand and not the capacity, so it may only raise the estimate.
+ */
+export class ThroughputMeter {
+  private windowStart = 0;
+  private count = 0;
+  private wasSaturated = true;
+  private rate = ASSUMED_PER_SECOND;
+
+  /** Tokens a second that the endpoint can produce. */
+  get capacityPerSecond(): number {
+    return this.rate;
+  }
+
+  /** Adds tokens at a monotonic time in milliseconds. */
+  add(tokens: number, now: number, isSaturated: boolean): void {
+    if (now - this.windowStart >= WINDOW_MILLISECONDS) {
+      this.closeWindow(now);
+    }
+    this.count += tokens;
+    this.wasSaturated = this.wasSaturated && isSaturated;
+  }
+
+  private closeWindow(now: number): void {
+    const elapsed = now - this.windowStart;
+    const measured = (this.count * 1000) / elapsed;
+    const isContinuous = elapsed < 2 * WINDOW_MILLISECONDS;
+    if (isContinuous && (this.wasSaturated || measured > this.rate)) {
+      this.rate += SMOOTHING * (measured - this.rate);
+    }
+    this.windowStart = now;
+    this.count = 0;
+    this.wasSaturated = true;
+  }
+}
--- /dev/null
+++ b/src/endpoint/node/http_engine_client.ts
@@ -0,0 +1,219 @@
+/** Engine client over HTTP: completions with server-sent events. */
+import * as http from 'node:http';
+import * as eventsourceParser from 'eventsource-parser';
+import * as rxjs from 'rxjs';
+import * as httpClient from '../../base/node/http_client';
+import * as sideCalls from '../../protocol/common/side_calls';
+import * as engineClient from '../common/engine_client';
+
+const CONNECT_TIMEOUT_MILLISECONDS = 3_000;
+const CALL_TIMEOUT_MILLISECONDS = 2_000;
+
+interface CompletionChunk {
+  readonly choices: readonly [
+    {readonly text: string; readonly finish_reason: string | null},
+  ];
+}
+
+/** Runs generations on an engine that speaks the usual completions format. */
+export class HttpEngineClient extends engineClient.EngineClient {
+  private readonly agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: Infinity,
+  });
+
+  /** Silence on a stream beyond the idle limit counts as a lost connection. */
+  constructor(
+    private readonly url: string,
+    private readonly idleMilliseconds: number,
+  ) {
+    super();
+  }
+
+  start(
+    request: engineClient.EngineRequest,
+  ): rxjs.Observable<engineClient.EngineEvent> {
+    const body = JSON.stringify({
+      model: request.model,
+      prompt: request.prompt,
+      max_tokens: request.maxTokens,
+      priority: request.priority,
+      request_id: request.run,
+      stream: true,
+    });
+    return this.stream('POST', '/v1/completions', body);
+  }
+
+  resume(
+    run: string,
+    fromIndex: number,
+  ): rxjs.Observable<engineClient.EngineEvent> {
+    return this.stream(
+      'GET',
+      `/v1/completions/${run}/events?from=${fromIndex}`,
+    );
+  }
+
+  async cancel(run: string): Promise<void> {
+    await this.call('DELETE', `/v1/completions/${run}`);
+  }
+
+  async load(): Promise<engineClient.EngineLoad> {
+    const answer = await this.call('GET', '/load');
+    return JSON.parse(answer.body.toString('utf8')) as engineClient.EngineLoad;
+  }
+
+  async order(order: sideCalls.EngineOrder): Promise<boolean> {
+    const answer = await this.call('POST', '/orders', JSON.stringify(order));
+    return answer.status === 200;
+  }
+
+  private call(
+    method: string,
+    path: string,
+    body?: string,
+  ): Promise<httpClient.HttpAnswer> {
+    return httpClient.callHttp({
+      method,
+      url: this.url + path,
+      headers: {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(body ?? ''),
+      },
+      body,
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
+      agent: this.agent,
+    });
+  }
+
+  private stream(
+    method: string,
+    path: string,
+    body?: string,
+  ): rxjs.Observable<engineClient.EngineEvent> {
+    return new rxjs.Observable(subscriber => {
+      const controller = new StreamReader(subscriber, this.idleMilliseconds);
+      httpClient
+        .openHttp({
+          method,
+          url: this.url + path,
+          headers: {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(body ?? ''),
+          },
+          body,
+          timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+          agent: this.agent,
+        })
+        .then(
+          response => controller.read(response),
+          error =>
+            controller.fail(
+              engineClient.EngineErrorKind.ConnectionLost,
+              String(error),
+            ),
+        );
+      return () => controller.close();
+    });
+  }
+}
+
+/** Turns one answer of the engine into events. */
+class StreamReader {
+  private response: http.IncomingMessage | undefined;
+  private idleTimer: NodeJS.Timeout | undefined;
+  private isClosed = false;
+
+  constructor(
+    private readonly subscriber: rxjs.Subscriber<engineClient.EngineEvent>,
+    private readonly idleMilliseconds: number,
+  ) {}
+
+  read(response: http.IncomingMessage): void {
+    this.response = response;
+    if (this.isClosed) {
+      response.destroy();
+      return;
+    }
+    if (response.statusCode !== 200) {
+      response.resume();
+      const kind =
+        response.statusCode === 404
+          ? engineClient.EngineErrorKind.RunUnknown
+          : engineClient.EngineErrorKind.Refused;
+      return this.fail(kind, `the engine answered ${response.statusCode}`);
+    }
+    const parser = eventsourceParser.createParser({
+      onEvent: event => this.onEvent(event),
+    });
+    response.setEncoding('utf8');
+    response.on('data', (chunk: string) => {
+      this.restartIdleTimer();
+      parser.feed(chunk);
+    });
+    response.once('close', () =>
+      this.fail(
+        engineClient.EngineErrorKind.ConnectionLost,
+        'the stream closed early',
+      ),
+    );
+    response.once('error', error =>
+      this.fail(engineClient.EngineErrorKind.ConnectionLost, String(error)),
+    );
+    this.restartIdleTimer();
+  }
+
+  fail(kind: engineClient.EngineErrorKind, message: string): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.close();
+    this.subscriber.error(new engineClient.EngineError(kind, message));
+  }
+
+  close(): void {
+    this.isClosed = true;
+    clearTimeout(this.idleTimer);
+    this.response?.destroy();
+  }
+
+  private restartIdleTimer(): void {
+    if (this.idleTimer !== undefined) {
+      this.idleTimer.refresh();
+      return;
+    }
+    this.idleTimer = setTimeout(
+      () =>
+        this.fail(
+          engineClient.EngineErrorKind.ConnectionLost,
+          `silent for ${this.idleMilliseconds} ms`,
+        ),
+      this.idleMilliseconds,
+    );
+  }
+
+  private onEvent(event: eventsourceParser.EventSourceMessage): void {
+    if (this.isClosed || event.data === '[DONE]') {
+      return;
+    }
+    const chunk = JSON.parse(event.data) as CompletionChunk;
+    const choice = chunk.choices[0];
+    const index = Number(event.id);
+    if (choice.finish_reason === null) {
+      this.subscriber.next({
+        kind: engineClient.EngineEventKind.Token,
+        index,
+        text: choice.text,
+      });
+      return;
+    }
+    this.subscriber.next({
+      kind: engineClient.EngineEventKind.Finished,
+      index,
+      text: '',
+      finishReason: choice.finish_reason,
+    });
+    this.close();
+    this.subscriber.complete();
+  }
+}
--- /dev/null
+++ b/src/entry/node/attempt_calls.ts
@@ -0,0 +1,104 @@
+/** Calls of an entry on the side processes that its attempts are at. */
+import * as neverthrow from 'neverthrow';
+import * as tracing from '../../base/node/tracing';
+import * as generationMachine from '../../decision/common/generation_machine';
+import * as generationRequest from '../../protocol/common/generation_request';
+import * as sideCalls from '../../protocol/common/side_calls';
+import * as peerTransport from '../../protocol/node/peer_transport';
+import * as linkManager from './link_manager';
+
+/** Why a call has no answer. */
+export enum CallError {
+  /** The side process surely did not get the call. */
+  NeverReached = 'never-reached',
+  /** The side process may have got the call. */
+  Lost = 'lost',
+}
+
+/** Passes calls of attempts over the link clients. */
+export class AttemptCalls {
+  constructor(
+    private readonly links: linkManager.LinkManager,
+    private readonly tracer: tracing.Tracer,
+  ) {}
+
+  /** Hands an attempt over. */
+  async start(
+    target: generationMachine.AttemptTarget,
+    request: generationRequest.GenerationRequest,
+    trace: tracing.TraceContext,
+  ): Promise<neverthrow.Result<sideCalls.CallReply, CallError>> {
+    const span = this.tracer.start('entry.handoff', trace);
+    const result = await this.call(target, client =>
+      client.calls.startAttempt.mutate({
+        attempt: target.attempt,
+        incarnation: target.incarnation,
+        link: client.linkId,
+        traceparent: tracing.traceHeader(span.context),
+        request,
+      }),
+    );
+    const isAccepted = result.isOk() && result.value.isAccepted;
+    span.end({instance: target.instance, accepted: String(isAccepted)});
+    return result;
+  }
+
+  /** Withdraws an attempt whose hand-off has no answer. */
+  tombstone(
+    target: generationMachine.AttemptTarget,
+  ): Promise<neverthrow.Result<sideCalls.TombstoneReply, CallError>> {
+    return this.call(target, client =>
+      client.calls.tombstoneAttempt.mutate(target),
+    );
+  }
+
+  /** Asks for the output from an index on. */
+  attach(
+    target: generationMachine.AttemptTarget,
+    fromIndex: number,
+    customer: string,
+  ): Promise<neverthrow.Result<sideCalls.CallReply, CallError>> {
+    return this.call(target, client =>
+      client.calls.attach.mutate({
+        ...target,
+        link: client.linkId,
+        fromIndex,
+        customer,
+      }),
+    );
+  }
+
+  /** Holds back the output for a caller that reads slowly. */
+  pause(target: generationMachine.AttemptTarget): void {
+    void this.call(target, client =>
+      client.calls.detach.mutate({...target, isPause: true}),
+    );
+  }
+
+  /** Leaves an attempt: it ends at once, or after the time that the caller has to come back. */
+  leave(target: generationMachine.AttemptTarget, isGraceful: boolean): void {
+    void this.call(target, client =>
+      isGraceful
+        ? client.calls.detach.mutate({...target, isPause: false})
+        : client.calls.release.mutate(target),
+    );
+  }
+
+  private async call<T>(
+    target: generationMachine.AttemptTarget,
+    action: (
+      client: NonNullable<ReturnType<linkManager.LinkManager['client']>>,
+    ) => Promise<T>,
+  ): Promise<neverthrow.Result<T, CallError>> {
+    const client = this.links.client(target.instance);
+    if (client === undefined) {
+      return neverthrow.err(CallError.NeverReached);
+    }
+    try {
+      return neverthrow.ok(await action(client));
+    } catch (error) {
+      const isUnsent = peerTransport.neverReached(error);
+      return neverthrow.err(isUnsent ? CallError.NeverReached : CallError.Lost);
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/node/caller_gate.ts
@@ -0,0 +1,61 @@
+/** Identifies callers and decides whether this entry takes new work. */
+import * as http from 'node:http';
+import * as neverthrow from 'neverthrow';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as httpServer from '../../base/node/http_server';
+import * as settingsFile from '../../base/node/settings_file';
+import * as configurationTable from '../../decision/common/configuration_table';
+import * as operator from '../../protocol/generated/rhubarbvane/v1/operator_pb';
+
+const DEFAULT_WEIGHT = 1;
+
+/** A known customer. */
+export interface Caller {
+  readonly customer: string;
+  readonly weight: number;
+  /** 0 for no limit. */
+  readonly maxOutstandingTokens: number;
+}
+
+/** Whether the entry can serve; gives the reason when not. */
+export type Readiness = () => failure.Failure | undefined;
+
+/** Guards the resources of callers. */
+export class CallerGate {
+  constructor(
+    private readonly configuration: configurationTable.ConfigurationTable,
+    private readonly readiness: Readiness,
+  ) {}
+
+  /** Errors: NotReady, Unauthenticated. */
+  admit(
+    request: http.IncomingMessage,
+  ): neverthrow.Result<Caller, failure.Failure> {
+    const cause = this.readiness();
+    if (cause !== undefined) {
+      return neverthrow.err(cause);
+    }
+    const token = httpServer.bearerToken(request);
+    // The look-up compares digests, so its time tells nothing about a token.
+    const object =
+      token === undefined
+        ? undefined
+        : this.configuration.customerByToken(settingsFile.sha256(token));
+    if (object?.spec.case !== 'customer') {
+      const message = 'authorization: expected the bearer token of a customer';
+      return neverthrow.err(
+        failure.notRun(resultCode.ResultCode.Unauthenticated, message),
+      );
+    }
+    return neverthrow.ok(callerOf(object.name, object.spec.value));
+  }
+}
+
+function callerOf(name: string, customer: operator.Customer): Caller {
+  return {
+    customer: name,
+    weight: customer.weight > 0 ? customer.weight : DEFAULT_WEIGHT,
+    maxOutstandingTokens: Number(customer.maxOutstandingTokens),
+  };
+}
--- /dev/null
+++ b/src/entry/node/claimed_call.ts
@@ -0,0 +1,161 @@
+/** Runs an action of a plain service at most once under an idempotency key. */
+import * as deadline from '../../base/common/deadline';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as claimPage from '../../decision/common/claim_page';
+import * as sideCalls from '../../protocol/common/side_calls';
+import * as claimService from './claim_service';
+import * as serviceDispatcher from './service_dispatcher';
+
+/** Time for which a concurrent duplicate waits for the first call's answer, in milliseconds. */
+const DUPLICATE_WAIT_MILLISECONDS = 5_000;
+const DUPLICATE_POLL_MILLISECONDS = 250;
+/** Longest body kept inside a claim, in base64 characters. */
+const MAX_KEPT_BODY = 64 * 1024;
+
+/** Names an action. */
+export interface ActionKey {
+  readonly customerKey: string;
+  /** Unix milliseconds inside the key. */
+  readonly keyMilliseconds: number;
+  readonly bodySha256: string;
+}
+
+/** Claims before each dispatch and records each outcome. */
+export class ClaimedCallService {
+  constructor(
+    private readonly claims: claimService.ClaimService,
+    private readonly dispatcher: serviceDispatcher.ServiceDispatcher,
+  ) {}
+
+  async run(
+    call: serviceDispatcher.PlainCall,
+    key: ActionKey,
+  ): Promise<sideCalls.ServiceReply> {
+    const attempt = serviceDispatcher.newAttempt();
+    const until = performance.now() + DUPLICATE_WAIT_MILLISECONDS;
+    let isFresh = false;
+    for (;;) {
+      const result = await this.claims.claim(
+        key.keyMilliseconds,
+        key.customerKey,
+        attempt,
+        key.bodySha256,
+        isFresh,
+      );
+      if (result.isErr()) {
+        return this.notClaimed(key, attempt, result.error);
+      }
+      if (result.value.outcome === claimPage.ClaimOutcome.Granted) {
+        return this.dispatch(call, key, attempt);
+      }
+      if (result.value.outcome !== claimPage.ClaimOutcome.HeldElsewhere) {
+        return settled(result.value);
+      }
+      if (performance.now() > until) {
+        return {failure: heldElsewhere()};
+      }
+      isFresh = true;
+      await deadline.delay(DUPLICATE_POLL_MILLISECONDS);
+    }
+  }
+
+  private async dispatch(
+    call: serviceDispatcher.PlainCall,
+    key: ActionKey,
+    attempt: string,
+  ): Promise<sideCalls.ServiceReply> {
+    const reply = await this.dispatcher.dispatch(
+      {...call, isRepeatable: false},
+      attempt,
+    );
+    if (reply.answer !== undefined) {
+      const answer = keptForm(reply.answer);
+      // The caller waits for the record, so that a repeat after this answer finds it.
+      await deadline
+        .withDeadline(
+          this.claims.complete(
+            key.keyMilliseconds,
+            key.customerKey,
+            attempt,
+            answer,
+          ),
+          2_000,
+        )
+        .catch(() => undefined);
+      return reply;
+    }
+    if (reply.failure?.workState === resultCode.WorkState.NotRun) {
+      await deadline
+        .withDeadline(
+          this.claims.release(key.keyMilliseconds, key.customerKey, attempt),
+          2_000,
+        )
+        .catch(() => undefined);
+    }
+    return reply;
+  }
+
+  /** Nothing was dispatched, so the action did not run, whatever became of the claim. */
+  private notClaimed(
+    key: ActionKey,
+    attempt: string,
+    error: claimService.ClaimError,
+  ): sideCalls.ServiceReply {
+    if (error === claimService.ClaimError.Uncertain) {
+      void this.claims.release(key.keyMilliseconds, key.customerKey, attempt);
+    }
+    const message = 'the object API does not confirm a claim';
+    return {
+      failure: failure.notRun(
+        resultCode.ResultCode.StoreUnavailable,
+        message,
+        2,
+      ),
+    };
+  }
+}
+
+function settled(result: claimPage.ClaimResult): sideCalls.ServiceReply {
+  if (result.outcome === claimPage.ClaimOutcome.Completed) {
+    const {status, contentType, bodyBase64} = result.claim!;
+    return {answer: {status, contentType, bodyBase64}};
+  }
+  if (result.outcome === claimPage.ClaimOutcome.BodyMismatch) {
+    const message = 'idempotency-key: belongs to an action with another body';
+    return {
+      failure: failure.notRun(
+        resultCode.ResultCode.IdempotencyKeyReused,
+        message,
+      ),
+    };
+  }
+  const message = 'no more actions can be claimed in this minute';
+  return {
+    failure: failure.notRun(resultCode.ResultCode.Overloaded, message, 60),
+  };
+}
+
+function heldElsewhere(): failure.Failure {
+  const message =
+    'the action was claimed by another call that has no answer yet; it will not run again';
+  return failure.unknownOutcome(
+    resultCode.ResultCode.OutcomeUnknown,
+    message,
+    5,
+  );
+}
+
+function keptForm(answer: sideCalls.ServiceAnswer): sideCalls.ServiceAnswer {
+  if (answer.bodyBase64.length <= MAX_KEPT_BODY) {
+    return answer;
+  }
+  const note = JSON.stringify({
+    message: 'the action ran; its answer was too long to keep',
+  });
+  return {
+    status: answer.status,
+    contentType: 'application/json',
+    bodyBase64: Buffer.from(note).toString('base64'),
+  };
+}
--- /dev/null
+++ b/src/entry/node/entry_process.ts
@@ -0,0 +1,323 @@
+/** The entry: checks, limits, places, retries and delivers the requests of callers. */
+import * as disposable from '../../base/common/disposable';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as httpServer from '../../base/node/http_server';
+import * as log from '../../base/node/log';
+import * as metrics from '../../base/node/metrics';
+import * as processSettings from '../../base/node/process_settings';
+import * as tracing from '../../base/node/tracing';
+import * as routeSystem from '../../decision/common/route_system';
+import * as instanceList from '../../platform/common/instance_list';
+import * as objectStore from '../../platform/common/object_store';
+import * as configurationMessages from '../../protocol/common/configuration_messages';
+import * as peerCalls from '../../protocol/common/peer_calls';
+import * as entryRouter from '../../protocol/node/entry_router';
+import * as leaving from '../../protocol/node/leaving';
+import * as peerTransport from '../../protocol/node/peer_transport';
+import * as trafficMetrics from '../../protocol/node/traffic_metrics';
+import * as callerGate from './caller_gate';
+import * as claimService from './claim_service';
+import * as claimedCall from './claimed_call';
+import * as completionHandler from './completion_handler';
+import * as configurationService from './configuration_service';
+import * as entryMetrics from './entry_metrics';
+import * as entrySettings from './entry_settings';
+import * as generationService from './generation_service';
+import * as gossipService from './gossip_service';
+import * as linkManager from './link_manager';
+import * as membership from './membership';
+import * as operatorService from './operator_service';
+import * as poisonService from './poison_service';
+import * as serviceDispatcher from './service_dispatcher';
+import * as serviceHandler from './service_handler';
+import * as statusService from './status_service';
+
+/** Time without an answer from store and peers after which an entry with peers refuses new work, in milliseconds. */
+const ISOLATION_MILLISECONDS = 6_000;
+/** Longest time for which an entry waits for its first links, in milliseconds. */
+const START_MILLISECONDS = 5_000;
+const READINESS_POLL_MILLISECONDS = 200;
+
+/** Everything that an entry is made from. */
+export interface EntryProcessOptions {
+  readonly instance: processSettings.InstanceSettings;
+  readonly callers: entrySettings.CallerSettings;
+  readonly links: entrySettings.LinkSettings;
+  readonly clusterToken: string;
+  readonly operatorToken: string;
+  readonly registry: metrics.MetricsRegistry;
+  readonly metrics: entryMetrics.EntryMetrics;
+  readonly store: objectStore.ObjectStore;
+  readonly instances: instanceList.InstanceList;
+  readonly traceCollector: string;
+}
+
+/** A thin process behind the platform's balancer. It holds nothing that cannot be rebuilt. */
+export class EntryProcess
+  extends entryRouter.EntryService
+  implements disposable.Disposable
+{
+  readonly configuration: configurationService.ConfigurationService;
+  private readonly owned = new disposable.DisposableStore();
+  private readonly server = new httpServer.HttpServer();
+  private readonly tracer: tracing.Tracer;
+  private readonly members: membership.Membership;
+  private readonly links: linkManager.LinkManager;
+  private readonly poison = new poisonService.PoisonService();
+  private readonly generations: generationService.GenerationService;
+  private readonly gossiper: gossipService.GossipService;
+  private readonly claims: claimService.ClaimService;
+  private readonly dispatcher: serviceDispatcher.ServiceDispatcher;
+  private readonly statuses: statusService.StatusService;
+  private readonly traffic: trafficMetrics.TrafficMetrics;
+  private readonly leaving = new leaving.Leaving();
+  private readonly logger = new log.Logger('entry');
+  private address = '';
+  private openAnswers = 0;
+  private readonly startedAt = performance.now();
+
+  constructor(private readonly options: EntryProcessOptions) {
+    super();
+    const {instance, clusterToken: token} = options;
+    const entryAddress = () => this.address;
+    const entryCount = () => this.members.entries.length;
+    this.tracer = new tracing.Tracer(instance.name);
+    this.traffic = new trafficMetrics.TrafficMetrics(options.registry);
+    this.members = this.owned.add(new membership.Membership(options.instances));
+    this.configuration = this.owned.add(
+      new configurationService.ConfigurationService(options.store, entryCount),
+    );
+    const revision = () => this.configuration.table.revision;
+    this.links = this.owned.add(
+      new linkManager.LinkManager(
+        {
+          entry: instance.name,
+          entryAddress,
+          dataCentre: instance.data_centre,
+          token,
+          linksPerEndpoint: options.links.per_endpoint,
+          revision,
+        },
+        this.members,
+        this.traffic,
+        options.metrics,
+      ),
+    );
+    this.generations = this.owned.add(
+      new generationService.GenerationService(
+        this.links,
+        this.poison,
+        options.metrics,
+        this.tracer,
+      ),
+    );
+    this.gossiper = this.owned.add(
+      new gossipService.GossipService(
+        {instance: instance.name, address: entryAddress, token},
+        this.configuration,
+        this.members,
+        this.poison,
+        this.traffic,
+      ),
+    );
+    this.claims = this.owned.add(
+      new claimService.ClaimService(options.store, entryCount),
+    );
+    this.dispatcher = new serviceDispatcher.ServiceDispatcher(
+      this.links,
+      token,
+      this.traffic,
+      this.tracer,
+    );
+    this.statuses = new statusService.StatusService({
+      instance: instance.name,
+      token,
+      configuration: this.configuration,
+      members: this.members,
+      links: this.links,
+      gossip: this.gossiper,
+      traffic: this.traffic,
+      tracer: this.tracer,
+      own: () => this.status(),
+    });
+    this.owned.add(this.server);
+    this.configuration.table.onDidRaise.subscribe(value => {
+      options.metrics.revision.set(value);
+      this.links.renewAll();
+    });
+    this.mountPeerResources();
+    this.mountCallerResources();
+  }
+
+  /** Starts serving; gives the address in use. Configuration is fetched from peers and store meanwhile. */
+  async start(): Promise<string> {
+    if (this.options.traceCollector !== '') {
+      await this.tracer.exportTo(this.options.traceCollector);
+    }
+    this.address = await this.server.listen(this.options.instance.listen);
+    this.logger.change('serving', {address: this.address});
+    await this.members.start();
+    await Promise.all([this.configuration.start(), this.gossiper.start()]);
+    return this.address;
+  }
+
+  /** Refuses new work, and resolves when every caller has its answer. */
+  async leave(): Promise<void> {
+    this.leaving.begin();
+    this.logger.change('leaving', {running: this.openAnswers});
+    await new Promise<void>(resolve => {
+      const timer = setInterval(() => {
+        if (this.openAnswers === 0) {
+          clearInterval(timer);
+          resolve();
+        }
+      }, READINESS_POLL_MILLISECONDS);
+    });
+    this.dispose();
+    this.logger.change('left');
+  }
+
+  dispose(): void {
+    this.owned.dispose();
+  }
+
+  gossip(input: peerCalls.Gossip): peerCalls.GossipReply {
+    return this.gossiper.answer(input);
+  }
+
+  sync(
+    input: configurationMessages.SyncRequest,
+  ): configurationMessages.SyncReply {
+    return this.configuration.table.since(
+      input.revision,
+      input.withoutCustomers,
+    );
+  }
+
+  push(input: peerCalls.Push): void {
+    this.configuration.adopt(input.sync, input.fromRevision);
+  }
+
+  list(): peerCalls.ListView {
+    return this.members.view as peerCalls.ListView;
+  }
+
+  status(): peerCalls.StatusReport {
+    return {
+      instance: this.options.instance.name,
+      revision: this.configuration.table.revision,
+      running: this.openAnswers,
+      waiting: 0,
+      isLeaving: this.leaving.isLeaving,
+    };
+  }
+
+  spans(traceId: string): readonly peerCalls.SpanReport[] {
+    return this.tracer.spansOf(traceId);
+  }
+
+  /** Why no new work is taken; undefined when it is. */
+  private readiness(): failure.Failure | undefined {
+    const refuse = (message: string) =>
+      failure.notRun(resultCode.ResultCode.NotReady, message, 1);
+    if (this.leaving.isLeaving) {
+      return refuse('this entry is leaving');
+    }
+    if (this.configuration.table.revision === 0) {
+      return refuse('this entry has no configuration yet');
+    }
+    const isStarting = performance.now() - this.startedAt < START_MILLISECONDS;
+    if (isStarting && !this.links.isSettled) {
+      return refuse('this entry is opening its links');
+    }
+    const heardAt = Math.max(
+      this.configuration.confirmedAt,
+      this.gossiper.heardAt,
+    );
+    const isIsolated =
+      this.gossiper.peers.length > 0 &&
+      performance.now() - heardAt > ISOLATION_MILLISECONDS;
+    return isIsolated
+      ? refuse('this entry reaches neither the object API nor other entries')
+      : undefined;
+  }
+
+  private mountPeerResources(): void {
+    peerTransport.mountRouter(
+      this.server,
+      this.options.clusterToken,
+      entryRouter.createEntryRouter(this),
+    );
+    this.server.mount('/healthz', (_, response) =>
+      httpServer.answerJson(response, 200, {}),
+    );
+    this.server.mount('/readyz', (_, response) => {
+      const cause = this.readiness();
+      const body = {ready: cause === undefined, reason: cause?.message};
+      httpServer.answerJson(response, cause === undefined ? 200 : 503, body);
+    });
+    this.server.mount('/metrics', async (_, response) => {
+      const text = await this.options.registry.render();
+      response
+        .writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'})
+        .end(text);
+    });
+    this.server.mount(
+      operatorService.OPERATOR_PATH,
+      operatorService.createOperatorHandler(
+        this.configuration,
+        this.statuses,
+        this.options.operatorToken,
+      ),
+    );
+  }
+
+  private mountCallerResources(): void {
+    const gate = new callerGate.CallerGate(this.configuration.table, () =>
+      this.readiness(),
+    );
+    const routes = new routeSystem.RouteSystem(this.configuration.table);
+    const completions = new completionHandler.CompletionHandler({
+      gate,
+      routes,
+      generations: this.generations,
+      poison: this.poison,
+      metrics: this.options.metrics,
+      tracer: this.tracer,
+      settings: this.options.callers,
+      entryCount: () => this.members.entries.length,
+    });
+    const services = new serviceHandler.ServiceHandler({
+      gate,
+      routes,
+      dispatcher: this.dispatcher,
+      claimed: new claimedCall.ClaimedCallService(this.claims, this.dispatcher),
+      metrics: this.options.metrics,
+      tracer: this.tracer,
+      settings: this.options.callers,
+    });
+    this.mountCounted('/v1/completions', (request, response) =>
+      completions.handle(request, response),
+    );
+    this.mountCounted('/services/', (request, response) =>
+      services.handle(request, response),
+    );
+  }
+
+  /** Counts answers that are not complete, so that leaving can wait for them. */
+  private mountCounted(
+    prefix: string,
+    handler: httpServer.RequestHandler,
+  ): void {
+    this.server.mount(prefix, (request, response) => {
+      this.openAnswers++;
+      this.options.metrics.running.set(this.openAnswers);
+      response.once('close', () => {
+        this.openAnswers--;
+        this.options.metrics.running.set(this.openAnswers);
+      });
+      return handler(request, response);
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/node/entry_settings.ts
@@ -0,0 +1,32 @@
+/** Settings of an entry. */
+import * as zod from 'zod';
+import * as settingsFile from '../../base/node/settings_file';
+
+/** Section [callers]. */
+export const callersSchema = zod.z.strictObject({
+  max_body_bytes: settingsFile
+    .numberSetting(1_024, 64 * 1024 * 1024)
+    .default(1_048_576),
+  default_max_tokens: settingsFile.numberSetting(1, 1_000_000).default(256),
+  /** Requests up to this many tokens are quick unless they say otherwise. */
+  quick_max_tokens: settingsFile.numberSetting(0, 1_000_000).default(128),
+  service_timeout_milliseconds: settingsFile
+    .numberSetting(100, 600_000)
+    .default(30_000),
+});
+
+/** Section [operators]. */
+export const operatorsSchema = zod.z.strictObject({
+  token_file: zod.z.string().min(1),
+});
+
+/** Section [links]. */
+export const linksSchema = zod.z.strictObject({
+  /** Instances of each endpoint that this entry links to. */
+  per_endpoint: settingsFile.numberSetting(1, 10_000).default(8),
+});
+
+/** Settings towards callers. */
+export type CallerSettings = zod.z.infer<typeof callersSchema>;
+/** Settings of links. */
+export type LinkSettings = zod.z.infer<typeof linksSchema>;
--- /dev/null
+++ b/src/entry/node/generation.ts
@@ -0,0 +1,37 @@
+/** A generation of a caller and the receiver of its output. */
+import * as failure from '../../base/common/failure';
+import * as tracing from '../../base/node/tracing';
+import * as generationMachine from '../../decision/common/generation_machine';
+import * as generationRequest from '../../protocol/common/generation_request';
+
+/** Receives the output of one generation. */
+export abstract class GenerationSink {
+  abstract deliver(
+    target: generationMachine.AttemptTarget,
+    index: number,
+    texts: readonly string[],
+  ): void;
+  abstract finish(
+    target: generationMachine.AttemptTarget,
+    finishReason: string,
+    length: number,
+  ): void;
+  abstract fail(cause: failure.Failure): void;
+  /** Whether output should be held back for a while. */
+  abstract get isSlow(): boolean;
+}
+
+/** A generation of a caller. */
+export class Generation {
+  isPaused = false;
+  pendingSince = 0;
+
+  constructor(
+    readonly request: generationRequest.GenerationRequest,
+    readonly endpoints: readonly string[],
+    readonly sink: GenerationSink,
+    readonly machine: generationMachine.GenerationMachine,
+    readonly trace: tracing.TraceContext,
+    readonly expectedTokens: number,
+  ) {}
+}
--- /dev/null
+++ b/src/entry/node/service_dispatcher.ts
@@ -0,0 +1,241 @@
+/** Hands calls to plain services to side processes. */
+import * as crypto from 'node:crypto';
+import * as deadline from '../../base/common/deadline';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as settingsFile from '../../base/node/settings_file';
+import * as tracing from '../../base/node/tracing';
+import * as endpointTable from '../../decision/common/endpoint_table';
+import * as sideCalls from '../../protocol/common/side_calls';
+import * as peerTransport from '../../protocol/node/peer_transport';
+import * as linkManager from './link_manager';
+
+const MAX_ATTEMPTS = 3;
+const REPEAT_MILLISECONDS = 200;
+/** Time that the answer of a side process may take beyond that of its service, in milliseconds. */
+const HOP_ALLOWANCE_MILLISECONDS = 1_000;
+const PENDING_LINK_MILLISECONDS = 2_000;
+const PENDING_POLL_MILLISECONDS = 20;
+
+/** A call to a plain service. */
+export interface PlainCall {
+  readonly endpoints: readonly string[];
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+  readonly idempotencyKey: string;
+  /** Whether the call may run more than once. */
+  readonly isRepeatable: boolean;
+  readonly timeoutMilliseconds: number;
+  readonly trace: tracing.TraceContext;
+}
+
+/** Makes the identifier of an attempt. */
+export function newAttempt(): string {
+  return crypto.randomBytes(9).toString('base64url');
+}
+
+/** Finds an instance and brings a call to a definite end. */
+export class ServiceDispatcher {
+  private rotation = 0;
+  private running = 0;
+
+  constructor(
+    private readonly links: linkManager.LinkManager,
+    private readonly token: string,
+    private readonly traffic: peerTransport.TrafficCounter,
+    private readonly tracer: tracing.Tracer,
+  ) {}
+
+  /** Number of calls without an answer. */
+  get runningCount(): number {
+    return this.running;
+  }
+
+  /** Runs the call. Unless it is repeatable, a further instance is tried only after proof that it did not run. */
+  async dispatch(
+    call: PlainCall,
+    attempt: string,
+  ): Promise<sideCalls.ServiceReply> {
+    this.running++;
+    try {
+      return await this.tryInstances(call, attempt);
+    } finally {
+      this.running--;
+    }
+  }
+
+  private async tryInstances(
+    call: PlainCall,
+    attempt: string,
+  ): Promise<sideCalls.ServiceReply> {
+    const excluded = new Set<string>();
+    let last: sideCalls.ServiceReply = {};
+    for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
+      const row = await this.choose(call.endpoints, excluded);
+      if (row === undefined) {
+        break;
+      }
+      excluded.add(row.instance);
+      last = await this.tryInstance(call, `${attempt}.${tries}`, row);
+      const work = last.failure?.workState;
+      const mayRepeat =
+        call.isRepeatable && work === resultCode.WorkState.Unknown;
+      if (work !== resultCode.WorkState.NotRun && !mayRepeat) {
+        return last;
+      }
+    }
+    const noEndpoint = failure.notRun(
+      resultCode.ResultCode.NoEndpoint,
+      'no endpoint instance takes work',
+      2,
+    );
+    return last.failure === undefined ? {failure: noEndpoint} : last;
+  }
+
+  private async choose(
+    endpoints: readonly string[],
+    excluded: ReadonlySet<string>,
+  ): Promise<endpointTable.EndpointInstance | undefined> {
+    const until = performance.now() + PENDING_LINK_MILLISECONDS;
+    for (;;) {
+      const reachable = [...this.links.table.all()].filter(
+        row => endpoints.includes(row.endpoint) && !excluded.has(row.instance),
+      );
+      const usable = reachable.filter(endpointTable.takesWork);
+      if (usable.length > 0) {
+        return this.leastLoaded(usable);
+      }
+      const isPending = reachable.some(
+        row => row.state === endpointTable.LinkState.Connecting,
+      );
+      if (!isPending || performance.now() > until) {
+        return undefined;
+      }
+      await deadline.delay(PENDING_POLL_MILLISECONDS);
+    }
+  }
+
+  private leastLoaded(
+    usable: readonly endpointTable.EndpointInstance[],
+  ): endpointTable.EndpointInstance {
+    this.rotation++;
+    const start = this.rotation % usable.length;
+    const rotated = [...usable.slice(start), ...usable.slice(0, start)];
+    return rotated.reduce((best, row) =>
+      row.load!.running < best.load!.running ? row : best,
+    );
+  }
+
+  /** Repeats the hand-off of one attempt, which its side process runs at most once, until its end is known. */
+  private async tryInstance(
+    call: PlainCall,
+    attempt: string,
+    row: endpointTable.EndpointInstance,
+  ): Promise<sideCalls.ServiceReply> {
+    const span = this.tracer.start('entry.handoff', call.trace);
+    const incarnation = row.incarnation;
+    const input = inputOf(call, attempt, incarnation, span.context);
+    const until =
+      performance.now() + call.timeoutMilliseconds + HOP_ALLOWANCE_MILLISECONDS;
+    let wasSent = false;
+    while (performance.now() < until) {
+      try {
+        const client = this.clientOf(row.address, until - performance.now());
+        const reply = (await client.callService.mutate(
+          input,
+        )) as sideCalls.ServiceReply;
+        span.end();
+        return wasSent ? withoutProof(reply) : reply;
+      } catch (error) {
+        const isUnsent = peerTransport.neverReached(error);
+        wasSent = wasSent || !isUnsent;
+        if (!wasSent) {
+          span.end({error: 'not sent'});
+          return {
+            failure: failure.notRun(
+              resultCode.ResultCode.EndpointLost,
+              'the side process is gone',
+              1,
+            ),
+          };
+        }
+        if (this.isGone(row, incarnation, isUnsent)) {
+          break;
+        }
+        await deadline.delay(REPEAT_MILLISECONDS);
+      }
+    }
+    span.end({error: 'outcome unknown'});
+    const message = 'the endpoint was lost before it answered';
+    return {
+      failure: failure.unknownOutcome(
+        resultCode.ResultCode.OutcomeUnknown,
+        message,
+      ),
+    };
+  }
+
+  private isGone(
+    row: endpointTable.EndpointInstance,
+    incarnation: string,
+    isUnsent: boolean,
+  ): boolean {
+    const present = this.links.table.get(row.instance);
+    const isReplaced =
+      present === undefined || present.incarnation !== incarnation;
+    return (
+      isReplaced || (isUnsent && present.state === endpointTable.LinkState.Lost)
+    );
+  }
+
+  private clientOf(
+    address: string,
+    timeoutMilliseconds: number,
+  ): peerTransport.SideClient {
+    return peerTransport.createSideClient({
+      address,
+      token: this.token,
+      timeoutMilliseconds: Math.max(1, timeoutMilliseconds),
+      traffic: this.traffic,
+    });
+  }
+}
+
+/**
+ * After a lost hand-off only the incarnation that may have received it can
+ * prove that the call did not run, and a replaced one cannot.
+ */
+function withoutProof(reply: sideCalls.ServiceReply): sideCalls.ServiceReply {
+  if (reply.failure?.code !== resultCode.ResultCode.WrongIncarnation) {
+    return reply;
+  }
+  const message = 'the side process was replaced during the call';
+  return {
+    failure: failure.unknownOutcome(
+      resultCode.ResultCode.OutcomeUnknown,
+      message,
+    ),
+  };
+}
+
+function inputOf(
+  call: PlainCall,
+  attempt: string,
+  incarnation: string,
+  context: tracing.TraceContext,
+): sideCalls.ServiceCall {
+  return {
+    attempt,
+    incarnation,
+    traceparent: tracing.traceHeader(context),
+    method: call.method,
+    path: call.path,
+    contentType: call.contentType,
+    bodyBase64: call.body.toString('base64'),
+    idempotencyKey: call.idempotencyKey,
+    fingerprint: settingsFile.sha256(call.body.toString('base64')).slice(0, 24),
+    timeoutMilliseconds: call.timeoutMilliseconds,
+  };
+}
--- /dev/null
+++ b/src/entry/node/service_handler.ts
@@ -0,0 +1,164 @@
+/** Serves /services/<route>/…: calls to plain services. */
+import * as http from 'node:http';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as httpServer from '../../base/node/http_server';
+import * as settingsFile from '../../base/node/settings_file';
+import * as tracing from '../../base/node/tracing';
+import * as claimPage from '../../decision/common/claim_page';
+import * as routeSystem from '../../decision/common/route_system';
+import * as sideCalls from '../../protocol/common/side_calls';
+import * as callerGate from './caller_gate';
+import * as claimedCall from './claimed_call';
+import * as entryMetrics from './entry_metrics';
+import * as entrySettings from './entry_settings';
+import * as serviceDispatcher from './service_dispatcher';
+
+const SERVICES_PATH = '/services/';
+/** Methods that change nothing, by the rules of HTTP. */
+const SAFE_METHODS: readonly string[] = ['GET', 'HEAD', 'OPTIONS'];
+
+/** What the handler is made from. */
+export interface ServiceHandlerParts {
+  readonly gate: callerGate.CallerGate;
+  readonly routes: routeSystem.RouteSystem;
+  readonly dispatcher: serviceDispatcher.ServiceDispatcher;
+  readonly claimed: claimedCall.ClaimedCallService;
+  readonly metrics: entryMetrics.EntryMetrics;
+  readonly tracer: tracing.Tracer;
+  readonly settings: entrySettings.CallerSettings;
+}
+
+/** Checks service calls and answers callers. */
+export class ServiceHandler {
+  constructor(private readonly parts: ServiceHandlerParts) {}
+
+  async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const trace = tracing.traceFromHeader(
+      request.headers.traceparent as string | undefined,
+    );
+    response.setHeader('Rhubarbvane-Trace', trace.traceId);
+    const reply = await this.serve(request, trace, Date.now());
+    this.answer(response, reply);
+  }
+
+  private async serve(
+    request: http.IncomingMessage,
+    trace: tracing.TraceContext,
+    arrivedAt: number,
+  ): Promise<sideCalls.ServiceReply> {
+    const caller = this.parts.gate.admit(request);
+    if (caller.isErr()) {
+      return {failure: caller.error};
+    }
+    const span = this.parts.tracer.start('entry.admission', trace);
+    const rest = request.url!.slice(SERVICES_PATH.length);
+    const routeName = rest.split(/[/?]/, 1)[0];
+    const route = this.parts.routes.forService(
+      caller.value.customer,
+      routeName,
+      arrivedAt,
+    );
+    const body = await httpServer.readBody(
+      request,
+      this.parts.settings.max_body_bytes,
+    );
+    span.end();
+    if (route.isErr() || body.isErr()) {
+      return {failure: route.isErr() ? route.error : body._unsafeUnwrapErr()};
+    }
+    const key = request.headers['idempotency-key'];
+    const path = rest.slice(routeName.length) || '/';
+    const call: serviceDispatcher.PlainCall = {
+      endpoints: route.value.route.endpoints,
+      method: request.method ?? 'GET',
+      path: path.startsWith('/') ? path : `/${path}`,
+      contentType:
+        request.headers['content-type'] ?? 'application/octet-stream',
+      body: body.value,
+      idempotencyKey: typeof key === 'string' ? key : '',
+      isRepeatable:
+        route.value.route.repeatable ||
+        SAFE_METHODS.includes(request.method ?? ''),
+      timeoutMilliseconds: this.parts.settings.service_timeout_milliseconds,
+      trace: span.context,
+    };
+    if (call.idempotencyKey === '' || SAFE_METHODS.includes(call.method)) {
+      return this.parts.dispatcher.dispatch(
+        call,
+        serviceDispatcher.newAttempt(),
+      );
+    }
+    return this.serveClaimed(call, caller.value.customer, routeName, arrivedAt);
+  }
+
+  private serveClaimed(
+    call: serviceDispatcher.PlainCall,
+    customer: string,
+    routeName: string,
+    arrivedAt: number,
+  ): Promise<sideCalls.ServiceReply> | sideCalls.ServiceReply {
+    const keyMilliseconds = claimPage.keyTime(call.idempotencyKey);
+    if (keyMilliseconds === undefined) {
+      const message = 'idempotency-key: expected a UUID of version 7';
+      return {
+        failure: failure.notRun(
+          resultCode.ResultCode.InvalidIdempotencyKey,
+          message,
+        ),
+      };
+    }
+    if (
+      claimPage.keyAge(keyMilliseconds, arrivedAt) !== claimPage.KeyAge.Valid
+    ) {
+      const message =
+        'idempotency-key: its time is outside the accepted window';
+      return {
+        failure: failure.notRun(
+          resultCode.ResultCode.IdempotencyKeyTooOld,
+          message,
+        ),
+      };
+    }
+    const content = [
+      routeName,
+      call.method,
+      call.path,
+      call.body.toString('base64'),
+    ].join('\n');
+    return this.parts.claimed.run(call, {
+      customerKey: `${customer}/${call.idempotencyKey.toLowerCase()}`,
+      keyMilliseconds,
+      bodySha256: settingsFile.sha256(content).slice(0, 32),
+    });
+  }
+
+  private answer(
+    response: http.ServerResponse,
+    reply: sideCalls.ServiceReply,
+  ): void {
+    if (reply.answer === undefined) {
+      const cause = reply.failure!;
+      this.parts.metrics.answers.inc({
+        code: String(cause.code),
+        work: cause.workState,
+      });
+      return httpServer.answerFailure(response, cause);
+    }
+    this.parts.metrics.answers.inc({
+      code: String(resultCode.ResultCode.Ok),
+      work: resultCode.WorkState.Ran,
+    });
+    const body = Buffer.from(reply.answer.bodyBase64, 'base64');
+    response.writeHead(reply.answer.status, {
+      'Content-Type': reply.answer.contentType,
+      'Content-Length': body.length,
+      'Rhubarbvane-Result': String(resultCode.ResultCode.Ok),
+      'Rhubarbvane-Work': resultCode.WorkState.Ran,
+    });
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/src/entry/node/status_service.ts
@@ -0,0 +1,142 @@
+/** Collects the state of all instances for operators. */
+import * as tracing from '../../base/node/tracing';
+import * as endpointTable from '../../decision/common/endpoint_table';
+import * as instanceList from '../../platform/common/instance_list';
+import * as peerCalls from '../../protocol/common/peer_calls';
+import * as peerTransport from '../../protocol/node/peer_transport';
+import * as configurationService from './configuration_service';
+import * as gossipService from './gossip_service';
+import * as linkManager from './link_manager';
+import * as membership from './membership';
+
+const CALL_TIMEOUT_MILLISECONDS = 1_500;
+
+/** What the service is made from. */
+export interface StatusServiceParts {
+  readonly instance: string;
+  readonly token: string;
+  readonly configuration: configurationService.ConfigurationService;
+  readonly members: membership.Membership;
+  readonly links: linkManager.LinkManager;
+  readonly gossip: gossipService.GossipService;
+  readonly traffic: peerTransport.TrafficCounter;
+  readonly tracer: tracing.Tracer;
+  readonly own: () => peerCalls.StatusReport;
+}
+
+interface InstanceStatus {
+  readonly instance: string;
+  readonly role: string;
+  readonly dataCentre: string;
+  readonly endpoint: string;
+  readonly revision: bigint;
+  readonly reachable: boolean;
+  readonly leaving: boolean;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Asks instances for their state. */
+export class StatusService {
+  constructor(private readonly parts: StatusServiceParts) {}
+
+  /** Gives the state of each listed instance, and the spans of a trace where one is named. */
+  async report(traceId: string) {
+    const records = this.parts.members.view.instances;
+    const instances = await Promise.all(
+      records.map(record => this.statusOf(record)),
+    );
+    const reachable = instances.filter(status => status.reachable);
+    const revision = BigInt(this.parts.configuration.table.revision);
+    const lowest = reachable.reduce(
+      (low, status) => (status.revision < low ? status.revision : low),
+      revision,
+    );
+    const spans = traceId === '' ? [] : await this.spans(traceId, records);
+    return {
+      revision,
+      lowestRevision: lowest,
+      instances,
+      spans,
+      running: reachable.reduce((sum, status) => sum + status.running, 0),
+    };
+  }
+
+  private async statusOf(
+    record: instanceList.InstanceRecord,
+  ): Promise<InstanceStatus> {
+    const report = await this.ask(record).catch(() => undefined);
+    return {
+      instance: record.instance,
+      role: record.role,
+      dataCentre: record.dataCentre,
+      endpoint: record.endpoint,
+      revision: BigInt(report?.revision ?? 0),
+      reachable: report !== undefined,
+      leaving: report?.isLeaving ?? record.isLeaving,
+      running: report?.running ?? 0,
+      waiting: report?.waiting ?? 0,
+    };
+  }
+
+  /** Linked side processes report their state anyway; the others are asked. */
+  private async ask(
+    record: instanceList.InstanceRecord,
+  ): Promise<peerCalls.StatusReport> {
+    if (record.instance === this.parts.instance) {
+      return this.parts.own();
+    }
+    if (record.role === instanceList.InstanceRole.Entry) {
+      return this.parts.gossip.client(record.address).status.query();
+    }
+    const row = this.parts.links.table.get(record.instance);
+    const isLinked = row?.state === endpointTable.LinkState.Up;
+    if (isLinked && row.load !== undefined) {
+      const {revision, running, waiting, isLeaving} = row.load;
+      return {instance: record.instance, revision, running, waiting, isLeaving};
+    }
+    return this.sideClient(record).status.query();
+  }
+
+  private async spans(
+    traceId: string,
+    records: readonly instanceList.InstanceRecord[],
+  ) {
+    const others = records.filter(
+      record => record.instance !== this.parts.instance,
+    );
+    const asked = await Promise.all(
+      others.map(record => this.spansOf(record, traceId)),
+    );
+    const all = [...this.parts.tracer.spansOf(traceId), ...asked.flat()];
+    return all.sort(
+      (left, right) => left.startMilliseconds - right.startMilliseconds,
+    );
+  }
+
+  private async spansOf(
+    record: instanceList.InstanceRecord,
+    traceId: string,
+  ): Promise<readonly peerCalls.SpanReport[]> {
+    const isEntry = record.role === instanceList.InstanceRole.Entry;
+    const client = isEntry
+      ? this.parts.gossip.client(record.address)
+      : this.sideClient(record);
+    return client.spans.query(traceId).catch(() => []);
+  }
+
+  private sideClient(
+    record: instanceList.InstanceRecord,
+  ): peerTransport.SideClient {
+    const linked = this.parts.links.client(record.instance);
+    if (linked !== undefined) {
+      return linked.calls;
+    }
+    return peerTransport.createSideClient({
+      address: record.address,
+      token: this.parts.token,
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
+      traffic: this.parts.traffic,
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/common/weight_store.ts
@@ -0,0 +1,17 @@
+/** The platform's store of model weights, whose reads are rate-limited. */
+import * as neverthrow from 'neverthrow';
+import * as objectStore from './object_store';
+
+/** A right to read the weights of a model once. */
+export interface WeightGrant {
+  readonly model: string;
+  readonly bytes: number;
+}
+
+/** Grants reads of weights. */
+export abstract class WeightStore {
+  /** Errors: NotFound for an unknown model, Unreachable when the rate is used up, Unknown. */
+  abstract reserve(
+    model: string,
+  ): Promise<neverthrow.Result<WeightGrant, objectStore.StoreError>>;
+}
--- /dev/null
+++ b/src/platform/node/http_platform.ts
@@ -0,0 +1,172 @@
+/** Clients of the platform over HTTP. */
+import * as neverthrow from 'neverthrow';
+import * as httpClient from '../../base/node/http_client';
+import * as instanceList from '../common/instance_list';
+import * as objectStore from '../common/object_store';
+import * as weightStore from '../common/weight_store';
+
+const STORE_TIMEOUT_MILLISECONDS = 1_500;
+
+/** Where the platform is, and the token for it. */
+export interface PlatformTarget {
+  readonly url: string;
+  readonly token: string;
+  readonly onDidCall?: (operation: string) => void;
+}
+
+async function callPlatform(
+  target: PlatformTarget,
+  method: string,
+  path: string,
+  body?: string,
+  headers: Record<string, string> = {},
+): Promise<neverthrow.Result<httpClient.HttpAnswer, objectStore.StoreError>> {
+  target.onDidCall?.(`${method} ${path.split('/')[1]}`);
+  try {
+    const answer = await httpClient.callHttp({
+      method,
+      url: target.url + path,
+      body,
+      headers: {
+        authorization: `Bearer ${target.token}`,
+        'content-length': Buffer.byteLength(body ?? ''),
+        ...headers,
+      },
+      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+    });
+    return classify(answer);
+  } catch (error) {
+    const isUnsent = httpClient.neverSent(error);
+    return neverthrow.err(
+      isUnsent
+        ? objectStore.StoreError.Unreachable
+        : objectStore.StoreError.Unknown,
+    );
+  }
+}
+
+function classify(
+  answer: httpClient.HttpAnswer,
+): neverthrow.Result<httpClient.HttpAnswer, objectStore.StoreError> {
+  if (answer.status === 404) {
+    return neverthrow.err(objectStore.StoreError.NotFound);
+  }
+  if (answer.status === 409 || answer.status === 412) {
+    return neverthrow.err(objectStore.StoreError.VersionMismatch);
+  }
+  if (answer.status === 429 || answer.status === 503) {
+    return neverthrow.err(objectStore.StoreError.Unreachable);
+  }
+  if (answer.status >= 400) {
+    return neverthrow.err(objectStore.StoreError.Unknown);
+  }
+  return neverthrow.ok(answer);
+}
+
+function versionOf(answer: httpClient.HttpAnswer): number {
+  return Number(String(answer.headers.etag ?? '0').replaceAll('"', ''));
+}
+
+/** The object API over HTTP with entity tags as versions. */
+export class HttpObjectStore extends objectStore.ObjectStore {
+  constructor(private readonly target: PlatformTarget) {
+    super();
+  }
+
+  async read(key: string) {
+    const result = await callPlatform(this.target, 'GET', `/objects/${key}`);
+    return result.map(answer => ({
+      value: answer.body.toString('utf8'),
+      version: versionOf(answer),
+    }));
+  }
+
+  async readIfChanged(key: string, version: number) {
+    const condition = {'if-none-match': `"${version}"`};
+    const result = await callPlatform(
+      this.target,
+      'GET',
+      `/objects/${key}`,
+      undefined,
+      condition,
+    );
+    return result.map(answer => {
+      if (answer.status === 304) {
+        return {};
+      }
+      return {
+        changed: {
+          value: answer.body.toString('utf8'),
+          version: versionOf(answer),
+        },
+      };
+    });
+  }
+
+  async write(key: string, value: string, expectedVersion: number) {
+    const condition: Record<string, string> =
+      expectedVersion === 0
+        ? {'if-none-match': '*'}
+        : {'if-match': `"${expectedVersion}"`};
+    const result = await callPlatform(
+      this.target,
+      'PUT',
+      `/objects/${key}`,
+      value,
+      condition,
+    );
+    return result.map(versionOf);
+  }
+
+  async remove(key: string) {
+    const result = await callPlatform(this.target, 'DELETE', `/objects/${key}`);
+    return result.map(() => undefined);
+  }
+
+  async list(prefix: string) {
+    const result = await callPlatform(
+      this.target,
+      'GET',
+      `/objects?prefix=${encodeURIComponent(prefix)}`,
+    );
+    return result.map(
+      answer => JSON.parse(answer.body.toString('utf8')) as readonly string[],
+    );
+  }
+}
+
+/** The instance list over HTTP. */
+export class HttpInstanceList extends instanceList.InstanceList {
+  constructor(private readonly target: PlatformTarget) {
+    super();
+  }
+
+  async read() {
+    const result = await callPlatform(this.target, 'GET', '/instances');
+    return result.map(
+      answer =>
+        JSON.parse(
+          answer.body.toString('utf8'),
+        ) as readonly instanceList.InstanceRecord[],
+    );
+  }
+}
+
+/** The weight store over HTTP. */
+export class HttpWeightStore extends weightStore.WeightStore {
+  constructor(private readonly target: PlatformTarget) {
+    super();
+  }
+
+  async reserve(model: string) {
+    const result = await callPlatform(
+      this.target,
+      'POST',
+      `/weights/${encodeURIComponent(model)}`,
+    );
+    return result.map(
+      answer =>
+        JSON.parse(answer.body.toString('utf8')) as weightStore.WeightGrant,
+    );
+  }
+}
--- /dev/null
+++ b/src/protocol/common/configuration_messages.ts
@@ -0,0 +1,48 @@
+/** Relayed configuration and the form in which it is kept in the object API. */
+import * as zod from 'zod';
+
+/** A declared object in its JSON form. */
+export const storedObjectSchema = zod.z.object({
+  kind: zod.z.number(),
+  name: zod.z.string(),
+  version: zod.z.number(),
+  isRemoved: zod.z.boolean(),
+  /** JSON of the object's message; empty for a removed one. */
+  json: zod.z.string(),
+});
+export type StoredObject = zod.z.infer<typeof storedObjectSchema>;
+
+/** A change set that was accepted as one revision. */
+export const acceptedChangeSchema = zod.z.object({
+  revision: zod.z.number(),
+  changeId: zod.z.string(),
+  objects: zod.z.array(storedObjectSchema),
+});
+export type AcceptedChange = zod.z.infer<typeof acceptedChangeSchema>;
+
+/** The object that decides which revision is in force. */
+export const configurationHeadSchema = zod.z.object({
+  revision: zod.z.number(),
+  snapshotRevision: zod.z.number(),
+  snapshotChunks: zod.z.number(),
+  /** Changes after the snapshot, oldest first. */
+  changes: zod.z.array(acceptedChangeSchema),
+});
+export type ConfigurationHead = zod.z.infer<typeof configurationHeadSchema>;
+
+/** Asks a peer for what came after a revision. */
+export const syncRequestSchema = zod.z.object({
+  instance: zod.z.string(),
+  revision: zod.z.number(),
+  /** Leaves out customers, which side processes do not need. */
+  withoutCustomers: zod.z.boolean(),
+});
+export type SyncRequest = zod.z.infer<typeof syncRequestSchema>;
+
+/** What came after a revision: changes where they are still known, or else every object. */
+export const syncReplySchema = zod.z.object({
+  revision: zod.z.number(),
+  isSnapshot: zod.z.boolean(),
+  objects: zod.z.array(storedObjectSchema),
+});
+export type SyncReply = zod.z.infer<typeof syncReplySchema>;
--- /dev/null
+++ b/src/protocol/common/peer_calls.ts
@@ -0,0 +1,80 @@
+/** Calls between entry instances. */
+import * as zod from 'zod';
+import * as configurationMessages from './configuration_messages';
+
+/** A fingerprint seen running on an endpoint instance when it died, or cleared since. */
+export const witnessSchema = zod.z.object({
+  fingerprint: zod.z.string(),
+  /** Names one death of one instance. */
+  death: zod.z.string(),
+  /** Number of fingerprints running at that death. */
+  companions: zod.z.number(),
+  /** Unix time in milliseconds. */
+  at: zod.z.number(),
+});
+export type Witness = zod.z.infer<typeof witnessSchema>;
+
+/** Exchange of revisions and witnesses between two entries. */
+export const gossipSchema = zod.z.object({
+  instance: zod.z.string(),
+  address: zod.z.string(),
+  revision: zod.z.number(),
+  /** Unix milliseconds at which the sender's instance list was read. */
+  listReadAt: zod.z.number(),
+  listHash: zod.z.string(),
+  witnesses: zod.z.array(witnessSchema),
+});
+export type Gossip = zod.z.infer<typeof gossipSchema>;
+
+/** Answer to a gossip message. */
+export interface GossipReply {
+  readonly revision: number;
+  readonly listReadAt: number;
+  readonly listHash: string;
+  readonly witnesses: readonly Witness[];
+}
+
+/** An instance list as relayed between entries. */
+export const listViewSchema = zod.z.object({
+  readAt: zod.z.number(),
+  hash: zod.z.string(),
+  instances: zod.z.array(
+    zod.z.object({
+      instance: zod.z.string(),
+      role: zod.z.string(),
+      address: zod.z.string(),
+      dataCentre: zod.z.string(),
+      endpoint: zod.z.string(),
+      isLeaving: zod.z.boolean(),
+    }),
+  ),
+});
+export type ListView = zod.z.infer<typeof listViewSchema>;
+
+/** Relay of an accepted change right after acceptance. */
+export const pushSchema = zod.z.object({
+  sync: configurationMessages.syncReplySchema,
+  fromRevision: zod.z.number(),
+});
+export type Push = zod.z.infer<typeof pushSchema>;
+
+/** What an instance says of itself for the operators' status. */
+export interface StatusReport {
+  readonly instance: string;
+  readonly revision: number;
+  readonly running: number;
+  readonly waiting: number;
+  readonly isLeaving: boolean;
+}
+
+/** A finished span as returned to operators. */
+export interface SpanReport {
+  readonly name: string;
+  readonly traceId: string;
+  readonly spanId: string;
+  readonly parentSpanId: string;
+  readonly instance: string;
+  readonly startMilliseconds: number;
+  readonly durationMilliseconds: number;
+  readonly attributes: Readonly<Record<string, string>>;
+}
--- /dev/null
+++ b/src/protocol/node/entry_router.ts
@@ -0,0 +1,40 @@
+/** tRPC router of an entry, over an abstract service. */
+import * as trpcServer from '@trpc/server';
+import * as zod from 'zod';
+import * as configurationMessages from '../common/configuration_messages';
+import * as peerCalls from '../common/peer_calls';
+
+/** What an entry does for other entries and for side processes. */
+export abstract class EntryService {
+  abstract gossip(input: peerCalls.Gossip): peerCalls.GossipReply;
+  abstract sync(
+    input: configurationMessages.SyncRequest,
+  ): configurationMessages.SyncReply;
+  abstract push(input: peerCalls.Push): void;
+  abstract list(): peerCalls.ListView;
+  abstract status(): peerCalls.StatusReport;
+  abstract spans(traceId: string): readonly peerCalls.SpanReport[];
+}
+
+/** Makes the router that passes calls to the service. */
+export function createEntryRouter(service: EntryService) {
+  const trpc = trpcServer.initTRPC.create();
+  const call = trpc.procedure;
+  return trpc.router({
+    gossip: call
+      .input(peerCalls.gossipSchema)
+      .mutation(({input}) => service.gossip(input)),
+    sync: call
+      .input(configurationMessages.syncRequestSchema)
+      .mutation(({input}) => service.sync(input)),
+    list: call.query(() => service.list()),
+    push: call
+      .input(peerCalls.pushSchema)
+      .mutation(({input}) => service.push(input)),
+    status: call.query(() => service.status()),
+    spans: call.input(zod.z.string()).query(({input}) => service.spans(input)),
+  });
+}
+
+/** Type of the router, for clients. */
+export type EntryRouter = ReturnType<typeof createEntryRouter>;
--- /dev/null
+++ b/src/protocol/node/peer_transport.ts
@@ -0,0 +1,136 @@
+/** tRPC over node:http, authenticated by the token of the deployment. */
+import * as http from 'node:http';
+import * as trpcClient from '@trpc/client';
+import * as trpcServer from '@trpc/server';
+import * as standalone from '@trpc/server/adapters/standalone';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as httpClient from '../../base/node/http_client';
+import * as httpServer from '../../base/node/http_server';
+import * as settingsFile from '../../base/node/settings_file';
+import * as entryRouter from './entry_router';
+import * as sideRouter from './side_router';
+
+/** Path under which the routers are served. */
+export const PEER_PATH = '/trpc/';
+
+/** Counts bytes of control messages by kind and direction. */
+export abstract class TrafficCounter {
+  abstract sent(kind: string, bytes: number): void;
+  abstract received(kind: string, bytes: number): void;
+}
+
+/** Client of a side process. */
+export type SideClient = trpcClient.TRPCClient<sideRouter.SideRouter>;
+
+/** Client of an entry. */
+export type EntryClient = trpcClient.TRPCClient<entryRouter.EntryRouter>;
+
+/** Where and how to reach a peer. */
+export interface PeerTarget {
+  /** IP and port. */
+  readonly address: string;
+  readonly token: string;
+  readonly timeoutMilliseconds: number;
+  readonly traffic?: TrafficCounter;
+}
+
+/** Creates a client of the side process at the address. */
+export function createSideClient(target: PeerTarget): SideClient {
+  return trpcClient.createTRPCClient<sideRouter.SideRouter>({
+    links: [peerLink(target)],
+  });
+}
+
+/** Creates a client of the entry at the address. */
+export function createEntryClient(target: PeerTarget): EntryClient {
+  return trpcClient.createTRPCClient<entryRouter.EntryRouter>({
+    links: [peerLink(target)],
+  });
+}
+
+function peerLink(target: PeerTarget) {
+  return trpcClient.httpLink({
+    url: `http://${target.address}/trpc`,
+    headers: {authorization: `Bearer ${target.token}`},
+    fetch: (url, options) =>
+      fetchOverHttp(target, String(url), options as FetchOptions),
+  });
+}
+
+interface FetchOptions {
+  readonly method?: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string;
+}
+
+async function fetchOverHttp(
+  target: PeerTarget,
+  url: string,
+  options: FetchOptions,
+) {
+  const kind = url.slice(url.lastIndexOf('/') + 1).split('?', 1)[0];
+  target.traffic?.sent(kind, (options.body?.length ?? 0) + url.length);
+  const answer = await httpClient.callHttp({
+    method: options.method ?? 'GET',
+    url,
+    headers: {
+      ...options.headers,
+      'content-length': Buffer.byteLength(options.body ?? ''),
+    },
+    body: options.body,
+    timeoutMilliseconds: target.timeoutMilliseconds,
+  });
+  target.traffic?.received(kind, answer.body.length);
+  const text = answer.body.toString('utf8');
+  return {
+    ok: answer.status >= 200 && answer.status < 300,
+    status: answer.status,
+    text: () => Promise.resolve(text),
+    json: () => Promise.resolve(JSON.parse(text) as unknown),
+  };
+}
+
+/** Whether the failed call proves that the peer never received it. */
+export function neverReached(error: unknown): boolean {
+  const cause =
+    error instanceof trpcClient.TRPCClientError ? error.cause : error;
+  return httpClient.neverSent(cause);
+}
+
+/** Serves a router to holders of the deployment's token. */
+export function mountRouter(
+  server: httpServer.HttpServer,
+  token: string,
+  router: trpcServer.AnyRouter,
+): void {
+  const handler = standalone.createHTTPHandler({router, basePath: PEER_PATH});
+  server.mount(
+    PEER_PATH,
+    authenticated(
+      token,
+      (request, response) => void handler(request, response),
+    ),
+  );
+}
+
+/** Refuses requests without the deployment's token. */
+export function authenticated(
+  token: string,
+  handler: httpServer.RequestHandler,
+): httpServer.RequestHandler {
+  return (request, response) => {
+    const presented = httpServer.bearerToken(request);
+    if (
+      presented === undefined ||
+      !settingsFile.secretsEqual(presented, token)
+    ) {
+      const refusal = failure.notRun(
+        resultCode.ResultCode.Unauthenticated,
+        'authorization: token of the deployment',
+      );
+      return httpServer.answerFailure(response, refusal);
+    }
+    return handler(request, response);
+  };
+}
--- /dev/null
+++ b/src/protocol/node/side_router.ts
@@ -0,0 +1,61 @@
+/** tRPC router of a side process, over an abstract service. */
+import * as trpcServer from '@trpc/server';
+import * as zod from 'zod';
+import * as peerCalls from '../common/peer_calls';
+import * as sideCalls from '../common/side_calls';
+
+/** What a side process does for entries. */
+export abstract class SideService {
+  abstract startAttempt(input: sideCalls.StartAttempt): sideCalls.CallReply;
+  abstract tombstoneAttempt(
+    input: sideCalls.AttemptReference,
+  ): sideCalls.TombstoneReply;
+  abstract attach(input: sideCalls.Attach): sideCalls.CallReply;
+  abstract detach(input: sideCalls.Detach): void;
+  /** Ends the attempt if it is open, and forgets its output. */
+  abstract release(input: sideCalls.AttemptReference): void;
+  abstract renewLink(input: sideCalls.RenewLink): void;
+  abstract callService(
+    input: sideCalls.ServiceCall,
+  ): Promise<sideCalls.ServiceReply>;
+  abstract order(input: sideCalls.EngineOrder): Promise<sideCalls.CallReply>;
+  abstract status(): peerCalls.StatusReport;
+  abstract spans(traceId: string): readonly peerCalls.SpanReport[];
+}
+
+/** Makes the router that passes calls to the service. */
+export function createSideRouter(service: SideService) {
+  const trpc = trpcServer.initTRPC.create();
+  const call = trpc.procedure;
+  return trpc.router({
+    startAttempt: call
+      .input(sideCalls.startAttemptSchema)
+      .mutation(({input}) => service.startAttempt(input)),
+    tombstoneAttempt: call
+      .input(sideCalls.attemptReferenceSchema)
+      .mutation(({input}) => service.tombstoneAttempt(input)),
+    attach: call
+      .input(sideCalls.attachSchema)
+      .mutation(({input}) => service.attach(input)),
+    detach: call
+      .input(sideCalls.detachSchema)
+      .mutation(({input}) => service.detach(input)),
+    release: call
+      .input(sideCalls.attemptReferenceSchema)
+      .mutation(({input}) => service.release(input)),
+    renewLink: call
+      .input(sideCalls.renewLinkSchema)
+      .mutation(({input}) => service.renewLink(input)),
+    callService: call
+      .input(sideCalls.serviceCallSchema)
+      .mutation(({input}) => service.callService(input)),
+    order: call
+      .input(sideCalls.engineOrderSchema)
+      .mutation(({input}) => service.order(input)),
+    status: call.query(() => service.status()),
+    spans: call.input(zod.z.string()).query(({input}) => service.spans(input)),
+  });
+}
+
+/** Type of the router, for clients. */
+export type SideRouter = ReturnType<typeof createSideRouter>;
--- /dev/null
+++ b/src/side/node/configuration_follower.ts
@@ -0,0 +1,54 @@
+/** Keeps the configuration of a side process up to date from the entries linked to it. */
+import * as log from '../../base/node/log';
+import * as configurationTable from '../../decision/common/configuration_table';
+import * as sideCalls from '../../protocol/common/side_calls';
+import * as peerTransport from '../../protocol/node/peer_transport';
+
+const SYNC_TIMEOUT_MILLISECONDS = 2_000;
+
+/** Pulls what came after the own revision from an entry that has a higher one. */
+export class ConfigurationFollower {
+  readonly table = new configurationTable.ConfigurationTable();
+  private readonly logger = new log.Logger('configuration');
+  private isPulling = false;
+
+  constructor(
+    private readonly instance: string,
+    private readonly token: string,
+    private readonly traffic: peerTransport.TrafficCounter,
+    private readonly onDidApply: () => void,
+  ) {}
+
+  /** Notes the revision of an entry. */
+  note(renewal: sideCalls.RenewLink): void {
+    if (renewal.revision > this.table.revision && !this.isPulling) {
+      void this.pull(renewal.entryAddress);
+    }
+  }
+
+  private async pull(address: string): Promise<void> {
+    this.isPulling = true;
+    const entry = peerTransport.createEntryClient({
+      address,
+      token: this.token,
+      timeoutMilliseconds: SYNC_TIMEOUT_MILLISECONDS,
+      traffic: this.traffic,
+    });
+    try {
+      const revision = this.table.revision;
+      const sync = await entry.sync.mutate({
+        instance: this.instance,
+        revision,
+        withoutCustomers: true,
+      });
+      if (this.table.applySync(sync, revision)) {
+        this.logger.change('configuration', {revision: sync.revision});
+        this.onDidApply();
+      }
+    } catch {
+      // The next renewal of any entry tries again.
+    } finally {
+      this.isPulling = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/side/node/engine_monitor.ts
@@ -0,0 +1,94 @@
+/** Watches an engine: its published load, and whether it is alive. */
+import * as rxjs from 'rxjs';
+import * as disposable from '../../base/common/disposable';
+import * as httpClient from '../../base/node/http_client';
+import * as log from '../../base/node/log';
+import * as engineClient from '../../endpoint/common/engine_client';
+
+const POLL_MILLISECONDS = 250;
+/** Time without any answer after which an engine counts as dead, in milliseconds. */
+const DEAD_AFTER_MILLISECONDS = 5_000;
+
+/** Polls the load of an engine and notices its death or replacement. */
+export class EngineMonitor implements disposable.Disposable {
+  private readonly deaths = new rxjs.Subject<string>();
+  private readonly births = new rxjs.Subject<void>();
+  private readonly poll: disposable.Disposable;
+  private readonly logger = new log.Logger('engine');
+  private lastAnswerAt = performance.now();
+  private isPolling = false;
+  private isDisposed = false;
+  private incarnation = '';
+  /** Last published load; undefined before the first answer. */
+  load: engineClient.EngineLoad | undefined;
+  isAlive = false;
+
+  constructor(private readonly engine: engineClient.EngineClient) {
+    this.poll = disposable.every(POLL_MILLISECONDS, () => void this.check());
+    void this.check();
+  }
+
+  /** Fires with a reason when a live engine dies or is replaced. */
+  get onDidDie(): rxjs.Observable<string> {
+    return this.deaths;
+  }
+
+  /** Fires when an engine answers after having been away. */
+  get onDidStart(): rxjs.Observable<void> {
+    return this.births;
+  }
+
+  /** Asks the engine for its load now, unless asked already. */
+  async check(): Promise<void> {
+    if (this.isPolling || this.isDisposed) {
+      return;
+    }
+    this.isPolling = true;
+    try {
+      this.accept(await this.engine.load());
+    } catch (error) {
+      this.onNoAnswer(error);
+    } finally {
+      this.isPolling = false;
+    }
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    this.poll.dispose();
+  }
+
+  private accept(load: engineClient.EngineLoad): void {
+    if (this.isDisposed) {
+      return;
+    }
+    if (this.isAlive && load.engineIncarnation !== this.incarnation) {
+      this.declareDead('the engine was replaced');
+    }
+    this.lastAnswerAt = performance.now();
+    this.incarnation = load.engineIncarnation;
+    this.load = load;
+    if (!this.isAlive) {
+      this.isAlive = true;
+      this.logger.change('engine answers', {
+        incarnation: load.engineIncarnation,
+      });
+      this.births.next();
+    }
+  }
+
+  private onNoAnswer(error: unknown): void {
+    const isRefused = httpClient.neverSent(error);
+    const isOverdue =
+      performance.now() - this.lastAnswerAt > DEAD_AFTER_MILLISECONDS;
+    if (this.isAlive && (isRefused || isOverdue)) {
+      this.declareDead(String(error));
+    }
+  }
+
+  private declareDead(reason: string): void {
+    this.isAlive = false;
+    this.logger.change('engine died', {reason});
+    this.deaths.next(reason);
+  }
+}
--- /dev/null
+++ b/src/side/node/engine_runner.ts
@@ -0,0 +1,153 @@
+/** Carries out attempts on an engine and survives lost or silent connections. */
+import * as rxjs from 'rxjs';
+import * as disposable from '../../base/common/disposable';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as admissionSystem from '../../decision/common/admission_system';
+import * as attemptTable from '../../decision/common/attempt_table';
+import * as engineClient from '../../endpoint/common/engine_client';
+
+const RESUME_DELAY_MILLISECONDS = 100;
+
+/** What the runner reports. */
+export abstract class EngineRunnerListener {
+  abstract onDidProduce(attempt: attemptTable.Attempt, text: string): void;
+  abstract onDidFinish(
+    attempt: attemptTable.Attempt,
+    finishReason: string,
+  ): void;
+  abstract onDidFail(
+    attempt: attemptTable.Attempt,
+    cause: failure.Failure,
+  ): void;
+  /** A stream broke; the engine may be dead. */
+  abstract onDidLoseStream(): void;
+}
+
+/** One attempt at the engine. */
+class EngineRun implements disposable.Disposable {
+  private subscription: rxjs.Subscription | undefined;
+  private resumeTimer: NodeJS.Timeout | undefined;
+  private isDisposed = false;
+
+  constructor(
+    private readonly engine: engineClient.EngineClient,
+    private readonly attempt: attemptTable.Attempt,
+    private readonly listener: EngineRunnerListener,
+  ) {}
+
+  start(): void {
+    const request = this.attempt.request;
+    this.follow(
+      this.engine.start({
+        run: this.attempt.id,
+        model: request.model,
+        prompt: request.prompt,
+        maxTokens: request.maxTokens,
+        priority: admissionSystem.enginePriority(request.requestClass),
+      }),
+    );
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    clearTimeout(this.resumeTimer);
+    this.subscription?.unsubscribe();
+  }
+
+  private follow(events: rxjs.Observable<engineClient.EngineEvent>): void {
+    this.subscription = events.subscribe({
+      next: event => this.onEvent(event),
+      error: error => this.onError(error as engineClient.EngineError),
+    });
+  }
+
+  private onEvent(event: engineClient.EngineEvent): void {
+    const expected = this.attempt.tokens.length;
+    if (
+      event.kind === engineClient.EngineEventKind.Token &&
+      event.index === expected
+    ) {
+      return this.listener.onDidProduce(this.attempt, event.text);
+    }
+    if (
+      event.kind === engineClient.EngineEventKind.Finished &&
+      event.index === expected
+    ) {
+      return this.listener.onDidFinish(
+        this.attempt,
+        event.finishReason ?? 'stop',
+      );
+    }
+    if (event.index > expected) {
+      // Tokens are missing in between, so the stream is read again from the first missing one.
+      this.subscription?.unsubscribe();
+      this.resumeLater();
+    }
+  }
+
+  private onError(error: engineClient.EngineError): void {
+    if (this.isDisposed) {
+      return;
+    }
+    if (error.kind === engineClient.EngineErrorKind.Refused) {
+      return this.listener.onDidFail(
+        this.attempt,
+        failure.notRun(resultCode.ResultCode.EndpointError, error.message),
+      );
+    }
+    if (error.kind === engineClient.EngineErrorKind.RunUnknown) {
+      const cause = failure.ran(
+        resultCode.ResultCode.EndpointLost,
+        'the engine no longer knows the run',
+      );
+      return this.listener.onDidFail(this.attempt, cause);
+    }
+    this.listener.onDidLoseStream();
+    this.resumeLater();
+  }
+
+  private resumeLater(): void {
+    if (this.isDisposed) {
+      return;
+    }
+    this.resumeTimer = setTimeout(() => {
+      this.follow(
+        this.engine.resume(this.attempt.id, this.attempt.tokens.length),
+      );
+    }, RESUME_DELAY_MILLISECONDS);
+  }
+}
+
+/** Runs attempts on one engine. */
+export class EngineRunner implements disposable.Disposable {
+  private readonly runs = new Map<string, EngineRun>();
+
+  constructor(
+    private readonly engine: engineClient.EngineClient,
+    private readonly listener: EngineRunnerListener,
+  ) {}
+
+  start(attempt: attemptTable.Attempt): void {
+    const run = new EngineRun(this.engine, attempt, this.listener);
+    this.runs.set(attempt.id, run);
+    run.start();
+  }
+
+  /** Stops following an attempt that ended. */
+  forget(attempt: attemptTable.Attempt): void {
+    this.runs.get(attempt.id)?.dispose();
+    this.runs.delete(attempt.id);
+  }
+
+  /** Ends an attempt at the engine. A lost cancellation costs the engine work, never the caller. */
+  cancel(attempt: attemptTable.Attempt): void {
+    this.forget(attempt);
+    this.engine.cancel(attempt.id).catch(() => undefined);
+  }
+
+  dispose(): void {
+    this.runs.forEach(run => run.dispose());
+    this.runs.clear();
+  }
+}
--- /dev/null
+++ b/src/side/node/link_hub.ts
@@ -0,0 +1,177 @@
+/** Streams of tokens, ends and load from a side process to the entries linked to it. */
+import * as http from 'node:http';
+import * as disposable from '../../base/common/disposable';
+import * as log from '../../base/node/log';
+import * as attemptTable from '../../decision/common/attempt_table';
+import * as linkMessages from '../../protocol/common/link_messages';
+import * as peerTransport from '../../protocol/node/peer_transport';
+
+/** Unsent bytes beyond which a link is given up; the entry opens a new one and resumes by index. */
+const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+/** Time without renewal after which a link is given up, in milliseconds. */
+const RENEWAL_LAPSE_MILLISECONDS = 15_000;
+
+class Link {
+  readonly pendingAttempts = new Set<attemptTable.Attempt>();
+  deaths: linkMessages.DeathFrame[] = [];
+  renewedAt = performance.now();
+
+  constructor(
+    readonly id: string,
+    readonly response: http.ServerResponse,
+  ) {}
+}
+
+/** Gives the present load of the endpoint instance. */
+export type LoadSource = () => linkMessages.LoadReport;
+
+/** Owns the links of a side process. */
+export class LinkHub implements disposable.Disposable {
+  private readonly links = new Map<string, Link>();
+  private readonly heartbeat: disposable.Disposable;
+  private readonly logger = new log.Logger('links');
+
+  constructor(
+    private readonly hello: linkMessages.LinkHello,
+    private readonly loadSource: LoadSource,
+    private readonly traffic: peerTransport.TrafficCounter,
+    private readonly onDidLose: (link: string) => void,
+  ) {
+    this.heartbeat = disposable.every(
+      linkMessages.LINK_HEARTBEAT_MILLISECONDS,
+      () => this.sendHeartbeats(),
+    );
+  }
+
+  get size(): number {
+    return this.links.size;
+  }
+
+  has(link: string): boolean {
+    return this.links.has(link);
+  }
+
+  /** Opens a link on a response. */
+  open(id: string, response: http.ServerResponse): void {
+    response.writeHead(200, {'Content-Type': 'application/x-ndjson'});
+    const link = new Link(id, response);
+    this.links.set(id, link);
+    response.once('close', () => this.lose(link));
+    response.on('error', () => this.lose(link));
+    this.send(link, {hello: this.hello, load: this.loadSource()}, 'hello');
+    this.logger.change('link opened', {link: id});
+  }
+
+  /** Notes that the entry still reads the link. */
+  renew(id: string): void {
+    const link = this.links.get(id);
+    if (link !== undefined) {
+      link.renewedAt = performance.now();
+    }
+  }
+
+  /** Marks an attempt as having output to send. */
+  note(attempt: attemptTable.Attempt): void {
+    this.links.get(attempt.link)?.pendingAttempts.add(attempt);
+  }
+
+  /** Tells every entry of an endpoint's death. */
+  announceDeath(death: linkMessages.DeathFrame): void {
+    this.links.forEach(link => link.deaths.push(death));
+  }
+
+  /** Sends what is pending on each link in one line. */
+  flush(): void {
+    for (const link of this.links.values()) {
+      if (link.pendingAttempts.size === 0 && link.deaths.length === 0) {
+        continue;
+      }
+      this.send(link, this.pendingLine(link), 'tokens');
+    }
+  }
+
+  /** Sends the present load to every entry at once. */
+  sendHeartbeats(): void {
+    const load = this.loadSource();
+    const now = performance.now();
+    for (const link of this.links.values()) {
+      if (now - link.renewedAt > RENEWAL_LAPSE_MILLISECONDS) {
+        this.logger.change('link not renewed', {link: link.id});
+        link.response.destroy();
+        continue;
+      }
+      this.send(link, {load}, 'heartbeat');
+    }
+  }
+
+  /** Closes every link after what was sent. */
+  close(): void {
+    this.heartbeat.dispose();
+    this.links.forEach(link => link.response.end());
+  }
+
+  dispose(): void {
+    this.heartbeat.dispose();
+    this.links.forEach(link => link.response.destroy());
+  }
+
+  private pendingLine(link: Link): linkMessages.LinkLine {
+    const tokens: linkMessages.TokenFrame[] = [];
+    const ends: linkMessages.EndFrame[] = [];
+    for (const attempt of link.pendingAttempts) {
+      if (attempt.link !== link.id || attempt.isPaused) {
+        continue;
+      }
+      if (attempt.nextToSend < attempt.tokens.length) {
+        tokens.push({
+          attempt: attempt.id,
+          index: attempt.nextToSend,
+          texts: attempt.tokens.slice(attempt.nextToSend),
+        });
+        attempt.nextToSend = attempt.tokens.length;
+      }
+      if (!attemptTable.isOpen(attempt)) {
+        ends.push(endFrame(attempt));
+      }
+    }
+    const line = {tokens, ends, deaths: link.deaths};
+    link.pendingAttempts.clear();
+    link.deaths = [];
+    return line;
+  }
+
+  private send(link: Link, line: linkMessages.LinkLine, kind: string): void {
+    const text = JSON.stringify(line) + '\n';
+    this.traffic.sent(kind, text.length);
+    link.response.write(text);
+    if (link.response.writableLength > MAX_UNSENT_BYTES) {
+      this.logger.change('link too slow', {link: link.id});
+      link.response.destroy();
+    }
+  }
+
+  private lose(link: Link): void {
+    if (this.links.get(link.id) !== link) {
+      return;
+    }
+    this.links.delete(link.id);
+    this.logger.change('link lost', {link: link.id});
+    this.onDidLose(link.id);
+  }
+}
+
+function endFrame(attempt: attemptTable.Attempt): linkMessages.EndFrame {
+  const isCompleted = attempt.state === attemptTable.AttemptState.Completed;
+  return {
+    attempt: attempt.id,
+    length: attempt.tokens.length,
+    outcome: isCompleted
+      ? linkMessages.AttemptOutcome.Completed
+      : linkMessages.AttemptOutcome.Failed,
+    finishReason: attempt.finishReason,
+    code: attempt.failure?.code,
+    message: attempt.failure?.message,
+    workState: attempt.failure?.workState,
+    retryAfterSeconds: attempt.failure?.retryAfterSeconds,
+  };
+}
--- /dev/null
+++ b/src/tool/caller_commands.ts
@@ -0,0 +1,198 @@
+/** Commands that act as a caller. */
+import * as http from 'node:http';
+import * as clipanion from 'clipanion';
+import * as eventsourceParser from 'eventsource-parser';
+import * as uuid from 'uuid';
+import * as failure from '../base/common/failure';
+import * as resultCode from '../base/common/result_code';
+import * as httpClient from '../base/node/http_client';
+import * as httpServer from '../base/node/http_server';
+import * as toolCommand from './tool_command';
+
+const CALL_TIMEOUT_MILLISECONDS = 600_000;
+
+function resultOf(response: http.IncomingMessage): resultCode.ResultCode {
+  return Number(
+    response.headers['rhubarbvane-result'] ?? resultCode.ResultCode.Failed,
+  );
+}
+
+function refusal(body: string): toolCommand.CommandFailure {
+  const parsed = JSON.parse(body) as httpServer.FailureBody;
+  const {
+    code,
+    message,
+    work,
+    retry_after_seconds: retryAfterSeconds,
+  } = parsed.error;
+  const cause: failure.Failure = {
+    code,
+    message,
+    workState: work,
+    retryAfterSeconds,
+  };
+  return new toolCommand.CommandFailure(cause);
+}
+
+async function readText(response: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of response) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Sends a generation. */
+export class CompleteCommand extends toolCommand.ToolCommand {
+  static override paths = [['complete']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Send a generation',
+    details: 'The token file is that of a customer.',
+    examples: [
+      [
+        'Stream a draft',
+        'rhubarbvane complete --model report-writer --stream "Beach profile at Galle"',
+      ],
+    ],
+  });
+
+  prompt = clipanion.Option.String();
+  model = clipanion.Option.String('--model', {
+    required: true,
+    description: 'Served model',
+  });
+  maxTokens = clipanion.Option.String('--max-tokens', '256', {
+    description: 'Largest number of output tokens',
+  });
+  stream = clipanion.Option.Boolean('--stream', false, {
+    description: 'Print tokens as they come',
+  });
+
+  protected async run(): Promise<resultCode.ResultCode> {
+    const request = {
+      model: this.model,
+      prompt: this.prompt,
+      max_tokens: Number(this.maxTokens),
+      stream: this.stream,
+    };
+    const response = await httpClient.openHttp({
+      method: 'POST',
+      url: `${this.entryUrl}/v1/completions`,
+      headers: {
+        'content-type': 'application/json',
+        authorization: `Bearer ${this.token}`,
+      },
+      body: JSON.stringify(request),
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
+    });
+    const code = resultOf(response);
+    if (code !== resultCode.ResultCode.Ok) {
+      throw refusal(await readText(response));
+    }
+    return this.stream
+      ? this.printStream(response)
+      : this.printWhole(await readText(response));
+  }
+
+  private printWhole(body: string): resultCode.ResultCode {
+    const answer = JSON.parse(body) as {choices: [{text: string}]};
+    this.print(answer, [answer.choices[0].text]);
+    return resultCode.ResultCode.Ok;
+  }
+
+  private async printStream(
+    response: http.IncomingMessage,
+  ): Promise<resultCode.ResultCode> {
+    let isWhole = false;
+    let broken: toolCommand.CommandFailure | undefined;
+    const parser = eventsourceParser.createParser({
+      onEvent: event => {
+        if (event.event === 'error') {
+          broken = refusal(event.data);
+          return;
+        }
+        if (event.data === '[DONE]') {
+          isWhole = true;
+          return;
+        }
+        const chunk = JSON.parse(event.data) as {choices: [{text: string}]};
+        const isJson = this.output === toolCommand.OutputForm.Json;
+        this.context.stdout.write(
+          isJson ? `${event.data}\n` : chunk.choices[0].text,
+        );
+      },
+    });
+    response.setEncoding('utf8');
+    for await (const chunk of response) {
+      parser.feed(chunk as string);
+    }
+    if (broken !== undefined) {
+      throw broken;
+    }
+    if (!isWhole) {
+      const message = 'the stream ended early';
+      throw new toolCommand.CommandFailure(
+        failure.ran(resultCode.ResultCode.Interrupted, message),
+      );
+    }
+    this.context.stdout.write('\n');
+    return resultCode.ResultCode.Ok;
+  }
+}
+
+/** Calls a plain service. */
+export class CallCommand extends toolCommand.ToolCommand {
+  static override paths = [['call']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Call a plain service',
+    details:
+      'The token file is that of a customer. An idempotency key is made when none is given, and printed.',
+    examples: [
+      [
+        'File a notice',
+        'rhubarbvane call notices /setback --data \'{"plot":17}\'',
+      ],
+      [
+        'Look a transect up',
+        'rhubarbvane call transects /galle/3 --method GET',
+      ],
+    ],
+  });
+
+  route = clipanion.Option.String();
+  resource = clipanion.Option.String();
+  method = clipanion.Option.String('--method', 'POST', {
+    description: 'HTTP method',
+  });
+  data = clipanion.Option.String('--data', '', {description: 'Body'});
+  key = clipanion.Option.String('--key', '', {
+    description: 'Idempotency key, a UUID of version 7',
+  });
+
+  protected async run(): Promise<resultCode.ResultCode> {
+    const key = this.key || uuid.v7();
+    this.progress(`idempotency key ${key}`);
+    const answer = await httpClient.callHttp({
+      method: this.method,
+      url: `${this.entryUrl}/services/${this.route}${this.resource}`,
+      headers: {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(this.data),
+        'idempotency-key': key,
+        authorization: `Bearer ${this.token}`,
+      },
+      body: this.data,
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
+    });
+    const text = answer.body.toString('utf8');
+    if (
+      Number(answer.headers['rhubarbvane-result']) !== resultCode.ResultCode.Ok
+    ) {
+      throw refusal(text);
+    }
+    this.print({key, status: answer.status, body: text}, [text]);
+    return answer.status < 400
+      ? resultCode.ResultCode.Ok
+      : resultCode.ResultCode.EndpointError;
+  }
+}
--- /dev/null
+++ b/src/tool/declaration_commands.ts
@@ -0,0 +1,247 @@
+/** Commands that read and change declarations. */
+import * as protobuf from '@bufbuild/protobuf';
+import * as clipanion from 'clipanion';
+import * as uuid from 'uuid';
+import * as resultCode from '../base/common/result_code';
+import * as operator from '../protocol/generated/rhubarbvane/v1/operator_pb';
+import * as declarations from './declarations';
+import * as toolCommand from './tool_command';
+
+/** Finds the kind of a name on the command line. */
+export function kindOf(name: string): operator.ObjectKind {
+  const kind = declarations.KIND_NAMES[name];
+  if (kind === undefined) {
+    const known = Object.keys(declarations.KIND_NAMES).join(', ');
+    throw toolCommand.usage(
+      `kind: saw ${JSON.stringify(name)}, expected one of ${known}`,
+    );
+  }
+  return kind;
+}
+
+interface Difference {
+  readonly change: 'create' | 'update' | 'unchanged';
+  readonly kind: string;
+  readonly name: string;
+  readonly before: protobuf.JsonObject | undefined;
+  readonly after: protobuf.JsonObject;
+}
+
+function differenceOf(
+  wanted: operator.DeclaredObject,
+  present: operator.DeclaredObject | undefined,
+): Difference {
+  const identity = {
+    kind: declarations.kindName(wanted.kind),
+    name: wanted.name,
+  };
+  const after = declarations.specOf(wanted);
+  if (present === undefined) {
+    return {change: 'create', ...identity, before: undefined, after};
+  }
+  const before = declarations.specOf(present);
+  const isSame = JSON.stringify(before) === JSON.stringify(after);
+  return {change: isSame ? 'unchanged' : 'update', ...identity, before, after};
+}
+
+function describe(difference: Difference): string[] {
+  const lines = [`${difference.change} ${difference.kind} ${difference.name}`];
+  if (difference.change === 'unchanged') {
+    return lines;
+  }
+  for (const [field, value] of Object.entries(difference.after)) {
+    const before = difference.before?.[field];
+    if (JSON.stringify(before) !== JSON.stringify(value)) {
+      const old = before === undefined ? '' : `${JSON.stringify(before)} -> `;
+      lines.push(`  ${field}: ${old}${JSON.stringify(value)}`);
+    }
+  }
+  return lines;
+}
+
+/** Puts the declarations of a file in force. */
+export class ApplyCommand extends toolCommand.ToolCommand {
+  static override paths = [['apply']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Put the declarations of a file in force',
+    details:
+      'All declarations of the file are accepted together or not at all. Exits with 6 when nothing differs.',
+    examples: [
+      ['Apply a file', 'rhubarbvane apply deployment.ini'],
+      ['Show what would change', 'rhubarbvane apply --dry-run deployment.ini'],
+    ],
+  });
+
+  file = clipanion.Option.String();
+  dryRun = clipanion.Option.Boolean('--dry-run', false, {
+    description: 'Show the difference only',
+  });
+  changeId = clipanion.Option.String('--change-id', '', {
+    description:
+      'Identifier of the change; the same one makes a repeated call safe',
+  });
+
+  protected async run(): Promise<resultCode.ResultCode> {
+    const wanted = declarations.readDeclarations(this.file);
+    if (wanted.isErr()) {
+      throw new toolCommand.CommandFailure(wanted.error);
+    }
+    const client = this.client();
+    const listed = await client.list({});
+    const present = new Map(
+      listed.objects.map(object => [`${object.kind}/${object.name}`, object]),
+    );
+    const find = (object: operator.DeclaredObject) =>
+      present.get(`${object.kind}/${object.name}`);
+    const differences = wanted.value.map(object =>
+      differenceOf(object, find(object)),
+    );
+    const changed = wanted.value.filter(
+      (_, index) => differences[index].change !== 'unchanged',
+    );
+    if (changed.length === 0) {
+      const revision = Number(listed.revision);
+      this.print({revision, differences}, [
+        `nothing changed: revision ${revision} has it all`,
+      ]);
+      return resultCode.ResultCode.NothingChanged;
+    }
+    this.progress(
+      `sending ${changed.length} of ${wanted.value.length} declarations`,
+    );
+    const response = await client.apply({
+      changeId: this.changeId || uuid.v7(),
+      dryRun: this.dryRun,
+      changes: changed.map(object => ({
+        object,
+        expectedVersion: find(object)?.version ?? 0n,
+      })),
+    });
+    const verdict = this.dryRun
+      ? 'would be accepted'
+      : `accepted as revision ${response.revision}`;
+    this.print(
+      {revision: response.revision, dryRun: this.dryRun, differences},
+      [...differences.flatMap(describe), verdict],
+    );
+    return resultCode.ResultCode.Ok;
+  }
+}
+
+function render(object: operator.DeclaredObject) {
+  const kind = declarations.kindName(object.kind);
+  return {
+    kind,
+    name: object.name,
+    version: Number(object.version),
+    spec: declarations.specOf(object),
+  };
+}
+
+function renderLine(object: operator.DeclaredObject): string {
+  const shown = render(object);
+  return `${shown.kind} ${shown.name} version ${shown.version} ${JSON.stringify(shown.spec)}`;
+}
+
+/** Shows objects in force. */
+export class GetCommand extends toolCommand.ToolCommand {
+  static override paths = [['get']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Show declared objects',
+    examples: [
+      ['Show everything', 'rhubarbvane get'],
+      ['Show one route', 'rhubarbvane get route reports'],
+    ],
+  });
+
+  kind = clipanion.Option.String({required: false});
+  name = clipanion.Option.String({required: false});
+
+  protected async run(): Promise<resultCode.ResultCode> {
+    const kind =
+      this.kind === undefined
+        ? operator.ObjectKind.UNSPECIFIED
+        : kindOf(this.kind);
+    const client = this.client();
+    if (this.name !== undefined) {
+      const response = await client.get({kind, name: this.name});
+      this.print(render(response.object!), [renderLine(response.object!)]);
+      return resultCode.ResultCode.Ok;
+    }
+    const response = await client.list({kind});
+    this.print(response.objects.map(render), response.objects.map(renderLine));
+    return resultCode.ResultCode.Ok;
+  }
+}
+
+/** Removes an object. */
+export class DeleteCommand extends toolCommand.ToolCommand {
+  static override paths = [['delete']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Delete a declared object',
+    examples: [
+      ['Delete a customer', 'rhubarbvane delete customer galle-office'],
+    ],
+  });
+
+  kind = clipanion.Option.String();
+  name = clipanion.Option.String();
+  changeId = clipanion.Option.String('--change-id', '', {
+    description: 'Identifier of the change',
+  });
+  version = clipanion.Option.String('--version', '', {
+    description: 'Expected version; the present one when left out',
+  });
+
+  protected async run(): Promise<resultCode.ResultCode> {
+    const client = this.client();
+    const kind = kindOf(this.kind);
+    const {object} = await client.get({kind, name: this.name});
+    const expectedVersion =
+      this.version === '' ? object!.version : BigInt(this.version);
+    const response = await client.apply({
+      changeId: this.changeId || uuid.v7(),
+      changes: [{object: object!, remove: true, expectedVersion}],
+    });
+    this.print({revision: response.revision}, [
+      `deleted as revision ${response.revision}`,
+    ]);
+    return resultCode.ResultCode.Ok;
+  }
+}
+
+/** Follows changes. */
+export class WatchCommand extends toolCommand.ToolCommand {
+  static override paths = [['watch']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Show objects and each change of them',
+    examples: [['Watch routes', 'rhubarbvane watch route --output json']],
+  });
+
+  kind = clipanion.Option.String({required: false});
+  count = clipanion.Option.String('--count', '', {
+    description: 'End after so many lines',
+  });
+
+  protected async run(): Promise<resultCode.ResultCode> {
+    const kind =
+      this.kind === undefined
+        ? operator.ObjectKind.UNSPECIFIED
+        : kindOf(this.kind);
+    let left = this.count === '' ? Infinity : Number(this.count);
+    for await (const event of this.client().watch({kind})) {
+      const object = event.object!;
+      const identity = `${declarations.kindName(object.kind)} ${object.name}`;
+      const line = event.removed ? `deleted ${identity}` : renderLine(object);
+      const shown = event.removed ? {removed: identity} : render(object);
+      this.print({revision: event.revision, ...shown}, [
+        `revision ${event.revision}: ${line}`,
+      ]);
+      left--;
+      if (left <= 0) {
+        break;
+      }
+    }
+    return resultCode.ResultCode.Ok;
+  }
+}
--- /dev/null
+++ b/src/tool/tool_command.ts
@@ -0,0 +1,156 @@
+/** What all commands of the tool share. */
+import * as fs from 'node:fs';
+import * as connect from '@connectrpc/connect';
+import * as connectNode from '@connectrpc/connect-node';
+import * as clipanion from 'clipanion';
+import * as failure from '../base/common/failure';
+import * as resultCode from '../base/common/result_code';
+import * as operator from '../protocol/generated/rhubarbvane/v1/operator_pb';
+
+/** Client of the operators' calls. */
+export type OperatorClient = connect.Client<typeof operator.OperatorService>;
+
+/** Forms of output. */
+export enum OutputForm {
+  Text = 'text',
+  Json = 'json',
+}
+
+/** An answer other than success that ends a command. */
+export class CommandFailure extends Error {
+  constructor(readonly cause: failure.Failure) {
+    super(cause.message);
+  }
+}
+
+/** A command that talks to an entry. */
+export abstract class ToolCommand extends clipanion.Command {
+  entry = clipanion.Option.String(
+    '--entry',
+    process.env.RHUBARBVANE_ENTRY ?? '',
+    {
+      description: 'URL of any entry; RHUBARBVANE_ENTRY when left out',
+    },
+  );
+
+  tokenFile = clipanion.Option.String(
+    '--token-file',
+    process.env.RHUBARBVANE_TOKEN_FILE ?? '',
+    {
+      description:
+        'File with the bearer token; RHUBARBVANE_TOKEN_FILE when left out',
+    },
+  );
+
+  output = clipanion.Option.String('--output', OutputForm.Text, {
+    description: 'text or json',
+  });
+
+  /** Runs the command; gives the exit code. */
+  protected abstract run(): Promise<resultCode.ResultCode>;
+
+  async execute(): Promise<number> {
+    try {
+      this.check();
+      return await this.run();
+    } catch (error) {
+      const cause = failureOf(error);
+      this.context.stderr.write(
+        `rhubarbvane: ${cause.message} [result ${cause.code}, ${cause.workState}]\n`,
+      );
+      return cause.code;
+    }
+  }
+
+  /** URL of the entry without a slash at its end. */
+  protected get entryUrl(): string {
+    return this.entry.replace(/\/$/, '');
+  }
+
+  protected get token(): string {
+    try {
+      return fs.readFileSync(this.tokenFile, 'utf8').trim();
+    } catch (error) {
+      const reason = (error as NodeJS.ErrnoException).code ?? String(error);
+      const message = `--token-file: saw ${JSON.stringify(this.tokenFile)}, cannot be read (${reason})`;
+      throw new CommandFailure(
+        failure.notRun(resultCode.ResultCode.SettingsUnreadable, message),
+      );
+    }
+  }
+
+  protected client(): OperatorClient {
+    const token = this.token;
+    const authenticate: connect.Interceptor = next => request => {
+      request.header.set('authorization', `Bearer ${token}`);
+      return next(request);
+    };
+    const transport = connectNode.createConnectTransport({
+      baseUrl: this.entryUrl,
+      httpVersion: '1.1',
+      interceptors: [authenticate],
+    });
+    return connect.createClient(operator.OperatorService, transport);
+  }
+
+  /** Prints a value as JSON or the lines as text. */
+  protected print(value: unknown, lines: readonly string[]): void {
+    if (this.output === OutputForm.Json) {
+      const text = JSON.stringify(value, (_, field: unknown) =>
+        typeof field === 'bigint' ? Number(field) : field,
+      );
+      this.context.stdout.write(`${text}\n`);
+      return;
+    }
+    lines.forEach(line => this.context.stdout.write(`${line}\n`));
+  }
+
+  /** Tells what goes on, on the error stream. */
+  protected progress(line: string): void {
+    if (this.output === OutputForm.Text) {
+      this.context.stderr.write(`${line}\n`);
+    }
+  }
+
+  private check(): void {
+    if (this.output !== OutputForm.Text && this.output !== OutputForm.Json) {
+      throw usage(
+        `--output: saw ${JSON.stringify(this.output)}, expected text or json`,
+      );
+    }
+    if (!/^http:\/\/[^/]+\/?$/.test(this.entry)) {
+      throw usage(
+        `--entry: saw ${JSON.stringify(this.entry)}, expected a URL such as http://127.0.0.1:8080`,
+      );
+    }
+  }
+}
+
+/** Makes the failure of a wrong argument. */
+export function usage(message: string): CommandFailure {
+  return new CommandFailure(
+    failure.notRun(resultCode.ResultCode.Usage, message),
+  );
+}
+
+function failureOf(error: unknown): failure.Failure {
+  if (error instanceof CommandFailure) {
+    return error.cause;
+  }
+  if (error instanceof connect.ConnectError) {
+    const code = Number(
+      error.metadata.get('rhubarbvane-result') ?? resultCode.ResultCode.Failed,
+    );
+    const work =
+      error.metadata.get('rhubarbvane-work') ?? resultCode.WorkState.Unknown;
+    return {
+      code,
+      message: error.rawMessage,
+      workState: work as resultCode.WorkState,
+    };
+  }
+  return failure.unknownOutcome(
+    resultCode.ResultCode.Failed,
+    error instanceof Error ? error.message : String(error),
+  );
+}
--- /dev/null
+++ b/standins/engine_standin.ts
@@ -0,0 +1,361 @@
+/**
+ * Model engine stand-in. The prompt may carry directives for tests:
+ * [length=N] sets the output length, [crash] or [crash=N] ends the process
+ * when N tokens were produced.
+ */
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import * as httpServer from '../src/base/node/http_server';
+import * as generationRequest from '../src/protocol/common/generation_request';
+import * as engineModel from './engine_model';
+import * as standinServer from './standin_server';
+
+const IDLE_POLL_MILLISECONDS = 2;
+const KEPT_RUNS = 2_000;
+const STALL_CATCH_UP_MILLISECONDS = 200;
+
+interface CompletionBody {
+  readonly model: string;
+  readonly prompt: string;
+  readonly max_tokens?: number;
+  readonly priority?: number;
+  readonly request_id?: string;
+  readonly stream?: boolean;
+}
+
+interface Run {
+  readonly id: string;
+  readonly model: string;
+  readonly promptSha256: string;
+  readonly tag: string;
+  readonly maxTokens: number;
+  readonly crashAt: number;
+  readonly listeners: Set<http.ServerResponse>;
+  sequence: engineModel.Sequence;
+  isFinished: boolean;
+  isCancelled: boolean;
+}
+
+interface Load {
+  readonly at: number;
+  readonly body: object;
+}
+
+/** How the stand-in behaves. */
+export interface EngineOptions {
+  readonly shape: engineModel.EngineShape;
+  /** Age of the published load, in milliseconds. */
+  readonly loadLagMilliseconds: number;
+  /** Share of cache events that are lost. */
+  readonly cacheEventLoss: number;
+  readonly obeysFencing: boolean;
+  /** Multiplies the speed of time. */
+  readonly speed: number;
+  /** Ends the engine; the process-level stand-in exits. */
+  readonly crash: () => void;
+}
+
+/** An engine that answers over HTTP. */
+export class EngineStandin {
+  readonly server = new httpServer.HttpServer();
+  private readonly model: engineModel.EngineModel;
+  private readonly runs = new Map<string, Run>();
+  private readonly loads: Load[] = [];
+  private readonly orders: object[] = [];
+  private readonly incarnation = crypto.randomUUID();
+  private highestFencingNumber = 0;
+  private timer: NodeJS.Timeout | undefined;
+  private dueAt = performance.now();
+  private isFrozen = false;
+
+  constructor(private readonly options: EngineOptions) {
+    this.model = new engineModel.EngineModel(options.shape);
+    this.server.mount('/v1/completions', (request, response) =>
+      this.onCompletions(request, response),
+    );
+    this.server.mount('/load', (_, response) =>
+      httpServer.answerJson(response, 200, this.publishedLoad()),
+    );
+    this.server.mount('/orders', (request, response) =>
+      this.onOrder(request, response),
+    );
+    this.server.mount('/runs', (_, response) =>
+      httpServer.answerJson(response, 200, this.record()),
+    );
+    this.server.mount('/healthz', (_, response) =>
+      httpServer.answerJson(response, 200, {}),
+    );
+    this.server.mount('/fault', (request, response) =>
+      this.onFault(request, response),
+    );
+    this.schedule(IDLE_POLL_MILLISECONDS);
+  }
+
+  dispose(): void {
+    clearTimeout(this.timer);
+    this.server.dispose();
+  }
+
+  /** Every run with what became of it. */
+  record(): object {
+    const runs = [...this.runs.values()].map(run => ({
+      run: run.id,
+      model: run.model,
+      prompt_sha256: run.promptSha256,
+      tag: run.tag,
+      generated: run.sequence.generated,
+      finished: run.isFinished,
+      cancelled: run.isCancelled,
+    }));
+    return {runs, orders: this.orders, preemptions: this.model.preemptionCount};
+  }
+
+  private schedule(milliseconds: number): void {
+    this.timer = setTimeout(() => this.onStep(), milliseconds);
+  }
+
+  private onStep(): void {
+    if (this.isFrozen) {
+      return this.schedule(IDLE_POLL_MILLISECONDS);
+    }
+    const result = this.model.step();
+    result.produced.forEach(sequence =>
+      this.publishToken(this.runs.get(sequence.run)!),
+    );
+    result.finished.forEach(sequence =>
+      this.publishEnd(this.runs.get(sequence.run)!),
+    );
+    this.noteLoad();
+    const now = performance.now();
+    const duration =
+      (result.milliseconds || IDLE_POLL_MILLISECONDS) / this.options.speed;
+    this.dueAt = Math.max(
+      this.dueAt + duration,
+      now - STALL_CATCH_UP_MILLISECONDS,
+    );
+    if (result.milliseconds === 0) {
+      this.dueAt = now + duration;
+    }
+    this.schedule(Math.max(0, this.dueAt - now));
+  }
+
+  private publishToken(run: Run): void {
+    const index = run.sequence.generated - 1;
+    if (index >= run.crashAt) {
+      this.options.crash();
+    }
+    const event = tokenEvent(run, index);
+    run.listeners.forEach(listener => listener.write(event));
+  }
+
+  private publishEnd(run: Run): void {
+    run.isFinished = true;
+    run.listeners.forEach(listener => listener.end(endEvent(run)));
+    run.listeners.clear();
+  }
+
+  private async onCompletions(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const resume = /^\/v1\/completions\/([^/]+)\/events\?from=(\d+)$/.exec(
+      request.url!,
+    );
+    if (resume !== null) {
+      return this.listen(response, this.runs.get(resume[1]), Number(resume[2]));
+    }
+    if (request.method === 'DELETE') {
+      return this.cancel(request.url!.split('/').pop()!, response);
+    }
+    const body = await standinServer.bodyJson<CompletionBody>(request);
+    const id = body.request_id ?? crypto.randomUUID();
+    const known = this.runs.get(id);
+    const run = known ?? this.start(id, body);
+    if (body.stream === true) {
+      return this.listen(response, run, 0);
+    }
+    httpServer.answerJson(response, 400, {error: 'only streams are served'});
+  }
+
+  private start(id: string, body: CompletionBody): Run {
+    const maxTokens = body.max_tokens ?? 16;
+    const crash = /\[crash(?:=(\d+))?\]/.exec(body.prompt);
+    const sequence = this.model.add({
+      run: id,
+      promptTokens: generationRequest.estimateTokens(body.prompt),
+      pageHashes: pageHashes(body.prompt, this.options.shape.pageTokens),
+      outputTokens: Math.min(maxTokens, naturalLength(body.prompt)),
+      priority: body.priority ?? 0,
+    });
+    const run: Run = {
+      id,
+      model: body.model,
+      promptSha256: crypto
+        .createHash('sha256')
+        .update(body.prompt)
+        .digest('hex'),
+      tag: crypto.randomBytes(3).toString('hex'),
+      maxTokens,
+      crashAt: crash === null ? Infinity : Number(crash[1] ?? 0),
+      listeners: new Set(),
+      sequence,
+      isFinished: false,
+      isCancelled: false,
+    };
+    this.runs.set(id, run);
+    this.forgetOldRuns();
+    return run;
+  }
+
+  private forgetOldRuns(): void {
+    if (this.runs.size <= KEPT_RUNS) {
+      return;
+    }
+    for (const [id, run] of this.runs) {
+      if (run.isFinished || run.isCancelled) {
+        this.runs.delete(id);
+        return;
+      }
+    }
+  }
+
+  private listen(
+    response: http.ServerResponse,
+    run: Run | undefined,
+    from: number,
+  ): void {
+    if (run === undefined || run.isCancelled) {
+      return httpServer.answerJson(response, 404, {error: 'unknown run'});
+    }
+    response.writeHead(200, {'Content-Type': 'text/event-stream'});
+    response.flushHeaders();
+    for (let index = from; index < run.sequence.generated; index++) {
+      response.write(tokenEvent(run, index));
+    }
+    if (run.isFinished) {
+      response.end(endEvent(run));
+      return;
+    }
+    run.listeners.add(response);
+    response.once('close', () => run.listeners.delete(response));
+  }
+
+  private cancel(id: string, response: http.ServerResponse): void {
+    const run = this.runs.get(id);
+    if (run !== undefined && !run.isFinished) {
+      this.model.remove(id);
+      run.isCancelled = true;
+      run.listeners.forEach(listener => listener.destroy());
+    }
+    httpServer.answerJson(response, 200, {});
+  }
+
+  private noteLoad(): void {
+    const at = performance.now();
+    const last = this.loads[this.loads.length - 1];
+    if (last !== undefined && at - last.at < 50) {
+      return;
+    }
+    const cachedPrefixes = this.model
+      .cachedPrefixes()
+      .filter(() => Math.random() >= this.options.cacheEventLoss);
+    const body = {
+      engineIncarnation: this.incarnation,
+      capacityTokens: this.options.shape.capacityTokens,
+      usedTokens: this.model.usedTokens,
+      running: this.model.running.length,
+      waiting: this.model.waiting.length,
+      preemptions: this.model.preemptionCount,
+      cachedPrefixes: cachedPrefixes.slice(-64),
+    };
+    this.loads.push({at, body});
+    while (
+      this.loads.length > 1 &&
+      this.loads[1].at < at - this.options.loadLagMilliseconds
+    ) {
+      this.loads.shift();
+    }
+  }
+
+  private publishedLoad(): object {
+    this.noteLoad();
+    return this.loads[0].body;
+  }
+
+  private async onOrder(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const order = await standinServer.bodyJson<{fencingNumber: number}>(
+      request,
+    );
+    if (
+      this.options.obeysFencing &&
+      order.fencingNumber < this.highestFencingNumber
+    ) {
+      return httpServer.answerJson(response, 409, {
+        error: 'old fencing number',
+      });
+    }
+    this.highestFencingNumber = Math.max(
+      this.highestFencingNumber,
+      order.fencingNumber,
+    );
+    this.orders.push(order);
+    httpServer.answerJson(response, 200, {});
+  }
+
+  private async onFault(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const fault = await standinServer.bodyJson<{
+      frozen?: boolean;
+      silence?: boolean;
+    }>(request);
+    this.isFrozen = fault.frozen ?? this.isFrozen;
+    if (fault.silence === true) {
+      this.runs.forEach(run => run.listeners.clear());
+    }
+    httpServer.answerJson(response, 200, {});
+  }
+}
+
+function tokenEvent(run: Run, index: number): string {
+  const choice = {
+    index: 0,
+    text: ` ${run.tag}-${index}`,
+    logprobs: null,
+    finish_reason: null,
+  };
+  return `id: ${index}\ndata: ${JSON.stringify({id: run.id, object: 'text_completion', model: run.model, choices: [choice]})}\n\n`;
+}
+
+function endEvent(run: Run): string {
+  const length = run.sequence.generated;
+  const reason = length >= run.maxTokens ? 'length' : 'stop';
+  const choice = {index: 0, text: '', logprobs: null, finish_reason: reason};
+  return `id: ${length}\ndata: ${JSON.stringify({id: run.id, object: 'text_completion', model: run.model, choices: [choice]})}\n\ndata: [DONE]\n\n`;
+}
+
+function naturalLength(prompt: string): number {
+  const directive = /\[length=(\d+)\]/.exec(prompt);
+  if (directive !== null) {
+    return Number(directive[1]);
+  }
+  const digest = crypto.createHash('sha256').update(prompt).digest();
+  const uniform = (digest.readUInt32LE(0) + 1) / 2 ** 32;
+  return Math.max(1, Math.floor(20 / Math.sqrt(uniform)));
+}
+
+/** Hashes of the whole pages of a prompt, each covering all before it. */
+function pageHashes(prompt: string, pageTokens: number): string[] {
+  const pageCharacters = pageTokens * 4;
+  const hashes: string[] = [];
+  const digest = crypto.createHash('sha1');
+  for (let end = pageCharacters; end <= prompt.length; end += pageCharacters) {
+    digest.update(prompt.slice(end - pageCharacters, end));
+    hashes.push(digest.copy().digest('hex').slice(0, 12));
+  }
+  return hashes;
+}
--- /dev/null
+++ b/standins/standin_server.ts
@@ -0,0 +1,32 @@
+/** What all stand-ins share: reading JSON and answering on one HTTP server. */
+import * as http from 'node:http';
+import * as httpServer from '../src/base/node/http_server';
+
+const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
+
+/** Reads the body as text. Rejects on one that ends early. */
+export async function bodyText(request: http.IncomingMessage): Promise<string> {
+  const body = await httpServer.readBody(request, BODY_LIMIT_BYTES);
+  if (body.isErr()) {
+    throw new Error(body.error.message);
+  }
+  return body.value.toString('utf8');
+}
+
+/** Reads the body as JSON; an empty body gives an empty object. */
+export async function bodyJson<T>(request: http.IncomingMessage): Promise<T> {
+  return JSON.parse((await bodyText(request)) || '{}') as T;
+}
+
+/** Writes the address in use for whoever started the process, and stops on SIGTERM and SIGINT. */
+export function announce(address: string): void {
+  process.stdout.write(JSON.stringify({url: `http://${address}`}) + '\n');
+  process.on('SIGTERM', () => process.exit(0));
+  process.on('SIGINT', () => process.exit(0));
+}
+
+/** Reads `--name value` arguments. */
+export function argument(name: string, fallback: string): string {
+  const index = process.argv.indexOf(`--${name}`);
+  return index < 0 ? fallback : process.argv[index + 1];
+}
