--- a/src/entry/node/claimed_call.ts
+++ b/src/entry/node/claimed_call.ts
@@ -47,7 +47,7 @@
         return this.notClaimed(key, attempt, result.error);
       }
       if (result.value.outcome === claimPage.ClaimOutcome.Granted) {
-        return this.dispatch(call, key, attempt);
+        return this.dispatchGranted(call, key, attempt);
       }
       if (result.value.outcome !== claimPage.ClaimOutcome.HeldElsewhere) {
         return settled(result.value);
@@ -60,6 +60,25 @@
     }
   }
 
+  /**
+   * A claim is exclusive only if its page cannot have been swept before it was
+   * granted, which the key's age after the grant decides.
+   */
+  private async dispatchGranted(
+    call: serviceDispatcher.PlainCall,
+    key: ActionKey,
+    attempt: string,
+  ): Promise<sideCalls.ServiceReply> {
+    const age = claimPage.keyAge(key.keyMilliseconds, Date.now());
+    if (age === claimPage.KeyAge.TooOld) {
+      void this.claims.release(key.keyMilliseconds, key.customerKey, attempt);
+      const message = 'idempotency-key: became too old before the call';
+      const code = resultCode.ResultCode.IdempotencyKeyTooOld;
+      return {failure: failure.notRun(code, message)};
+    }
+    return this.dispatch(call, key, attempt);
+  }
+
   private async dispatch(
     call: serviceDispatcher.PlainCall,
     key: ActionKey,
--- /dev/null
+++ b/test/processes/exactly_once.test.ts
@@ -0,0 +1,204 @@
+import * as ava from 'ava';
+import * as resultCode from '../../src/base/common/result_code';
+import * as localDeployment from '../../standins/local_deployment';
+import * as tcpRelay from '../../standins/tcp_relay';
+import * as callers from '../support/callers';
+
+const test = ava.default as ava.TestFn<localDeployment.LocalDeployment>;
+const LENGTH = 120;
+
+test.beforeEach(async t => {
+  t.context = new localDeployment.LocalDeployment({
+    entries: 2,
+    engines: 2,
+    services: 0,
+    sideSettings: 'idle_milliseconds = 400',
+  });
+  await t.context.start();
+});
+
+test.afterEach.always(t => t.context.stop());
+
+/** The endpoint that runs the only generation. */
+async function busyPair(deployment: localDeployment.LocalDeployment) {
+  for (const pair of deployment.engines) {
+    const runs = await callers.runsOf(pair.endpoint.url);
+    if (runs.some(run => !run.finished && !run.cancelled)) {
+      return pair;
+    }
+  }
+  throw new Error('no engine runs anything');
+}
+
+for (const tokens of [1, 40, LENGTH - 1]) {
+  test(`an entry killed after ${tokens} tokens: the rest comes through the other`, async t => {
+    const [first, second] = t.context.entries;
+    const {reader, ended} = await callers.openStream(
+      first.url,
+      callers.generation(LENGTH, 'kill entry'),
+    );
+    await callers.received(reader, tokens);
+    await first.kill();
+    await ended;
+    const rest = await callers.openStream(
+      second.url,
+      callers.generation(LENGTH, 'kill entry'),
+      reader.lastEventId,
+    );
+    await rest.ended;
+    t.true(rest.reader.isDone);
+    t.true(callers.isOneRun([...reader.texts, ...rest.reader.texts], LENGTH));
+  });
+}
+
+test('a caller that comes back to the same entry loses and repeats nothing', async t => {
+  const url = t.context.entries[0].url;
+  const request = callers.generation(LENGTH, 'come back');
+  const texts: string[] = [];
+  let lastEventId = '';
+  let isDone = false;
+  for (let round = 1; !isDone; round++) {
+    const {reader, ended} = await callers.openStream(url, request, lastEventId);
+    await Promise.race([callers.received(reader, 10 * round), ended]);
+    reader.cut();
+    await ended;
+    texts.push(...reader.texts);
+    lastEventId = reader.lastEventId || lastEventId;
+    isDone = reader.isDone || reader.finishReason !== '';
+  }
+  t.true(callers.isOneRun(texts, LENGTH));
+});
+
+test('another customer does not get the rest of a stream', async t => {
+  const [entry] = t.context.entries;
+  const {reader, ended} = await callers.openStream(
+    entry.url,
+    callers.generation(LENGTH, 'foreign'),
+  );
+  await callers.received(reader, 5);
+  const stolen = await localDeployment.callJson(
+    'GET',
+    `${entry.url}/v1/completions`,
+    undefined,
+    {authorization: 'Bearer wrong', 'last-event-id': reader.lastEventId},
+  );
+  t.is(stolen.status, 401);
+  await ended;
+  t.true(callers.isOneRun(reader.texts, LENGTH));
+});
+
+test('a side process killed in the middle: a definite end after the tokens delivered', async t => {
+  const {reader, ended} = await callers.openStream(
+    t.context.entries[0].url,
+    callers.generation(LENGTH, 'kill side'),
+  );
+  await callers.received(reader, 30);
+  await (await busyPair(t.context)).side.kill();
+  await ended;
+  t.is(reader.errorCode, resultCode.ResultCode.Interrupted);
+  t.false(reader.isDone);
+  t.true(callers.isOneRun(reader.texts, reader.texts.length));
+});
+
+test('an engine killed in the middle: a whole answer comes from one fresh run', async t => {
+  const pending = callers.complete(
+    t.context.entries[0].url,
+    callers.generation(LENGTH, 'kill engine'),
+  );
+  await callers.until(async () => {
+    const records = await Promise.all(
+      t.context.engines.map(pair => callers.runsOf(pair.endpoint.url)),
+    );
+    return records.flat().some(run => Number(run.generated) > 20);
+  });
+  await (await busyPair(t.context)).endpoint.kill();
+  const answer = await pending;
+  t.is(answer.status, 200);
+  const [choice] = answer.body.choices as {text: string}[];
+  const texts = choice.text.split(/(?= )/);
+  t.true(callers.isOneRun(texts, LENGTH));
+});
+
+test('a frozen side process that comes back: the stream goes on whole', async t => {
+  const {reader, ended} = await callers.openStream(
+    t.context.entries[0].url,
+    callers.generation(400, 'freeze side'),
+  );
+  await callers.received(reader, 20);
+  const {side} = await busyPair(t.context);
+  side.signal('SIGSTOP');
+  setTimeout(() => side.signal('SIGCONT'), 4_500);
+  await ended;
+  t.true(reader.isDone);
+  t.true(callers.isOneRun(reader.texts, 400));
+});
+
+test('an engine stream that falls silent is resumed over a new connection', async t => {
+  const {reader, ended} = await callers.openStream(
+    t.context.entries[0].url,
+    callers.generation(LENGTH, 'silent engine'),
+  );
+  await callers.received(reader, 20);
+  const pair = await busyPair(t.context);
+  await localDeployment.callJson('POST', `${pair.endpoint.url}/fault`, {
+    silence: true,
+  });
+  await ended;
+  t.true(reader.isDone);
+  t.true(callers.isOneRun(reader.texts, LENGTH));
+});
+
+for (const mode of [
+  tcpRelay.RelayMode.SilenceOpen,
+  tcpRelay.RelayMode.Cut,
+] as const) {
+  test(`a link in mode ${mode} is replaced and nothing is lost or doubled`, async t => {
+    const [pair, other] = t.context.engines;
+    const relay = new tcpRelay.TcpRelay(
+      Number(pair.side.address.split(':')[1]),
+    );
+    const endpoint = 'report-engines';
+    await t.context.unregister(other.side.name);
+    await t.context.register(
+      pair.side.name,
+      'side',
+      await relay.listen(),
+      endpoint,
+    );
+    const [entry] = t.context.entries;
+    await callers.until(async () => {
+      const status = await t.context.tool(['status']);
+      return !status.output.includes(other.side.name);
+    });
+    const {reader, ended} = await callers.openStream(
+      entry.url,
+      callers.generation(400, mode),
+    );
+    t.is(reader.status, 200, reader.body);
+    await callers.received(reader, 30);
+    relay.set(mode);
+    if (mode === tcpRelay.RelayMode.Cut) {
+      setTimeout(() => relay.set(tcpRelay.RelayMode.Pass), 300);
+    }
+    await ended;
+    relay.dispose();
+    t.true(reader.isDone, `error ${reader.errorCode}`);
+    t.true(callers.isOneRun(reader.texts, 400));
+  });
+}
+
+test('a slow reader is held back without stalling others, and gets everything', async t => {
+  const [entry] = t.context.entries;
+  const slow = await callers.openStream(
+    entry.url,
+    callers.generation(4_000, 'slow'),
+  );
+  const fast = await callers.openStream(
+    entry.url,
+    callers.generation(LENGTH, 'fast'),
+  );
+  await fast.ended;
+  t.true(callers.isOneRun(fast.reader.texts, LENGTH));
+  await slow.ended;
+  t.true(callers.isOneRun(slow.reader.texts, 4_000));
+});
--- /dev/null
+++ b/test/support/callers.ts
@@ -0,0 +1,76 @@
+/** Calls and waits that the process tests share. */
+import * as rxjs from 'rxjs';
+import * as localDeployment from '../../standins/local_deployment';
+import * as streamReader from '../../standins/stream_reader';
+
+/** Authorization of the only customer. */
+export const BEARER = {
+  authorization: `Bearer ${localDeployment.CUSTOMER_TOKEN}`,
+};
+
+/** A generation of a known length. */
+export function generation(length: number, tag: string, extra = '') {
+  return {
+    model: localDeployment.MODEL,
+    prompt: `${tag} [length=${length}]${extra}`,
+    max_tokens: 4_096,
+  };
+}
+
+/** Opens a stream and reads on in the background. */
+export async function openStream(
+  url: string,
+  request: object,
+  lastEventId = '',
+): Promise<{reader: streamReader.StreamReader; ended: Promise<void>}> {
+  const reader = new streamReader.StreamReader();
+  await reader.open(url, localDeployment.CUSTOMER_TOKEN, request, lastEventId);
+  return {reader, ended: reader.read()};
+}
+
+/** Resolves when the reader has as many tokens. */
+export async function received(
+  reader: streamReader.StreamReader,
+  count: number,
+): Promise<void> {
+  if (reader.texts.length >= count) {
+    return;
+  }
+  await rxjs.firstValueFrom(
+    reader.onDidReceive.pipe(rxjs.filter(tokens => tokens >= count)),
+  );
+}
+
+/** Sends a generation and waits for the whole answer. */
+export function complete(url: string, request: object) {
+  return localDeployment.callJson(
+    'POST',
+    `${url}/v1/completions`,
+    request,
+    BEARER,
+  );
+}
+
+/** Whether texts are the tokens of one run from the first on. */
+export function isOneRun(texts: readonly string[], length: number): boolean {
+  const run = (texts[0] ?? '').split('-')[0];
+  return (
+    texts.length === length &&
+    texts.every((text, index) => text === `${run}-${index}`)
+  );
+}
+
+/** Asks again until the condition holds. */
+export async function until(
+  condition: () => Promise<boolean> | boolean,
+): Promise<void> {
+  while (!(await condition())) {
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+/** Runs that an engine or service has recorded. */
+export async function runsOf(url: string): Promise<Record<string, unknown>[]> {
+  const record = await localDeployment.callJson('GET', `${url}/runs`);
+  return record.body.runs as Record<string, unknown>[];
+}
