Prove planned stops, poison requests and slow readers; mend two faults found

Cause and change: - A request condemned after its second endpoint's death was refused with the code of the last loss (84) and not with PoisonRequest (69), because the machine prefers its last cause when no instance is found. A condemned request now has its own step. - A resume with another customer's token through the same entry took the output away from the caller it belonged to: both streams hung.

The leaving test hung at first because its streams ended before the status was asked; they are longer now.

--- a/src/decision/common/generation_machine.ts
+++ b/src/decision/common/generation_machine.ts
@@ -119,6 +119,14 @@
     return this.fail(this.lastCause ?? cause);
   }
 
+  /** The request must not be placed again, whatever happened before. */
+  refuse(cause: failure.Failure): Command[] {
+    if (this.phase !== GenerationPhase.Placing) {
+      return [];
+    }
+    return this.fail(cause);
+  }
+
   /** The side process answered the hand-off. */
   handoffReplied(attempt: string, reply: sideCalls.CallReply): Command[] {
     if (!this.isCurrent(attempt) || this.phase !== GenerationPhase.HandingOff) {
--- a/src/entry/node/generation_service.ts
+++ b/src/entry/node/generation_service.ts
@@ -105,6 +105,22 @@
     );
     this.table.add(generation);
     const commands = machine.resume(target, fromIndex);
+    const present = this.table.receiver(target.attempt);
+    if (
+      present !== undefined &&
+      present.request.customer !== request.customer
+    ) {
+      this.carryOut(
+        generation,
+        machine.attachRefused(target.attempt, expired()),
+      );
+      return generation;
+    }
+    if (present !== undefined) {
+      // The caller's new connection takes the place of its old one.
+      this.table.remove(present);
+      present.sink.fail(superseded());
+    }
     const isListed = this.links.demand(target.instance);
     this.table.direct(target.attempt, generation);
     const known = this.links.table.get(target.instance);
@@ -164,7 +180,7 @@
     if (suspicion === poisonTable.Suspicion.Condemned) {
       return this.carryOut(
         generation,
-        generation.machine.notPlaced(poisonRefusal()),
+        generation.machine.refuse(poisonRefusal()),
       );
     }
     const span = this.tracer.start('entry.placement', generation.trace);
@@ -368,3 +384,13 @@
   const message = 'the request ended the endpoint instances that ran it';
   return failure.notRun(resultCode.ResultCode.PoisonRequest, message);
 }
+
+function expired(): failure.Failure {
+  const message = 'the generation is no longer held here';
+  return failure.ran(resultCode.ResultCode.StreamExpired, message);
+}
+
+function superseded(): failure.Failure {
+  const message = 'the stream goes on over a later connection';
+  return failure.ran(resultCode.ResultCode.Cancelled, message);
+}
--- a/src/entry/node/generation_table.ts
+++ b/src/entry/node/generation_table.ts
@@ -34,8 +34,9 @@
 
   remove(row: generation.Generation): void {
     this.rows.delete(row);
-    if (row.machine.target !== undefined) {
-      this.byAttempt.delete(row.machine.target.attempt);
+    const attempt = row.machine.target?.attempt;
+    if (attempt !== undefined && this.byAttempt.get(attempt) === row) {
+      this.byAttempt.delete(attempt);
     }
   }
 
--- a/standins/stream_reader.ts
+++ b/standins/stream_reader.ts
@@ -19,6 +19,8 @@
   resultCode = 0;
   body = '';
   trace = '';
+  private isPaused = false;
+  private readonly unpaused = new rxjs.Subject<void>();
   private response: http.IncomingMessage | undefined;
 
   /** Opens a stream, or with an event identifier the rest of one, and resolves when its headers arrived. */
@@ -62,12 +64,26 @@
           this.body += chunk as string;
         }
         parser.feed(chunk as string);
+        if (this.isPaused) {
+          await rxjs.firstValueFrom(this.unpaused);
+        }
       }
     } catch {
       // A cut connection shows in isDone.
     }
   }
 
+  /** Stops taking bytes off the connection. */
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  /** Takes bytes off the connection again. */
+  unpause(): void {
+    this.isPaused = false;
+    this.unpaused.next();
+  }
+
   /** Cuts the connection. */
   cut(): void {
     this.response?.destroy();
--- /dev/null
+++ b/test/processes/planned_changes.test.ts
@@ -0,0 +1,192 @@
+import * as ava from 'ava';
+import * as resultCode from '../../src/base/common/result_code';
+import * as localDeployment from '../../standins/local_deployment';
+import * as callers from '../support/callers';
+
+const test = ava.default as ava.TestFn<localDeployment.LocalDeployment>;
+const LENGTH = 80;
+/** Long enough to see a process leave. */
+const LONG = 600;
+
+test.beforeEach(async t => {
+  t.context = new localDeployment.LocalDeployment({
+    entries: 2,
+    engines: 2,
+    services: 2,
+  });
+  await t.context.start();
+});
+
+test.afterEach.always(t => t.context.stop());
+
+test('a leaving endpoint gets nothing new while the platform lists it as live', async t => {
+  const [entry] = t.context.entries;
+  const [leaving] = t.context.engines;
+  const before = await Promise.all(
+    Array.from({length: 4}, (_, index) =>
+      callers.openStream(
+        entry.url,
+        callers.generation(LONG, `before ${index}`),
+      ),
+    ),
+  );
+  const had = (await callers.runsOf(leaving.endpoint.url)).length;
+  t.true(had > 0);
+  leaving.side.signal('SIGTERM');
+  await callers.until(async () => {
+    const status = await t.context.tool(['status']);
+    return /engine-0 \(.*\): leaving/.test(status.output);
+  });
+  leaving.side.signal('SIGTERM');
+  const after = await Promise.all(
+    Array.from({length: 8}, (_, index) =>
+      callers.openStream(
+        t.context.entries[index % 2].url,
+        callers.generation(LENGTH, `after ${index}`),
+      ),
+    ),
+  );
+  t.is((await callers.runsOf(leaving.endpoint.url)).length, had);
+  for (const {reader, ended} of before) {
+    await ended;
+    t.true(callers.isOneRun(reader.texts, LONG));
+  }
+  for (const {reader, ended} of after) {
+    await ended;
+    t.true(callers.isOneRun(reader.texts, LENGTH));
+  }
+  t.is(await leaving.side.ended, 0);
+});
+
+test('every process is replaced under load and no request is cut or refused', async t => {
+  const deployment = t.context;
+  const entries = [...deployment.entries];
+  const outcomes: string[] = [];
+  let isLoading = true;
+  // A caller behind a balancer uses an entry that is ready.
+  const caller = async (number: number) => {
+    for (let round = 0; isLoading; round++) {
+      const entry = entries[(number + round) % entries.length];
+      const {reader, ended} = await callers.openStream(
+        entry.url,
+        callers.generation(LENGTH, `load ${number} ${round}`),
+      );
+      await ended;
+      const isWhole = reader.isDone && callers.isOneRun(reader.texts, LENGTH);
+      outcomes.push(
+        isWhole
+          ? 'whole'
+          : `${reader.status} ${reader.body} ${reader.errorCode}`,
+      );
+    }
+  };
+  const load = Array.from({length: 8}, (_, number) => caller(number));
+  for (const [index, pair] of deployment.engines.entries()) {
+    const replacement = await deployment.startEngine(`new-engine-${index}`);
+    for (const entry of entries) {
+      await localDeployment.waitUntilReady(entry.url);
+    }
+    await callers.until(async () => {
+      const status = await deployment.tool(['status']);
+      return status.output.includes(`new-engine-${index}`);
+    });
+    pair.side.signal('SIGTERM');
+    t.is(await pair.side.ended, 0);
+    await deployment.unregister(pair.side.name);
+    t.true(replacement.side.url !== '');
+  }
+  for (const index of [0, 1]) {
+    const old = entries[index];
+    const replacement = await deployment.startEntry(`new-entry-${index}`);
+    await localDeployment.waitUntilReady(replacement.url);
+    entries[index] = replacement;
+    old.signal('SIGTERM');
+    t.is(await old.ended, 0);
+    await deployment.unregister(old.name);
+  }
+  isLoading = false;
+  await Promise.all(load);
+  t.true(outcomes.length > 8);
+  t.deepEqual(
+    outcomes.filter(outcome => outcome !== 'whole'),
+    [],
+  );
+});
+
+test('a wind-down date under load: what was accepted finishes, the rest is refused as not run', async t => {
+  const [first, second] = t.context.entries;
+  const accepted = await Promise.all(
+    [first, second].map(entry =>
+      callers.openStream(entry.url, callers.generation(200, entry.name)),
+    ),
+  );
+  const date = new Date().toISOString();
+  const result = await t.context.tool([
+    'wind-down',
+    'route',
+    'reports',
+    '--at',
+    date,
+  ]);
+  t.is(result.code, 0, result.errors);
+  await callers.until(async () => {
+    const status = JSON.parse(
+      (await t.context.tool(['status', '--output', 'json'])).output,
+    ) as {revision: number; lowestRevision: number};
+    return status.lowestRevision === 2;
+  });
+  for (const entry of [first, second]) {
+    const refused = await callers.complete(
+      entry.url,
+      callers.generation(10, 'late'),
+    );
+    t.is(refused.status, 410);
+    t.is(
+      refused.headers['rhubarbvane-result'],
+      String(resultCode.ResultCode.RouteWoundDown),
+    );
+    t.is(refused.headers['rhubarbvane-work'], resultCode.WorkState.NotRun);
+  }
+  for (const {reader, ended} of accepted) {
+    await ended;
+    t.true(callers.isOneRun(reader.texts, 200));
+  }
+  const moved = await t.context.tool([
+    'wind-down',
+    'route',
+    'reports',
+    '--never',
+  ]);
+  t.is(moved.code, 0, moved.errors);
+  const answer = await callers.complete(
+    first.url,
+    callers.generation(10, 'again'),
+  );
+  t.is(answer.status, 200);
+});
+
+test('a drained endpoint keeps what runs and gets nothing new', async t => {
+  const [entry] = t.context.entries;
+  const running = await callers.openStream(
+    entry.url,
+    callers.generation(200, 'running'),
+  );
+  const drained = await t.context.tool(['drain', 'report-engines']);
+  t.is(drained.code, 0, drained.errors);
+  await callers.until(async () => {
+    const status = await t.context.tool(['status']);
+    return (
+      status.output
+        .split('\n')
+        .filter(line => /report-engines.*leaving/.test(line)).length === 2
+    );
+  });
+  const refused = await callers.complete(
+    entry.url,
+    callers.generation(10, 'late'),
+  );
+  t.is(refused.status, 503);
+  t.is(refused.headers['rhubarbvane-work'], resultCode.WorkState.NotRun);
+  await running.ended;
+  t.true(callers.isOneRun(running.reader.texts, 200));
+});
