Admit by forecast memory, learn lengths without survivorship bias, benchmark policies

Change: prompt chunks that several generations share are counted once; a share of memory is left to quick work and a draft that does not fit no longer holds it up; lengths are learned as rates of ending by bucket, with running outputs counted in the buckets they passed; a candidate is checked only at the horizons at which it is likely to be there.

--- /dev/null
+++ b/bench/policy/policy.ts
@@ -0,0 +1,124 @@
+/** Policies that the benchmark compares. */
+import * as admissionSystem from '../../src/decision/common/admission_system';
+import * as lengthPredictor from '../../src/decision/common/length_predictor';
+import * as placementSystem from '../../src/decision/common/placement_system';
+
+/** Names of policies. */
+export enum PolicyName {
+  /** Round robin and the engine's own habit. */
+  Naive = 'naive',
+  /** Fewest outstanding tokens first and a fixed number of slots. */
+  Tuned = 'tuned',
+  /** The product with exact lengths. */
+  Oracle = 'oracle',
+  /** The product. */
+  Current = 'current',
+}
+
+/** Mechanisms of the product that can be left out. */
+export enum Mechanism {
+  None = 'none',
+  Forecast = 'forecast',
+  Prediction = 'prediction',
+  QuickFirst = 'quick-first',
+  Fairness = 'fairness',
+  Prefix = 'prefix',
+  Dispatched = 'dispatched',
+  Refusal = 'refusal',
+}
+
+/** How requests are placed. */
+export enum PlacementRule {
+  RoundRobin = 'round-robin',
+  FewestTokens = 'fewest-tokens',
+  Product = 'product',
+}
+
+/** One policy in full. */
+export interface Policy {
+  readonly name: PolicyName;
+  readonly placement: PlacementRule;
+  readonly placementPolicy: placementSystem.PlacementPolicy;
+  readonly admission: admissionSystem.AdmissionPolicy;
+  /** Whether the engine gets each request at once. */
+  readonly isUnheld: boolean;
+  readonly knowsLengths: boolean;
+  readonly learnsLengths: boolean;
+  readonly usesPriorities: boolean;
+  readonly refuses: boolean;
+  readonly countsDispatched: boolean;
+}
+
+const NO_ADMISSION: admissionSystem.AdmissionPolicy = {
+  ...admissionSystem.DEFAULT_ADMISSION_POLICY,
+  isFair: false,
+  isQuickFirst: false,
+  usesForecast: false,
+};
+
+/** Makes a policy. The slots concern the tuned one only. */
+export function makePolicy(
+  name: PolicyName,
+  without: Mechanism,
+  slots: number,
+  settings: Partial<admissionSystem.AdmissionPolicy> = {},
+): Policy {
+  const isProduct = name === PolicyName.Current || name === PolicyName.Oracle;
+  if (!isProduct) {
+    const isTuned = name === PolicyName.Tuned;
+    return {
+      name,
+      placement: isTuned
+        ? PlacementRule.FewestTokens
+        : PlacementRule.RoundRobin,
+      placementPolicy: placementSystem.DEFAULT_PLACEMENT_POLICY,
+      admission: {
+        ...NO_ADMISSION,
+        maxRunning: isTuned ? slots : Infinity,
+        memoryShare: Infinity,
+      },
+      isUnheld: !isTuned,
+      knowsLengths: false,
+      learnsLengths: false,
+      usesPriorities: false,
+      refuses: false,
+      countsDispatched: true,
+    };
+  }
+  return {
+    name,
+    placement: PlacementRule.Product,
+    placementPolicy: {
+      ...placementSystem.DEFAULT_PLACEMENT_POLICY,
+      ...(without === Mechanism.Prefix ? {prefixWorth: 0} : {}),
+    },
+    admission: {
+      ...admissionSystem.DEFAULT_ADMISSION_POLICY,
+      usesForecast: without !== Mechanism.Forecast,
+      isQuickFirst: without !== Mechanism.QuickFirst,
+      isFair: without !== Mechanism.Fairness,
+      ...settings,
+    },
+    isUnheld: false,
+    knowsLengths: name === PolicyName.Oracle,
+    learnsLengths: without !== Mechanism.Prediction,
+    usesPriorities: without !== Mechanism.QuickFirst,
+    refuses: without !== Mechanism.Refusal,
+    countsDispatched: without !== Mechanism.Dispatched,
+  };
+}
+
+/** Knows the length exactly. */
+export class ExactDistribution extends lengthPredictor.LengthDistribution {
+  constructor(private readonly length: number) {
+    super();
+  }
+
+  survival(length: number): number {
+    return length < this.length ? 1 : 0;
+  }
+
+  override expectedRemaining(generated: number): number {
+    return Math.max(0, this.length - generated);
+  }
+}
--- /dev/null
+++ b/bench/policy/policy_benchmark.ts
@@ -0,0 +1,228 @@
+/** Compares policies on a simulated clock; prints a JSON line for each run. */
+import * as engineModel from '../../standins/engine_model';
+import * as benchArguments from '../arguments';
+import * as deploymentRun from './deployment_run';
+import * as meters from './meter';
+import * as policies from './policy';
+import * as workloads from './workload';
+
+/** Engines whose memory is full long before their batch is. */
+const ENGINE_SHAPE: engineModel.EngineShape = {
+  ...engineModel.DEFAULT_SHAPE,
+  capacityTokens: 48_000,
+};
+
+/** Far more requests a second than the engines carry. */
+const PROBE_RATES: Readonly<Record<workloads.WorkloadName, number>> = {
+  [workloads.WorkloadName.Cooperative]: 40,
+  [workloads.WorkloadName.Association]: 14,
+};
+
+const DEFAULT_SECONDS = 240;
+const CALIBRATION_SEED = 99;
+const SLOT_SWEEP: readonly number[] = [8, 12, 16, 24, 32, 48, 64, 96];
+
+/** Requests a second that the engines carry, by workload. See calibrate. */
+const capacities = new Map<workloads.WorkloadName, number>();
+
+function print(value: object): void {
+  process.stdout.write(`${JSON.stringify(value)}\n`);
+}
+
+interface Case {
+  readonly workload: workloads.WorkloadName;
+  readonly load: number;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly fault: deploymentRun.FaultName;
+}
+
+function runOne(policy: policies.Policy, one: Case): meters.PolicyResult {
+  const run = new deploymentRun.DeploymentRun({
+    policy,
+    shape: ENGINE_SHAPE,
+    fault: one.fault,
+    isDrained: true,
+    workload: {
+      name: one.workload,
+      seed: one.seed,
+      requestsPerSecond: one.load * calibrate(one.workload),
+      seconds: one.seconds,
+      changeAtSecond: 0,
+    },
+  });
+  return run.run();
+}
+
+/**
+ * What the engines carry: tokens a second of the oracle when far too much is
+ * asked of it, over the mean length of an output.
+ */
+function calibrate(workload: workloads.WorkloadName): number {
+  const known = capacities.get(workload);
+  if (known !== undefined) {
+    return known;
+  }
+  const probe: workloads.WorkloadOptions = {
+    name: workload,
+    seed: CALIBRATION_SEED,
+    requestsPerSecond: PROBE_RATES[workload],
+    seconds: 240,
+    changeAtSecond: 0,
+  };
+  const requests = workloads.makeWorkload(probe);
+  const mean =
+    requests.reduce((sum, request) => sum + request.outputTokens, 0) /
+    requests.length;
+  const policy = policies.makePolicy(
+    policies.PolicyName.Oracle,
+    policies.Mechanism.Refusal,
+    0,
+    // Fixed here, so that a change of the product's defaults does not change the loads.
+    {memoryDeviations: 1, memoryShare: 0.95, quickReserve: 0},
+  );
+  const run = new deploymentRun.DeploymentRun({
+    policy,
+    shape: ENGINE_SHAPE,
+    fault: deploymentRun.FaultName.None,
+    isDrained: false,
+    workload: probe,
+  });
+  const capacity = run.run().tokens_per_second / mean;
+  capacities.set(workload, capacity);
+  print({
+    calibration: workload,
+    requests_per_second: capacity,
+    mean_output_tokens: mean,
+  });
+  return capacity;
+}
+
+/** The fixed number of slots with the least stall time whose tokens a second are within 2% of the best. */
+function sweepSlots(one: Case): number {
+  const tried = SLOT_SWEEP.map(slots => {
+    const policy = policies.makePolicy(
+      policies.PolicyName.Tuned,
+      policies.Mechanism.None,
+      slots,
+    );
+    return {slots, result: runOne(policy, {...one, seed: CALIBRATION_SEED})};
+  });
+  for (const {slots, result} of tried) {
+    print({sweep: one.workload, load: one.load, slots, ...result});
+  }
+  const best = Math.max(...tried.map(entry => entry.result.tokens_per_second));
+  const good = tried.filter(
+    entry => entry.result.tokens_per_second >= 0.98 * best,
+  );
+  return good.reduce((left, right) =>
+    right.result.stall_seconds < left.result.stall_seconds ? right : left,
+  ).slots;
+}
+
+function listed<T extends string>(text: string, known: readonly T[]): T[] {
+  const chosen = text.split(',') as T[];
+  const wrong = chosen.find(name => !known.includes(name));
+  if (wrong !== undefined) {
+    throw new Error(`saw ${wrong}, expected some of ${known.join(', ')}`);
+  }
+  return chosen;
+}
+
+/** Arguments: --seed, --workload, --load, --policy, --without, --fault, --seconds, --slots, each a list. */
+export async function run(args: readonly string[]): Promise<void> {
+  const text = (name: string, fallback: string) =>
+    benchArguments.argument(args, name, fallback);
+  const seeds = text('seed', '1,2,3,4,5').split(',').map(Number);
+  const loads = text('load', '0.7,0.95,1.3').split(',').map(Number);
+  const names = listed(
+    text('workload', 'cooperative,association'),
+    Object.values(workloads.WorkloadName),
+  );
+  const chosen = listed(
+    text('policy', 'naive,tuned,oracle,current'),
+    Object.values(policies.PolicyName),
+  );
+  const without = listed(
+    text('without', 'none'),
+    Object.values(policies.Mechanism),
+  );
+  const faults = listed(
+    text('fault', 'none'),
+    Object.values(deploymentRun.FaultName),
+  );
+  const seconds = benchArguments.numberArgument(
+    args,
+    'seconds',
+    DEFAULT_SECONDS,
+  );
+  const fixedSlots = benchArguments.numberArgument(args, 'slots', 0);
+  const settings = JSON.parse(text('settings', '{}')) as object;
+  for (const workload of names) {
+    for (const load of loads) {
+      const base = {
+        workload,
+        load,
+        seconds,
+        fault: deploymentRun.FaultName.None,
+        seed: 0,
+      };
+      const isTunedWanted = chosen.includes(policies.PolicyName.Tuned);
+      const slots = fixedSlots || (isTunedWanted ? sweepSlots(base) : 0);
+      for (const fault of faults) {
+        for (const policyName of chosen) {
+          for (const mechanism of without) {
+            const policy = policies.makePolicy(
+              policyName,
+              mechanism,
+              slots,
+              settings,
+            );
+            const results = seeds.map(seed => {
+              const result = runOne(policy, {...base, fault, seed});
+              print({
+                policy: policyName,
+                workload,
+                load,
+                seed,
+                fault,
+                without: mechanism,
+                ...result,
+              });
+              return result;
+            });
+            print({
+              summary: policyName,
+              workload,
+              load,
+              fault,
+              without: mechanism,
+              ...summarize(results),
+            });
+          }
+        }
+      }
+    }
+  }
+}
+
+/** Median with smallest and largest value of each measure. */
+function summarize(
+  results: readonly meters.PolicyResult[],
+): Record<string, string> {
+  const summary: Record<string, string> = {};
+  for (const measure of Object.keys(
+    results[0],
+  ) as (keyof meters.PolicyResult)[]) {
+    const values = results
+      .map(result => result[measure])
+      .sort((left, right) => left - right);
+    const shown = [
+      values[values.length >> 1],
+      values[0],
+      values[values.length - 1],
+    ].map(value => Number(value.toPrecision(4)));
+    summary[measure] = `${shown[0]} (${shown[1]} to ${shown[2]})`;
+  }
+  return summary;
+}
--- /dev/null
+++ b/bench/policy/workload.ts
@@ -0,0 +1,175 @@
+/** Requests of the two deployments of the brief, with lengths that no policy but the oracle knows. */
+import * as pureRand from 'pure-rand';
+import * as generationRequest from '../../src/protocol/common/generation_request';
+
+/** Names of workloads. */
+export enum WorkloadName {
+  Cooperative = 'cooperative',
+  Association = 'association',
+}
+
+/** One request of a workload. */
+export interface WorkloadRequest {
+  /** Milliseconds from the start. */
+  readonly at: number;
+  readonly customer: string;
+  readonly route: string;
+  readonly requestClass: generationRequest.RequestClass;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly maxTokens: number;
+}
+
+interface WorkloadShape {
+  readonly replicas: number;
+  /** Weight of each customer in the traffic. */
+  readonly customerWeights: readonly number[];
+  readonly draftShare: number;
+  readonly templates: number;
+  readonly templateTokens: number;
+  readonly draftMedianTokens: number;
+  /** Standard deviation of the logarithm of draft lengths. */
+  readonly draftSpread: number;
+  readonly draftLimitTokens: number;
+  readonly quickMedianTokens: number;
+}
+
+/** Shapes of the workloads. */
+export const SHAPES: Readonly<Record<WorkloadName, WorkloadShape>> = {
+  [WorkloadName.Cooperative]: {
+    replicas: 6,
+    customerWeights: [30, 20, 15, 5, 5, 5, 5, 5, 5, 5],
+    draftShare: 0.25,
+    templates: 1,
+    templateTokens: 1_024,
+    draftMedianTokens: 900,
+    draftSpread: 1.1,
+    draftLimitTokens: 32_768,
+    quickMedianTokens: 12,
+  },
+  [WorkloadName.Association]: {
+    replicas: 8,
+    customerWeights: [25, 25, 10, 10, 5, 5, 5, 5, 5, 5],
+    draftShare: 0.4,
+    templates: 8,
+    templateTokens: 2_048,
+    draftMedianTokens: 2_200,
+    draftSpread: 0.9,
+    draftLimitTokens: 32_768,
+    quickMedianTokens: 24,
+  },
+};
+
+const QUICK_SPREAD = 0.6;
+const QUICK_LIMIT_TOKENS = 256;
+const OWN_PROMPT_TOKENS = 300;
+const CHARACTERS_PER_TOKEN = 4;
+const BURST_PERIOD_MILLISECONDS = 60_000;
+const BURST_LENGTH_MILLISECONDS = 10_000;
+const BURST_FACTOR = 2;
+
+/** Draws numbers from a seed. */
+export class Random {
+  private readonly generator: pureRand.RandomGenerator;
+
+  constructor(seed: number) {
+    this.generator = pureRand.xoroshiro128plus(seed);
+  }
+
+  uniform(): number {
+    return (
+      (pureRand.unsafeUniformIntDistribution(0, 0x7ffffffe, this.generator) +
+        1) /
+      0x80000000
+    );
+  }
+
+  exponential(mean: number): number {
+    return -mean * Math.log(this.uniform());
+  }
+
+  logNormal(median: number, spread: number): number {
+    const angle = 2 * Math.PI * this.uniform();
+    const normal = Math.sqrt(-2 * Math.log(this.uniform())) * Math.cos(angle);
+    return median * Math.exp(spread * normal);
+  }
+
+  weighted(weights: readonly number[]): number {
+    let left =
+      this.uniform() * weights.reduce((sum, weight) => sum + weight, 0);
+    const index = weights.findIndex(weight => (left -= weight) < 0);
+    return index < 0 ? weights.length - 1 : index;
+  }
+}
+
+/** How much of a workload to make. */
+export interface WorkloadOptions {
+  readonly name: WorkloadName;
+  readonly seed: number;
+  readonly requestsPerSecond: number;
+  readonly seconds: number;
+  /** Second from which the first customer's drafts are five times as long; 0 for never. */
+  readonly changeAtSecond: number;
+}
+
+/** Makes the requests in order of time. */
+export function makeWorkload(options: WorkloadOptions): WorkloadRequest[] {
+  const random = new Random(options.seed);
+  const shape = SHAPES[options.name];
+  const requests: WorkloadRequest[] = [];
+  const meanGap = 1000 / options.requestsPerSecond;
+  // Bursts raise the rate, so the rate between them is lowered to keep the mean.
+  const burstShare = BURST_LENGTH_MILLISECONDS / BURST_PERIOD_MILLISECONDS;
+  const calm = 1 / (1 + (BURST_FACTOR - 1) * burstShare);
+  let at = 0;
+  while (at < options.seconds * 1000) {
+    const isBurst = at % BURST_PERIOD_MILLISECONDS < BURST_LENGTH_MILLISECONDS;
+    at += random.exponential(meanGap / (calm * (isBurst ? BURST_FACTOR : 1)));
+    const hasChanged =
+      options.changeAtSecond > 0 && at > options.changeAtSecond * 1000;
+    requests.push(makeRequest(random, shape, at, hasChanged, requests.length));
+  }
+  return requests;
+}
+
+function makeRequest(
+  random: Random,
+  shape: WorkloadShape,
+  at: number,
+  hasChanged: boolean,
+  sequence: number,
+): WorkloadRequest {
+  const customer = random.weighted(shape.customerWeights);
+  const isDraft = random.uniform() < shape.draftShare;
+  const ownTokens = Math.round(OWN_PROMPT_TOKENS * (0.5 + random.uniform()));
+  const own = `${sequence} `.padEnd(ownTokens * CHARACTERS_PER_TOKEN, 'x');
+  const template = Math.floor(random.uniform() * shape.templates);
+  const shared = `template ${template} `.padEnd(
+    shape.templateTokens * CHARACTERS_PER_TOKEN,
+    't',
+  );
+  const prompt = isDraft ? shared + own : own;
+  // Each customer has its own habit of length.
+  const habit = 0.5 + customer / shape.customerWeights.length;
+  const change = hasChanged && customer === 0 ? 5 : 1;
+  const drawn = isDraft
+    ? random.logNormal(
+        shape.draftMedianTokens * habit * change,
+        shape.draftSpread,
+      )
+    : random.logNormal(shape.quickMedianTokens, QUICK_SPREAD);
+  const maxTokens = isDraft ? shape.draftLimitTokens : QUICK_LIMIT_TOKENS;
+  return {
+    at,
+    customer: `customer-${customer}`,
+    route: isDraft ? 'drafts' : 'quick',
+    requestClass: isDraft
+      ? generationRequest.RequestClass.Draft
+      : generationRequest.RequestClass.Quick,
+    prompt,
+    promptTokens: generationRequest.estimateTokens(prompt),
+    outputTokens: Math.max(1, Math.min(maxTokens, Math.round(drawn))),
+    maxTokens,
+  };
+}
--- a/src/decision/common/admission_system.ts
+++ b/src/decision/common/admission_system.ts
@@ -5,6 +5,8 @@
 import * as attemptTable from './attempt_table';
 import * as fairShare from './fair_share';
 import * as memoryForecast from './memory_forecast';
+import * as prefixOwnership from './prefix_ownership';
+import * as prefixTable from './prefix_table';
 
 /** Limits of admission. */
 export interface AdmissionPolicy {
@@ -12,6 +14,8 @@
   readonly memoryDeviations: number;
   /** Share of the engine's memory that the forecast may fill. */
   readonly memoryShare: number;
+  /** Share of the engine's memory that drafts leave to quick work. */
+  readonly quickReserve: number;
   /** Largest number of attempts given to the engine. */
   readonly maxRunning: number;
   /** Waiting time after which a draft goes before quick work, in milliseconds. */
@@ -30,8 +34,9 @@
 
 /** Settings that suit a mix of short and long work. */
 export const DEFAULT_ADMISSION_POLICY: AdmissionPolicy = {
-  memoryDeviations: 1,
-  memoryShare: 0.95,
+  memoryDeviations: 1.5,
+  memoryShare: 0.97,
+  quickReserve: 0.03,
   maxRunning: 128,
   draftPatienceMilliseconds: 60_000,
   quickWaitLimitMilliseconds: 5_000,
@@ -64,6 +69,7 @@
 /** Chooses attempts for one engine. */
 export class AdmissionSystem {
   readonly shares = new fairShare.FairShare();
+  private readonly prefixes = new prefixOwnership.PrefixOwnership();
 
   constructor(private readonly policy: AdmissionPolicy) {}
 
@@ -84,24 +90,41 @@
     const forecast = this.forecastOf(running);
     const admitted: attemptTable.Attempt[] = [];
     let hasSuspect = running.some(attempt => attempt.request.isSuspect);
-    for (const attempt of this.ordered(waiting, now)) {
+    let candidates = waiting;
+    while (candidates.length > 0) {
       if (running.length + admitted.length >= this.policy.maxRunning) {
         break;
       }
+      const attempt = this.takeFirst(candidates, now);
       if (attempt.request.isSuspect && hasSuspect) {
         continue;
       }
       const isEngineEmpty = running.length + admitted.length === 0;
       if (!isEngineEmpty && !this.fits(forecast, attempt, engine)) {
-        break;
+        if (isQuick(attempt)) {
+          break;
+        }
+        // A draft that has to wait holds up other drafts, but not the quick work that memory is reserved for.
+        candidates = candidates.filter(isQuick);
+        continue;
       }
-      forecast.add(this.memoryUser(attempt));
+      forecast.add(this.memoryUser(attempt, 1));
       hasSuspect = hasSuspect || attempt.request.isSuspect;
       admitted.push(attempt);
     }
     return admitted;
   }
 
+  /** Notes that an attempt was given to the engine. */
+  started(attempt: attemptTable.Attempt): void {
+    this.prefixes.hold(attempt.chunks);
+  }
+
+  /** Notes that an attempt left the engine. */
+  stopped(attempt: attemptTable.Attempt): void {
+    this.prefixes.release(attempt.chunks);
+  }
+
   /** Charges the customer of an attempt for its tokens. */
   charge(attempt: attemptTable.Attempt, tokens: number): void {
     this.shares.charge(
@@ -148,37 +171,48 @@
     attempt: attemptTable.Attempt,
     engine: EngineView,
   ): boolean {
-    const room = engine.capacityTokens * this.policy.memoryShare;
-    const extended = forecast.copy();
-    extended.add(this.memoryUser(attempt));
-    return extended.peak(this.policy.memoryDeviations) <= room;
+    const reserve = isQuick(attempt) ? 0 : this.policy.quickReserve;
+    const room = engine.capacityTokens * (this.policy.memoryShare - reserve);
+    const user = this.memoryUser(attempt, 1);
+    return forecast.peakWith(user, this.policy.memoryDeviations) <= room;
   }
 
-  private ordered(
+  /** Removes and returns the attempt to start first. */
+  private takeFirst(
     waiting: attemptTable.Attempt[],
     now: number,
-  ): attemptTable.Attempt[] {
-    const rank = (attempt: attemptTable.Attempt) =>
-      this.classRank(attempt, now);
-    return waiting.sort(
-      (left, right) =>
-        rank(left) - rank(right) || this.compareWithinClass(left, right),
+  ): attemptTable.Attempt {
+    let best = 0;
+    for (let index = 1; index < waiting.length; index++) {
+      if (this.compare(waiting[index], waiting[best], now) < 0) {
+        best = index;
+      }
+    }
+    return waiting.splice(best, 1)[0];
+  }
+
+  private compare(
+    left: attemptTable.Attempt,
+    right: attemptTable.Attempt,
+    now: number,
+  ): number {
+    return (
+      this.classRank(left, now) - this.classRank(right, now) ||
+      this.compareWithinClass(left, right)
     );
   }
 
   private classRank(attempt: attemptTable.Attempt, now: number): number {
-    const isQuick =
-      attempt.request.requestClass === generationRequest.RequestClass.Quick;
     if (!this.policy.isQuickFirst) {
       return 0;
     }
     if (
-      !isQuick &&
+      !isQuick(attempt) &&
       now - attempt.arrivedAt > this.policy.draftPatienceMilliseconds
     ) {
       return 0;
     }
-    return isQuick ? 1 : 2;
+    return isQuick(attempt) ? 1 : 2;
   }
 
   private compareWithinClass(
@@ -215,23 +249,34 @@
     return (tokensAhead * 1000) / Math.max(1, engine.tokensPerSecond);
   }
 
+  /** Forecasts running work; chunks that several attempts share stand as long as any of them. */
   private forecastOf(
     running: readonly attemptTable.Attempt[],
   ): memoryForecast.MemoryForecast {
-    const forecast = new memoryForecast.MemoryForecast();
-    running.forEach(attempt => forecast.add(this.memoryUser(attempt)));
+    const forecast = new memoryForecast.MemoryForecast(
+      this.prefixes.sharedCount * prefixTable.CHUNK_TOKENS,
+    );
+    running.forEach(attempt => forecast.add(this.memoryUser(attempt, 2)));
     return forecast;
   }
 
-  private memoryUser(attempt: attemptTable.Attempt): memoryForecast.MemoryUser {
+  /** Leaves out the prompt chunks that at least so many running attempts hold. */
+  private memoryUser(
+    attempt: attemptTable.Attempt,
+    minimumHolders: number,
+  ): memoryForecast.MemoryUser {
     const generated = attempt.tokens.length;
+    const shared = this.prefixes.heldChunks(attempt.chunks, minimumHolders);
+    const {promptTokens, maxTokens} = attempt.request;
     return {
-      promptTokens: attempt.request.promptTokens,
+      promptTokens: promptTokens - shared * prefixTable.CHUNK_TOKENS,
       generated,
-      maxTokens: this.policy.usesForecast
-        ? attempt.request.maxTokens
-        : generated,
+      maxTokens: this.policy.usesForecast ? maxTokens : generated,
       distribution: attempt.distribution,
     };
   }
 }
+
+function isQuick(attempt: attemptTable.Attempt): boolean {
+  return attempt.request.requestClass === generationRequest.RequestClass.Quick;
+}
--- a/src/decision/common/attempt_table.ts
+++ b/src/decision/common/attempt_table.ts
@@ -2,6 +2,7 @@
 import * as failure from '../../base/common/failure';
 import * as generationRequest from '../../protocol/common/generation_request';
 import * as lengthPredictor from './length_predictor';
+import * as prefixTable from './prefix_table';
 
 /** Where an attempt stands. */
 export enum AttemptState {
@@ -18,6 +19,8 @@
   readonly id: string;
   readonly request: generationRequest.GenerationRequest;
   readonly distribution: lengthPredictor.LengthDistribution;
+  /** Hashes of the whole chunks of the prompt, each covering all text before it. */
+  readonly chunks: readonly string[];
   /** Monotonic milliseconds. */
   readonly arrivedAt: number;
   state: AttemptState;
@@ -80,6 +83,7 @@
       id,
       request,
       distribution,
+      chunks: prefixTable.chunkHashes(request.prompt),
       arrivedAt: now,
       state: AttemptState.Waiting,
       startedAt: 0,
--- a/src/decision/common/length_predictor.ts
+++ b/src/decision/common/length_predictor.ts
@@ -2,12 +2,12 @@
  * Predicts output lengths from what the same customer and route produced,
  * mixed with the route's and the deployment's experience while that is small.
  */
-import * as lengthHistogram from './length_histogram';
+import * as lengthHazards from './length_hazards';
 
-/** Number of own observations that weigh as much as all wider experience. */
-const PRIOR_WEIGHT = 8;
+/** Number of observations of a bucket that weigh as much as all wider experience. */
+const PRIOR_WEIGHT = 4;
 /** Weight of the assumption made before anything was observed. */
-const ASSUMPTION_WEIGHT = 2;
+const ASSUMPTION_WEIGHT = 1;
 /** Median of the length assumed before anything was observed, in tokens. */
 const ASSUMED_MEDIAN_TOKENS = 300;
 const MAX_SOURCES = 4_096;
@@ -34,87 +34,138 @@
   }
 }
 
-/** Mixes the experience of several histograms. */
-class MixedDistribution extends LengthDistribution {
+/** Experience with one source of requests and the wider experience behind it. */
+class Source {
+  readonly own = new lengthHazards.LengthHazards();
+  private readonly curve = new Float64Array(lengthHazards.BUCKET_COUNT + 1);
+  private curveVersion = -1;
+
   constructor(
-    private readonly own: lengthHistogram.LengthHistogram | undefined,
-    private readonly route: lengthHistogram.LengthHistogram | undefined,
-    private readonly all: lengthHistogram.LengthHistogram,
-  ) {
-    super();
+    private readonly wider: Source | undefined,
+    private readonly priorWeight: number,
+  ) {}
+
+  /** Rises with each observation that matters here. */
+  get version(): number {
+    return this.own.version + (this.wider?.version ?? 0);
   }
 
-  survival(length: number, generated: number): number {
-    if (length <= generated) {
-      return 1;
-    }
-    const before = this.weightBeyond(generated);
-    return before <= 0 ? 0 : Math.min(1, this.weightBeyond(length) / before);
+  /** Probability of ending inside a bucket once it is entered. */
+  hazard(bucket: number): number {
+    const prior =
+      this.wider === undefined
+        ? assumedHazard(bucket)
+        : this.wider.hazard(bucket);
+    return this.own.hazard(bucket, prior, this.priorWeight);
   }
 
-  private weightBeyond(length: number): number {
-    // The assumed tail keeps every length possible, whatever was observed.
-    const assumed = 1 / (1 + length / ASSUMED_MEDIAN_TOKENS);
-    const widest = mix(this.all, length, assumed, ASSUMPTION_WEIGHT);
-    const wider = mix(this.route, length, widest, PRIOR_WEIGHT);
-    return mix(this.own, length, wider, PRIOR_WEIGHT);
+  /** Probability of more tokens than the length. */
+  survival(length: number): number {
+    this.refresh();
+    const bucket = lengthHazards.bucketOf(length);
+    const from = lengthHazards.BOUNDS[bucket];
+    const width = lengthHazards.BOUNDS[bucket + 1] - from;
+    const share = Math.min(1, (length - from) / width);
+    const before = this.curve[bucket];
+    return before + share * (this.curve[bucket + 1] - before);
+  }
+
+  private refresh(): void {
+    if (this.curveVersion === this.version) {
+      return;
+    }
+    this.curveVersion = this.version;
+    this.curve[0] = 1;
+    for (let bucket = 0; bucket < lengthHazards.BUCKET_COUNT; bucket++) {
+      this.curve[bucket + 1] = this.curve[bucket] * (1 - this.hazard(bucket));
+    }
   }
 }
 
-function mix(
-  histogram: lengthHistogram.LengthHistogram | undefined,
-  length: number,
-  prior: number,
-  priorWeight: number,
-): number {
-  if (histogram === undefined) {
-    return prior;
+/** The assumed tail keeps every length possible, whatever was observed. */
+function assumedHazard(bucket: number): number {
+  const survival = (length: number) => 1 / (1 + length / ASSUMED_MEDIAN_TOKENS);
+  const from = survival(lengthHazards.BOUNDS[bucket]);
+  return 1 - survival(lengthHazards.BOUNDS[bucket + 1]) / from;
+}
+
+class SourceDistribution extends LengthDistribution {
+  constructor(private readonly source: Source) {
+    super();
+  }
+
+  survival(length: number, generated: number): number {
+    if (length <= generated) {
+      return 1;
+    }
+    const before = this.source.survival(generated);
+    return before <= 0 ? 0 : this.source.survival(length) / before;
   }
-  return (
-    (histogram.weightBeyond(length) + priorWeight * prior) /
-    (histogram.totalWeight + priorWeight)
-  );
 }
 
 /** Learns output lengths by customer and route. */
 export class LengthPredictor {
-  private readonly byCustomer = new Map<
-    string,
-    lengthHistogram.LengthHistogram
-  >();
-  private readonly byRoute = new Map<string, lengthHistogram.LengthHistogram>();
-  private readonly all = new lengthHistogram.LengthHistogram();
+  private readonly all = new Source(undefined, ASSUMPTION_WEIGHT);
+  private readonly byRoute = new Map<string, Source>();
+  private readonly byCustomer = new Map<string, Source>();
 
   /** Number of customer and route pairs with experience of their own. */
   get size(): number {
     return this.byCustomer.size;
   }
 
-  /** Learns the length of a finished output, in tokens. */
+  /** Learns that an output grew from one length to another and still runs. */
+  advance(customer: string, route: string, from: number, to: number): void {
+    const last = lengthHazards.bucketOf(to);
+    for (let bucket = lengthHazards.bucketOf(from); bucket < last; bucket++) {
+      this.sources(customer, route).forEach(source => source.own.pass(bucket));
+    }
+  }
+
+  /** Learns the length of an output whose growth was learned by `advance`. */
+  finish(customer: string, route: string, length: number): void {
+    const bucket = lengthHazards.bucketOf(length);
+    this.sources(customer, route).forEach(source => source.own.end(bucket));
+  }
+
+  /** Learns a whole output at once. */
   record(customer: string, route: string, length: number): void {
-    histogramOf(this.byCustomer, `${customer}/${route}`).record(length);
-    histogramOf(this.byRoute, route).record(length);
-    this.all.record(length);
+    this.advance(customer, route, 0, length);
+    this.finish(customer, route, length);
   }
 
   /** Returns the distribution of lengths to expect. */
   distribution(customer: string, route: string): LengthDistribution {
-    const own = this.byCustomer.get(`${customer}/${route}`);
-    return new MixedDistribution(own, this.byRoute.get(route), this.all);
+    const [own] = this.sources(customer, route);
+    return new SourceDistribution(own);
+  }
+
+  /** Sources from the narrowest to the widest; the least recently used ones are forgotten. */
+  private sources(customer: string, route: string): Source[] {
+    const wider = use(
+      this.byRoute,
+      route,
+      () => new Source(this.all, PRIOR_WEIGHT),
+    );
+    const own = use(
+      this.byCustomer,
+      `${customer}/${route}`,
+      () => new Source(wider, PRIOR_WEIGHT),
+    );
+    return [own, wider, this.all];
   }
 }
 
-/** Returns the histogram of a source, dropping the least recently updated one when there are too many. */
-function histogramOf(
-  histograms: Map<string, lengthHistogram.LengthHistogram>,
-  source: string,
-): lengthHistogram.LengthHistogram {
-  const known = histograms.get(source);
-  const histogram = known ?? new lengthHistogram.LengthHistogram();
-  histograms.delete(source);
-  histograms.set(source, histogram);
-  if (histograms.size > MAX_SOURCES) {
-    histograms.delete(histograms.keys().next().value!);
+function use(
+  sources: Map<string, Source>,
+  name: string,
+  create: () => Source,
+): Source {
+  const source = sources.get(name) ?? create();
+  sources.delete(name);
+  sources.set(name, source);
+  if (sources.size > MAX_SOURCES) {
+    sources.delete(sources.keys().next().value!);
   }
-  return histogram;
+  return source;
 }
--- a/src/decision/common/memory_forecast.ts
+++ b/src/decision/common/memory_forecast.ts
@@ -3,6 +3,7 @@
 
 /** A generation whose memory is forecast. */
 export interface MemoryUser {
+  /** Prompt tokens that no other generation shares. */
   readonly promptTokens: number;
   readonly generated: number;
   readonly maxTokens: number;
@@ -14,46 +15,71 @@
   8, 32, 96, 256, 512, 1_024, 2_048, 4_096, 8_192, 16_384,
 ];
 
+/** Probability of still running below which a generation does not count at a horizon. */
+const MIN_PRESENCE = 0.05;
+
 /** Sums of expected memory and its variance at each horizon. */
 export class MemoryForecast {
   private readonly means = new Float64Array(HORIZONS.length);
   private readonly variances = new Float64Array(HORIZONS.length);
   private now = 0;
 
+  /** With constantTokens of memory that do not depend on any one generation. */
+  constructor(constantTokens = 0) {
+    this.now = constantTokens;
+    this.means.fill(constantTokens);
+  }
+
   /** Adds a generation that runs or is about to. */
   add(user: MemoryUser): void {
     this.now += user.promptTokens + user.generated;
     for (let index = 0; index < HORIZONS.length; index++) {
-      const length = user.generated + HORIZONS[index];
-      // One that has reached its limit has surely ended.
-      const alive =
-        length > user.maxTokens
-          ? 0
-          : user.distribution.survival(length, user.generated);
-      const size = user.promptTokens + length;
+      const alive = aliveAt(user, HORIZONS[index]);
+      const size = user.promptTokens + user.generated + HORIZONS[index];
       this.means[index] += alive * size;
       this.variances[index] += alive * (1 - alive) * size * size;
     }
   }
 
-  /** Largest memory over all horizons that is exceeded with the tail probability of a normal deviate, in tokens. */
+  /** Largest memory over all horizons with so many standard deviations of allowance, in tokens. */
   peak(deviations: number): number {
     let peak = this.now;
     for (let index = 0; index < HORIZONS.length; index++) {
-      peak = Math.max(
-        peak,
-        this.means[index] + deviations * Math.sqrt(this.variances[index]),
-      );
+      peak = Math.max(peak, this.at(index, deviations));
+    }
+    return peak;
+  }
+
+  /**
+   * Largest memory with one more generation, over the horizons at which that
+   * one is likely to be there. It cannot worsen what comes after its end.
+   */
+  peakWith(user: MemoryUser, deviations: number): number {
+    let peak = this.now + user.promptTokens + user.generated;
+    for (let index = 0; index < HORIZONS.length; index++) {
+      const alive = aliveAt(user, HORIZONS[index]);
+      if (alive < MIN_PRESENCE) {
+        break;
+      }
+      const size = user.promptTokens + user.generated + HORIZONS[index];
+      const mean = this.means[index] + alive * size;
+      const variance =
+        this.variances[index] + alive * (1 - alive) * size * size;
+      peak = Math.max(peak, mean + deviations * Math.sqrt(variance));
     }
     return peak;
   }
 
-  /** Returns an independent copy. */
-  copy(): MemoryForecast {
-    const copy = new MemoryForecast();
-    copy.means.set(this.means);
-    copy.variances.set(this.variances);
-    copy.now = this.now;
-    return copy;
+  private at(index: number, deviations: number): number {
+    return this.means[index] + deviations * Math.sqrt(this.variances[index]);
   }
 }
+
+/** Probability that the generation still runs so many steps ahead. */
+function aliveAt(user: MemoryUser, horizon: number): number {
+  const length = user.generated + horizon;
+  // One that has reached its limit has surely ended.
+  return length > user.maxTokens
+    ? 0
+    : user.distribution.survival(length, user.generated);
+}
--- /dev/null
+++ b/src/decision/common/prefix_ownership.ts
@@ -0,0 +1,40 @@
+/** Counts which prompt chunks are in use by several running generations. */
+
+/** Reference counts of prompt chunks at one engine. */
+export class PrefixOwnership {
+  private readonly holders = new Map<string, number>();
+  private shared = 0;
+
+  /** Number of chunks that two or more generations hold. */
+  get sharedCount(): number {
+    return this.shared;
+  }
+
+  hold(chunks: readonly string[]): void {
+    for (const chunk of chunks) {
+      const count = (this.holders.get(chunk) ?? 0) + 1;
+      this.holders.set(chunk, count);
+      this.shared += count === 2 ? 1 : 0;
+    }
+  }
+
+  release(chunks: readonly string[]): void {
+    for (const chunk of chunks) {
+      const count = (this.holders.get(chunk) ?? 1) - 1;
+      this.shared -= count === 1 ? 1 : 0;
+      if (count === 0) {
+        this.holders.delete(chunk);
+      } else {
+        this.holders.set(chunk, count);
+      }
+    }
+  }
+
+  /** Number of the leading chunks that at least so many generations hold. */
+  heldChunks(chunks: readonly string[], minimumHolders: number): number {
+    const index = chunks.findIndex(
+      chunk => (this.holders.get(chunk) ?? 0) < minimumHolders,
+    );
+    return index < 0 ? chunks.length : index;
+  }
+}
--- a/src/side/node/generation_host.ts
+++ b/src/side/node/generation_host.ts
@@ -185,6 +185,7 @@
 
   onDidProduce(attempt: attemptTable.Attempt, text: string): void {
     attempt.tokens.push(text);
+    this.learnGrowth(attempt);
     this.throughput.add(1, performance.now(), this.hadWaiting);
     this.metrics.tokens.inc();
     this.admission.charge(attempt, 1);
@@ -194,11 +195,8 @@
 
   onDidFinish(attempt: attemptTable.Attempt, finishReason: string): void {
     attempt.finishReason = finishReason;
-    this.predictor.record(
-      attempt.request.customer,
-      attempt.request.route,
-      attempt.tokens.length,
-    );
+    const {customer, route} = attempt.request;
+    this.predictor.finish(customer, route, attempt.tokens.length);
     this.end(attempt, attemptTable.AttemptState.Completed);
   }
 
@@ -257,6 +255,7 @@
     )) {
       attempt.state = attemptTable.AttemptState.Running;
       attempt.startedAt = now;
+      this.admission.started(attempt);
       this.metrics.waitSeconds.observe((now - attempt.arrivedAt) / 1000);
       const spans = this.spans.get(attempt.id);
       if (spans !== undefined) {
@@ -306,6 +305,7 @@
     state:
       attemptTable.AttemptState.Completed | attemptTable.AttemptState.Failed,
   ): void {
+    this.stop(attempt);
     this.runner.forget(attempt);
     this.table.end(attempt, state, performance.now());
     this.endSpans(attempt);
@@ -313,6 +313,18 @@
     this.loop.request();
   }
 
+  private learnGrowth(attempt: attemptTable.Attempt): void {
+    const {customer, route} = attempt.request;
+    const length = attempt.tokens.length;
+    this.predictor.advance(customer, route, length - 1, length);
+  }
+
+  private stop(attempt: attemptTable.Attempt): void {
+    if (attempt.state === attemptTable.AttemptState.Running) {
+      this.admission.stopped(attempt);
+    }
+  }
+
   private endSpans(attempt: attemptTable.Attempt): void {
     const spans = this.spans.get(attempt.id);
     spans?.admission.end();
@@ -331,6 +343,7 @@
 
   private drop(attempt: attemptTable.Attempt): void {
     if (attempt.state === attemptTable.AttemptState.Running) {
+      this.stop(attempt);
       this.runner.cancel(attempt);
       this.metrics.cancellations.inc();
     }
--- a/src/side/node/side_process.ts
+++ b/src/side/node/side_process.ts
@@ -259,6 +259,7 @@
         ...admissionSystem.DEFAULT_ADMISSION_POLICY,
         memoryDeviations: admission.memory_deviations,
         memoryShare: admission.memory_share,
+        quickReserve: admission.quick_reserve,
         maxRunning: admission.max_running,
         draftPatienceMilliseconds: admission.draft_patience_milliseconds,
         quickWaitLimitMilliseconds: admission.quick_wait_limit_milliseconds,
--- a/src/side/node/side_settings.ts
+++ b/src/side/node/side_settings.ts
@@ -21,8 +21,9 @@
 
 /** Section [admission]. */
 export const admissionSchema = zod.z.strictObject({
-  memory_deviations: settingsFile.numberSetting(0, 10).default(1),
-  memory_share: settingsFile.numberSetting(0.1, 1).default(0.95),
+  memory_deviations: settingsFile.numberSetting(0, 10).default(1.5),
+  memory_share: settingsFile.numberSetting(0.1, 1).default(0.97),
+  quick_reserve: settingsFile.numberSetting(0, 0.9).default(0.03),
   max_running: settingsFile.numberSetting(1, 10_000).default(128),
   draft_patience_milliseconds: settingsFile
     .numberSetting(0, 3_600_000)
--- a/standins/engine_model.ts
+++ b/standins/engine_model.ts
@@ -60,44 +60,46 @@
   readonly preempted: readonly Sequence[];
 }
 
-/** Prompt pages that the engine keeps, the least recently used first. */
+/** Prompt pages that the engine keeps, in use or for later. */
 class PrefixCache {
   private readonly references = new Map<string, number>();
+  /** Pages that no sequence holds, the least recently used first. */
+  private readonly idle = new Set<string>();
 
   get size(): number {
-    return this.references.size;
+    return this.references.size + this.idle.size;
   }
 
   has(hash: string): boolean {
-    return this.references.has(hash);
+    return this.references.has(hash) || this.idle.has(hash);
   }
 
   hold(hash: string): void {
-    const held = this.references.get(hash) ?? 0;
-    this.references.delete(hash);
-    this.references.set(hash, held + 1);
+    this.idle.delete(hash);
+    this.references.set(hash, (this.references.get(hash) ?? 0) + 1);
   }
 
   release(hash: string): void {
-    const held = this.references.get(hash);
-    if (held !== undefined) {
-      this.references.set(hash, Math.max(0, held - 1));
+    const held = this.references.get(hash) ?? 0;
+    if (held > 1) {
+      this.references.set(hash, held - 1);
+      return;
     }
+    this.references.delete(hash);
+    this.idle.add(hash);
   }
 
   /** Drops the oldest page that no sequence holds. */
   evictOne(): boolean {
-    for (const [hash, held] of this.references) {
-      if (held === 0) {
-        this.references.delete(hash);
-        return true;
-      }
+    for (const hash of this.idle) {
+      this.idle.delete(hash);
+      return true;
     }
     return false;
   }
 
   hashes(): string[] {
-    return [...this.references.keys()];
+    return [...this.references.keys(), ...this.idle];
   }
 }
 
