Order engines under one lease with fencing, and prove outages and bad requests

Cause: nothing ordered engines yet; leases and the fencing gate had no user.

Weighed: a lease for each engine (1,400 renewals every few seconds do not fit the object API's several hundred writes a second) against one lease for the deployment, which costs one write every 2 s whatever the fleet.

Change: a model's weights_version makes the holder of the lease ask each side process what its engine has loaded, reserve a read of the weight store, re-check its own clock and order with the fencing number; the side process passes orders one by one, refuses lower numbers also for engines that ignore them, and reads the number in force before its first order after a restart.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -52,6 +52,7 @@
       metrics: entryMetric,
       store: new httpPlatform.HttpObjectStore(target),
       instances: new httpPlatform.HttpInstanceList(target),
+      weights: new httpPlatform.HttpWeightStore(target),
       traceCollector: file.observability.trace_collector,
     });
   });
--- a/src/endpoint/common/engine_client.ts
+++ b/src/endpoint/common/engine_client.ts
@@ -56,6 +56,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly preemptions: number;
+  /** Subjects of the load orders that it has carried out. */
+  readonly loaded: readonly string[];
   /** Changes of the prefix cache since the last report; some are lost. */
   readonly cachedPrefixes: readonly string[];
 }
--- a/src/entry/node/entry_process.ts
+++ b/src/entry/node/entry_process.ts
@@ -9,7 +9,9 @@
 import * as tracing from '../../base/node/tracing';
 import * as routeSystem from '../../decision/common/route_system';
 import * as instanceList from '../../platform/common/instance_list';
+import * as lease from '../../platform/common/lease';
 import * as objectStore from '../../platform/common/object_store';
+import * as weightStore from '../../platform/common/weight_store';
 import * as configurationMessages from '../../protocol/common/configuration_messages';
 import * as peerCalls from '../../protocol/common/peer_calls';
 import * as entryRouter from '../../protocol/node/entry_router';
@@ -29,6 +31,7 @@
 import * as membership from './membership';
 import * as operatorService from './operator_service';
 import * as peerClaims from './peer_claims';
+import * as orderService from './order_service';
 import * as poisonService from './poison_service';
 import * as serviceDispatcher from './service_dispatcher';
 import * as serviceHandler from './service_handler';
@@ -38,6 +41,8 @@
 const ISOLATION_MILLISECONDS = 6_000;
 /** Longest time for which an entry waits for its first links, in milliseconds. */
 const START_MILLISECONDS = 5_000;
+/** Term of the lease on orders, in milliseconds. */
+const ORDERS_LEASE_MILLISECONDS = 15_000;
 const READINESS_POLL_MILLISECONDS = 200;
 
 /** Everything that an entry is made from. */
@@ -51,6 +56,7 @@
   readonly metrics: entryMetrics.EntryMetrics;
   readonly store: objectStore.ObjectStore;
   readonly instances: instanceList.InstanceList;
+  readonly weights: weightStore.WeightStore;
   readonly traceCollector: string;
 }
 
@@ -70,6 +76,7 @@
   private readonly gossiper: gossipService.GossipService;
   private readonly claims: claimService.ClaimService;
   private readonly dispatcher: serviceDispatcher.ServiceDispatcher;
+  private readonly orders: orderService.OrderService;
   private readonly statuses: statusService.StatusService;
   private readonly traffic: trafficMetrics.TrafficMetrics;
   private readonly leaving = new leaving.Leaving();
@@ -135,6 +142,21 @@
       this.traffic,
       this.tracer,
     );
+    this.orders = this.owned.add(
+      new orderService.OrderService({
+        lease: new lease.Lease(
+          options.store,
+          lease.ORDERS_LEASE_KEY,
+          `${instance.name}/${Date.now()}`,
+          ORDERS_LEASE_MILLISECONDS,
+        ),
+        weights: options.weights,
+        configuration: this.configuration,
+        members: this.members,
+        token,
+        traffic: this.traffic,
+      }),
+    );
     this.statuses = new statusService.StatusService({
       instance: instance.name,
       token,
@@ -164,6 +186,7 @@
     this.logger.change('serving', {address: this.address});
     await this.members.start();
     await Promise.all([this.configuration.start(), this.gossiper.start()]);
+    this.orders.start();
     return this.address;
   }
 
@@ -226,6 +249,8 @@
       running: this.openAnswers,
       waiting: 0,
       isLeaving: this.leaving.isLeaving,
+      incarnation: '',
+      loaded: [],
     };
   }
 
--- a/src/entry/node/status_service.ts
+++ b/src/entry/node/status_service.ts
@@ -93,7 +93,17 @@
     const isLinked = row?.state === endpointTable.LinkState.Up;
     if (isLinked && row.load !== undefined) {
       const {revision, running, waiting, isLeaving} = row.load;
-      return {instance: record.instance, revision, running, waiting, isLeaving};
+      const {instance} = record;
+      const {incarnation} = row;
+      return {
+        instance,
+        revision,
+        running,
+        waiting,
+        isLeaving,
+        incarnation,
+        loaded: [],
+      };
     }
     return this.sideClient(record).status.query();
   }
--- a/src/platform/common/lease.ts
+++ b/src/platform/common/lease.ts
@@ -14,10 +14,11 @@
 });
 type LeaseRecord = zod.z.infer<typeof leaseRecordSchema>;
 
-/** Key of the lease on orders to the engine of an instance. */
-export function engineLeaseKey(instance: string): string {
-  return `leases/engine/${instance}`;
-}
+/**
+ * Key of the lease on orders to engines. One lease for the deployment costs
+ * the object API the same whatever the number of engines.
+ */
+export const ORDERS_LEASE_KEY = 'leases/orders';
 
 /** Reads the fencing number in force; 0 when the lease was never taken. Errors: Unreachable, Unknown. */
 export async function readFencingNumber(
--- a/src/protocol/common/peer_calls.ts
+++ b/src/protocol/common/peer_calls.ts
@@ -65,6 +65,9 @@
   readonly running: number;
   readonly waiting: number;
   readonly isLeaving: boolean;
+  readonly incarnation: string;
+  /** Subjects that the engine reports as loaded. */
+  readonly loaded: readonly string[];
 }
 
 /** A finished span as returned to operators. */
--- a/src/side/node/order_gate.ts
+++ b/src/side/node/order_gate.ts
@@ -17,7 +17,6 @@
   constructor(
     private readonly engine: engineClient.EngineClient,
     private readonly store: objectStore.ObjectStore,
-    private readonly instance: string,
   ) {}
 
   /** Passes orders one after the other, so that the numbers reach the engine in the order of admission. */
@@ -74,7 +73,7 @@
     }
     const number = await lease.readFencingNumber(
       this.store,
-      lease.engineLeaseKey(this.instance),
+      lease.ORDERS_LEASE_KEY,
     );
     if (number.isErr()) {
       return false;
--- a/src/side/node/side_process.ts
+++ b/src/side/node/side_process.ts
@@ -94,11 +94,7 @@
         endpoint.idle_milliseconds,
       );
       this.generations = this.createGenerationHost(engine);
-      this.orders = new orderGate.OrderGate(
-        engine,
-        options.store,
-        instance.name,
-      );
+      this.orders = new orderGate.OrderGate(engine, options.store);
     } else {
       const service = new httpServiceClient.HttpServiceClient(endpoint.url);
       this.services = new serviceHost.ServiceHost(
@@ -236,6 +232,8 @@
       running: load.running,
       waiting: load.waiting,
       isLeaving: load.isLeaving,
+      incarnation: this.incarnation,
+      loaded: this.generations?.monitor.load?.loaded ?? [],
     };
   }
 
--- a/src/tool/declarations.ts
+++ b/src/tool/declarations.ts
@@ -23,6 +23,7 @@
 
 const modelSchema = zod.z.strictObject({
   context_tokens: settingsFile.numberSetting(1, 100_000_000),
+  weights_version: zod.z.string().default(''),
   wind_down_at: dateSetting,
 });
 
@@ -81,6 +82,7 @@
   for (const [name, model] of Object.entries(file.model)) {
     const value = {
       contextTokens: model.context_tokens,
+      weightsVersion: model.weights_version,
       windDownAt: model.wind_down_at,
     };
     add(operator.ObjectKind.MODEL, name, {case: 'model', value});
--- a/standins/engine_standin.ts
+++ b/standins/engine_standin.ts
@@ -36,6 +36,11 @@
   isCancelled: boolean;
 }
 
+interface Order {
+  readonly fencingNumber: number;
+  readonly subject: string;
+}
+
 interface Load {
   readonly at: number;
   readonly body: object;
@@ -61,7 +66,7 @@
   private readonly model: engineModel.EngineModel;
   private readonly runs = new Map<string, Run>();
   private readonly loads: Load[] = [];
-  private readonly orders: object[] = [];
+  private readonly orders: Order[] = [];
   private readonly incarnation = crypto.randomUUID();
   private highestFencingNumber = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -267,6 +272,7 @@
       waiting: this.model.waiting.length,
       preemptions: this.model.preemptionCount,
       cachedPrefixes: cachedPrefixes.slice(-64),
+      loaded: this.orders.map(order => order.subject),
     };
     this.loads.push({at, body});
     while (
@@ -286,9 +292,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const order = await standinServer.bodyJson<{fencingNumber: number}>(
-      request,
-    );
+    const order = await standinServer.bodyJson<Order>(request);
     if (
       this.options.obeysFencing &&
       order.fencingNumber < this.highestFencingNumber
--- a/test/platform/lease.test.ts
+++ b/test/platform/lease.test.ts
@@ -6,7 +6,7 @@
 
 const test = ava.default;
 const TERM = 10_000;
-const KEY = lease.engineLeaseKey('engine-0');
+const KEY = lease.ORDERS_LEASE_KEY;
 let clock: fakeTimers.Clock;
 test.beforeEach(() => {
   clock = fakeTimers.install();
--- /dev/null
+++ b/test/processes/store_outage.test.ts
@@ -0,0 +1,121 @@
+import * as ava from 'ava';
+import * as uuid from 'uuid';
+import * as resultCode from '../../src/base/common/result_code';
+import * as localDeployment from '../../standins/local_deployment';
+import * as callers from '../support/callers';
+
+const test = ava.default as ava.TestFn<localDeployment.LocalDeployment>;
+
+test.beforeEach(async t => {
+  t.context = new localDeployment.LocalDeployment({
+    entries: 2,
+    engines: 1,
+    services: 2,
+  });
+  await t.context.start();
+});
+
+test.afterEach.always(t => t.context.stop());
+
+function file(url: string, key: string, body: object = {plot: 17}) {
+  return localDeployment.callJson(
+    'POST',
+    `${url}/services/${localDeployment.SERVICE_ROUTE}/setback`,
+    body,
+    {...callers.BEARER, 'idempotency-key': key},
+  );
+}
+
+async function runsOf(
+  deployment: localDeployment.LocalDeployment,
+  key: string,
+): Promise<number> {
+  const records = await Promise.all(
+    deployment.services.map(pair => callers.runsOf(pair.endpoint.url)),
+  );
+  return records.flat().filter(run => run.idempotencyKey === key).length;
+}
+
+test('while the store is down generations go on, claims are refused as not run, and a new entry starts', async t => {
+  const [entry] = t.context.entries;
+  await t.context.platformFault({isDown: true});
+  const answer = await callers.complete(
+    entry.url,
+    callers.generation(10, 'outage'),
+  );
+  t.is(answer.status, 200);
+  const key = uuid.v7();
+  const refused = await file(entry.url, key);
+  t.is(refused.status, 503);
+  t.is(refused.headers['rhubarbvane-work'], resultCode.WorkState.NotRun);
+  t.truthy(refused.headers['retry-after']);
+  t.is(await runsOf(t.context, key), 0);
+  const changed = await t.context.tool(['drain', 'report-engines']);
+  t.is(changed.code, resultCode.ResultCode.StoreUnavailable);
+  await t.context.platformFault({isDown: false});
+  t.is((await file(entry.url, key)).status, 201);
+  t.is(await runsOf(t.context, key), 1);
+});
+
+test('replies of the store lost after each write: an action still runs once', async t => {
+  for (let round = 0; round < 4; round++) {
+    await t.context.platformFault({loseReplies: 1 + (round % 2)});
+    const key = uuid.v7();
+    const answers = await Promise.all(
+      t.context.entries.map(entry => file(entry.url, key)),
+    );
+    t.deepEqual(
+      answers.map(answer => answer.status),
+      [201, 201],
+    );
+    t.is(await runsOf(t.context, key), 1);
+  }
+});
+
+test('an answer lost by the service: the outcome is unknown and the action never runs again', async t => {
+  const key = uuid.v7();
+  for (const pair of t.context.services) {
+    await localDeployment.callJson('POST', `${pair.endpoint.url}/fault`, {
+      loseAnswers: 1,
+    });
+  }
+  const first = await file(t.context.entries[0].url, key);
+  t.is(first.headers['rhubarbvane-work'], resultCode.WorkState.Unknown);
+  const second = await file(t.context.entries[1].url, key);
+  t.is(second.headers['rhubarbvane-work'], resultCode.WorkState.Unknown);
+  t.is(await runsOf(t.context, key), 1);
+});
+
+test('a side process killed during an action: the outcome is unknown, and it ran at most once', async t => {
+  const key = uuid.v7();
+  for (const pair of t.context.services) {
+    await localDeployment.callJson('POST', `${pair.endpoint.url}/fault`, {
+      delayMilliseconds: 1_500,
+    });
+  }
+  const pending = file(t.context.entries[0].url, key);
+  await callers.until(async () => (await runsOf(t.context, key)) === 1);
+  for (const pair of t.context.services) {
+    await pair.side.kill();
+  }
+  const answer = await pending;
+  t.is(answer.headers['rhubarbvane-work'], resultCode.WorkState.Unknown);
+  t.is(await runsOf(t.context, key), 1);
+});
+
+test('one key for two bodies, an old key and a wrong key are refused as not run', async t => {
+  const [entry] = t.context.entries;
+  const key = uuid.v7();
+  t.is((await file(entry.url, key)).status, 201);
+  const cases = [
+    {key, body: {plot: 18}, status: 422},
+    {key: uuid.v7({msecs: Date.now() - 25 * 3_600_000}), body: {}, status: 409},
+    {key: uuid.v4(), body: {}, status: 400},
+  ];
+  for (const {key: sent, body, status} of cases) {
+    const answer = await file(entry.url, sent, body);
+    t.is(answer.status, status);
+    t.is(answer.headers['rhubarbvane-work'], resultCode.WorkState.NotRun);
+  }
+  t.is(await runsOf(t.context, key), 1);
+});
