--- a/test/decision/generation_machine.test.ts
+++ b/test/decision/generation_machine.test.ts
@@ -137,6 +137,12 @@
   machine.handoffLost('a1', false);
   machine.withdrawn('a1', sideCalls.TombstoneState.IncarnationGone);
   t.is(machine.phase, GenerationPhase.Placing);
+  machine.placed({...TARGET, attempt: 'a2', instance: 'engine-2'});
+  machine.handoffReplied(
+    'a2',
+    refusedWith(resultCode.ResultCode.EndpointLeaving),
+  );
+  t.is(machine.phase, GenerationPhase.Placing);
   const [command] = machine.notPlaced(
     failure.notRun(resultCode.ResultCode.NoEndpoint, 'none'),
   );
--- /dev/null
+++ b/test/entry/poison_service.test.ts
@@ -0,0 +1,58 @@
+import * as ava from 'ava';
+import * as poisonTable from '../../src/decision/common/poison_table';
+import * as poisonService from '../../src/entry/node/poison_service';
+
+const test = ava.default;
+const {Suspicion} = poisonTable;
+
+function connectedPair() {
+  const first = new poisonService.PoisonService();
+  const second = new poisonService.PoisonService();
+  first.sendWith(async witnesses => second.merge(witnesses));
+  second.sendWith(async witnesses => first.merge(witnesses));
+  return [first, second];
+}
+
+test('two deaths seen by two entries condemn a request at both', async t => {
+  const [first, second] = connectedPair();
+  await first.reportDeaths('engine-0', [
+    {death: 'd', fingerprints: ['p', 'q']},
+  ]);
+  t.is(second.suspicion('p'), Suspicion.Suspect);
+  await second.reportDeaths('engine-1', [{death: 'd', fingerprints: ['p']}]);
+  t.is(first.suspicion('p'), Suspicion.Condemned);
+  t.is(second.suspicion('p'), Suspicion.Condemned);
+  t.is(first.suspicion('q'), Suspicion.Suspect);
+});
+
+test('one death reported twice, or by two entries, counts once', async t => {
+  const [first, second] = connectedPair();
+  const death = {death: 'd', fingerprints: ['p']};
+  await first.reportDeaths('engine-0', [death]);
+  await first.reportDeaths('engine-0', [death]);
+  await second.reportDeaths('engine-0', [death]);
+  t.is(first.suspicion('p'), Suspicion.Suspect);
+});
+
+test('a suspect that completes is cleared, and a condemned one is not', async t => {
+  const service = new poisonService.PoisonService();
+  await service.reportDeaths('engine-0', [
+    {death: 'd', fingerprints: ['p', 'q']},
+  ]);
+  service.clear('q');
+  t.is(service.suspicion('q'), Suspicion.None);
+  await service.reportDeaths('engine-1', [{death: 'e', fingerprints: ['p']}]);
+  service.clear('p');
+  t.is(service.suspicion('p'), Suspicion.Condemned);
+});
+
+test('an answer waits until the other entries know of the death', async t => {
+  const service = new poisonService.PoisonService();
+  let hasSent = false;
+  service.sendWith(async () => {
+    await Promise.resolve();
+    hasSent = true;
+  });
+  await service.reportDeaths('engine-0', [{death: 'd', fingerprints: ['p']}]);
+  t.true(hasSent);
+});
