Forecast memory at closer horizons, and prove partitions and two faults at once

Two drafts of 6,000 tokens were admitted into 10,000, because the forecast looked at horizons a factor of two apart and saw neither peak; and three prompts with a shared part were not admitted in one tick, because chunks counted as held only after the tick.

Change: 26 horizons, 1.35 apart; chunks are held as soon as an attempt is admitted.

An entry cut from the store, frozen processes and an entry killed while the side process is frozen are covered by process tests.

--- a/bench/path_benchmark.ts
+++ b/bench/path_benchmark.ts
@@ -1,6 +1,7 @@
 /** Compares tokens through an entry and side processes with the engines reached directly. */
 import * as localDeployment from '../standins/local_deployment';
 import * as benchArguments from './arguments';
+import * as crowdedPath from './crowded_path';
 import * as loadGenerator from './load_generator';
 import * as processUsage from './process_usage';
 
@@ -66,6 +67,9 @@
 
 /** Prints a JSON line for each measurement and one for the comparison. */
 export async function run(args: readonly string[]): Promise<void> {
+  if (args.includes('--crowded')) {
+    return crowdedPath.run(args);
+  }
   const seconds = benchArguments.numberArgument(args, 'seconds', 20);
   const rate = benchArguments.numberArgument(args, 'rate', REQUESTS_PER_SECOND);
   const engines = benchArguments.numberArgument(args, 'engines', 5);
--- a/bench/policy/replica.ts
+++ b/bench/policy/replica.ts
@@ -128,7 +128,6 @@
     for (const attempt of admitted) {
       attempt.state = attemptTable.AttemptState.Running;
       attempt.startedAt = now;
-      this.admission.started(attempt);
       const request = this.jobs.get(attempt.id)!.request;
       this.engine.add({
         run: attempt.id,
@@ -147,7 +146,9 @@
     const attempt = this.table.get(id)!;
     const {customer, route} = job.request;
     this.predictor.finish(customer, route, attempt.tokens.length);
-    this.admission.stopped(attempt);
+    if (!this.policy.isUnheld) {
+      this.admission.stopped(attempt);
+    }
     this.table.end(attempt, attemptTable.AttemptState.Completed, now);
     this.table.remove(attempt, now);
     this.table.forgetTombstones(now);
--- a/src/decision/common/admission_system.ts
+++ b/src/decision/common/admission_system.ts
@@ -73,7 +73,7 @@
 
   constructor(private readonly policy: AdmissionPolicy) {}
 
-  /** Returns the waiting attempts that the engine has room for now, in the order to start them. */
+  /** Returns the waiting attempts that the engine has room for now, in the order to start them. They count from then on. */
   admit(
     table: attemptTable.AttemptTable,
     engine: EngineView,
@@ -110,16 +110,12 @@
       }
       forecast.add(this.memoryUser(attempt, 1));
       hasSuspect = hasSuspect || attempt.request.isSuspect;
+      this.prefixes.hold(attempt.chunks);
       admitted.push(attempt);
     }
     return admitted;
   }
 
-  /** Notes that an attempt was given to the engine. */
-  started(attempt: attemptTable.Attempt): void {
-    this.prefixes.hold(attempt.chunks);
-  }
-
   /** Notes that an attempt left the engine. */
   stopped(attempt: attemptTable.Attempt): void {
     this.prefixes.release(attempt.chunks);
--- a/src/decision/common/memory_forecast.ts
+++ b/src/decision/common/memory_forecast.ts
@@ -10,10 +10,19 @@
   readonly distribution: lengthPredictor.LengthDistribution;
 }
 
-/** Numbers of steps ahead at which memory is forecast. Each running generation grows by one token a step. */
-const HORIZONS: readonly number[] = [
-  8, 32, 96, 256, 512, 1_024, 2_048, 4_096, 8_192, 16_384,
-];
+const FIRST_HORIZON = 8;
+const HORIZON_GROWTH = 1.35;
+const HORIZON_COUNT = 26;
+
+/**
+ * Numbers of steps ahead at which memory is forecast. Each running generation
+ * grows by one token a step. A peak between two horizons is missed by at most
+ * the growth between them.
+ */
+export const HORIZONS: readonly number[] = Array.from(
+  {length: HORIZON_COUNT},
+  (_, index) => Math.round(FIRST_HORIZON * HORIZON_GROWTH ** index),
+);
 
 /** Probability of still running below which a generation does not count at a horizon. */
 const MIN_PRESENCE = 0.05;
--- a/src/side/node/generation_host.ts
+++ b/src/side/node/generation_host.ts
@@ -257,7 +257,6 @@
     )) {
       attempt.state = attemptTable.AttemptState.Running;
       attempt.startedAt = now;
-      this.admission.started(attempt);
       this.metrics.waitSeconds.observe((now - attempt.arrivedAt) / 1000);
       const spans = this.spans.get(attempt.id);
       if (spans !== undefined) {
--- a/standins/local_deployment.ts
+++ b/standins/local_deployment.ts
@@ -102,9 +102,13 @@
     return path.join(this.folder, name);
   }
 
-  async startEntry(name: string): Promise<child.Child> {
+  /** Starts an entry, by default with the platform reached directly. */
+  async startEntry(
+    name: string,
+    platformUrl = this.platform.url,
+  ): Promise<child.Child> {
     const settings = [
-      ...this.commonSettings('entry', name),
+      ...this.commonSettings('entry', name, platformUrl),
       '[operators]',
       `token_file = ${this.file('operator.token')}`,
       this.options.entrySettings ?? '',
@@ -263,7 +267,11 @@
     return started;
   }
 
-  private commonSettings(role: string, name: string): string[] {
+  private commonSettings(
+    role: string,
+    name: string,
+    platformUrl = this.platform.url,
+  ): string[] {
     return [
       '[instance]',
       `role = ${role}`,
@@ -273,7 +281,7 @@
       '[cluster]',
       `token_file = ${this.file('cluster.token')}`,
       '[platform]',
-      `url = ${this.platform.url}`,
+      `url = ${platformUrl}`,
       `token_file = ${this.file('platform.token')}`,
     ];
   }
--- a/test/processes/exactly_once.test.ts
+++ b/test/processes/exactly_once.test.ts
@@ -135,6 +135,28 @@
   t.true(callers.isOneRun(reader.texts, 400));
 });
 
+test('an entry killed while the side process is frozen: the rest comes later through the other', async t => {
+  const [first, second] = t.context.entries;
+  const {reader, ended} = await callers.openStream(
+    first.url,
+    callers.generation(400, 'two faults'),
+  );
+  await callers.received(reader, 30);
+  const {side} = await busyPair(t.context);
+  side.signal('SIGSTOP');
+  await first.kill();
+  await ended;
+  setTimeout(() => side.signal('SIGCONT'), 2_000);
+  const rest = await callers.openStream(
+    second.url,
+    callers.generation(400, 'two faults'),
+    reader.lastEventId,
+  );
+  await rest.ended;
+  t.true(rest.reader.isDone, `error ${rest.reader.errorCode}`);
+  t.true(callers.isOneRun([...reader.texts, ...rest.reader.texts], 400));
+});
+
 test('an engine stream that falls silent is resumed over a new connection', async t => {
   const {reader, ended} = await callers.openStream(
     t.context.entries[0].url,
--- /dev/null
+++ b/test/processes/partition.test.ts
@@ -0,0 +1,78 @@
+import * as ava from 'ava';
+import * as localDeployment from '../../standins/local_deployment';
+import * as tcpRelay from '../../standins/tcp_relay';
+import * as callers from '../support/callers';
+
+const test = ava.default as ava.TestFn<localDeployment.LocalDeployment>;
+
+test.beforeEach(async t => {
+  t.context = new localDeployment.LocalDeployment({
+    entries: 2,
+    engines: 2,
+    services: 0,
+  });
+  await t.context.start();
+});
+
+test.afterEach.always(t => t.context.stop());
+
+interface Status {
+  readonly revision: number;
+  readonly lowestRevision: number;
+  readonly instances: readonly {instance: string; reachable: boolean}[];
+}
+
+async function statusOf(
+  deployment: localDeployment.LocalDeployment,
+): Promise<Status> {
+  const shown = await deployment.tool(['status', '--output', 'json']);
+  return JSON.parse(shown.output) as Status;
+}
+
+test('an entry cut from the store gets a change from its peers', async t => {
+  const {context} = t;
+  const port = Number(context.platform.address.split(':')[1]);
+  const relay = new tcpRelay.TcpRelay(port);
+  const cut = await context.startEntry(
+    'entry-cut',
+    `http://${await relay.listen()}`,
+  );
+  await localDeployment.waitUntilReady(cut.url);
+  await callers.until(
+    async () => (await statusOf(context)).instances.length === 5,
+  );
+  relay.set(tcpRelay.RelayMode.Cut);
+  t.is((await context.tool(['drain', 'report-engines'])).code, 0);
+  await callers.until(async () => {
+    const status = await statusOf(context);
+    const isWhole = status.instances.every(instance => instance.reachable);
+    return isWhole && status.lowestRevision === 2;
+  });
+  const answer = await callers.complete(cut.url, callers.generation(5, 'cut'));
+  t.is(answer.status, 503);
+  t.is(answer.headers['rhubarbvane-work'], 'not-run');
+  relay.dispose();
+});
+
+for (const role of ['entry', 'side process'] as const) {
+  test(`a frozen ${role} that comes back takes over the change made meanwhile`, async t => {
+    const {context} = t;
+    const frozen =
+      role === 'entry' ? context.entries[1] : context.engines[0].side;
+    frozen.signal('SIGSTOP');
+    t.is((await context.tool(['drain', 'report-engines'])).code, 0);
+    frozen.signal('SIGCONT');
+    await callers.until(async () => {
+      const status = await statusOf(context);
+      return (
+        status.lowestRevision === 2 &&
+        status.instances.every(instance => instance.reachable)
+      );
+    });
+    const answer = await callers.complete(
+      context.entries[1].url,
+      callers.generation(5, 'frozen'),
+    );
+    t.is(answer.headers['rhubarbvane-work'], 'not-run');
+  });
+}
