--- a/src/endpoint/node/http_engine_client.ts
+++ b/src/endpoint/node/http_engine_client.ts
@@ -8,6 +8,8 @@
 
 const CONNECT_TIMEOUT_MILLISECONDS = 3_000;
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
+/** Time for an answer to end after its last event, in milliseconds. */
+const END_TIMEOUT_MILLISECONDS = 5_000;
 
 interface CompletionChunk {
   readonly choices: readonly [
@@ -177,6 +179,15 @@
     this.response?.destroy();
   }
 
+  /** Lets the answer end by itself, so that its connection serves the next request. */
+  private finish(): void {
+    this.isClosed = true;
+    clearTimeout(this.idleTimer);
+    const response = this.response!;
+    this.response = undefined;
+    response.setTimeout(END_TIMEOUT_MILLISECONDS, () => response.destroy());
+  }
+
   private restartIdleTimer(): void {
     if (this.idleTimer !== undefined) {
       this.idleTimer.refresh();
@@ -213,7 +224,7 @@
       text: '',
       finishReason: choice.finish_reason,
     });
-    this.close();
+    this.finish();
     this.subscriber.complete();
   }
 }
--- a/src/side/node/engine_monitor.ts
+++ b/src/side/node/engine_monitor.ts
@@ -5,7 +5,7 @@
 import * as log from '../../base/node/log';
 import * as engineClient from '../../endpoint/common/engine_client';
 
-const POLL_MILLISECONDS = 250;
+const POLL_MILLISECONDS = 1_000;
 /** Time without any answer after which an engine counts as dead, in milliseconds. */
 const DEAD_AFTER_MILLISECONDS = 5_000;
 
--- a/src/side/node/service_host.ts
+++ b/src/side/node/service_host.ts
@@ -7,7 +7,7 @@
 import * as linkMessages from '../../protocol/common/link_messages';
 import * as sideCalls from '../../protocol/common/side_calls';
 
-const HEALTH_POLL_MILLISECONDS = 500;
+const HEALTH_POLL_MILLISECONDS = 1_000;
 
 interface CallRecord {
   readonly reply: Promise<sideCalls.ServiceReply>;
