Forget ended attempts whose release was lost

Cause: found by reading: an ended attempt is dropped when its entry releases it. If that call is lost while the link stays up, the attempt stayed for good, held memory and kept a leaving side process from exiting.

Change: an ended attempt whose whole output went out on a link is dropped after the retention time, attached or not. One that is paused for a slow reader or not sent yet stays.

Seen: a table of six cases; the one with the lost release fails without the change.

--- a/src/decision/common/detachment_system.ts
+++ b/src/decision/common/detachment_system.ts
@@ -23,8 +23,9 @@
     table.forgetTombstones(now - this.policy.tombstoneMilliseconds);
     const expired: attemptTable.Attempt[] = [];
     for (const attempt of table.all()) {
+      const isForgettable = attempt.link === '' || isDelivered(attempt);
       if (
-        attempt.link === '' &&
+        isForgettable &&
         now - this.awaySince(attempt) > this.limit(attempt)
       ) {
         expired.push(attempt);
@@ -44,3 +45,9 @@
       : this.policy.retentionMilliseconds;
   }
 }
+
+/** Whether the whole output went out on a link, so that only its release is missing. */
+function isDelivered(attempt: attemptTable.Attempt): boolean {
+  const isSent = attempt.nextToSend === attempt.tokens.length;
+  return !attemptTable.isOpen(attempt) && !attempt.isPaused && isSent;
+}
