Count only a failed connect as proof that nothing was sent

Cause: found by reading. EHOSTUNREACH and ENETUNREACH were taken as proof that a request never left, and answered as not run. They can also end an open connection over which the request went out.

Change: the error must come from connect.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -81,10 +81,18 @@
   });
 }
 
-/** Whether the error proves that the request never left this process. */
+const CONNECT_ERRORS: readonly (string | undefined)[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+];
+
+/**
+ * Whether the error proves that the request never left this process. The same
+ * codes can end an open connection over which the request went out, so only a
+ * failed connect is a proof.
+ */
 export function neverSent(error: unknown): boolean {
-  const code = (error as NodeJS.ErrnoException).code;
-  return (
-    code === 'ECONNREFUSED' || code === 'EHOSTUNREACH' || code === 'ENETUNREACH'
-  );
+  const {code, syscall} = error as NodeJS.ErrnoException;
+  return syscall === 'connect' && CONNECT_ERRORS.includes(code);
 }
