--- a/bench/slopes/claim_slopes.ts
+++ b/bench/slopes/claim_slopes.ts
@@ -1,7 +1,7 @@
 /** Writes and processor time of claims. */
 import * as neverthrow from 'neverthrow';
 import * as claimService from '../../src/entry/node/claim_service';
-import * as objectStore from '../../src/platform/common/object_store';
+import * as objectStore from '../../src/storage/common/object_store';
 import * as fits from './fit';
 
 const STORE_MILLISECONDS = 5;
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,10 +7,13 @@
   'src/base/node',
   'src/protocol',
   'src/decision/common',
-  'src/platform/common',
-  'src/platform/node',
+  'src/storage/common',
+  'src/storage/node',
   'src/endpoint/common',
   'src/endpoint/node',
+  'src/gateway/common',
+  'src/gateway/node',
+  'src/platform',
   'src/entry/node',
   'src/side/node',
   'src/daemon',
@@ -20,6 +23,10 @@
   'test',
 ];
 
+// Headers, calls and the environment variable of the platform.
+const PLATFORM_WIRE_NAME =
+  /^x-rhubarbvane-|^kv-(from|fetch)$|^\/(report|kv-|hold-|objects\/)|^RHUBARBVANE_NODE_FILE$/i;
+
 const NODE_FREE = /^src\/[a-z]+\/common\//;
 
 function layerOf(file) {
@@ -78,6 +85,21 @@
       };
     },
   },
+  'wire-names-in-adapter': {
+    create(context) {
+      const own = path.relative(__dirname, context.filename);
+      if (!own.startsWith('src/') || own.startsWith('src/platform/')) {
+        return {};
+      }
+      return {
+        Literal(node) {
+          if (typeof node.value === 'string' && PLATFORM_WIRE_NAME.test(node.value)) {
+            context.report({node, message: `the platform's wire name ${node.value} belongs in src/platform`});
+          }
+        },
+      };
+    },
+  },
   'short-modules': {
     create(context) {
       return {
@@ -92,7 +114,7 @@
 };
 
 module.exports = [
-  {ignores: ['build/**', 'node_modules/**', 'src/protocol/generated/**', 'scripts/**', 'eslint.config.js', '.prettierrc.js']},
+  {ignores: ['build/**', 'target/**', 'journal/**', 'node_modules/**', 'src/protocol/generated/**', 'scripts/**', 'eslint.config.js', '.prettierrc.js']},
   ...gts,
   {
     files: ['**/*.ts'],
@@ -102,6 +124,7 @@
       'house/namespace-imports': 'error',
       'house/snake-case-files': 'error',
       'house/short-modules': 'error',
+      'house/wire-names-in-adapter': 'error',
       'n/no-unpublished-import': 'off',
       'n/no-extraneous-import': 'off',
       'n/no-missing-import': 'off',
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -27,7 +27,7 @@
       import('../entry/node/entry_process.js'),
       import('../entry/node/entry_metrics.js'),
       import('../base/node/metrics.js'),
-      import('../platform/node/http_platform.js'),
+      import('../storage/node/http_platform.js'),
     ],
   );
   return neverthrow.Result.combine([
@@ -63,7 +63,7 @@
 ): Promise<neverthrow.Result<RunningProcess, failure.Failure>> {
   const [sideProcess, httpPlatform] = await Promise.all([
     import('../side/node/side_process.js'),
-    import('../platform/node/http_platform.js'),
+    import('../storage/node/http_platform.js'),
   ]);
   return neverthrow.Result.combine([
     readToken(file.cluster.token_file),
--- a/src/entry/node/claim_service.ts
+++ b/src/entry/node/claim_service.ts
@@ -4,7 +4,7 @@
 import * as disposable from '../../base/common/disposable';
 import * as log from '../../base/node/log';
 import * as claimPage from '../../protocol/common/claim_page';
-import * as objectStore from '../../platform/common/object_store';
+import * as objectStore from '../../storage/common/object_store';
 
 /** Longest time that an operation is tried for, in milliseconds. */
 const OPERATION_TIMEOUT_MILLISECONDS = 3_000;
--- a/src/entry/node/configuration_service.ts
+++ b/src/entry/node/configuration_service.ts
@@ -7,7 +7,7 @@
 import * as log from '../../base/node/log';
 import * as configurationTable from '../../decision/common/configuration_table';
 import * as changeSystem from '../../decision/common/change_system';
-import * as objectStore from '../../platform/common/object_store';
+import * as objectStore from '../../storage/common/object_store';
 import * as configurationMessages from '../../protocol/common/configuration_messages';
 import * as snapshotStore from './snapshot_store';
 
--- a/src/entry/node/gossip_service.ts
+++ b/src/entry/node/gossip_service.ts
@@ -2,7 +2,7 @@
 import * as rxjs from 'rxjs';
 import * as deadline from '../../base/common/deadline';
 import * as disposable from '../../base/common/disposable';
-import * as instanceList from '../../platform/common/instance_list';
+import * as instanceList from '../../storage/common/instance_list';
 import * as configurationMessages from '../../protocol/common/configuration_messages';
 import * as peerCalls from '../../protocol/common/peer_calls';
 import * as peerTransport from '../../protocol/node/peer_transport';
--- a/src/entry/node/link_manager.ts
+++ b/src/entry/node/link_manager.ts
@@ -3,7 +3,7 @@
 import * as rxjs from 'rxjs';
 import * as disposable from '../../base/common/disposable';
 import * as endpointTable from '../../decision/common/endpoint_table';
-import * as instanceList from '../../platform/common/instance_list';
+import * as instanceList from '../../storage/common/instance_list';
 import * as linkMessages from '../../protocol/common/link_messages';
 import * as peerTransport from '../../protocol/node/peer_transport';
 import * as entryMetrics from './entry_metrics';
--- a/src/entry/node/membership.ts
+++ b/src/entry/node/membership.ts
@@ -6,7 +6,7 @@
 import * as disposable from '../../base/common/disposable';
 import * as deadline from '../../base/common/deadline';
 import * as settingsFile from '../../base/node/settings_file';
-import * as instanceList from '../../platform/common/instance_list';
+import * as instanceList from '../../storage/common/instance_list';
 
 /** Time between reads of the list by all entries together, in milliseconds. */
 const DEPLOYMENT_READ_INTERVAL_MILLISECONDS = 500;
--- a/src/entry/node/snapshot_store.ts
+++ b/src/entry/node/snapshot_store.ts
@@ -1,6 +1,6 @@
 /** Snapshots of the configuration in the object API, in chunks below its limit on values. */
 import * as zod from 'zod';
-import * as objectStore from '../../platform/common/object_store';
+import * as objectStore from '../../storage/common/object_store';
 import * as configurationMessages from '../../protocol/common/configuration_messages';
 
 const CHUNK_BYTES = 512 * 1024;
--- a/src/entry/node/status_service.ts
+++ b/src/entry/node/status_service.ts
@@ -1,7 +1,7 @@
 /** Collects the state of all instances for operators. */
 import * as tracing from '../../base/node/tracing';
 import * as endpointTable from '../../decision/common/endpoint_table';
-import * as instanceList from '../../platform/common/instance_list';
+import * as instanceList from '../../storage/common/instance_list';
 import * as peerCalls from '../../protocol/common/peer_calls';
 import * as peerTransport from '../../protocol/node/peer_transport';
 import * as configurationService from './configuration_service';
--- /dev/null
+++ b/src/gateway/common/crash_table.ts
@@ -0,0 +1,73 @@
+/** Finds requests that crash the instances that run them, by what all gateways saw. */
+
+/** Crashes after which a request is refused. */
+export const MAX_CRASHES = 3;
+/** Time for which a crash is held against a request, in milliseconds. */
+const CRASH_LIFETIME_MILLISECONDS = 120_000;
+const MAX_FINGERPRINTS = 4_096;
+/** Crashes that a digest to a peer carries at most. */
+const MAX_SHARED = 16;
+
+/** A request that was running when an instance crashed. */
+export interface Crash {
+  /** Hash of route, customer, path and body. */
+  readonly fingerprint: string;
+  readonly instanceId: string;
+}
+
+interface SeenCrash {
+  readonly crash: Crash;
+  readonly at: number;
+}
+
+/** Collects crashes by fingerprint. */
+export class CrashTable {
+  private readonly crashes = new Map<string, Map<string, SeenCrash>>();
+
+  /** Adds a crash seen here or by a peer; one instance's crash counts once. */
+  note(crash: Crash, now: number): void {
+    const seen =
+      this.crashes.get(crash.fingerprint) ?? new Map<string, SeenCrash>();
+    if (seen.has(crash.instanceId)) {
+      return;
+    }
+    seen.set(crash.instanceId, {crash, at: now});
+    this.crashes.delete(crash.fingerprint);
+    this.crashes.set(crash.fingerprint, seen);
+    if (this.crashes.size > MAX_FINGERPRINTS) {
+      this.crashes.delete(this.crashes.keys().next().value!);
+    }
+  }
+
+  /** Whether the request has crashed as many instances as are allowed. */
+  isCondemned(fingerprint: string, now: number): boolean {
+    return this.count(fingerprint, now) >= MAX_CRASHES;
+  }
+
+  /** Number of instances that crashed while they ran the request. */
+  count(fingerprint: string, now: number): number {
+    const seen = this.crashes.get(fingerprint);
+    if (seen === undefined) {
+      return 0;
+    }
+    for (const [instanceId, each] of seen) {
+      if (now - each.at > CRASH_LIFETIME_MILLISECONDS) {
+        seen.delete(instanceId);
+      }
+    }
+    return seen.size;
+  }
+
+  /** Forgets a request that ran to its end. */
+  clear(fingerprint: string): void {
+    this.crashes.delete(fingerprint);
+  }
+
+  /** The latest crashes, for peers. */
+  recent(): Crash[] {
+    return [...this.crashes.values()]
+      .slice(-MAX_SHARED)
+      .flatMap(seen => [...seen.values()].map(each => each.crash))
+      .slice(-MAX_SHARED);
+  }
+}
--- /dev/null
+++ b/src/gateway/common/event_splitter.ts
@@ -0,0 +1,70 @@
+/** Splits a stream of server-sent events at event boundaries, so that only whole events are delivered. */
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** Whole events as they came. */
+export interface WholeEvents {
+  readonly bytes: Buffer;
+  /** Ids of the events in order; an event without an id has the empty text. */
+  readonly ids: readonly string[];
+  /** Where each event ends in `bytes`. */
+  readonly ends: readonly number[];
+}
+
+/** Collects bytes and gives the events that are whole. */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** Bytes of an event that is not whole yet. */
+  get pendingBytes(): number {
+    return this.rest.length;
+  }
+
+  /** Adds bytes; undefined when they complete no event. */
+  push(chunk: Buffer): WholeEvents | undefined {
+    const bytes =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const ends = eventEnds(bytes);
+    const end = ends[ends.length - 1] ?? 0;
+    this.rest = bytes.subarray(end);
+    if (end === 0) {
+      return undefined;
+    }
+    const starts = [0, ...ends.slice(0, -1)];
+    const ids = starts.map((start, index) =>
+      eventId(bytes.toString('latin1', start, ends[index])),
+    );
+    return {bytes: bytes.subarray(0, end), ids, ends};
+  }
+
+  /** Returns and forgets the bytes of the unfinished event. */
+  takeRest(): Buffer {
+    const rest = this.rest;
+    this.rest = Buffer.alloc(0);
+    return rest;
+  }
+}
+
+/** Positions behind each empty line. */
+function eventEnds(bytes: Buffer): number[] {
+  const ends: number[] = [];
+  let lineStart = 0;
+  for (;;) {
+    const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
+    if (lineEnd < 0) {
+      return ends;
+    }
+    const isEmpty =
+      lineEnd === lineStart ||
+      (lineEnd === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
+    lineStart = lineEnd + 1;
+    if (isEmpty) {
+      ends.push(lineStart);
+    }
+  }
+}
+
+function eventId(text: string): string {
+  return /(?:^|\n)id: ?([^\r\n]*)/.exec(text)?.[1] ?? '';
+}
--- /dev/null
+++ b/src/gateway/common/instance_table.ts
@@ -0,0 +1,157 @@
+/** Endpoint instances as a gateway knows them: what they registered, and what it saw of them. */
+
+/** State that an instance registered. */
+export enum InstanceState {
+  Ready = 'ready',
+  Draining = 'draining',
+}
+
+/** What an instance registered of itself. */
+export interface InstanceRecord {
+  readonly id: string;
+  readonly endpoint: string;
+  /** IP and port. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly state: InstanceState;
+  readonly slots: number;
+  /** Time for which the instance stays slow after its start, as of its registration. */
+  readonly warmUpMilliseconds: number;
+  /** Start of this life in Unix milliseconds; 0 when not given. Tells lives under one id apart. */
+  readonly startedAt: number;
+}
+
+/** Share of the failure rate that one outcome contributes. */
+const OUTCOME_WEIGHT = 0.15;
+
+/** One instance with what this gateway saw of it. */
+export interface Instance {
+  record: InstanceRecord;
+  /** Monotonic milliseconds at which this life was first seen here. */
+  readonly firstSeenAt: number;
+  /** Monotonic milliseconds at which draining was seen; undefined while ready. */
+  drainingAt: number | undefined;
+  /** Requests of this gateway that have no whole answer. */
+  openRequests: number;
+  /** Decayed share of requests that the instance failed. */
+  failureRate: number;
+  /** Monotonic milliseconds of the last failure; 0 before the first. */
+  lastFailureAt: number;
+}
+
+/** What changed by one update of the table. */
+export interface InstanceChanges {
+  readonly added: readonly Instance[];
+  readonly drained: readonly Instance[];
+  readonly removed: readonly Instance[];
+}
+
+/** Holds the instances in the latest known state of the registry. */
+export class InstanceTable {
+  private rows = new Map<string, Instance>();
+  private byEndpoint = new Map<string, Instance[]>();
+
+  get size(): number {
+    return this.rows.size;
+  }
+
+  get(id: string): Instance | undefined {
+    return this.rows.get(id);
+  }
+
+  all(): Iterable<Instance> {
+    return this.rows.values();
+  }
+
+  /** All instances of the endpoint, draining ones included. */
+  ofEndpoint(endpoint: string): readonly Instance[] {
+    return this.byEndpoint.get(endpoint) ?? [];
+  }
+
+  /** Replaces the whole content; rows of lives already known keep what was seen of them. */
+  replace(records: readonly InstanceRecord[], now: number): InstanceChanges {
+    const next = new Map<string, Instance>();
+    const added: Instance[] = [];
+    const drained: Instance[] = [];
+    for (const record of records) {
+      const known = this.rows.get(record.id);
+      const row = isSameLife(known, record) ? known : createRow(record, now);
+      if (row !== known) {
+        added.push(row);
+      }
+      if (takeState(row, record, now)) {
+        drained.push(row);
+      }
+      next.set(record.id, row);
+    }
+    const removed = [...this.rows.values()].filter(
+      row => next.get(row.record.id) !== row,
+    );
+    removed.forEach(row => (row.drainingAt ??= now));
+    this.rows = next;
+    this.index();
+    return {added, drained, removed};
+  }
+
+  private index(): void {
+    this.byEndpoint = new Map();
+    for (const row of this.rows.values()) {
+      const rows = this.byEndpoint.get(row.record.endpoint) ?? [];
+      rows.push(row);
+      this.byEndpoint.set(row.record.endpoint, rows);
+    }
+  }
+}
+
+/** Learns how a request ended at the instance. */
+export function noteOutcome(
+  row: Instance,
+  isFailure: boolean,
+  now: number,
+): void {
+  row.failureRate += OUTCOME_WEIGHT * ((isFailure ? 1 : 0) - row.failureRate);
+  if (isFailure) {
+    row.lastFailureAt = now;
+  }
+}
+
+function isSameLife(
+  known: Instance | undefined,
+  record: InstanceRecord,
+): known is Instance {
+  return (
+    known !== undefined &&
+    known.record.startedAt === record.startedAt &&
+    known.record.address === record.address &&
+    known.record.endpoint === record.endpoint
+  );
+}
+
+function createRow(record: InstanceRecord, now: number): Instance {
+  return {
+    record,
+    firstSeenAt: now,
+    drainingAt: undefined,
+    openRequests: 0,
+    failureRate: 0,
+    lastFailureAt: 0,
+  };
+}
+
+/** Returns whether the instance began to drain by this record. */
+function takeState(
+  row: Instance,
+  record: InstanceRecord,
+  now: number,
+): boolean {
+  row.record = record;
+  if (record.state !== InstanceState.Draining) {
+    row.drainingAt = undefined;
+    return false;
+  }
+  if (row.drainingAt !== undefined) {
+    return false;
+  }
+  row.drainingAt = now;
+  return true;
+}
--- /dev/null
+++ b/src/gateway/common/route_index.ts
@@ -0,0 +1,64 @@
+/** Finds the route, endpoint and customer of a request in one version of the configuration. */
+import * as configuration from './configuration';
+
+/** Lookup tables over a configuration. */
+export class RouteIndex {
+  private readonly routesByHost = new Map<string, configuration.Route[]>();
+  private readonly endpoints = new Map<string, configuration.Endpoint>();
+  private readonly customersByKey = new Map<string, configuration.Customer>();
+
+  constructor(readonly configuration: configuration.Configuration) {
+    for (const route of configuration.routes) {
+      const routes = this.routesByHost.get(route.host) ?? [];
+      routes.push(route);
+      this.routesByHost.set(route.host, routes);
+    }
+    for (const routes of this.routesByHost.values()) {
+      routes.sort(
+        (left, right) => right.pathPrefix.length - left.pathPrefix.length,
+      );
+    }
+    for (const endpoint of configuration.endpoints) {
+      this.endpoints.set(endpoint.name, endpoint);
+    }
+    for (const customer of configuration.customers ?? []) {
+      customer.keys.forEach(key => this.customersByKey.set(key, customer));
+    }
+  }
+
+  /** Whether requests on routes that are not public need a key. */
+  get needsKeys(): boolean {
+    return this.configuration.customers !== undefined;
+  }
+
+  /** Returns the route of the host with the longest prefix that begins the path. */
+  findRoute(host: string, path: string): configuration.Route | undefined {
+    return this.routesByHost
+      .get(host.toLowerCase())
+      ?.find(route => path.startsWith(route.pathPrefix));
+  }
+
+  findCustomer(key: string): configuration.Customer | undefined {
+    return this.customersByKey.get(key);
+  }
+
+  findEndpoint(name: string): configuration.Endpoint | undefined {
+    return this.endpoints.get(name);
+  }
+}
+
+/** Draws one endpoint of a route by weight; `draw` is between 0 and 1. Undefined when no weight is positive. */
+export function drawEndpoint(
+  route: configuration.Route,
+  draw: number,
+): string | undefined {
+  const total = route.endpoints.reduce((sum, each) => sum + each.weight, 0);
+  let left = draw * total;
+  for (const each of route.endpoints) {
+    left -= each.weight;
+    if (left < 0) {
+      return each.endpoint;
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/gateway/node/caller_answer.ts
@@ -0,0 +1,49 @@
+/** Writes answers to callers. */
+import * as http from 'node:http';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as httpServer from '../../base/node/http_server';
+
+/** Most of what a caller has left that it is asked to wait. */
+const MAX_RETRY_AFTER_SHARE = 1 / 3;
+/** Least time after which a caller may come back, in seconds. */
+const MIN_RETRY_AFTER_SECONDS = 0.05;
+
+/** Bounds the time after which a caller is asked to come back, in seconds. */
+export function retryAfter(
+  seconds: number,
+  remainingMilliseconds: number,
+): number {
+  const most = (remainingMilliseconds / 1000) * MAX_RETRY_AFTER_SHARE;
+  return Math.max(MIN_RETRY_AFTER_SECONDS, Math.min(seconds, most));
+}
+
+/** Answers with a failure of this gateway. Statuses that promise that nothing ran are used only for work that did not run. */
+export function answerFailure(
+  response: http.ServerResponse,
+  cause: failure.Failure,
+  status = statusOf(cause),
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const body = JSON.stringify(httpServer.failureBody(cause));
+  const headers: http.OutgoingHttpHeaders = {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(body),
+    'Rhubarbvane-Result': String(cause.code),
+    'Rhubarbvane-Work': cause.workState,
+  };
+  if (cause.retryAfterSeconds !== undefined) {
+    headers['Retry-After'] = cause.retryAfterSeconds.toFixed(2);
+  }
+  response.writeHead(status, headers).end(body);
+}
+
+function statusOf(cause: failure.Failure): number {
+  const {httpStatus} = resultCode.describeResult(cause.code);
+  const promisesNotRun = [408, 421, 429, 503].includes(httpStatus);
+  const isProved = cause.workState === resultCode.WorkState.NotRun;
+  return promisesNotRun && !isProved ? 502 : httpStatus;
+}
--- /dev/null
+++ b/src/gateway/node/event_delivery.ts
@@ -0,0 +1,139 @@
+/** Delivers the events of a generation to its caller, whole and once each, whichever instance they come from. */
+import * as eventSplitter from '../common/event_splitter';
+import * as instanceClient from '../common/instance_client';
+import * as runTable from '../common/run_table';
+import * as callContext from './call_context';
+
+/** The stream of one caller. */
+export class EventDelivery {
+  private splitter = new eventSplitter.EventSplitter();
+  private isHeadWritten = false;
+  private lastId: string | undefined;
+  private lastEventAt = 0;
+  private longestPause = 0;
+
+  constructor(
+    private readonly context: callContext.CallContext,
+    private readonly run: runTable.Run,
+  ) {
+    this.lastId = context.call.caller.lastEventId;
+  }
+
+  /** Whether anything was written to the caller. */
+  get hasBegun(): boolean {
+    return this.isHeadWritten;
+  }
+
+  /** Id of the last event that the caller has; undefined before the first. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
+  /** Forgets the unfinished event of the instance before. */
+  beginLeg(): void {
+    this.splitter = new eventSplitter.EventSplitter();
+  }
+
+  /** Delivers the events that the bytes complete; false when they do not follow those delivered. */
+  push(answer: instanceClient.InstanceAnswer, chunk: Buffer): boolean {
+    const events = this.splitter.push(chunk);
+    if (events === undefined) {
+      return true;
+    }
+    const skipped = this.countDelivered(events.ids);
+    if (skipped === undefined) {
+      this.context.log('event-ids-not-contiguous', {
+        last: this.lastId,
+        received: events.ids[0],
+      });
+      return false;
+    }
+    if (skipped < events.ids.length) {
+      this.write(answer, events, skipped);
+    }
+    return true;
+  }
+
+  /** Ends the caller's answer. */
+  finish(answer: instanceClient.InstanceAnswer): void {
+    this.writeHead(answer);
+    this.context.finish('served');
+    this.context.response.end(this.splitter.takeRest());
+  }
+
+  /** Notes the longest pause of the stream. */
+  observePauses(): void {
+    if (this.longestPause > 0) {
+      const {metrics} = this.context.services;
+      metrics.pauses.observe(this.longestPause / 1000);
+    }
+  }
+
+  private write(
+    answer: instanceClient.InstanceAnswer,
+    events: eventSplitter.WholeEvents,
+    skipped: number,
+  ): void {
+    const {run} = this;
+    this.writeHead(answer);
+    this.notePause();
+    this.lastId = events.ids[events.ids.length - 1] || this.lastId;
+    run.eventsDelivered += events.ids.length - skipped;
+    run.hasStarted = true;
+    const from = skipped === 0 ? 0 : events.ends[skipped - 1];
+    const {response} = this.context;
+    const isTaken = response.write(events.bytes.subarray(from));
+    if (!isTaken) {
+      answer.body.pause();
+      response.once('drain', () => answer.body.resume());
+    }
+  }
+
+  /** Number of leading events that the caller has already; undefined when one is missing. */
+  private countDelivered(ids: readonly string[]): number | undefined {
+    let skipped = 0;
+    let last = this.lastId;
+    for (const id of ids) {
+      if (last !== undefined && id !== '') {
+        const step = Number(id) - Number(last);
+        if (step <= 0) {
+          skipped++;
+          continue;
+        }
+        if (step > 1) {
+          return undefined;
+        }
+      }
+      last = id || last;
+    }
+    return skipped;
+  }
+
+  private writeHead(answer: instanceClient.InstanceAnswer): void {
+    const {response, services, call} = this.context;
+    if (this.isHeadWritten) {
+      return;
+    }
+    this.isHeadWritten = true;
+    response.writeHead(answer.status, [...answer.passedHeaders]);
+    services.metrics.latency.observe(
+      {route: call.route.name},
+      (performance.now() - call.arrivedAt) / 1000,
+    );
+  }
+
+  private notePause(): void {
+    const now = performance.now();
+    const pause = this.lastEventAt > 0 ? now - this.lastEventAt : 0;
+    this.lastEventAt = now;
+    this.longestPause = Math.max(this.longestPause, pause);
+    const {maxPauseMilliseconds} = this.context.call.route;
+    if (maxPauseMilliseconds > 0 && pause > maxPauseMilliseconds) {
+      this.context.log('long-pause', {
+        pause_ms: Math.round(pause),
+        instance: this.run.instanceId,
+        events: this.run.eventsDelivered,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/node/gateway_metrics.ts
@@ -0,0 +1,69 @@
+/** Metrics of a gateway. */
+import * as promClient from 'prom-client';
+import * as metrics from '../../base/node/metrics';
+
+/** Bounds of latency histograms, in seconds. */
+const LATENCY_BOUNDS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2, 4, 8, 16, 32,
+];
+/** Bounds of pauses between events, in seconds. */
+const PAUSE_BOUNDS = [0.02, 0.05, 0.1, 0.18, 0.36, 0.72, 1.5, 3];
+
+/** Counters and histograms, made once for each process. */
+export class GatewayMetrics {
+  readonly requests: promClient.Counter<'route' | 'outcome'>;
+  readonly latency: promClient.Histogram<'route'>;
+  readonly pauses: promClient.Histogram;
+  readonly sends: promClient.Counter<'outcome'>;
+  readonly connections: promClient.Counter;
+  readonly storeCalls: promClient.Counter<'operation'>;
+  readonly copies: promClient.Counter<'outcome'>;
+  readonly openRequests: promClient.Gauge;
+  readonly waiting: promClient.Gauge;
+
+  constructor(registry: metrics.MetricsRegistry) {
+    this.requests = registry.counter(
+      'rhubarbvane_gateway_requests_total',
+      'Requests of callers by route and outcome',
+      ['route', 'outcome'],
+    );
+    this.latency = registry.histogram(
+      'rhubarbvane_gateway_first_byte_seconds',
+      'Time to the answer, or to the first event of a stream',
+      LATENCY_BOUNDS,
+      ['route'],
+    );
+    this.pauses = registry.histogram(
+      'rhubarbvane_gateway_event_pause_seconds',
+      'Longest pause between events of one stream',
+      PAUSE_BOUNDS,
+    );
+    this.sends = registry.counter(
+      'rhubarbvane_gateway_sends_total',
+      'Requests sent to instances by outcome',
+      ['outcome'],
+    );
+    this.connections = registry.counter(
+      'rhubarbvane_gateway_connections_total',
+      'Connections made to instances',
+    );
+    this.storeCalls = registry.counter(
+      'rhubarbvane_gateway_store_calls_total',
+      'Calls to the metadata store',
+      ['operation'],
+    );
+    this.copies = registry.counter(
+      'rhubarbvane_gateway_run_copies_total',
+      'Copies of running generations by outcome',
+      ['outcome'],
+    );
+    this.openRequests = registry.gauge(
+      'rhubarbvane_gateway_open_requests',
+      'Requests of callers without a whole answer',
+    );
+    this.waiting = registry.gauge(
+      'rhubarbvane_gateway_waiting_generations',
+      'Generations that wait for memory at an engine',
+    );
+  }
+}
--- /dev/null
+++ b/src/gateway/node/gateway_process.ts
@@ -0,0 +1,221 @@
+/** The gateway: serves callers, follows the platform's state and leaves without cutting work off. */
+import * as deadline from '../../base/common/deadline';
+import * as disposable from '../../base/common/disposable';
+import * as jsonLog from '../../base/node/json_log';
+import * as metrics from '../../base/node/metrics';
+import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as crashTable from '../common/crash_table';
+import * as instanceClient from '../common/instance_client';
+import * as peerDigest from '../common/peer_digest';
+import * as retryLimiter from '../common/retry_limiter';
+import * as runTable from '../common/run_table';
+import * as stateSource from '../common/state_source';
+import * as callerServer from './caller_server';
+import * as evacuator from './evacuator';
+import * as gatewayMetrics from './gateway_metrics';
+import * as gatewayServices from './gateway_services';
+import * as gatewaySettings from './gateway_settings';
+import * as generationScheduler from './generation_scheduler';
+import * as observabilityServer from './observability_server';
+import * as peerExchange from './peer_exchange';
+import * as requestHandler from './request_handler';
+import * as stateFollower from './state_follower';
+
+/** Time after the stop signal in which the balancer still sends new connections, in milliseconds. */
+const BALANCER_MILLISECONDS = 3_500;
+/** Time before the end of grace at which the process ends by itself, in milliseconds. */
+const GRACE_MARGIN_MILLISECONDS = 300;
+const LEAVE_CHECK_MILLISECONDS = 50;
+/** Interval at which standstills of the process are looked for, in milliseconds. */
+const STANDSTILL_CHECK_MILLISECONDS = 200;
+/** Standstill after which all knowledge is read again, in milliseconds. */
+const STANDSTILL_MILLISECONDS = 1_500;
+
+/** Clients and settings of a gateway. */
+export interface GatewayOptions {
+  readonly settings: gatewaySettings.GatewaySettings;
+  readonly registry: metrics.MetricsRegistry;
+  readonly metrics: gatewayMetrics.GatewayMetrics;
+  readonly log: jsonLog.JsonLog;
+  readonly source: stateSource.StateSource;
+  readonly client: instanceClient.InstanceClient;
+  readonly decoder: requestHandler.CallerDecoder;
+}
+
+/** One gateway process. */
+export class GatewayProcess implements disposable.Disposable {
+  private readonly disposables = new disposable.DisposableStore();
+  private readonly services: gatewayServices.GatewayServices;
+  private readonly handler: requestHandler.RequestHandler;
+  private readonly server: callerServer.CallerServer;
+  private readonly exchange: peerExchange.PeerExchange;
+  private isLeaving = false;
+  private lastCheckAt = performance.now();
+
+  constructor(private readonly options: GatewayOptions) {
+    const {settings, log, client} = options;
+    const follower = new stateFollower.StateFollower(options.source, log);
+    const runs = new runTable.RunTable();
+    const crashes = new crashTable.CrashTable();
+    const predictor = new lengthPredictor.LengthPredictor();
+    const peers = new peerDigest.PeerTable(
+      settings.instance.ip,
+      settings.peers.seeds
+        .split(',')
+        .map(seed => seed.split(':')[0].trim())
+        .filter(ip => ip.length > 0),
+    );
+    const scheduler = new generationScheduler.GenerationScheduler(
+      follower,
+      runs,
+      predictor,
+      settings.instance.data_centre,
+    );
+    this.services = {
+      dataCentre: settings.instance.data_centre,
+      log,
+      metrics: options.metrics,
+      follower,
+      client,
+      runs,
+      crashes,
+      retries: new retryLimiter.RetryLimiter({
+        windowMilliseconds: settings.retries.window_seconds * 1000,
+        ratio: settings.retries.ratio,
+        allowance: settings.retries.allowance,
+      }),
+      peers,
+      predictor,
+      scheduler,
+      evacuator: new evacuator.Evacuator(
+        follower,
+        client,
+        scheduler,
+        runs,
+        options.metrics,
+        log,
+      ),
+    };
+    this.handler = new requestHandler.RequestHandler(
+      this.services,
+      options.decoder,
+    );
+    this.server = new callerServer.CallerServer(
+      (request, response) => this.handler.handle(request, response),
+      log,
+    );
+    this.exchange = new peerExchange.PeerExchange(
+      {
+        name: settings.instance.name,
+        ip: settings.instance.ip,
+        stateAddress: settings.listen.peers,
+        digestPort: settings.peers.digest_port,
+      },
+      peers,
+      follower,
+      runs,
+      crashes,
+      log,
+    );
+  }
+
+  /** Whether the balancer should send connections here. */
+  get isReady(): boolean {
+    const {follower} = this.services;
+    return (
+      !this.isLeaving &&
+      follower.routes !== undefined &&
+      follower.instances.size > 0
+    );
+  }
+
+  /** Port that callers connect to. */
+  get port(): number {
+    return this.server.port;
+  }
+
+  /** Binds all addresses and begins to follow the platform. Rejects when the callers' address is in use. */
+  async start(): Promise<void> {
+    const {settings, log, registry} = this.options;
+    const {follower, scheduler, evacuator: evacuations} = this.services;
+    const observability = new observabilityServer.ObservabilityServer(
+      () => this.isReady,
+      registry,
+      log,
+    );
+    const separator = settings.listen.readiness.lastIndexOf(':');
+    observability.listen(
+      settings.listen.readiness.slice(0, separator),
+      Number(settings.listen.readiness.slice(separator + 1)),
+    );
+    if (settings.listen.metrics_port > 0) {
+      observability.listen(settings.instance.ip, settings.listen.metrics_port);
+    }
+    follower.onDidChangeConfiguration.subscribe(index =>
+      this.server.setLimits(index.configuration.limits),
+    );
+    follower.onDidChangeInstances.subscribe(() => scheduler.step());
+    [
+      observability,
+      follower,
+      scheduler,
+      evacuations,
+      this.server,
+      this.exchange,
+    ].forEach(each => this.disposables.add(each));
+    await this.server.listen(settings.listen.callers);
+    this.exchange.start();
+    follower.start();
+    this.disposables.add(
+      disposable.every(STANDSTILL_CHECK_MILLISECONDS, () =>
+        this.checkStandstill(),
+      ),
+    );
+    log.write('started', {callers: settings.listen.callers}, true);
+  }
+
+  /** Becomes unready, lets running work end within the grace time, and resolves when the process may end. */
+  async leave(): Promise<void> {
+    const {log, settings} = this.options;
+    const startedAt = performance.now();
+    const graceMilliseconds = settings.shutdown.grace_seconds * 1000;
+    this.isLeaving = true;
+    this.handler.isLeaving = true;
+    this.exchange.isLeaving = true;
+    log.write('leaving', {open: this.server.openRequestCount}, true);
+    const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
+    const mayEndAt = Math.min(startedAt + BALANCER_MILLISECONDS, endsAt);
+    for (;;) {
+      await deadline.delay(LEAVE_CHECK_MILLISECONDS);
+      const now = performance.now();
+      const isIdle = this.server.openRequestCount === 0;
+      if (now >= endsAt || (isIdle && now >= mayEndAt)) {
+        break;
+      }
+    }
+    log.write('stopped', {open: this.server.openRequestCount}, true);
+    this.dispose();
+  }
+
+  /** Notes that the settings were read again. */
+  noteReload(): void {
+    this.options.log.write('reloaded', {}, true);
+  }
+
+  dispose(): void {
+    this.disposables.dispose();
+  }
+
+  /** A process that stood still knows only what was true before. */
+  private checkStandstill(): void {
+    const now = performance.now();
+    const gap = now - this.lastCheckAt;
+    this.lastCheckAt = now;
+    if (gap < STANDSTILL_MILLISECONDS) {
+      return;
+    }
+    this.options.log.write('stood-still', {gap_ms: Math.round(gap)}, true);
+    void this.services.follower.refreshConfiguration(0);
+    void this.services.follower.refreshInstances();
+  }
+}
--- /dev/null
+++ b/src/gateway/node/gateway_services.ts
@@ -0,0 +1,28 @@
+/** What the calls of one gateway share. */
+import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as jsonLog from '../../base/node/json_log';
+import * as crashTable from '../common/crash_table';
+import * as instanceClient from '../common/instance_client';
+import * as peerDigest from '../common/peer_digest';
+import * as retryLimiter from '../common/retry_limiter';
+import * as runTable from '../common/run_table';
+import * as evacuator from './evacuator';
+import * as gatewayMetrics from './gateway_metrics';
+import * as generationScheduler from './generation_scheduler';
+import * as stateFollower from './state_follower';
+
+/** Tables, clients and systems of one gateway. */
+export interface GatewayServices {
+  readonly dataCentre: string;
+  readonly log: jsonLog.JsonLog;
+  readonly metrics: gatewayMetrics.GatewayMetrics;
+  readonly follower: stateFollower.StateFollower;
+  readonly client: instanceClient.InstanceClient;
+  readonly runs: runTable.RunTable;
+  readonly crashes: crashTable.CrashTable;
+  readonly retries: retryLimiter.RetryLimiter;
+  readonly peers: peerDigest.PeerTable;
+  readonly predictor: lengthPredictor.LengthPredictor;
+  readonly scheduler: generationScheduler.GenerationScheduler;
+  readonly evacuator: evacuator.Evacuator;
+}
--- /dev/null
+++ b/src/gateway/node/gateway_settings.ts
@@ -0,0 +1,73 @@
+/** The settings file of a gateway. */
+import * as neverthrow from 'neverthrow';
+import * as zod from 'zod';
+import * as failure from '../../base/common/failure';
+import * as settingsFile from '../../base/node/settings_file';
+
+/** A setting that may be left empty, as templates do when the platform has no value. */
+function optional<T>(schema: zod.ZodType<T>, fallback: T): zod.ZodType<T> {
+  return zod.z.preprocess(
+    value => (value === '' || value === undefined ? undefined : value),
+    schema.optional().transform(value => value ?? fallback),
+  ) as unknown as zod.ZodType<T>;
+}
+
+const address = settingsFile.addressSetting();
+const port = settingsFile.numberSetting(0, 65_535);
+
+const gatewayFileSchema = zod.z.object({
+  instance: zod.z.object({
+    name: zod.z.string().min(1, 'the name of this instance'),
+    data_centre: zod.z.string().min(1, 'the name of a data centre'),
+    /** IP that other gateways reach. */
+    ip: zod.z.string().min(1, 'an IP address'),
+  }),
+  listen: zod.z.object({
+    callers: address,
+    readiness: address,
+    /** Where state is served to other gateways; empty to serve none. */
+    peers: optional(zod.z.string(), ''),
+    /** Port of the metrics; 0 for any. */
+    metrics_port: optional(port as zod.ZodType<number>, 0),
+  }),
+  peers: zod.z.object({
+    /** Addresses of some gateways, separated by commas. */
+    seeds: optional(zod.z.string(), ''),
+    /** UDP port of digests, the same at all gateways. */
+    digest_port: port,
+  }),
+  platform: zod.z.object({store: address}),
+  shutdown: zod.z.object({
+    grace_seconds: optional(
+      settingsFile.numberSetting(0, 3_600) as zod.ZodType<number>,
+      8,
+    ),
+  }),
+  retries: zod.z.object({
+    window_seconds: optional(
+      settingsFile.numberSetting(0.1, 3_600) as zod.ZodType<number>,
+      10,
+    ),
+    ratio: optional(
+      settingsFile.numberSetting(0, 10) as zod.ZodType<number>,
+      0.1,
+    ),
+    allowance: optional(
+      settingsFile.numberSetting(0, 1_000_000) as zod.ZodType<number>,
+      10,
+    ),
+  }),
+});
+
+/** Settings of a gateway. */
+export type GatewaySettings = zod.infer<typeof gatewayFileSchema>;
+
+/** Errors: SettingsUnreadable, SettingsInvalid. */
+export function readGatewaySettings(
+  path: string,
+): neverthrow.Result<GatewaySettings, failure.Failure> {
+  return settingsFile.readSettings(
+    path,
+    gatewayFileSchema as unknown as zod.ZodType<GatewaySettings>,
+  );
+}
--- /dev/null
+++ b/src/gateway/node/generation_scheduler.ts
@@ -0,0 +1,193 @@
+/** Gives generations their instance, at once or when memory comes free. */
+import * as disposable from '../../base/common/disposable';
+import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as generationQueue from '../common/generation_queue';
+import * as instanceTable from '../common/instance_table';
+import * as placement from '../common/placement';
+import * as runTable from '../common/run_table';
+import * as callContext from './call_context';
+import * as stateFollower from './state_follower';
+
+/** Time between looks at the queue while generations wait, in milliseconds. */
+const STEP_MILLISECONDS = 40;
+/** Cost of another data centre for a new generation: its events cross once, which delays them little. */
+const REMOTE_COST_MILLISECONDS = 5;
+/** Output length assumed before anything is known, in tokens. */
+const ASSUMED_TOKENS = 400;
+
+/** A generation with its place. */
+export interface Grant {
+  readonly instance: instanceTable.Instance;
+  readonly run: runTable.Run;
+}
+
+interface WaitingCall extends generationQueue.WaitingGeneration {
+  readonly context: callContext.CallContext;
+  readonly resolve: (grant: Grant | undefined) => void;
+}
+
+/** Expected output length in tokens: the caller's estimate is right at the median, experience at the mean. */
+export function expectedTokens(
+  context: callContext.CallContext,
+  predictor: lengthPredictor.LengthPredictor,
+): number {
+  const {caller, customer, route} = context.call;
+  const distribution = predictor.distribution(customer?.name ?? '', route.name);
+  const learned = distribution.expectedRemaining(0, caller.maxTokens);
+  const known = caller.lengthHint ?? (learned > 0 ? learned : ASSUMED_TOKENS);
+  return Math.min(caller.maxTokens || known, (known + learned) / 2);
+}
+
+/** Places generations, the most urgent first. */
+export class GenerationScheduler implements disposable.Disposable {
+  private readonly queue = new generationQueue.GenerationQueue<WaitingCall>();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    private readonly follower: stateFollower.StateFollower,
+    private readonly runs: runTable.RunTable,
+    private readonly predictor: lengthPredictor.LengthPredictor,
+    private readonly dataCentre: string,
+  ) {
+    this.timer = setInterval(() => this.step(), STEP_MILLISECONDS);
+    this.timer.unref();
+  }
+
+  get waitingCount(): number {
+    return this.queue.length;
+  }
+
+  dispose(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Resolves with a place, or with undefined when there is none in time. */
+  grant(context: callContext.CallContext): Promise<Grant | undefined> {
+    return new Promise(resolve => {
+      const {arrivedAt, route} = context.call;
+      const waiting: WaitingCall = {
+        context,
+        resolve,
+        urgency: urgencyOf(context),
+        arrivedAt,
+        objectiveMilliseconds: route.objectiveMilliseconds,
+      };
+      if (!this.queue.add(waiting)) {
+        return resolve(undefined);
+      }
+      this.step();
+    });
+  }
+
+  /** Instance for a run that leaves its own one; its memory is counted there from now on. */
+  placeElsewhere(
+    run: runTable.Run,
+    source: instanceTable.Instance,
+    capacityTokens: number,
+    remoteCostMilliseconds: number,
+  ): placement.GenerationChoice | undefined {
+    const now = performance.now();
+    return placement.placeGeneration(
+      this.follower.instances.ofEndpoint(run.endpoint),
+      this.runs.totalLoads(now),
+      {
+        endpoint: run.endpoint,
+        dataCentre: source.record.dataCentre,
+        excluded: new Set([source.record.id]),
+        draw: Math.random,
+        promptTokens: run.promptTokens,
+        expectedTokens: run.expectedTokens,
+        capacityTokens,
+        remoteCostMilliseconds,
+      },
+      now,
+    );
+  }
+
+  /** Looks whether waiting generations can start. */
+  step(): void {
+    if (this.queue.length === 0) {
+      return;
+    }
+    const grants = new Map<WaitingCall, Grant>();
+    const {started, refused} = this.queue.step(performance.now(), waiting => {
+      if (waiting.context.isOver) {
+        return true;
+      }
+      const grant = this.tryPlace(waiting.context);
+      if (grant !== undefined) {
+        grants.set(waiting, grant);
+      }
+      return grant !== undefined;
+    });
+    started.forEach(waiting => waiting.resolve(grants.get(waiting)));
+    refused.forEach(waiting => waiting.resolve(undefined));
+  }
+
+  private tryPlace(context: callContext.CallContext): Grant | undefined {
+    const {call} = context;
+    const now = performance.now();
+    const loads = this.runs.totalLoads(now);
+    const engine = call.endpoint?.engine;
+    const expected = expectedTokens(context, this.predictor);
+    const choice = placement.placeGeneration(
+      this.follower.instances.ofEndpoint(call.endpointName),
+      loads,
+      {
+        endpoint: call.endpointName,
+        dataCentre: this.dataCentre,
+        excluded: context.excluded,
+        draw: Math.random,
+        promptTokens: call.caller.promptTokens,
+        expectedTokens: expected,
+        capacityTokens: engine?.memoryTokens || Infinity,
+        remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
+      },
+      now,
+    );
+    if (choice === undefined) {
+      return undefined;
+    }
+    const {instance, memoryShare} = choice;
+    const isIdle = (loads.get(instance.record.id)?.runs ?? 0) === 0;
+    if (memoryShare > generationQueue.ADMIT_SHARE && !isIdle) {
+      return undefined;
+    }
+    const run: runTable.Run = {
+      attemptId: call.caller.attemptId ?? '',
+      instanceId: instance.record.id,
+      copyInstanceId: undefined,
+      endpoint: call.endpointName,
+      promptTokens: call.caller.promptTokens,
+      maxTokens: call.caller.maxTokens,
+      expectedTokens: expected,
+      tokensPerEvent: engine?.tokensPerEvent ?? 1,
+      eventsDelivered: 0,
+      hasStarted: false,
+    };
+    this.runs.add(run);
+    context.log(
+      'generation-placed',
+      {
+        memory_share: round(memoryShare),
+        expected_tokens: Math.round(expected),
+        prompt_tokens: run.promptTokens,
+        waiting: this.queue.length,
+        runs_there: loads.get(instance.record.id)?.runs ?? 0,
+      },
+      instance,
+    );
+    return {instance, run};
+  }
+}
+
+/** Urgency at the engine: the customer's priority goes before the route's. */
+export function urgencyOf(context: callContext.CallContext): number {
+  const {customer, route} = context.call;
+  const priority = customer?.priority ?? route.priority;
+  return Math.max(0, Math.min(9, Math.round(priority)));
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/src/gateway/node/observability_server.ts
@@ -0,0 +1,57 @@
+/** Serves readiness to the balancer, and metrics to operators. */
+import * as http from 'node:http';
+import * as disposable from '../../base/common/disposable';
+import * as jsonLog from '../../base/node/json_log';
+import * as metrics from '../../base/node/metrics';
+
+/** Paths that ask whether the process takes connections. */
+const READY_PATHS = ['/readyz', '/healthz'];
+
+/** Answers on the readiness and the metrics address. */
+export class ObservabilityServer implements disposable.Disposable {
+  private readonly servers: http.Server[] = [];
+
+  constructor(
+    private readonly isReady: () => boolean,
+    private readonly registry: metrics.MetricsRegistry,
+    private readonly log: jsonLog.JsonLog,
+  ) {}
+
+  /** Serves on the address; a failure is logged, since requests are served without. */
+  listen(host: string, port: number): void {
+    const server = http.createServer((request, response) => {
+      void this.answer(request, response);
+    });
+    server.on('error', error =>
+      this.log.write('observability-failed', {error: error.message}, true),
+    );
+    server.listen(port, host);
+    this.servers.push(server);
+  }
+
+  dispose(): void {
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const path = (request.url ?? '').split('?', 1)[0];
+    if (READY_PATHS.includes(path)) {
+      response.writeHead(this.isReady() ? 200 : 503, {'Content-Length': 0});
+      response.end();
+      return;
+    }
+    if (path === '/metrics') {
+      const text = await this.registry.render();
+      response.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+      response.end(text);
+      return;
+    }
+    response.writeHead(404, {'Content-Length': 0}).end();
+  }
+}
--- /dev/null
+++ b/src/gateway/node/plain_call.ts
@@ -0,0 +1,239 @@
+/** Calls of plain services: the answer is collected whole before any of it is delivered. */
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as instanceClient from '../common/instance_client';
+import * as instanceTable from '../common/instance_table';
+import * as placement from '../common/placement';
+import * as callContext from './call_context';
+
+const {SendError} = instanceClient;
+
+/** Largest answer that is collected, in bytes; larger ones are not answers of these services. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** When to come back if no instance takes the call, in seconds. */
+const NO_INSTANCE_RETRY_SECONDS = 0.25;
+
+/** What one send came to. */
+interface SendOutcome {
+  readonly answer?: instanceClient.InstanceAnswer;
+  readonly body?: Buffer;
+  readonly error?: instanceClient.SendError;
+}
+
+/** Runs one call of a plain service. */
+export class PlainCall {
+  private exchange: instanceClient.Exchange | undefined;
+  /** A failure that an instance answered with, for delivery if no other instance does better. */
+  private lastAnswer: SendOutcome | undefined;
+
+  constructor(private readonly context: callContext.CallContext) {
+    context.whenGone(() => this.exchange?.cancel());
+  }
+
+  async run(): Promise<void> {
+    const {context} = this;
+    let isFirst = true;
+    for (;;) {
+      const instance = this.place();
+      if (instance === undefined) {
+        return this.giveUp(
+          resultCode.ResultCode.NoEndpoint,
+          'no instance of the endpoint takes work',
+        );
+      }
+      const outcome = await this.sendTo(instance);
+      if (context.isOver) {
+        return;
+      }
+      const repeat = this.judge(instance, outcome);
+      if (repeat === undefined || !context.mayRepeatNow(repeat)) {
+        return this.conclude(outcome, repeat);
+      }
+      context.excluded.add(instance.record.id);
+      context.log(
+        'call-repeated',
+        {
+          why: repeat,
+          error: outcome.error,
+          status: outcome.answer?.status,
+          first: isFirst,
+        },
+        instance,
+      );
+      isFirst = false;
+    }
+  }
+
+  private place(): instanceTable.Instance | undefined {
+    const {services, call, excluded} = this.context;
+    const now = performance.now();
+    return placement.placeCall(
+      services.follower.instances.ofEndpoint(call.endpointName),
+      {
+        endpoint: call.endpointName,
+        dataCentre: services.dataCentre,
+        excluded,
+        draw: Math.random,
+      },
+      now,
+    );
+  }
+
+  private async sendTo(instance: instanceTable.Instance): Promise<SendOutcome> {
+    const {context} = this;
+    const {call} = context;
+    context.noteSend();
+    instance.openRequests++;
+    const exchange = context.services.client.send(instance, {
+      caller: call.caller,
+      body: call.body,
+      remainingMilliseconds: context.remainingMilliseconds,
+      customer: call.customer?.name,
+      urgency: undefined,
+      lastEventId: undefined,
+      continuation: undefined,
+      backupAddress: undefined,
+    });
+    this.exchange = exchange;
+    let hasTimedOut = false;
+    const timer = setTimeout(
+      () => {
+        hasTimedOut = true;
+        exchange.cancel();
+      },
+      Math.max(0, context.remainingMilliseconds),
+    );
+    const outcome = await collect(exchange);
+    clearTimeout(timer);
+    instance.openRequests--;
+    context.services.metrics.sends.inc({outcome: describe(outcome)});
+    return hasTimedOut && outcome.error === SendError.Cancelled
+      ? {error: SendError.TimedOut}
+      : outcome;
+  }
+
+  /** Learns from the outcome; gives why the call may be sent again, if it may. */
+  private judge(
+    instance: instanceTable.Instance,
+    outcome: SendOutcome,
+  ): callContext.Repeat | undefined {
+    const now = performance.now();
+    const {answer, error} = outcome;
+    if (answer !== undefined && !answer.isNotRun) {
+      const isFailure = answer.status >= 500;
+      instanceTable.noteOutcome(instance, isFailure, now);
+      if (!isFailure) {
+        return undefined;
+      }
+      this.lastAnswer = outcome;
+      return callContext.Repeat.MayHaveRun;
+    }
+    instanceTable.noteOutcome(instance, true, now);
+    if (answer !== undefined || error === SendError.NeverSent) {
+      return callContext.Repeat.NotRun;
+    }
+    return error === SendError.TimedOut
+      ? undefined
+      : callContext.Repeat.MayHaveRun;
+  }
+
+  private conclude(
+    outcome: SendOutcome,
+    repeat: callContext.Repeat | undefined,
+  ): void {
+    if (outcome.answer !== undefined && !outcome.answer.isNotRun) {
+      return this.deliver(outcome);
+    }
+    if (repeat === callContext.Repeat.NotRun) {
+      return this.giveUp(
+        resultCode.ResultCode.Overloaded,
+        'every instance tried rejected the request',
+      );
+    }
+    if (outcome.error === SendError.TimedOut) {
+      const message = 'no answer within the time that the caller waits';
+      const {OutcomeUnknown} = resultCode.ResultCode;
+      return this.context.fail(
+        failure.unknownOutcome(OutcomeUnknown, message),
+        504,
+      );
+    }
+    this.giveUp(
+      resultCode.ResultCode.EndpointLost,
+      `the connection to the instance failed (${outcome.error})`,
+    );
+  }
+
+  /** Ends the call without another send: with the instance's own failure if there is one. */
+  private giveUp(code: resultCode.ResultCode, message: string): void {
+    if (this.lastAnswer !== undefined) {
+      return this.deliver(this.lastAnswer);
+    }
+    if (code === resultCode.ResultCode.EndpointLost || this.mayHaveRun) {
+      return this.context.fail(failure.unknownOutcome(code, message), 502);
+    }
+    this.context.refuse(code, message, NO_INSTANCE_RETRY_SECONDS);
+  }
+
+  private get mayHaveRun(): boolean {
+    return this.context.sendsThatMayHaveRun > 0;
+  }
+
+  private deliver(outcome: SendOutcome): void {
+    const {response} = this.context;
+    const {answer, body} = outcome;
+    const {services, call} = this.context;
+    if (this.context.isOver) {
+      return;
+    }
+    services.metrics.latency.observe(
+      {route: call.route.name},
+      (performance.now() - call.arrivedAt) / 1000,
+    );
+    const headers = [...answer!.passedHeaders];
+    if (call.caller.method !== 'HEAD') {
+      headers.push('Content-Length', String(body!.length));
+    }
+    if (answer!.status >= 500) {
+      this.context.log('instance-failure-delivered', {status: answer!.status});
+    }
+    this.context.finish(answer!.status >= 500 ? 'instance-failure' : 'served');
+    response.writeHead(answer!.status, headers);
+    response.end(body);
+  }
+}
+
+function describe(outcome: SendOutcome): string {
+  if (outcome.answer === undefined) {
+    return outcome.error ?? 'none';
+  }
+  return outcome.answer.isNotRun
+    ? 'rejected'
+    : `status-${outcome.answer.status}`;
+}
+
+/** Waits for the whole answer. */
+async function collect(
+  exchange: instanceClient.Exchange,
+): Promise<SendOutcome> {
+  const result = await exchange.answer;
+  if (result.isErr()) {
+    return {error: result.error};
+  }
+  const answer = result.value;
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    answer.body.listen({
+      onData(chunk) {
+        chunks.push(chunk);
+        length += chunk.length;
+        if (length > MAX_ANSWER_BYTES) {
+          exchange.cancel();
+        }
+      },
+      onDidEnd: () => resolve({answer, body: Buffer.concat(chunks)}),
+      onDidFail: () => resolve({error: SendError.ConnectionLost}),
+    });
+  });
+}
--- /dev/null
+++ b/src/gateway/node/request_handler.ts
@@ -0,0 +1,242 @@
+/** Accepts or rejects the requests of callers, and starts their calls. */
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as httpServer from '../../base/node/http_server';
+import * as configuration from '../common/configuration';
+import * as instanceClient from '../common/instance_client';
+import * as routeIndex from '../common/route_index';
+import * as callContext from './call_context';
+import * as callerAnswer from './caller_answer';
+import * as gatewayServices from './gateway_services';
+import * as plainCall from './plain_call';
+import * as streamCall from './stream_call';
+
+const {ResultCode} = resultCode;
+
+/** Age up to which the configuration is trusted to reject a route or key, in milliseconds. */
+const REJECTION_MAX_AGE_MILLISECONDS = 250;
+/** When to come back while nothing is configured, in seconds. */
+const NOT_READY_RETRY_SECONDS = 0.5;
+/** When to come back to a gateway that is about to end: other gateways take the caller at once. */
+const LEAVING_RETRY_SECONDS = 0.05;
+
+/** Decodes requests as the platform's callers send them. */
+export abstract class CallerDecoder {
+  abstract decode(request: http.IncomingMessage): instanceClient.CallerRequest;
+  /** Whether the request names no host, or several. */
+  abstract hasAmbiguousHost(request: http.IncomingMessage): boolean;
+}
+
+interface Accepted {
+  readonly index: routeIndex.RouteIndex;
+  readonly route: configuration.Route;
+  readonly customer: configuration.Customer | undefined;
+}
+
+/** Handles every request of callers. */
+export class RequestHandler {
+  isLeaving = false;
+
+  constructor(
+    private readonly services: gatewayServices.GatewayServices,
+    private readonly decoder: CallerDecoder,
+  ) {}
+
+  async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const arrivedAt = performance.now();
+    if (this.isLeaving) {
+      response.setHeader('Connection', 'close');
+    }
+    const caller = this.decoder.decode(request);
+    const rejected = await this.rejectEarly(request, caller);
+    if (rejected !== undefined) {
+      return this.reject(request, response, caller, rejected);
+    }
+    const accepted = await this.accept(caller);
+    if (accepted instanceof Rejection) {
+      return this.reject(request, response, caller, accepted);
+    }
+    const {limits} = accepted.index.configuration;
+    const body = await httpServer.readBody(request, limits.maxBodyBytes);
+    if (body.isErr()) {
+      return this.reject(request, response, caller, new Rejection(body.error));
+    }
+    if (!response.destroyed) {
+      await this.start(caller, body.value, accepted, arrivedAt, response);
+    }
+  }
+
+  private async start(
+    caller: instanceClient.CallerRequest,
+    body: Buffer,
+    accepted: Accepted,
+    arrivedAt: number,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const {index, route, customer} = accepted;
+    const endpointName = routeIndex.drawEndpoint(route, Math.random());
+    const wait = Math.min(
+      caller.waitMilliseconds ?? Infinity,
+      route.timeoutMilliseconds,
+    );
+    const context = new callContext.CallContext(
+      this.services,
+      {
+        caller,
+        body,
+        route,
+        endpoint: index.findEndpoint(endpointName ?? ''),
+        endpointName: endpointName ?? '',
+        customer,
+        arrivedAt,
+        deadlineAt: arrivedAt + wait,
+        fingerprint: fingerprintOf(caller, body, route, customer),
+        configurationVersion: index.configuration.version,
+      },
+      response,
+    );
+    this.services.retries.noteRequest(context.call.endpointName, arrivedAt);
+    const isStreaming = route.kind === configuration.RequestKind.Streaming;
+    if (
+      this.services.crashes.isCondemned(context.call.fingerprint, arrivedAt)
+    ) {
+      return context.refuse(
+        ResultCode.PoisonRequest,
+        'the request ended the instances that ran it',
+        Infinity,
+      );
+    }
+    if (isStreaming && this.isLeaving) {
+      return context.refuse(
+        ResultCode.NotReady,
+        'this gateway ends before the generation would',
+        LEAVING_RETRY_SECONDS,
+      );
+    }
+    await (isStreaming
+      ? new streamCall.StreamCall(context).start()
+      : new plainCall.PlainCall(context).run());
+  }
+
+  private async rejectEarly(
+    request: http.IncomingMessage,
+    caller: instanceClient.CallerRequest,
+  ): Promise<Rejection | undefined> {
+    const {follower} = this.services;
+    if (this.decoder.hasAmbiguousHost(request)) {
+      return rejection(
+        ResultCode.MalformedRequest,
+        'host: expected exactly one',
+      );
+    }
+    const limits = follower.routes?.configuration.limits;
+    const headerBytes = request.rawHeaders.reduce(
+      (sum, text) => sum + text.length + 2,
+      caller.target.length,
+    );
+    if (limits !== undefined && headerBytes > limits.maxHeaderBytes) {
+      return rejection(
+        ResultCode.HeadersTooLarge,
+        `headers: ${headerBytes} bytes, at most ${limits.maxHeaderBytes}`,
+      );
+    }
+    return undefined;
+  }
+
+  /** Finds route and customer; rejects only by a configuration that was confirmed lately, where the store can be asked. */
+  private async accept(
+    caller: instanceClient.CallerRequest,
+  ): Promise<Accepted | Rejection> {
+    const first = this.find(caller);
+    if (!(first instanceof Rejection)) {
+      return first;
+    }
+    await this.services.follower.refreshConfiguration(
+      REJECTION_MAX_AGE_MILLISECONDS,
+    );
+    return this.find(caller);
+  }
+
+  private find(caller: instanceClient.CallerRequest): Accepted | Rejection {
+    const index = this.services.follower.routes;
+    if (index === undefined) {
+      return rejection(
+        ResultCode.NotReady,
+        'no configuration is known yet',
+        NOT_READY_RETRY_SECONDS,
+      );
+    }
+    const route = index.findRoute(caller.host, caller.path);
+    if (route === undefined) {
+      return rejection(
+        ResultCode.UnknownRoute,
+        `no route for host "${caller.host}" and path "${caller.path}"`,
+      );
+    }
+    if (!index.needsKeys || route.isPublic) {
+      return {index, route, customer: undefined};
+    }
+    const customer =
+      caller.key === undefined ? undefined : index.findCustomer(caller.key);
+    if (customer === undefined) {
+      return rejection(
+        ResultCode.Unauthenticated,
+        'authorization: the key is missing or unknown',
+      );
+    }
+    return {index, route, customer};
+  }
+
+  private reject(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    caller: instanceClient.CallerRequest,
+    cause: Rejection,
+  ): void {
+    const {follower, log} = this.services;
+    log.write('request-rejected', {
+      request: caller.attemptId,
+      result: ResultCode[cause.failure.code],
+      reason: cause.failure.message,
+      configuration: follower.configurationVersion,
+      configuration_age_ms: Math.round(follower.configurationAge()),
+    });
+    // An unread body would be taken for the next request.
+    if (!request.complete) {
+      response.setHeader('Connection', 'close');
+    }
+    callerAnswer.answerFailure(response, cause.failure);
+  }
+}
+
+/** Why a request is not served. */
+class Rejection {
+  constructor(readonly failure: failure.Failure) {}
+}
+
+function rejection(
+  code: resultCode.ResultCode,
+  message: string,
+  retryAfterSeconds?: number,
+): Rejection {
+  return new Rejection(failure.notRun(code, message, retryAfterSeconds));
+}
+
+/** Identifies requests with the same route, customer, path and body. */
+function fingerprintOf(
+  caller: instanceClient.CallerRequest,
+  body: Buffer,
+  route: configuration.Route,
+  customer: configuration.Customer | undefined,
+): string {
+  return crypto
+    .createHash('sha1')
+    .update(`${route.name}\n${customer?.name ?? ''}\n${caller.target}\n`)
+    .update(body)
+    .digest('base64url');
+}
--- /dev/null
+++ b/src/platform/http_exchange.ts
@@ -0,0 +1,185 @@
+/** One request to a replica over node:http, and its answer. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as neverthrow from 'neverthrow';
+import * as instanceClient from '../gateway/common/instance_client';
+import * as callerCodec from './caller_codec';
+import * as wireNames from './wire_names';
+
+const {Headers} = wireNames;
+const {SendError} = instanceClient;
+
+/** Time for a connection to be made, in milliseconds; replicas accept within a few. */
+const CONNECT_TIMEOUT_MILLISECONDS = 400;
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+type SendResult = neverthrow.Result<
+  instanceClient.InstanceAnswer,
+  instanceClient.SendError
+>;
+
+/** One request and its answer. */
+export class HttpExchange implements instanceClient.Exchange {
+  readonly answer: Promise<SendResult>;
+  private settle!: (result: SendResult) => void;
+  private request: http.ClientRequest | undefined;
+  private isConnected = false;
+  private isCancelled = false;
+  private hasSocketFailed = false;
+
+  constructor(private readonly attemptId: string | undefined) {
+    this.answer = new Promise(resolve => (this.settle = resolve));
+  }
+
+  start(
+    options: http.RequestOptions,
+    body: Buffer,
+    onDidConnect: () => void,
+  ): void {
+    try {
+      this.request = http.request(options);
+    } catch {
+      // node:http refuses targets and headers that it cannot write; nothing was sent.
+      this.settle(neverthrow.err(SendError.NeverSent));
+      return;
+    }
+    const {request} = this;
+    request.once('socket', socket => this.takeSocket(socket, onDidConnect));
+    request.once('response', response => this.takeResponse(response));
+    request.once('error', () => this.fail());
+    request.once('close', () => this.fail());
+    request.end(body);
+  }
+
+  cancel(): void {
+    this.isCancelled = true;
+    this.request?.destroy();
+    this.fail();
+  }
+
+  private takeSocket(socket: net.Socket, onDidConnect: () => void): void {
+    const noteFailure = () => (this.hasSocketFailed = true);
+    // Before node:http's own listener, which takes a reset for the end of a body without length.
+    socket.prependListener('error', noteFailure);
+    this.request!.once('close', () => socket.off('error', noteFailure));
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    const timer = setTimeout(
+      () => this.request?.destroy(),
+      CONNECT_TIMEOUT_MILLISECONDS,
+    );
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      this.isConnected = true;
+      onDidConnect();
+    });
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  private takeResponse(response: http.IncomingMessage): void {
+    const answer = decodeAnswer(response, () => this.hasSocketFailed);
+    if (!answersRequest(response, this.attemptId, answer)) {
+      this.settle(neverthrow.err(SendError.WrongAnswer));
+      this.request!.destroy();
+      return;
+    }
+    this.settle(neverthrow.ok(answer));
+  }
+
+  private fail(): void {
+    if (!this.isConnected) {
+      return this.settle(neverthrow.err(SendError.NeverSent));
+    }
+    this.settle(
+      neverthrow.err(
+        this.isCancelled ? SendError.Cancelled : SendError.ConnectionLost,
+      ),
+    );
+  }
+}
+
+function decodeAnswer(
+  response: http.IncomingMessage,
+  hasSocketFailed: () => boolean,
+): instanceClient.InstanceAnswer {
+  const status = response.statusCode ?? 0;
+  return {
+    status,
+    isNotRun: response.headers[Headers.notRun] !== undefined || status === 421,
+    isStamped: response.headers[Headers.stamp] !== undefined,
+    passedHeaders: callerCodec.passableHeaders(response, NO_HEADERS),
+    body: new HttpBody(response, hasSocketFailed),
+  };
+}
+
+/** Whether the answer is one to this request, in the form that a replica gives. */
+function answersRequest(
+  response: http.IncomingMessage,
+  attemptId: string | undefined,
+  answer: instanceClient.InstanceAnswer,
+): boolean {
+  const echoed = response.headers[Headers.attemptId];
+  const isOther = echoed !== undefined && echoed !== attemptId;
+  const isAnonymous = echoed === undefined && attemptId !== undefined;
+  const isSuccess = answer.status >= 200 && answer.status < 300;
+  if (isOther || (isAnonymous && !answer.isNotRun)) {
+    return false;
+  }
+  const isEncoded = response.headers['content-encoding'] !== undefined;
+  return !isEncoded && (!isSuccess || answer.isStamped);
+}
+
+class HttpBody implements instanceClient.AnswerBody {
+  readonly isDelimited: boolean;
+  private failure: string | undefined;
+  private listener: instanceClient.BodyListener | undefined;
+
+  constructor(
+    private readonly response: http.IncomingMessage,
+    private readonly hasSocketFailed: () => boolean,
+  ) {
+    this.isDelimited =
+      response.headers['content-length'] !== undefined ||
+      response.headers['transfer-encoding'] !== undefined;
+    response.once('error', error => this.fail(String(error.message)));
+    response.once('close', () => this.fail('closed'));
+  }
+
+  listen(listener: instanceClient.BodyListener): void {
+    this.listener = listener;
+    if (this.failure !== undefined) {
+      listener.onDidFail(this.failure);
+      return;
+    }
+    this.response.on('data', (chunk: Buffer) => listener.onData(chunk));
+    this.response.once('end', () => this.end());
+  }
+
+  pause(): void {
+    this.response.pause();
+  }
+
+  resume(): void {
+    this.response.resume();
+  }
+
+  private end(): void {
+    const isReset = !this.isDelimited && this.hasSocketFailed();
+    if (!this.response.complete || isReset) {
+      return this.fail('ended early');
+    }
+    if (this.failure === undefined) {
+      this.failure = 'ended';
+      this.listener?.onDidEnd();
+    }
+  }
+
+  private fail(reason: string): void {
+    if (this.failure === undefined) {
+      this.failure = reason;
+      this.listener?.onDidFail(reason);
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/instance_agent.ts
@@ -0,0 +1,57 @@
+/** Keeps connections to replicas open between requests, and drops those that must not carry another. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+
+/** Longest time for which an idle connection is kept, in milliseconds. */
+const MAX_IDLE_MILLISECONDS = 4_000;
+/** Part of the announced idle time that is not used, so that the replica does not close first. */
+const IDLE_MARGIN_MILLISECONDS = 1_000;
+/** Idle time that is not worth keeping a connection for. */
+const MIN_IDLE_MILLISECONDS = 200;
+
+/** Time for which a connection may stay idle, by the Keep-Alive header of its last answer. */
+export function idleMilliseconds(keepAlive: string | undefined): number {
+  const announced = /(?:^|[ ,])timeout=(\d+)/.exec(keepAlive ?? '')?.[1];
+  if (announced === undefined) {
+    return MAX_IDLE_MILLISECONDS;
+  }
+  const usable = Number(announced) * 1000 - IDLE_MARGIN_MILLISECONDS;
+  return Math.min(MAX_IDLE_MILLISECONDS, usable);
+}
+
+interface AgentSocket extends net.Socket {
+  readonly _httpMessage?: {readonly res?: http.IncomingMessage};
+}
+
+/** Pools connections by address. */
+export class InstanceAgent extends http.Agent {
+  constructor() {
+    super({keepAlive: true, scheduling: 'lifo', noDelay: true});
+  }
+
+  /** Called by node:http when a request has ended; false closes the connection. */
+  override keepSocketAlive(socket: AgentSocket): boolean {
+    const keepAlive = socket._httpMessage?.res?.headers['keep-alive'];
+    const idle = idleMilliseconds(
+      Array.isArray(keepAlive) ? keepAlive[0] : keepAlive,
+    );
+    if (idle < MIN_IDLE_MILLISECONDS || socket.readableLength > 0) {
+      return false;
+    }
+    socket.setTimeout(idle);
+    socket.unref();
+    socket.on('data', destroyOnStrayBytes);
+    return true;
+  }
+
+  override reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
+    socket.off('data', destroyOnStrayBytes);
+    socket.setTimeout(0);
+    super.reuseSocket(socket, request);
+  }
+}
+
+/** Bytes on an idle connection answer no request; what follows them could not be told apart. */
+function destroyOnStrayBytes(this: net.Socket): void {
+  this.destroy();
+}
--- /dev/null
+++ b/src/platform/instance_http_client.ts
@@ -0,0 +1,195 @@
+/** The client of the replicas: sends callers' requests and orders about running generations. */
+import * as http from 'node:http';
+import * as neverthrow from 'neverthrow';
+import * as instanceClient from '../gateway/common/instance_client';
+import * as instanceTable from '../gateway/common/instance_table';
+import * as httpExchange from './http_exchange';
+import * as instanceAgent from './instance_agent';
+import * as requestCodec from './request_codec';
+import * as wireNames from './wire_names';
+
+const {Headers, Paths} = wireNames;
+const {CopyError} = instanceClient;
+
+/** Bound on a report, in milliseconds. */
+const REPORT_TIMEOUT_MILLISECONDS = 300;
+
+/** Sends over node:http with pooled connections. */
+export class InstanceHttpClient extends instanceClient.InstanceClient {
+  private readonly agent = new instanceAgent.InstanceAgent();
+
+  constructor(private readonly onDidConnect: () => void = () => undefined) {
+    super();
+  }
+
+  send(
+    instance: instanceTable.Instance,
+    request: instanceClient.InstanceRequest,
+  ): instanceClient.Exchange {
+    const exchange = new httpExchange.HttpExchange(request.caller.attemptId);
+    const {hostname, port} = splitAddress(instance.record.address);
+    exchange.start(
+      {
+        hostname,
+        port,
+        method: request.caller.method,
+        path: request.caller.target,
+        headers: requestCodec.encodeHeaders(instance.record.id, request),
+        agent: this.agent,
+      },
+      request.body,
+      this.onDidConnect,
+    );
+    return exchange;
+  }
+
+  async copyRun(
+    source: instanceTable.Instance,
+    order: instanceClient.CopyOrder,
+  ): Promise<
+    neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure>
+  > {
+    const body = JSON.stringify({
+      id: order.attemptId,
+      target: order.target.record.address,
+      last: order.isFinal,
+    });
+    const answer = await this.callJson(
+      source,
+      'POST',
+      Paths.moveRun,
+      body,
+      order.timeoutMilliseconds,
+    );
+    return decodeCopy(answer);
+  }
+
+  dropCopy(source: instanceTable.Instance, handle: string): void {
+    const path = Paths.copies + encodeURIComponent(handle);
+    // The copy expires by itself when this call is lost.
+    void this.callJson(source, 'DELETE', path, '', REPORT_TIMEOUT_MILLISECONDS);
+  }
+
+  async readReport(
+    instance: instanceTable.Instance,
+  ): Promise<instanceClient.InstanceReport | undefined> {
+    const answer = await this.callJson(
+      instance,
+      'GET',
+      Paths.report,
+      '',
+      REPORT_TIMEOUT_MILLISECONDS,
+    );
+    if (answer?.status !== 200) {
+      return undefined;
+    }
+    const {leaves_ms, kvInUse, active, queued} = answer.body;
+    return {
+      leavesInMilliseconds:
+        typeof leaves_ms === 'number' ? leaves_ms : undefined,
+      memoryInUseTokens: Number(kvInUse ?? 0),
+      activeRuns: Number(active ?? 0),
+      queuedRuns: Number(queued ?? 0),
+    };
+  }
+
+  /** Closes all connections. */
+  dispose(): void {
+    this.agent.destroy();
+  }
+
+  private callJson(
+    instance: instanceTable.Instance,
+    method: string,
+    path: string,
+    body: string,
+    timeoutMilliseconds: number,
+  ): Promise<JsonAnswer | undefined> {
+    const {hostname, port} = splitAddress(instance.record.address);
+    const headers: http.OutgoingHttpHeaders = {
+      [Headers.expectedInstance]: instance.record.id,
+    };
+    if (body.length > 0) {
+      headers['content-type'] = 'application/json';
+      headers['content-length'] = Buffer.byteLength(body);
+    }
+    return new Promise(resolve => {
+      const request = http.request(
+        {hostname, port, method, path, headers, agent: this.agent},
+        response => {
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.once('error', () => resolve(undefined));
+          response.once('end', () =>
+            resolve({
+              status: response.statusCode ?? 0,
+              body: parseFields(Buffer.concat(chunks)),
+            }),
+          );
+        },
+      );
+      const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
+      request.once('close', () => {
+        clearTimeout(timer);
+        resolve(undefined);
+      });
+      request.once('error', () => resolve(undefined));
+      request.end(body);
+    });
+  }
+}
+
+interface JsonAnswer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+function parseFields(bytes: Buffer): Readonly<Record<string, unknown>> {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as unknown;
+    return typeof value === 'object' && value !== null
+      ? (value as Record<string, unknown>)
+      : {};
+  } catch {
+    // An answer without fields; its status decides.
+    return {};
+  }
+}
+
+function decodeCopy(
+  answer: JsonAnswer | undefined,
+): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
+  const handle =
+    answer?.body.kvHandle === undefined
+      ? undefined
+      : String(answer.body.kvHandle);
+  if (answer?.status === 200 && handle !== undefined) {
+    return neverthrow.ok({
+      handle,
+      // Events generated so far, not a time of creation.
+      eventCount: Number(answer.body.created ?? 0),
+    });
+  }
+  return neverthrow.err({error: copyErrorOf(answer?.status), handle});
+}
+
+function copyErrorOf(status: number | undefined): instanceClient.CopyError {
+  switch (status) {
+    case 404:
+      return CopyError.NoSuchRun;
+    case 409:
+      return CopyError.Busy;
+    case 503:
+      return CopyError.NoRoom;
+    default:
+      return CopyError.Unreachable;
+  }
+}
+
+function splitAddress(address: string): {hostname: string; port: number} {
+  const separator = address.lastIndexOf(':');
+  return {
+    hostname: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+  };
+}
--- /dev/null
+++ b/src/platform/metadata_store.ts
@@ -0,0 +1,238 @@
+/** The client of the platform's metadata store. */
+import * as http from 'node:http';
+import * as neverthrow from 'neverthrow';
+import * as configuration from '../gateway/common/configuration';
+import * as instanceTable from '../gateway/common/instance_table';
+import * as stateSource from '../gateway/common/state_source';
+import * as objectCodec from './object_codec';
+import * as wireNames from './wire_names';
+
+/** Bound on a read, in milliseconds; the store answers in about 4. */
+const READ_TIMEOUT_MILLISECONDS = 600;
+/** How long a watch may wait at the store, in milliseconds; bounds how long a silent connection goes unnoticed. */
+export const WATCH_MILLISECONDS = 2_000;
+/** Time beyond the wait after which a watch counts as silent, in milliseconds. */
+const WATCH_MARGIN_MILLISECONDS = 500;
+
+/** Where the store is, and what counts its calls. */
+export interface StoreTarget {
+  /** IP and port. */
+  readonly address: string;
+  readonly onDidCall?: (operation: string) => void;
+}
+
+type Body = Readonly<Record<string, unknown>>;
+
+/** Reads configuration and instances from the store over HTTP. */
+export class MetadataStore extends stateSource.StateSource {
+  private readonly agent = new http.Agent({keepAlive: true, maxSockets: 4});
+
+  constructor(private readonly target: StoreTarget) {
+    super();
+  }
+
+  async readConfiguration(): stateSource.SourceResult<
+    stateSource.Snapshot<configuration.Configuration>
+  > {
+    const {configuration: kind} = wireNames.Kinds;
+    const path = `/objects/${kind}/${wireNames.CONFIGURATION_NAME}`;
+    const read = await this.call('read', path, READ_TIMEOUT_MILLISECONDS);
+    return read.andThen(body => {
+      const stored = objectCodec.decodeObject(body);
+      const value = stored && objectCodec.decodeConfiguration(stored);
+      return value === undefined
+        ? neverthrow.err(stateSource.SourceError.Malformed)
+        : neverthrow.ok({revision: stored!.revision, value});
+    });
+  }
+
+  async watchConfiguration(
+    revision: number,
+  ): stateSource.SourceResult<
+    stateSource.Snapshot<configuration.Configuration | undefined>
+  > {
+    const watched = await this.watch(wireNames.Kinds.configuration, revision);
+    return watched.map(({revision: at, value: events}) => {
+      const latest = events
+        .filter(event => event.name === wireNames.CONFIGURATION_NAME)
+        .map(
+          event =>
+            event.stored && objectCodec.decodeConfiguration(event.stored),
+        )
+        .filter(value => value !== undefined)
+        .pop();
+      return {revision: at, value: latest};
+    });
+  }
+
+  async listInstances(): stateSource.SourceResult<
+    stateSource.Snapshot<instanceTable.InstanceRecord[]>
+  > {
+    const records: instanceTable.InstanceRecord[] = [];
+    let after = '';
+    for (;;) {
+      const path = `/objects/${wireNames.Kinds.instances}${after}`;
+      const read = await this.call('list', path, READ_TIMEOUT_MILLISECONDS);
+      if (read.isErr()) {
+        return neverthrow.err(read.error);
+      }
+      const page = decodePage(read.value);
+      records.push(
+        ...page.objects
+          .map(objectCodec.decodeInstance)
+          .filter(record => record !== undefined),
+      );
+      if (!page.hasMore || page.lastName === undefined) {
+        return neverthrow.ok({revision: page.revision, value: records});
+      }
+      // The name of the parameter says revision, but lists continue from a name.
+      after = `?sinceRev=${encodeURIComponent(page.lastName)}`;
+    }
+  }
+
+  async watchInstances(
+    revision: number,
+  ): stateSource.SourceResult<
+    stateSource.Snapshot<stateSource.InstanceChange[]>
+  > {
+    const watched = await this.watch(wireNames.Kinds.instances, revision);
+    return watched.map(({revision: at, value: events}) => ({
+      revision: at,
+      value: events.map(event => ({
+        id: event.name,
+        record: event.stored && objectCodec.decodeInstance(event.stored),
+      })),
+    }));
+  }
+
+  /** Closes all connections. */
+  dispose(): void {
+    this.agent.destroy();
+  }
+
+  private async watch(
+    kind: string,
+    revision: number,
+  ): stateSource.SourceResult<stateSource.Snapshot<WatchEvent[]>> {
+    const path = `/objects/${kind}?watch=${revision}&waitMs=${WATCH_MILLISECONDS}`;
+    const answer = await this.call(
+      'watch',
+      path,
+      WATCH_MILLISECONDS + WATCH_MARGIN_MILLISECONDS,
+    );
+    return answer.andThen(body => {
+      if (typeof body.at !== 'number') {
+        return neverthrow.err(stateSource.SourceError.Malformed);
+      }
+      const events = Array.isArray(body.events) ? body.events : [];
+      const value = events
+        .map(decodeEvent)
+        .filter(event => event !== undefined);
+      return neverthrow.ok({revision: body.at, value});
+    });
+  }
+
+  private call(
+    operation: string,
+    path: string,
+    timeoutMilliseconds: number,
+  ): stateSource.SourceResult<Body> {
+    this.target.onDidCall?.(operation);
+    return new Promise(resolve => {
+      const fail = (error: stateSource.SourceError) => {
+        clearTimeout(timer);
+        resolve(neverthrow.err(error));
+        request.destroy();
+      };
+      const request = http.get(
+        `http://${this.target.address}${path}`,
+        {agent: this.agent},
+        response => {
+          const error = errorOfStatus(response.statusCode ?? 0);
+          if (error !== undefined) {
+            response.resume();
+            clearTimeout(timer);
+            return resolve(neverthrow.err(error));
+          }
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.once('end', () => {
+            clearTimeout(timer);
+            resolve(parseBody(Buffer.concat(chunks)));
+          });
+          response.once('error', () =>
+            fail(stateSource.SourceError.Unreachable),
+          );
+        },
+      );
+      const timer = setTimeout(
+        () => fail(stateSource.SourceError.Unreachable),
+        timeoutMilliseconds,
+      );
+      request.once('error', () => fail(stateSource.SourceError.Unreachable));
+    });
+  }
+}
+
+/** One event of a watch; without an object when it was deleted. */
+interface WatchEvent {
+  readonly name: string;
+  readonly stored: objectCodec.StoredObject | undefined;
+}
+
+function errorOfStatus(status: number): stateSource.SourceError | undefined {
+  if (status === 200) {
+    return undefined;
+  }
+  if (status === 410) {
+    return stateSource.SourceError.HistoryLost;
+  }
+  if (status === 429 || status === 503) {
+    return stateSource.SourceError.Busy;
+  }
+  return status === 404
+    ? stateSource.SourceError.Missing
+    : stateSource.SourceError.Malformed;
+}
+
+function parseBody(
+  bytes: Buffer,
+): neverthrow.Result<Body, stateSource.SourceError> {
+  try {
+    return neverthrow.ok(JSON.parse(bytes.toString('utf8')) as Body);
+  } catch {
+    return neverthrow.err(stateSource.SourceError.Malformed);
+  }
+}
+
+function decodeEvent(value: unknown): WatchEvent | undefined {
+  const event = value as {object?: unknown; deleted?: unknown} | null;
+  const stored = objectCodec.decodeObject(event?.object);
+  if (stored === undefined) {
+    return undefined;
+  }
+  return {
+    name: stored.name,
+    stored: event?.deleted === true ? undefined : stored,
+  };
+}
+
+interface Page {
+  readonly objects: objectCodec.StoredObject[];
+  readonly hasMore: boolean;
+  readonly lastName: string | undefined;
+  readonly revision: number;
+}
+
+function decodePage(body: Body): Page {
+  const entries = Array.isArray(body.entries) ? body.entries : [];
+  const objects = entries
+    .map(objectCodec.decodeObject)
+    .filter(stored => stored !== undefined);
+  return {
+    objects,
+    hasMore: body.hasMore === true,
+    lastName: objects[objects.length - 1]?.name,
+    revision: typeof body.at === 'number' ? body.at : 0,
+  };
+}
--- /dev/null
+++ b/src/platform/platform_adapter.ts
@@ -0,0 +1,44 @@
+/** Creates the parts of the adapter that programs use. */
+import * as http from 'node:http';
+import * as instanceClient from '../gateway/common/instance_client';
+import * as stateSource from '../gateway/common/state_source';
+import * as requestHandler from '../gateway/node/request_handler';
+import * as callerCodec from './caller_codec';
+import * as instanceHttpClient from './instance_http_client';
+import * as metadataStore from './metadata_store';
+import * as wireNames from './wire_names';
+
+/** Path of the settings file that the platform wrote for this process. */
+export function settingsPath(): string {
+  return process.env[wireNames.SETTINGS_VARIABLE] ?? '';
+}
+
+/** Reads configuration and instances from the metadata store at the address. */
+export function createStateSource(
+  address: string,
+  onDidCall: (operation: string) => void,
+): stateSource.StateSource {
+  return new metadataStore.MetadataStore({address, onDidCall});
+}
+
+/** Speaks to the platform's replicas. */
+export function createInstanceClient(
+  onDidConnect: () => void,
+): instanceClient.InstanceClient {
+  return new instanceHttpClient.InstanceHttpClient(onDidConnect);
+}
+
+/** Decodes what the platform's callers send. */
+export function createCallerDecoder(): requestHandler.CallerDecoder {
+  return new PlatformCallerDecoder();
+}
+
+class PlatformCallerDecoder extends requestHandler.CallerDecoder {
+  decode(request: http.IncomingMessage): instanceClient.CallerRequest {
+    return callerCodec.decodeCallerRequest(request);
+  }
+
+  hasAmbiguousHost(request: http.IncomingMessage): boolean {
+    return callerCodec.hasAmbiguousHost(request);
+  }
+}
--- /dev/null
+++ b/src/platform/wire_names.ts
@@ -0,0 +1,79 @@
+/** Names that the platform, its callers and its replicas use on the wire. */
+
+/** Headers, in lower case as node:http gives them. */
+export const Headers = {
+  attemptId: 'x-rhubarbvane-attempt-id',
+  /** Milliseconds that the sender will still wait, not a point in time. */
+  remainingMilliseconds: 'x-rhubarbvane-deadline-ms',
+  promptParts: 'x-rhubarbvane-prompt-prefix',
+  lastEventId: 'last-event-id',
+  /** The replica's proof that the answer is its own. */
+  stamp: 'x-rhubarbvane-server-stamp',
+  customer: 'x-rhubarbvane-tenant',
+  expectedInstance: 'x-rhubarbvane-expect-replica',
+  notRun: 'x-rhubarbvane-not-executed',
+  instanceId: 'x-rhubarbvane-replica-id',
+  model: 'x-rhubarbvane-model',
+  /** Prompt tokens and the limit of output tokens, not a count. */
+  tokenLimits: 'x-rhubarbvane-token-count',
+  /** 0 is the most urgent. */
+  urgency: 'x-rhubarbvane-request-urgency',
+  expectedVersion: 'x-rhubarbvane-expect-version',
+  pin: 'x-rhubarbvane-pin-ms',
+  hold: 'x-rhubarbvane-kv-hold',
+  lengthHint: 'x-rhubarbvane-length-hint',
+  backup: 'x-rhubarbvane-kv-backup',
+  fetch: 'kv-fetch',
+  continueFrom: 'kv-from',
+  authorization: 'authorization',
+  retryAfter: 'retry-after',
+} as const;
+
+/** Headers of callers that only the system may set, or that it replaces. */
+export const SYSTEM_HEADERS: ReadonlySet<string> = new Set([
+  Headers.remainingMilliseconds,
+  Headers.customer,
+  Headers.expectedInstance,
+  Headers.urgency,
+  Headers.expectedVersion,
+  Headers.pin,
+  Headers.hold,
+  Headers.backup,
+  Headers.fetch,
+  Headers.continueFrom,
+  Headers.authorization,
+]);
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1), and those of framing. */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'content-length',
+  'expect',
+]);
+
+/** Calls of replicas. */
+export const Paths = {
+  report: '/report',
+  moveRun: '/kv-move',
+  copies: '/kv-handle/',
+} as const;
+
+/** Kinds of objects in the metadata store. */
+export const Kinds = {
+  instances: 'servers',
+  configuration: 'config',
+} as const;
+
+/** Name of the only object of the configuration's kind. */
+export const CONFIGURATION_NAME = 'main';
+
+/** Environment variable with the path of the settings file. */
+export const SETTINGS_VARIABLE = 'RHUBARBVANE_NODE_FILE';
--- a/src/side/node/order_gate.ts
+++ b/src/side/node/order_gate.ts
@@ -4,8 +4,8 @@
 import * as log from '../../base/node/log';
 import * as fencingGate from '../../decision/common/fencing_gate';
 import * as engineClient from '../../endpoint/common/engine_client';
-import * as lease from '../../platform/common/lease';
-import * as objectStore from '../../platform/common/object_store';
+import * as lease from '../../storage/common/lease';
+import * as objectStore from '../../storage/common/object_store';
 import * as sideCalls from '../../protocol/common/side_calls';
 
 /** Enforces the highest fencing number for the engine of one instance. */
--- a/src/side/node/side_process.ts
+++ b/src/side/node/side_process.ts
@@ -12,7 +12,7 @@
 import * as admissionSystem from '../../decision/common/admission_system';
 import * as httpEngineClient from '../../endpoint/node/http_engine_client';
 import * as httpServiceClient from '../../endpoint/node/http_service_client';
-import * as objectStore from '../../platform/common/object_store';
+import * as objectStore from '../../storage/common/object_store';
 import * as linkMessages from '../../protocol/common/link_messages';
 import * as peerCalls from '../../protocol/common/peer_calls';
 import * as sideCalls from '../../protocol/common/side_calls';
--- a/standins/platform_standin.ts
+++ b/standins/platform_standin.ts
@@ -2,7 +2,7 @@
 import * as http from 'node:http';
 import * as deadline from '../src/base/common/deadline';
 import * as httpServer from '../src/base/node/http_server';
-import * as instanceList from '../src/platform/common/instance_list';
+import * as instanceList from '../src/storage/common/instance_list';
 import * as standinServer from './standin_server';
 
 const VALUE_LIMIT_BYTES = 1024 * 1024;
--- a/test/side/order_gate.test.ts
+++ b/test/side/order_gate.test.ts
@@ -1,7 +1,7 @@
 import * as ava from 'ava';
 import * as resultCode from '../../src/base/common/result_code';
 import * as engineClient from '../../src/endpoint/common/engine_client';
-import * as lease from '../../src/platform/common/lease';
+import * as lease from '../../src/storage/common/lease';
 import * as sideCalls from '../../src/protocol/common/side_calls';
 import * as orderGate from '../../src/side/node/order_gate';
 import * as memoryStore from '../support/memory_store';
--- a/test/platform/lease.test.ts
+++ b/test/storage/lease.test.ts
@@ -1,7 +1,7 @@
 import * as fakeTimers from '@sinonjs/fake-timers';
 import * as ava from 'ava';
 import * as fencingGate from '../../src/decision/common/fencing_gate';
-import * as lease from '../../src/platform/common/lease';
+import * as lease from '../../src/storage/common/lease';
 import * as memoryStore from '../support/memory_store';
 
 const test = ava.default;
--- a/test/support/memory_store.ts
+++ b/test/support/memory_store.ts
@@ -1,6 +1,6 @@
 /** An object API in memory with scripted faults, for tests of its users. */
 import * as neverthrow from 'neverthrow';
-import * as objectStore from '../../src/platform/common/object_store';
+import * as objectStore from '../../src/storage/common/object_store';
 
 /** What happens to one call. */
 export enum StoreFault {
