--- a/src/gateway/common/evacuation.ts
+++ b/src/gateway/common/evacuation.ts
@@ -1,24 +1,22 @@
 /**
  * Plans how running generations leave an instance that is about to end.
  *
- * All gateways copy to the same link, so the plan has two phases: first each
- * run is copied while it goes on, one after the other; then, at a moment that
- * every gateway derives from the notice alone, all runs are stopped and the
- * few tokens made since are copied. A stop that waits behind the whole copy of
- * another run would leave its caller without events for too long.
+ * Answers instances that are taken away with one or two seconds of notice. Each
+ * run is copied while it goes on, one after the other since all share a link,
+ * and goes on from its copy when the instance breaks off: what it generated in
+ * between is read again in a few milliseconds. Stopping a run to copy its last
+ * tokens would wait behind the whole copies of other runs.
  */
 
-/** Time from notice to the end of an instance that does not say when it leaves, in milliseconds. */
-export const ASSUMED_NOTICE_MILLISECONDS = 1_500;
-/** Time before the end at which the runs are stopped, in milliseconds: for the last parts and lost answers. */
-const STOP_MARGIN_MILLISECONDS = 350;
+/** Part of a copy's lifetime after which it is refreshed. */
+const REFRESH_SHARE = 0.6;
 
 /** How far a run's evacuation has come. */
 export enum EvacuationState {
+  /** To be copied at `dueAt`. */
   Waiting = 'waiting',
   Copying = 'copying',
-  Copied = 'copied',
-  Stopping = 'stopping',
+  /** Ended, moved or without need of a copy. */
   Done = 'done',
 }
 
@@ -28,58 +26,60 @@
   /** What its caller loses if the run is lost; larger goes first. */
   readonly value: number;
   state: EvacuationState;
-}
-
-/** What to do next. */
-export interface EvacuationCommands<T> {
-  readonly copy: EvacuatedRun<T>[];
-  readonly stop: EvacuatedRun<T>[];
+  dueAt: number;
 }
 
 /** The evacuation of one instance by one gateway. */
 export class Evacuation<T> {
   private readonly runs: EvacuatedRun<T>[];
-  private endsAt: number;
 
   constructor(
     runs: readonly {readonly run: T; readonly value: number}[],
-    readonly startedAt: number,
+    now: number,
+    private readonly copyLifetimeMilliseconds: number,
   ) {
     this.runs = runs
-      .map(each => ({...each, state: EvacuationState.Waiting}))
+      .map(each => ({...each, state: EvacuationState.Waiting, dueAt: now}))
       .sort((left, right) => right.value - left.value);
-    this.endsAt = startedAt + ASSUMED_NOTICE_MILLISECONDS;
   }
 
-  /** Moment at which the runs are stopped. */
-  get stopsAt(): number {
-    return this.endsAt - STOP_MARGIN_MILLISECONDS;
+  /** Adds a run that came to the instance later. */
+  add(run: T, value: number, now: number): void {
+    this.runs.push({run, value, state: EvacuationState.Waiting, dueAt: now});
+    this.runs.sort((left, right) => right.value - left.value);
   }
 
   get isDone(): boolean {
     return this.runs.every(each => each.state === EvacuationState.Done);
   }
 
-  /** Learns when the instance ends. */
-  noteEnd(endsAt: number): void {
-    this.endsAt = Math.max(endsAt, this.startedAt);
+  /** The run to copy now, which counts as being copied from then on; undefined when there is none. */
+  next(now: number): EvacuatedRun<T> | undefined {
+    if (this.runs.some(each => each.state === EvacuationState.Copying)) {
+      return undefined;
+    }
+    const due = this.runs.find(
+      each => each.state === EvacuationState.Waiting && each.dueAt <= now,
+    );
+    if (due !== undefined) {
+      due.state = EvacuationState.Copying;
+    }
+    return due;
   }
 
-  /** Gives the next commands; the runs count as under way from then on. */
-  step(now: number): EvacuationCommands<T> {
-    const stop =
-      now >= this.stopsAt ? this.inState(EvacuationState.Copied) : [];
-    stop.forEach(each => (each.state = EvacuationState.Stopping));
-    const isCopying = this.inState(EvacuationState.Copying).length > 0;
-    const next = this.runs.find(each => each.state === EvacuationState.Waiting);
-    if (isCopying || next === undefined || now >= this.endsAt) {
-      return {copy: [], stop};
-    }
-    next.state = EvacuationState.Copying;
-    return {copy: [next], stop};
+  /** Notes a copy; it is refreshed before it expires. */
+  noteCopied(copied: EvacuatedRun<T>, now: number): void {
+    copied.state = EvacuationState.Waiting;
+    copied.dueAt = now + this.copyLifetimeMilliseconds * REFRESH_SHARE;
   }
 
-  private inState(state: EvacuationState): EvacuatedRun<T>[] {
-    return this.runs.filter(each => each.state === state);
+  /** Notes a failed copy, to be tried again after the pause. */
+  noteFailed(
+    failed: EvacuatedRun<T>,
+    now: number,
+    pauseMilliseconds: number,
+  ): void {
+    failed.state = EvacuationState.Waiting;
+    failed.dueAt = now + pauseMilliseconds;
   }
 }
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -12,6 +12,10 @@
 const STEP_MILLISECONDS = 40;
 /** Cost of another data centre for a new generation: its events cross once, which delays them little. */
 const REMOTE_COST_MILLISECONDS = 5;
+/** Cost of a backup in another data centre, in milliseconds: it takes the link twice as long. */
+const REMOTE_BACKUP_COST_MILLISECONDS = 60;
+/** Memory share, by the expected ends of all runs and copies, up to which an engine takes backups. */
+const MAX_BACKUP_SHARE = Number(process.env.BACKUP_SHARE ?? 0.6);
 /** Output length assumed before anything is known, in tokens. */
 const ASSUMED_TOKENS = 400;
 
@@ -104,6 +108,23 @@
     );
   }
 
+  /** Instance with memory to spare for a running copy; undefined when memory is needed for work. */
+  placeBackup(
+    run: runTable.Run,
+    source: instanceTable.Instance,
+    capacityTokens: number,
+  ): instanceTable.Instance | undefined {
+    const choice = this.placeElsewhere(
+      run,
+      source,
+      capacityTokens,
+      REMOTE_BACKUP_COST_MILLISECONDS,
+    );
+    const hasRoom =
+      choice !== undefined && choice.memoryShare <= MAX_BACKUP_SHARE;
+    return hasRoom ? choice.instance : undefined;
+  }
+
   /** Looks whether waiting generations can start. */
   step(): void {
     if (this.queue.length === 0) {
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -14,8 +14,8 @@
 
 /** When to come back if engines are expected to be full, in seconds. */
 const CROWDED_RETRY_SECONDS = 1;
-/** Time for which the old stream may deliver its last events after a move, in milliseconds. */
-const DRAIN_MILLISECONDS = 40;
+/** Time after the notice of an instance in which a run may still go on from its copy there, in milliseconds; no work may reach it two seconds after. */
+const DRAINING_COPY_MILLISECONDS = 1_000;
 /** Largest failure answer that is collected, in bytes. */
 const MAX_FAILURE_BYTES = 65_536;
 
@@ -34,11 +34,11 @@
 /** Runs one generation. */
 export class StreamCall extends evacuator.MovableCall {
   run!: runTable.Run;
-  copy: instanceClient.RunTarget | undefined;
-  private move: Promise<instanceClient.RunTarget | undefined> | undefined;
+  private copy: instanceClient.RunTarget | undefined;
   private exchange: instanceClient.Exchange | undefined;
   private delivery!: eventDelivery.EventDelivery;
   private failureBody = Buffer.alloc(0);
+  private hasBackup = false;
   private legCount = 0;
   private deadlineTimer: NodeJS.Timeout | undefined;
 
@@ -58,13 +58,16 @@
     this.context.log(event, {events: this.run.eventsDelivered, ...fields});
   }
 
-  noteCopy(target: instanceClient.RunTarget): void {
-    this.copy = target;
+  /** A resumable stream goes on anywhere by event id. */
+  get needsCopy(): boolean {
+    const isBackedUp =
+      this.hasBackup && this.copy?.instance.drainingAt === undefined;
+    return !this.context.call.route.isResumable && !isBackedUp;
   }
 
-  beginMove(target: Promise<instanceClient.RunTarget | undefined>): void {
-    this.move = target;
-    void target.then(moved => this.leaveOldStream(moved));
+  noteCopy(target: instanceClient.RunTarget): void {
+    this.hasBackup = false;
+    this.copy = target;
   }
 
   async start(): Promise<void> {
@@ -127,7 +130,7 @@
     run.instanceId = leg.instance.record.id;
     run.copyInstanceId = undefined;
     this.copy = undefined;
-    this.move = undefined;
+    const backup = this.chooseBackup(leg.instance);
     this.delivery.beginLeg();
     this.legCount++;
     if (leg.continuation === undefined) {
@@ -141,9 +144,10 @@
       urgency: generationScheduler.urgencyOf(context),
       lastEventId: this.delivery.lastEventId,
       continuation: leg.continuation,
-      backupAddress: undefined,
+      backupAddress: backup?.record.address,
     });
     this.exchange = exchange;
+    services.evacuator.include(this, leg.instance);
     leg.instance.openRequests++;
     const end = await this.receive(exchange);
     leg.instance.openRequests--;
@@ -159,6 +163,39 @@
     return end;
   }
 
+  /** Chooses where a running copy is kept; it covers the end of the instance without notice. */
+  private chooseBackup(
+    source: instanceTable.Instance,
+  ): instanceTable.Instance | undefined {
+    const {run, engine, context} = this;
+    this.hasBackup = false;
+    if (context.call.route.isResumable || !engine.canBackUpRuns) {
+      return undefined;
+    }
+    const backup = context.services.scheduler.placeBackup(
+      run,
+      source,
+      engine.memoryTokens || Infinity,
+    );
+    if (backup === undefined) {
+      return undefined;
+    }
+    this.hasBackup = true;
+    run.copyInstanceId = backup.record.id;
+    this.copy = {
+      instance: backup,
+      continuation: {
+        sourceAddress: backup.record.address,
+        handle: run.attemptId,
+      },
+    };
+    this.log('backup-chosen', {
+      instance: source.record.id,
+      backup: backup.record.id,
+    });
+    return backup;
+  }
+
   private async receive(exchange: instanceClient.Exchange): Promise<LegEnd> {
     const result = await exchange.answer;
     if (result.isErr()) {
@@ -190,11 +227,6 @@
           }
         },
         onDidEnd: () => {
-          // A stopped run's stream without marked end closes like a whole one.
-          const isStopped = this.move !== undefined && !answer.body.isDelimited;
-          if (isStopped) {
-            return resolve(LegEnd.Broken);
-          }
           this.conclude(answer);
           resolve(LegEnd.Whole);
         },
@@ -253,7 +285,7 @@
       return undefined;
     }
     if (end === LegEnd.Broken) {
-      const copied = (await this.move) ?? this.copy;
+      const copied = this.takeCopy();
       if (copied !== undefined) {
         return copied;
       }
@@ -264,6 +296,19 @@
     return this.repeat(leg, end);
   }
 
+  /** The copy to go on from, unless its instance is gone. */
+  private takeCopy(): instanceClient.RunTarget | undefined {
+    const {copy} = this;
+    this.copy = undefined;
+    const {instances} = this.context.services.follower;
+    const now = performance.now();
+    const isThere =
+      copy !== undefined &&
+      instances.get(copy.instance.record.id) === copy.instance &&
+      now - (copy.instance.drainingAt ?? now) < DRAINING_COPY_MILLISECONDS;
+    return isThere ? copy : undefined;
+  }
+
   /** Goes on by event id after events were delivered, where the route allows it. */
   private async resume(
     leg: instanceClient.RunTarget,
@@ -362,16 +407,6 @@
     context.response.end(this.failureBody);
   }
 
-  /** Closes the old stream after a move, in case its instance did not. */
-  private leaveOldStream(moved: instanceClient.RunTarget | undefined): void {
-    const {exchange} = this;
-    if (moved === undefined) {
-      this.move = undefined;
-      return;
-    }
-    setTimeout(() => exchange?.cancel(), DRAIN_MILLISECONDS);
-  }
-
   private expire(): void {
     const {context} = this;
     if (context.isOver) {
