Tell a reset from an orderly end of an answer without length

Cause: libuv reports a reset that arrives together with data as the end of the stream (POLLHUP after a partial read), so node:http completed the body. Ruled out: a missing error listener (no error is emitted).

--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -4,6 +4,7 @@
 import * as neverthrow from 'neverthrow';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as callerCodec from './caller_codec';
+import * as socketReset from './socket_reset';
 import * as wireNames from './wire_names';
 
 const {Headers} = wireNames;
@@ -59,9 +60,16 @@
 
   private takeSocket(socket: net.Socket, onDidConnect: () => void): void {
     const noteFailure = () => (this.hasSocketFailed = true);
-    // Before node:http's own listener, which takes a reset for the end of a body without length.
+    const noteEnd = () => {
+      this.hasSocketFailed ||= socketReset.wasReset(socket);
+    };
+    // Before node:http's own listeners, which take a reset for the end of a body without length.
     socket.prependListener('error', noteFailure);
-    this.request!.once('close', () => socket.off('error', noteFailure));
+    socket.prependListener('end', noteEnd);
+    this.request!.once('close', () => {
+      socket.off('error', noteFailure);
+      socket.off('end', noteEnd);
+    });
     if (!socket.connecting) {
       this.isConnected = true;
       return;
--- /dev/null
+++ b/src/platform/socket_reset.ts
@@ -0,0 +1,26 @@
+/** Tells a reset connection from one that was closed in order. */
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+
+interface HandleWithDescriptor {
+  readonly fd?: number;
+}
+
+/**
+ * Whether the peer reset the connection whose end was just reported. A reset
+ * that arrives together with data is reported by libuv as an orderly end (its
+ * handling of POLLHUP after a partial read); the next read still fails.
+ */
+export function wasReset(socket: net.Socket): boolean {
+  const handle = (socket as unknown as {_handle?: HandleWithDescriptor})
+    ._handle;
+  if (handle?.fd === undefined || handle.fd < 0) {
+    return false;
+  }
+  try {
+    fs.readSync(handle.fd, Buffer.alloc(1), 0, 1, null);
+    return false;
+  } catch (error) {
+    return (error as NodeJS.ErrnoException).code === 'ECONNRESET';
+  }
+}
--- /dev/null
+++ b/test/platform/instance_http_client.test.ts
@@ -0,0 +1,228 @@
+/** What the client of replicas makes of answers that are late, doubled, spoiled or cut. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as ava from 'ava';
+import * as instanceClient from '../../src/gateway/common/instance_client';
+import * as instanceTable from '../../src/gateway/common/instance_table';
+import * as instanceHttpClient from '../../src/platform/instance_http_client';
+
+const test = ava.default;
+const ATTEMPT = '00000000000000a1';
+const {SendError} = instanceClient;
+
+const SUCCESS = [
+  'HTTP/1.1 200 OK',
+  `X-Rhubarbvane-Attempt-Id: ${ATTEMPT}`,
+  'X-Rhubarbvane-Server-Stamp: s',
+];
+
+function text(lines: readonly string[], body = ''): string {
+  return [...lines, '', body].join('\r\n');
+}
+
+/** Listens on a free port; the handler gets each connection with its first bytes. */
+async function listen(
+  t: ava.ExecutionContext,
+  answer: (socket: net.Socket, count: number) => void,
+): Promise<instanceTable.Instance> {
+  let count = 0;
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => answer(socket, ++count));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  return instanceAt((server.address() as net.AddressInfo).port);
+}
+
+function instanceAt(port: number): instanceTable.Instance {
+  const table = new instanceTable.InstanceTable();
+  const record = {
+    id: 'i-1',
+    endpoint: 'ledger',
+    address: `127.0.0.1:${port}`,
+    dataCentre: 'a',
+    state: instanceTable.InstanceState.Ready,
+    slots: 1,
+    warmUpMilliseconds: 0,
+    startedAt: 0,
+  };
+  return table.replace([record], 0).added[0];
+}
+
+function request(): instanceClient.InstanceRequest {
+  return {
+    caller: {
+      method: 'GET',
+      target: '/a/b?c=d',
+      path: '/a/b',
+      host: 'h.example',
+      attemptId: ATTEMPT,
+      waitMilliseconds: 1000,
+      key: undefined,
+      promptTokens: 0,
+      maxTokens: 0,
+      lengthHint: undefined,
+      lastEventId: undefined,
+      passedHeaders: ['Host', 'h.example', 'X-Rhubarbvane-Attempt-Id', ATTEMPT],
+    },
+    body: Buffer.alloc(0),
+    remainingMilliseconds: 1000,
+    customer: 'c',
+    urgency: undefined,
+    lastEventId: undefined,
+    continuation: undefined,
+    backupAddress: undefined,
+  };
+}
+
+interface Outcome {
+  readonly error?: instanceClient.SendError;
+  readonly status?: number;
+  readonly body?: string;
+  readonly failure?: string;
+}
+
+async function receive(exchange: instanceClient.Exchange): Promise<Outcome> {
+  const result = await exchange.answer;
+  if (result.isErr()) {
+    return {error: result.error};
+  }
+  const {status, body} = result.value;
+  return new Promise(resolve => {
+    let received = '';
+    body.listen({
+      onData: chunk => (received += chunk.toString()),
+      onDidEnd: () => resolve({status, body: received}),
+      onDidFail: () => resolve({status, failure: 'ended early'}),
+    });
+  });
+}
+
+interface Case {
+  readonly title: string;
+  readonly answer: (socket: net.Socket) => void;
+  readonly expected: Outcome;
+}
+
+const CASES: readonly Case[] = [
+  {
+    title: 'a whole answer with a length',
+    answer: socket =>
+      socket.write(text([...SUCCESS, 'Content-Length: 5'], 'whole')),
+    expected: {status: 200, body: 'whole'},
+  },
+  {
+    title: 'an answer without length that ends in order',
+    answer: socket => socket.end(text(SUCCESS, 'whole')),
+    expected: {status: 200, body: 'whole'},
+  },
+  {
+    title: 'an answer without length whose reset arrives with its bytes',
+    answer: socket => {
+      socket.write(text(SUCCESS, 'par'));
+      socket.resetAndDestroy();
+    },
+    expected: {status: 200, failure: 'ended early'},
+  },
+  {
+    title: 'an answer that ends before its length',
+    answer: socket =>
+      socket.end(text([...SUCCESS, 'Content-Length: 9'], 'par')),
+    expected: {status: 200, failure: 'ended early'},
+  },
+  {
+    title: 'an answer to another request',
+    answer: socket =>
+      socket.write(
+        text([
+          'HTTP/1.1 200 OK',
+          'X-Rhubarbvane-Attempt-Id: 00000000000000a2',
+          'X-Rhubarbvane-Server-Stamp: s',
+          'Content-Length: 0',
+        ]),
+      ),
+    expected: {error: SendError.WrongAnswer},
+  },
+  {
+    title: 'a success without proof',
+    answer: socket =>
+      socket.write(text([...SUCCESS.slice(0, 2), 'Content-Length: 0'])),
+    expected: {error: SendError.WrongAnswer},
+  },
+  {
+    title: 'a body in an encoding that was not asked for',
+    answer: socket =>
+      socket.write(
+        text([...SUCCESS, 'Content-Encoding: gzip', 'Content-Length: 0']),
+      ),
+    expected: {error: SendError.WrongAnswer},
+  },
+  {
+    title: 'bytes that are no answer',
+    answer: socket => socket.write('~~~~ nonsense\r\n\r\n'),
+    expected: {error: SendError.ConnectionLost},
+  },
+  {
+    title: 'a connection closed without an answer',
+    answer: socket => socket.destroy(),
+    expected: {error: SendError.ConnectionLost},
+  },
+];
+
+for (const each of CASES) {
+  test(`replica: ${each.title}`, async t => {
+    const instance = await listen(t, each.answer);
+    const client = new instanceHttpClient.InstanceHttpClient();
+    t.teardown(() => client.dispose());
+    const outcome = await receive(client.send(instance, request()));
+    t.deepEqual(outcome, each.expected);
+  });
+}
+
+test('replica: a refused connection proves that nothing was sent', async t => {
+  const server = http.createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  const outcome = await receive(client.send(instanceAt(port), request()));
+  t.deepEqual(outcome, {error: SendError.NeverSent});
+});
+
+test('replica: a second answer on a kept connection is not taken for the next one', async t => {
+  const whole = text([...SUCCESS, 'Content-Length: 3'], 'one');
+  const instance = await listen(t, (socket, count) => {
+    socket.write(count === 1 ? whole + whole : whole.replace('one', 'two'));
+  });
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  t.deepEqual(await receive(client.send(instance, request())), {
+    status: 200,
+    body: 'one',
+  });
+  t.deepEqual(await receive(client.send(instance, request())), {
+    status: 200,
+    body: 'two',
+  });
+});
+
+test('replica: a stray answer that arrives while the connection is idle closes it', async t => {
+  const whole = text([...SUCCESS, 'Content-Length: 3'], 'one');
+  let first: net.Socket | undefined;
+  const instance = await listen(t, (socket, count) => {
+    first ??= socket;
+    socket.write(count === 1 ? whole : whole.replace('one', 'two'));
+  });
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  await receive(client.send(instance, request()));
+  const closed = new Promise(resolve => first!.once('close', resolve));
+  first!.write(whole);
+  await closed;
+  t.deepEqual(await receive(client.send(instance, request())), {
+    status: 200,
+    body: 'two',
+  });
+});
