Refuse in the last moments of grace; back off from cut watches

Watches that were cut at once were followed by reads without pause, since a read ended the back-off.

--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -25,6 +25,8 @@
 const BALANCER_MILLISECONDS = 3_500;
 /** Time before the end of grace at which the process ends by itself, in milliseconds. */
 const GRACE_MARGIN_MILLISECONDS = 300;
+/** Time before its own end in which the process refuses requests that it might not finish, in milliseconds. */
+const LAST_CALL_MILLISECONDS = 1_500;
 const LEAVE_CHECK_MILLISECONDS = 50;
 /** Interval at which standstills of the process are looked for, in milliseconds. */
 const STANDSTILL_CHECK_MILLISECONDS = 200;
@@ -188,6 +190,7 @@
     for (;;) {
       await deadline.delay(LEAVE_CHECK_MILLISECONDS);
       const now = performance.now();
+      this.handler.isClosing = now >= endsAt - LAST_CALL_MILLISECONDS;
       const isIdle = this.server.openRequestCount === 0;
       if (now >= endsAt || (isIdle && now >= mayEndAt)) {
         break;
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -37,7 +37,10 @@
 
 /** Handles every request of callers. */
 export class RequestHandler {
+  /** Whether the process is about to end: no generation would. */
   isLeaving = false;
+  /** Whether the process ends before any request surely would. */
+  isClosing = false;
 
   constructor(
     private readonly services: gatewayServices.GatewayServices,
@@ -111,10 +114,10 @@
         Infinity,
       );
     }
-    if (isStreaming && this.isLeaving) {
+    if (this.isClosing || (isStreaming && this.isLeaving)) {
       return context.refuse(
         ResultCode.NotReady,
-        'this gateway ends before the generation would',
+        'this gateway ends before the request would',
         LEAVING_RETRY_SECONDS,
       );
     }
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -124,27 +124,45 @@
     }
   }
 
-  private async followConfiguration(): Promise<void> {
-    let failures = 0;
-    while (!this.isDisposed) {
-      const isOk =
-        this.index === undefined || failures > 0
-          ? await this.readConfiguration()
-          : await this.watchConfiguration();
-      failures = isOk ? 0 : failures + 1;
-      await this.backOff(failures);
-    }
+  private followConfiguration(): Promise<void> {
+    return this.follow(
+      () => this.index !== undefined,
+      () => this.readConfiguration(),
+      () => this.watchConfiguration(),
+    );
+  }
+
+  private followInstances(): Promise<void> {
+    return this.follow(
+      () => this.registry.revision > 0,
+      () => this.listInstances(),
+      () => this.watchInstances(),
+    );
   }
 
-  private async followInstances(): Promise<void> {
+  /**
+   * Reads once, then watches, and reads again after a failure. Only a watch
+   * that held ends the back-off: a source that answers reads and cuts watches
+   * would be called without pause.
+   */
+  private async follow(
+    isKnown: () => boolean,
+    read: () => Promise<boolean>,
+    watch: () => Promise<boolean>,
+  ): Promise<void> {
     let failures = 0;
+    let isCurrent = false;
     while (!this.isDisposed) {
-      const isOk =
-        this.registry.revision === 0 || failures > 0
-          ? await this.listInstances()
-          : await this.watchInstances();
-      failures = isOk ? 0 : failures + 1;
-      await this.backOff(failures);
+      if (!isCurrent || !isKnown()) {
+        isCurrent = await read();
+        failures += isCurrent ? 0 : 1;
+      } else {
+        isCurrent = await watch();
+        failures = isCurrent ? 0 : failures + 1;
+      }
+      if (!isCurrent) {
+        await this.backOff(failures);
+      }
     }
   }
 
