--- a/src/gateway/common/evacuation.ts
+++ b/src/gateway/common/evacuation.ts
@@ -8,8 +8,12 @@
  * tokens would wait behind the whole copies of other runs.
  */
 
-/** Part of a copy's lifetime after which it is refreshed. */
-const REFRESH_SHARE = 0.6;
+/**
+ * Time after which a copy is brought up to date, in milliseconds. What the copy
+ * lacks is read again before the next event, so it bounds the caller's pause;
+ * copies expire after seconds.
+ */
+const REFRESH_MILLISECONDS = 250;
 
 /** How far a run's evacuation has come. */
 export enum EvacuationState {
@@ -27,6 +31,8 @@
   readonly value: number;
   state: EvacuationState;
   dueAt: number;
+  /** Whether there is a copy, which only needs to be brought up to date. */
+  isCopied: boolean;
 }
 
 /** The evacuation of one instance by one gateway. */
@@ -36,16 +42,21 @@
   constructor(
     runs: readonly {readonly run: T; readonly value: number}[],
     now: number,
-    private readonly copyLifetimeMilliseconds: number,
   ) {
     this.runs = runs
-      .map(each => ({...each, state: EvacuationState.Waiting, dueAt: now}))
+      .map(each => ({
+        ...each,
+        state: EvacuationState.Waiting,
+        dueAt: now,
+        isCopied: false,
+      }))
       .sort((left, right) => right.value - left.value);
   }
 
   /** Adds a run that came to the instance later. */
   add(run: T, value: number, now: number): void {
-    this.runs.push({run, value, state: EvacuationState.Waiting, dueAt: now});
+    const state = EvacuationState.Waiting;
+    this.runs.push({run, value, state, dueAt: now, isCopied: false});
     this.runs.sort((left, right) => right.value - left.value);
   }
 
@@ -58,19 +69,22 @@
     if (this.runs.some(each => each.state === EvacuationState.Copying)) {
       return undefined;
     }
-    const due = this.runs.find(
-      each => each.state === EvacuationState.Waiting && each.dueAt <= now,
-    );
+    const due = this.runs
+      .filter(
+        each => each.state === EvacuationState.Waiting && each.dueAt <= now,
+      )
+      .sort((left, right) => Number(left.isCopied) - Number(right.isCopied))[0];
     if (due !== undefined) {
       due.state = EvacuationState.Copying;
     }
     return due;
   }
 
-  /** Notes a copy; it is refreshed before it expires. */
+  /** Notes a copy, to be brought up to date after a while. */
   noteCopied(copied: EvacuatedRun<T>, now: number): void {
     copied.state = EvacuationState.Waiting;
-    copied.dueAt = now + this.copyLifetimeMilliseconds * REFRESH_SHARE;
+    copied.isCopied = true;
+    copied.dueAt = now + REFRESH_MILLISECONDS;
   }
 
   /** Notes a failed copy, to be tried again after the pause. */
--- a/src/gateway/common/generation_queue.ts
+++ b/src/gateway/common/generation_queue.ts
@@ -5,7 +5,7 @@
  */
 
 /** Largest share of memory, by the expected ends of all runs, to which an engine is filled. Runs peak at different times. */
-export const ADMIT_SHARE = 1.25;
+export const ADMIT_SHARE = 1.1;
 /** Share of the objective that a generation may spend waiting; the rest is for its prompt. */
 const WAIT_SHARE = 0.6;
 /** Generations that wait at most; more could not start in time. */
--- a/src/gateway/node/evacuator.ts
+++ b/src/gateway/node/evacuator.ts
@@ -24,14 +24,13 @@
 const REMOTE_COPY_COST_MILLISECONDS = 200;
 /** Time after which an evacuation ends though its instance still runs, in milliseconds. */
 const MAX_DURATION_MILLISECONDS = 30_000;
-/** Lifetime of a copy where the configuration does not state it, in milliseconds. */
-const ASSUMED_COPY_LIFETIME_MILLISECONDS = 5_000;
-
 /** A generation that can be moved. */
 export abstract class MovableCall {
   abstract readonly run: runTable.Run;
   abstract readonly engine: configuration.EngineProfile;
   abstract readonly isOver: boolean;
+  /** Instance that holds a copy already and stays; undefined when there is none. */
+  abstract readonly copyTarget: instanceTable.Instance | undefined;
   /** Whether losing the run loses what its caller has received. */
   abstract readonly needsCopy: boolean;
   /** A copy that the call goes on from when its instance breaks off. */
@@ -105,14 +104,12 @@
       return;
     }
     const now = performance.now();
-    const lifetime = movable[0].engine.copyLifetimeSeconds * 1000;
     const departure: Departure = {
       instance,
       startedAt: now,
       plan: new evacuation.Evacuation(
         movable.map(run => ({run, value: runTable.finalMemory(run.run)})),
         now,
-        lifetime || ASSUMED_COPY_LIFETIME_MILLISECONDS,
       ),
       timer: setInterval(() => this.step(departure), STEP_MILLISECONDS),
     };
@@ -151,7 +148,7 @@
       evacuated.state = EvacuationState.Done;
       return;
     }
-    const target = this.chooseTarget(instance, call);
+    const target = call.copyTarget ?? this.chooseTarget(instance, call);
     if (target === undefined) {
       plan.noteFailed(evacuated, performance.now(), RETRY_PAUSE_MILLISECONDS);
       return;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -15,7 +15,7 @@
 /** Cost of a backup in another data centre, in milliseconds: it takes the link twice as long. */
 const REMOTE_BACKUP_COST_MILLISECONDS = 60;
 /** Memory share, by the expected ends of all runs and copies, up to which an engine takes backups. */
-const MAX_BACKUP_SHARE = Number(process.env.BACKUP_SHARE ?? 0.6);
+const MAX_BACKUP_SHARE = 0.8;
 /** Output length assumed before anything is known, in tokens. */
 const ASSUMED_TOKENS = 400;
 
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -65,6 +65,11 @@
     return !this.context.call.route.isResumable && !isBackedUp;
   }
 
+  get copyTarget(): instanceTable.Instance | undefined {
+    const target = this.copy?.instance;
+    return target?.drainingAt === undefined ? target : undefined;
+  }
+
   noteCopy(target: instanceClient.RunTarget): void {
     this.hasBackup = false;
     this.copy = target;
