Watch quiet streams, share crashes, bound the patience with silent instances

Silent connections, hanging and dark replicas had no time-out of their own on streams and reads. A quiet stream is now judged by a report over another connection; a silent one whose run lives is stopped and taken elsewhere.

--- a/src/gateway/common/crash_table.ts
+++ b/src/gateway/common/crash_table.ts
@@ -5,6 +5,8 @@
 /** Time for which a crash is held against a request, in milliseconds. */
 const CRASH_LIFETIME_MILLISECONDS = 120_000;
 const MAX_FINGERPRINTS = 4_096;
+/** Time after a whole run in which a crash is not held against the request, in milliseconds: peers still tell of older ones. */
+const CLEARED_MILLISECONDS = 10_000;
 /** Crashes that a digest to a peer carries at most. */
 const MAX_SHARED = 16;
 
@@ -12,7 +14,8 @@
 export interface Crash {
   /** Hash of route, customer, path and body. */
   readonly fingerprint: string;
-  readonly instanceId: string;
+  /** Identifies one life of an instance. */
+  readonly life: string;
 }
 
 interface SeenCrash {
@@ -23,15 +26,20 @@
 /** Collects crashes by fingerprint. */
 export class CrashTable {
   private readonly crashes = new Map<string, Map<string, SeenCrash>>();
+  private readonly clearedAt = new Map<string, number>();
 
   /** Adds a crash seen here or by a peer; one instance's crash counts once. */
   note(crash: Crash, now: number): void {
+    const clearedAt = this.clearedAt.get(crash.fingerprint) ?? -Infinity;
+    if (now - clearedAt < CLEARED_MILLISECONDS) {
+      return;
+    }
     const seen =
       this.crashes.get(crash.fingerprint) ?? new Map<string, SeenCrash>();
-    if (seen.has(crash.instanceId)) {
+    if (seen.has(crash.life)) {
       return;
     }
-    seen.set(crash.instanceId, {crash, at: now});
+    seen.set(crash.life, {crash, at: now});
     this.crashes.delete(crash.fingerprint);
     this.crashes.set(crash.fingerprint, seen);
     if (this.crashes.size > MAX_FINGERPRINTS) {
@@ -50,17 +58,23 @@
     if (seen === undefined) {
       return 0;
     }
-    for (const [instanceId, each] of seen) {
+    for (const [life, each] of seen) {
       if (now - each.at > CRASH_LIFETIME_MILLISECONDS) {
-        seen.delete(instanceId);
+        seen.delete(life);
       }
     }
     return seen.size;
   }
 
-  /** Forgets a request that ran to its end. */
-  clear(fingerprint: string): void {
-    this.crashes.delete(fingerprint);
+  /** Forgets the crashes of a request that ran to its end. */
+  clear(fingerprint: string, now: number): void {
+    if (!this.crashes.delete(fingerprint)) {
+      return;
+    }
+    this.clearedAt.set(fingerprint, now);
+    if (this.clearedAt.size > MAX_FINGERPRINTS) {
+      this.clearedAt.delete(this.clearedAt.keys().next().value!);
+    }
   }
 
   /** The latest crashes, for peers. */
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -112,6 +112,15 @@
     );
   }
 
+  /** Holds the loss of an instance against the request, unless the instance was about to leave. */
+  noteCrash(instance: instanceTable.Instance): void {
+    const {id, startedAt} = instance.record;
+    this.services.crashes.note(
+      {fingerprint: this.call.fingerprint, life: `${id}/${startedAt}`},
+      performance.now(),
+    );
+  }
+
   /** Logs one decision about this call. */
   log(
     event: string,
--- a/src/gateway/node/evacuator.ts
+++ b/src/gateway/node/evacuator.ts
@@ -86,6 +86,35 @@
     this.calls.delete(call.run);
   }
 
+  /** Stops a run whose stream is silent and takes its memory elsewhere; undefined when that failed. */
+  async moveAway(
+    call: MovableCall,
+    source: instanceTable.Instance,
+  ): Promise<instanceClient.RunTarget | undefined> {
+    const target = call.copyTarget ?? this.chooseTarget(source, call);
+    if (target === undefined || !call.engine.canMoveRuns) {
+      return undefined;
+    }
+    const copied = await this.client.copyRun(source, {
+      attemptId: call.run.attemptId,
+      target,
+      isFinal: true,
+      timeoutMilliseconds: COPY_TIMEOUT_MILLISECONDS,
+    });
+    const handle = copied.isOk() ? copied.value.handle : copied.error.handle;
+    call.log('silent-run-moved', {
+      target: target.record.id,
+      outcome: copied.isOk() ? 'ok' : copied.error.error,
+    });
+    if (handle === undefined) {
+      return undefined;
+    }
+    // Without room at the target the run goes on at its source, over a new connection.
+    const instance = copied.isOk() ? target : source;
+    const continuation = {sourceAddress: source.record.address, handle};
+    return {instance, continuation};
+  }
+
   dispose(): void {
     this.subscription.unsubscribe();
     this.departures.forEach(departure => clearInterval(departure.timer));
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -15,6 +15,7 @@
   constructor(
     private readonly context: callContext.CallContext,
     private readonly run: runTable.Run,
+    private readonly onDidDeliver: () => void,
   ) {
     this.lastId = context.call.caller.lastEventId;
   }
@@ -80,6 +81,7 @@
     this.lastId = events.ids[events.ids.length - 1] || this.lastId;
     run.eventsDelivered += events.ids.length - skipped;
     run.hasStarted = true;
+    this.onDidDeliver();
     const from = skipped === 0 ? 0 : events.ends[skipped - 1];
     const {response} = this.context;
     const isTaken = response.write(events.bytes.subarray(from));
--- /dev/null
+++ b/src/gateway/node/generation_leg.ts
@@ -0,0 +1,126 @@
+/** The part of a generation's stream that comes from one instance. */
+import * as configuration from '../common/configuration';
+import * as instanceClient from '../common/instance_client';
+import * as callContext from './call_context';
+import * as eventDelivery from './event_delivery';
+
+const {SendError} = instanceClient;
+
+/** Largest failure answer that is collected, in bytes. */
+const MAX_FAILURE_BYTES = 65_536;
+
+/** How a leg ended. */
+export enum LegEnd {
+  /** The last event came. */
+  Whole = 'whole',
+  /** The connection broke or was given up. */
+  Broken = 'broken',
+  /** The instance did not run the request. */
+  NotRun = 'not-run',
+  /** The instance answered with a failure, which is collected. */
+  Failed = 'failed',
+}
+
+/** A failure that an instance answered with. */
+export interface FailureAnswer {
+  readonly answer: instanceClient.InstanceAnswer;
+  readonly body: Buffer;
+}
+
+/** Receives one answer and passes its events on. */
+export class GenerationLeg {
+  /** Set when the leg ended with a failure. */
+  failure: FailureAnswer | undefined;
+
+  constructor(
+    private readonly context: callContext.CallContext,
+    private readonly delivery: eventDelivery.EventDelivery,
+    private readonly exchange: instanceClient.Exchange,
+  ) {}
+
+  /** Closes the connection, which ends the leg. */
+  cancel(): void {
+    this.exchange.cancel();
+  }
+
+  /** Resolves when the leg has ended. */
+  async receive(): Promise<LegEnd> {
+    const result = await this.exchange.answer;
+    if (result.isErr()) {
+      return result.error === SendError.NeverSent
+        ? LegEnd.NotRun
+        : LegEnd.Broken;
+    }
+    const answer = result.value;
+    if (answer.isNotRun) {
+      answer.body.listen(IGNORE_BODY);
+      return LegEnd.NotRun;
+    }
+    return answer.status === 200
+      ? this.receiveEvents(answer)
+      : this.collectFailure(answer);
+  }
+
+  private receiveEvents(
+    answer: instanceClient.InstanceAnswer,
+  ): Promise<LegEnd> {
+    return new Promise(resolve => {
+      answer.body.listen({
+        onData: chunk => {
+          if (!this.context.isOver && !this.delivery.push(answer, chunk)) {
+            this.cancel();
+            resolve(LegEnd.Broken);
+          }
+        },
+        onDidEnd: () => {
+          if (!this.context.isOver) {
+            this.delivery.finish(answer);
+          }
+          resolve(LegEnd.Whole);
+        },
+        onDidFail: () => resolve(LegEnd.Broken),
+      });
+    });
+  }
+
+  private collectFailure(
+    answer: instanceClient.InstanceAnswer,
+  ): Promise<LegEnd> {
+    return new Promise(resolve => {
+      const chunks: Buffer[] = [];
+      let length = 0;
+      answer.body.listen({
+        onData: chunk => {
+          length += chunk.length;
+          chunks.push(chunk);
+          if (length > MAX_FAILURE_BYTES) {
+            this.cancel();
+          }
+        },
+        onDidEnd: () => {
+          this.failure = {answer, body: Buffer.concat(chunks)};
+          resolve(LegEnd.Failed);
+        },
+        onDidFail: () => resolve(LegEnd.Broken),
+      });
+    });
+  }
+}
+
+const IGNORE_BODY: instanceClient.BodyListener = {
+  onData: () => undefined,
+  onDidEnd: () => undefined,
+  onDidFail: () => undefined,
+};
+
+/** Stands for the engine of an endpoint whose configuration describes none. */
+export const NO_ENGINE: configuration.EngineProfile = {
+  slots: 1,
+  memoryTokens: 0,
+  bytesPerToken: 0,
+  linkMegabitsPerSecond: 0,
+  canMoveRuns: false,
+  canBackUpRuns: false,
+  tokensPerEvent: 1,
+  copyLifetimeSeconds: 0,
+};
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -10,6 +10,10 @@
 
 /** Largest answer that is collected, in bytes; larger ones are not answers of these services. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Objectives for which an instance may be silent before the call is repeated elsewhere. */
+const PATIENCE_OBJECTIVES = 2;
+/** Share of the time left for which an instance may be silent. */
+const PATIENCE_SHARE = 0.4;
 /** When to come back if no instance takes the call, in seconds. */
 const NO_INSTANCE_RETRY_SECONDS = 0.25;
 
@@ -123,18 +127,39 @@
       const isFailure = answer.status >= 500;
       instanceTable.noteOutcome(instance, isFailure, now);
       if (!isFailure) {
+        const {services, call} = this.context;
+        services.crashes.clear(call.fingerprint, now);
         return undefined;
       }
       this.lastAnswer = outcome;
       return callContext.Repeat.MayHaveRun;
     }
     instanceTable.noteOutcome(instance, true, now);
+    if (
+      error === SendError.ConnectionLost &&
+      instance.drainingAt === undefined
+    ) {
+      this.context.noteCrash(instance);
+    }
     if (answer !== undefined || error === SendError.NeverSent) {
       return callContext.Repeat.NotRun;
     }
-    return error === SendError.TimedOut
-      ? undefined
-      : callContext.Repeat.MayHaveRun;
+    const isOver = this.context.remainingMilliseconds <= 0;
+    return isOver ? undefined : callContext.Repeat.MayHaveRun;
+  }
+
+  /** Time that one instance is given: a silent one must leave time for another, where the call may be repeated. */
+  private patience(): number {
+    const {context} = this;
+    const left = Math.max(0, context.remainingMilliseconds);
+    const canRepeat =
+      context.mayRepeat &&
+      context.sendsThatMayHaveRun < context.call.route.attempts;
+    const first =
+      context.call.route.objectiveMilliseconds * PATIENCE_OBJECTIVES;
+    return canRepeat
+      ? Math.min(left, Math.max(first, left * PATIENCE_SHARE))
+      : left;
   }
 
   private conclude(
--- /dev/null
+++ b/src/gateway/node/stall_watch.ts
@@ -0,0 +1,67 @@
+/** Looks into a stream that has gone quiet. */
+import * as disposable from '../../base/common/disposable';
+import * as instanceClient from '../common/instance_client';
+import * as instanceTable from '../common/instance_table';
+import * as stallPolicy from '../common/stall_policy';
+
+/** A stream as its watch sees it. */
+export abstract class WatchedStream {
+  abstract readonly instance: instanceTable.Instance;
+  abstract readonly attemptId: string;
+  abstract readonly objectiveMilliseconds: number;
+  abstract quietStream(): Omit<stallPolicy.QuietStream, 'report'>;
+  /** Acts on a decision other than to wait. */
+  abstract onStall(decision: stallPolicy.StallDecision): void;
+  abstract log(event: string, fields: Readonly<Record<string, unknown>>): void;
+}
+
+/** Watches one leg of a stream. */
+export class StallWatch implements disposable.Disposable {
+  private timer: NodeJS.Timeout | undefined;
+  private isDisposed = false;
+
+  constructor(
+    private readonly stream: WatchedStream,
+    private readonly client: instanceClient.InstanceClient,
+  ) {
+    this.arm(stream.objectiveMilliseconds * stallPolicy.FIRST_EVENT_SHARE);
+  }
+
+  /** Notes that events came. */
+  noteEvents(): void {
+    this.arm(stallPolicy.STARTED_STALL_MILLISECONDS);
+  }
+
+  dispose(): void {
+    this.isDisposed = true;
+    clearTimeout(this.timer);
+  }
+
+  private arm(milliseconds: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => void this.look(), milliseconds);
+  }
+
+  private async look(): Promise<void> {
+    const {stream} = this;
+    const before = stream.quietStream().eventsDelivered;
+    const report = await this.client.readReport(stream.instance);
+    const view = {...stream.quietStream(), report};
+    if (this.isDisposed || view.eventsDelivered !== before) {
+      return;
+    }
+    const decision = stallPolicy.judgeStall(view, stream.attemptId);
+    stream.log('stream-stalled', {
+      instance: stream.instance.record.id,
+      decision,
+      report: report !== undefined,
+      made: report?.eventsByRun.get(stream.attemptId),
+      queued: report?.queuedRuns,
+      has_copy: view.hasCopy,
+    });
+    this.arm(stallPolicy.NEXT_LOOK_MILLISECONDS);
+    if (decision !== stallPolicy.StallDecision.Wait) {
+      stream.onStall(decision);
+    }
+  }
+}
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -5,40 +5,26 @@
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as runTable from '../common/run_table';
+import * as stallPolicy from '../common/stall_policy';
 import * as callContext from './call_context';
 import * as eventDelivery from './event_delivery';
 import * as evacuator from './evacuator';
+import * as generationLeg from './generation_leg';
 import * as generationScheduler from './generation_scheduler';
+import * as runCopies from './run_copies';
+import * as stallWatch from './stall_watch';
 
-const {SendError} = instanceClient;
+const {LegEnd} = generationLeg;
 
 /** When to come back if engines are expected to be full, in seconds. */
 const CROWDED_RETRY_SECONDS = 1;
-/** Time after the notice of an instance in which a run may still go on from its copy there, in milliseconds; no work may reach it two seconds after. */
-const DRAINING_COPY_MILLISECONDS = 1_000;
-/** Largest failure answer that is collected, in bytes. */
-const MAX_FAILURE_BYTES = 65_536;
-
-/** How the stream of one instance ended. */
-enum LegEnd {
-  /** The last event came. */
-  Whole = 'whole',
-  /** The connection broke, or the run was stopped to be moved. */
-  Broken = 'broken',
-  /** The instance did not run the request. */
-  NotRun = 'not-run',
-  /** The instance answered with a failure, which is collected. */
-  Failed = 'failed',
-}
-
 /** Runs one generation. */
 export class StreamCall extends evacuator.MovableCall {
   run!: runTable.Run;
-  private copy: instanceClient.RunTarget | undefined;
-  private exchange: instanceClient.Exchange | undefined;
+  private leg: generationLeg.GenerationLeg | undefined;
   private delivery!: eventDelivery.EventDelivery;
-  private failureBody = Buffer.alloc(0);
-  private hasBackup = false;
+  private copies!: runCopies.RunCopies;
+  private watch: stallWatch.StallWatch | undefined;
   private legCount = 0;
   private deadlineTimer: NodeJS.Timeout | undefined;
 
@@ -51,28 +37,27 @@
   }
 
   get engine(): configuration.EngineProfile {
-    return this.context.call.endpoint?.engine ?? NO_ENGINE;
+    return this.context.call.endpoint?.engine ?? generationLeg.NO_ENGINE;
+  }
+
+  get objectiveMilliseconds(): number {
+    return this.context.call.route.objectiveMilliseconds;
   }
 
   log(event: string, fields: Readonly<Record<string, unknown>>): void {
     this.context.log(event, {events: this.run.eventsDelivered, ...fields});
   }
 
-  /** A resumable stream goes on anywhere by event id. */
   get needsCopy(): boolean {
-    const isBackedUp =
-      this.hasBackup && this.copy?.instance.drainingAt === undefined;
-    return !this.context.call.route.isResumable && !isBackedUp;
+    return this.copies.isNeeded;
   }
 
   get copyTarget(): instanceTable.Instance | undefined {
-    const target = this.copy?.instance;
-    return target?.drainingAt === undefined ? target : undefined;
+    return this.copies.target;
   }
 
   noteCopy(target: instanceClient.RunTarget): void {
-    this.hasBackup = false;
-    this.copy = target;
+    this.copies.note(target);
   }
 
   async start(): Promise<void> {
@@ -92,8 +77,11 @@
       );
     }
     this.run = grant.run;
-    this.delivery = new eventDelivery.EventDelivery(context, grant.run);
-    context.whenGone(() => this.exchange?.cancel());
+    this.delivery = new eventDelivery.EventDelivery(context, grant.run, () =>
+      this.watch?.noteEvents(),
+    );
+    this.copies = new runCopies.RunCopies(context, grant.run, this.engine);
+    context.whenGone(() => this.leg?.cancel());
     context.services.evacuator.add(this);
     this.deadlineTimer = setTimeout(
       () => this.expire(),
@@ -121,7 +109,7 @@
   private async followLegs(first: instanceClient.RunTarget): Promise<void> {
     let leg: instanceClient.RunTarget | undefined = first;
     while (leg !== undefined && !this.context.isOver) {
-      const end: LegEnd = await this.runLeg(leg);
+      const end: generationLeg.LegEnd = await this.runLeg(leg);
       if (this.context.isOver) {
         return;
       }
@@ -129,13 +117,13 @@
     }
   }
 
-  private async runLeg(leg: instanceClient.RunTarget): Promise<LegEnd> {
+  private async runLeg(
+    leg: instanceClient.RunTarget,
+  ): Promise<generationLeg.LegEnd> {
     const {context, run} = this;
     const {services, call} = context;
     run.instanceId = leg.instance.record.id;
-    run.copyInstanceId = undefined;
-    this.copy = undefined;
-    const backup = this.chooseBackup(leg.instance);
+    const backup = this.copies.begin(leg.instance);
     this.delivery.beginLeg();
     this.legCount++;
     if (leg.continuation === undefined) {
@@ -151,146 +139,83 @@
       continuation: leg.continuation,
       backupAddress: backup?.record.address,
     });
-    this.exchange = exchange;
+    this.leg = new generationLeg.GenerationLeg(
+      context,
+      this.delivery,
+      exchange,
+    );
     services.evacuator.include(this, leg.instance);
+    this.watch = new stallWatch.StallWatch(
+      new StreamUnderWatch(this, leg.instance),
+      services.client,
+    );
     leg.instance.openRequests++;
-    const end = await this.receive(exchange);
+    const end = await this.leg.receive();
     leg.instance.openRequests--;
-    services.metrics.sends.inc({outcome: end});
-    instanceTable.noteOutcome(
-      leg.instance,
-      end !== LegEnd.Whole && leg.instance.drainingAt === undefined,
-      performance.now(),
-    );
-    if (end !== LegEnd.Whole || this.legCount > 1) {
-      this.log('stream-leg-ended', {end, instance: leg.instance.record.id});
-    }
+    this.watch.dispose();
+    this.noteEnd(leg.instance, end);
     return end;
   }
 
-  /** Chooses where a running copy is kept; it covers the end of the instance without notice. */
-  private chooseBackup(
-    source: instanceTable.Instance,
-  ): instanceTable.Instance | undefined {
-    const {run, engine, context} = this;
-    this.hasBackup = false;
-    if (context.call.route.isResumable || !engine.canBackUpRuns) {
-      return undefined;
-    }
-    const backup = context.services.scheduler.placeBackup(
-      run,
-      source,
-      engine.memoryTokens || Infinity,
-    );
-    if (backup === undefined) {
-      return undefined;
-    }
-    this.hasBackup = true;
-    run.copyInstanceId = backup.record.id;
-    this.copy = {
-      instance: backup,
-      continuation: {
-        sourceAddress: backup.record.address,
-        handle: run.attemptId,
-      },
-    };
-    this.log('backup-chosen', {
-      instance: source.record.id,
-      backup: backup.record.id,
-    });
-    return backup;
-  }
-
-  private async receive(exchange: instanceClient.Exchange): Promise<LegEnd> {
-    const result = await exchange.answer;
-    if (result.isErr()) {
-      return result.error === SendError.NeverSent
-        ? LegEnd.NotRun
-        : LegEnd.Broken;
+  private noteEnd(
+    instance: instanceTable.Instance,
+    end: generationLeg.LegEnd,
+  ): void {
+    const {context, run} = this;
+    const {services, call} = context;
+    const now = performance.now();
+    services.metrics.sends.inc({outcome: end});
+    const isFailure = end !== LegEnd.Whole && instance.drainingAt === undefined;
+    instanceTable.noteOutcome(instance, isFailure, now);
+    if (end === LegEnd.Whole) {
+      services.crashes.clear(call.fingerprint, now);
+      services.predictor.record(
+        call.customer?.name ?? '',
+        call.route.name,
+        run.eventsDelivered * run.tokensPerEvent,
+      );
     }
-    const answer = result.value;
-    if (answer.isNotRun) {
-      answer.body.listen(IGNORE_BODY);
-      return LegEnd.NotRun;
+    if (end === LegEnd.Broken && isFailure && !context.isOver) {
+      context.noteCrash(instance);
     }
-    if (answer.status !== 200) {
-      return this.collectFailure(exchange, answer);
+    if (end !== LegEnd.Whole || this.legCount > 1) {
+      this.log('stream-leg-ended', {end, instance: instance.record.id});
     }
-    return this.receiveEvents(exchange, answer);
   }
 
-  private receiveEvents(
-    exchange: instanceClient.Exchange,
-    answer: instanceClient.InstanceAnswer,
-  ): Promise<LegEnd> {
-    return new Promise(resolve => {
-      answer.body.listen({
-        onData: chunk => {
-          if (!this.context.isOver && !this.delivery.push(answer, chunk)) {
-            exchange.cancel();
-            resolve(LegEnd.Broken);
-          }
-        },
-        onDidEnd: () => {
-          this.conclude(answer);
-          resolve(LegEnd.Whole);
-        },
-        onDidFail: () => resolve(LegEnd.Broken),
-      });
-    });
+  /** What is known of the stream, for its watch. */
+  quietStream(): Omit<stallPolicy.QuietStream, 'report'> {
+    return {
+      hasStarted: this.run.hasStarted,
+      eventsDelivered: this.run.eventsDelivered,
+      mayRepeat: this.context.mayRepeat,
+      hasCopy: this.copies.has,
+    };
   }
 
-  private conclude(answer: instanceClient.InstanceAnswer): void {
-    const {context, run} = this;
-    if (context.isOver) {
-      return;
+  /** Gives up a connection that carries nothing any more. */
+  async leaveStalled(
+    instance: instanceTable.Instance,
+    decision: stallPolicy.StallDecision,
+  ): Promise<void> {
+    const {leg} = this;
+    if (decision === stallPolicy.StallDecision.Move) {
+      const {evacuator: evacuations} = this.context.services;
+      this.copies.note(await evacuations.moveAway(this, instance));
     }
-    const {customer, route} = context.call;
-    context.services.predictor.record(
-      customer?.name ?? '',
-      route.name,
-      run.eventsDelivered * run.tokensPerEvent,
-    );
-    this.delivery.finish(answer);
-  }
-
-  private collectFailure(
-    exchange: instanceClient.Exchange,
-    answer: instanceClient.InstanceAnswer,
-  ): Promise<LegEnd> {
-    return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let length = 0;
-      answer.body.listen({
-        onData(chunk) {
-          length += chunk.length;
-          chunks.push(chunk);
-          if (length > MAX_FAILURE_BYTES) {
-            exchange.cancel();
-          }
-        },
-        onDidEnd: () => {
-          this.failureBody = Buffer.concat(chunks);
-          this.failedAnswer = answer;
-          resolve(LegEnd.Failed);
-        },
-        onDidFail: () => resolve(LegEnd.Broken),
-      });
-    });
+    leg?.cancel();
   }
 
-  private failedAnswer: instanceClient.InstanceAnswer | undefined;
-
   /** Decides where the stream goes on; undefined when the call is concluded. */
   private async nextLeg(
     leg: instanceClient.RunTarget,
-    end: LegEnd,
+    end: generationLeg.LegEnd,
   ): Promise<instanceClient.RunTarget | undefined> {
     if (end === LegEnd.Whole) {
       return undefined;
     }
     if (end === LegEnd.Broken) {
-      const copied = this.takeCopy();
+      const copied = this.copies.take(performance.now());
       if (copied !== undefined) {
         return copied;
       }
@@ -301,23 +226,10 @@
     return this.repeat(leg, end);
   }
 
-  /** The copy to go on from, unless its instance is gone. */
-  private takeCopy(): instanceClient.RunTarget | undefined {
-    const {copy} = this;
-    this.copy = undefined;
-    const {instances} = this.context.services.follower;
-    const now = performance.now();
-    const isThere =
-      copy !== undefined &&
-      instances.get(copy.instance.record.id) === copy.instance &&
-      now - (copy.instance.drainingAt ?? now) < DRAINING_COPY_MILLISECONDS;
-    return isThere ? copy : undefined;
-  }
-
   /** Goes on by event id after events were delivered, where the route allows it. */
   private async resume(
     leg: instanceClient.RunTarget,
-    end: LegEnd,
+    end: generationLeg.LegEnd,
   ): Promise<instanceClient.RunTarget | undefined> {
     const {context} = this;
     const why =
@@ -326,17 +238,23 @@
         : callContext.Repeat.MayHaveRun;
     const isAllowed =
       context.call.route.isResumable && context.mayRepeatNow(why);
-    if (!isAllowed) {
-      context.breakOff(`the stream of ${leg.instance.record.id} ended early`);
-      return undefined;
+    if (isAllowed) {
+      return this.placeAgain(leg);
     }
-    return this.placeAgain(leg);
+    const message = `the stream of ${leg.instance.record.id} ended early`;
+    if (this.delivery.hasBegun) {
+      context.breakOff(message);
+    } else {
+      const {EndpointLost} = resultCode.ResultCode;
+      context.fail(failure.unknownOutcome(EndpointLost, message), 502);
+    }
+    return undefined;
   }
 
   /** Starts anew while the caller has received nothing. */
   private async repeat(
     leg: instanceClient.RunTarget,
-    end: LegEnd,
+    end: generationLeg.LegEnd,
   ): Promise<instanceClient.RunTarget | undefined> {
     const {context} = this;
     const why =
@@ -401,15 +319,15 @@
 
   private deliverFailure(): void {
     const {context} = this;
-    const answer = this.failedAnswer!;
+    const {answer, body} = this.leg!.failure!;
     context.log('instance-failure-delivered', {status: answer.status});
     context.finish('instance-failure');
     context.response.writeHead(answer.status, [
       ...answer.passedHeaders,
       'Content-Length',
-      String(this.failureBody.length),
+      String(body.length),
     ]);
-    context.response.end(this.failureBody);
+    context.response.end(body);
   }
 
   private expire(): void {
@@ -425,23 +343,36 @@
       const {OutcomeUnknown} = resultCode.ResultCode;
       context.fail(failure.unknownOutcome(OutcomeUnknown, message), 504);
     }
-    this.exchange?.cancel();
+    this.leg?.cancel();
   }
 }
 
-const IGNORE_BODY: instanceClient.BodyListener = {
-  onData: () => undefined,
-  onDidEnd: () => undefined,
-  onDidFail: () => undefined,
-};
+/** One leg of a call, as its watch sees it. */
+class StreamUnderWatch extends stallWatch.WatchedStream {
+  constructor(
+    private readonly call: StreamCall,
+    readonly instance: instanceTable.Instance,
+  ) {
+    super();
+  }
+
+  get attemptId(): string {
+    return this.call.run.attemptId;
+  }
+
+  get objectiveMilliseconds(): number {
+    return this.call.objectiveMilliseconds;
+  }
+
+  quietStream(): Omit<stallPolicy.QuietStream, 'report'> {
+    return this.call.quietStream();
+  }
+
+  onStall(decision: stallPolicy.StallDecision): void {
+    void this.call.leaveStalled(this.instance, decision);
+  }
 
-const NO_ENGINE: configuration.EngineProfile = {
-  slots: 1,
-  memoryTokens: 0,
-  bytesPerToken: 0,
-  linkMegabitsPerSecond: 0,
-  canMoveRuns: false,
-  canBackUpRuns: false,
-  tokensPerEvent: 1,
-  copyLifetimeSeconds: 0,
-};
+  log(event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.call.log(event, fields);
+  }
+}
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -83,13 +83,9 @@
     if (answer?.status !== 200) {
       return undefined;
     }
-    const {leaves_ms, kvInUse, active, queued} = answer.body;
     return {
-      leavesInMilliseconds:
-        typeof leaves_ms === 'number' ? leaves_ms : undefined,
-      memoryInUseTokens: Number(kvInUse ?? 0),
-      activeRuns: Number(active ?? 0),
-      queuedRuns: Number(queued ?? 0),
+      eventsByRun: decodeRuns(answer.body.runs),
+      queuedRuns: Number(answer.body.queued ?? 0),
     };
   }
 
@@ -156,6 +152,16 @@
   }
 }
 
+/** Runs are listed as [id, tokens in memory, events made, priority]. */
+function decodeRuns(value: unknown): ReadonlyMap<string, number> {
+  const rows = Array.isArray(value) ? value : [];
+  return new Map(
+    rows
+      .filter(row => Array.isArray(row))
+      .map(row => [String(row[0]), Number(row[2])] as const),
+  );
+}
+
 function decodeCopy(
   answer: JsonAnswer | undefined,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
