--- a/src/base/node/json_log.ts
+++ b/src/base/node/json_log.ts
@@ -17,18 +17,20 @@
 
 /** Writes one line for each decision and change of belief. */
 export class JsonLog {
-  private readonly destination = pino.destination({
-    fd: 1,
-    sync: false,
-    minLength: BUFFER_BYTES,
-    maxLength: MAX_PENDING_BYTES,
-  });
+  private readonly destination: ReturnType<typeof pino.destination>;
   private readonly writer: pino.Logger;
   private tokens = MAX_BURST_LINES;
   private refilledAt = performance.now();
   private dropped = 0;
 
-  constructor(base: LogFields) {
+  /** Writes to standard output, or to the file descriptor or path given. */
+  constructor(base: LogFields, target: number | string = 1) {
+    this.destination = pino.destination({
+      dest: target,
+      sync: false,
+      minLength: BUFFER_BYTES,
+      maxLength: MAX_PENDING_BYTES,
+    });
     this.writer = pino(
       {base, timestamp: pino.stdTimeFunctions.epochTime},
       this.destination,
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -131,6 +131,16 @@
     );
   }
 
+  /** State that the process follows. */
+  get state(): stateFollower.StateFollower {
+    return this.services.follower;
+  }
+
+  /** Running generations with a copy at another instance. */
+  get copiedRunCount(): number {
+    return this.services.evacuator.copiedRunCount;
+  }
+
   /** Port that callers connect to. */
   get port(): number {
     return this.server.port;
--- a/src/gateway/node/generation_leg.ts
+++ b/src/gateway/node/generation_leg.ts
@@ -65,15 +65,19 @@
     answer: instanceClient.InstanceAnswer,
   ): Promise<LegEnd> {
     return new Promise(resolve => {
+      // The end may be on its way already when the leg is given up.
+      let isGivenUp = false;
       answer.body.listen({
         onData: chunk => {
-          if (!this.context.isOver && !this.delivery.push(answer, chunk)) {
+          const isIgnored = isGivenUp || this.context.isOver;
+          if (!isIgnored && !this.delivery.push(answer, chunk)) {
+            isGivenUp = true;
             this.cancel();
             resolve(LegEnd.Broken);
           }
         },
         onDidEnd: () => {
-          if (!this.context.isOver) {
+          if (!isGivenUp && !this.context.isOver) {
             this.delivery.finish(answer);
           }
           resolve(LegEnd.Whole);
--- /dev/null
+++ b/test/gateway/common/instance_table.test.ts
@@ -0,0 +1,53 @@
+/** Rows of instances over lives, drains and failures. */
+import * as ava from 'ava';
+import * as instanceTable from '../../../src/gateway/common/instance_table';
+
+const test = ava.default;
+
+function record(
+  more: Partial<instanceTable.InstanceRecord> = {},
+): instanceTable.InstanceRecord {
+  return {
+    id: 'i',
+    endpoint: 'e',
+    address: '10.0.0.1:1',
+    dataCentre: 'a',
+    state: instanceTable.InstanceState.Ready,
+    slots: 1,
+    warmUpMilliseconds: 0,
+    startedAt: 1,
+    ...more,
+  };
+}
+
+test('instances: draining is told once, with the time at which it was seen', t => {
+  const table = new instanceTable.InstanceTable();
+  table.replace([record()], 0);
+  const draining = record({state: instanceTable.InstanceState.Draining});
+  t.is(table.replace([draining], 10).drained.length, 1);
+  t.is(table.replace([draining], 20).drained.length, 0);
+  t.is(table.get('i')!.drainingAt, 10);
+});
+
+test('instances: a removed instance counts as draining for whoever still holds its row', t => {
+  const table = new instanceTable.InstanceTable();
+  const [row] = table.replace([record()], 0).added;
+  const changes = table.replace([], 10);
+  t.deepEqual(changes.removed, [row]);
+  t.is(row.drainingAt, 10);
+});
+
+for (const [title, more] of [
+  ['a new start', {startedAt: 2}],
+  ['a new address', {address: '10.0.0.2:1'}],
+  ['another endpoint', {endpoint: 'other'}],
+] as const) {
+  test(`instances: ${title} under an old id is a new life without the old one's failures`, t => {
+    const table = new instanceTable.InstanceTable();
+    const [row] = table.replace([record()], 0).added;
+    instanceTable.noteOutcome(row, true, 1);
+    const changes = table.replace([record(more)], 10);
+    t.deepEqual(changes.removed, [row]);
+    t.is(table.get('i')!.failureRate, 0);
+  });
+}
--- /dev/null
+++ b/test/gateway/common/placement.test.ts
@@ -0,0 +1,144 @@
+/** Where work goes under the loads that placement answers. */
+import * as ava from 'ava';
+import * as instanceTable from '../../../src/gateway/common/instance_table';
+import * as placement from '../../../src/gateway/common/placement';
+import * as runTable from '../../../src/gateway/common/run_table';
+
+const test = ava.default;
+const CAPACITY = 34_000;
+
+function rows(count: number): instanceTable.Instance[] {
+  const records = Array.from({length: count}, (_, index) => ({
+    id: `i-${index}`,
+    endpoint: 'e',
+    address: `10.0.0.${index}:1`,
+    dataCentre: index % 2 === 0 ? 'a' : 'b',
+    state: instanceTable.InstanceState.Ready,
+    slots: 24,
+    warmUpMilliseconds: 0,
+    startedAt: 1,
+  }));
+  return [...new instanceTable.InstanceTable().replace(records, 0).added];
+}
+
+function generation(
+  excluded: ReadonlySet<string> = new Set(),
+): placement.GenerationRequest {
+  return {
+    endpoint: 'e',
+    dataCentre: 'a',
+    excluded,
+    draw: () => 0.5,
+    promptTokens: 3_000,
+    expectedTokens: 900,
+    capacityTokens: CAPACITY,
+    remoteCostMilliseconds: 5,
+  };
+}
+
+/** Places generations one after the other, each staying where it was put. */
+function placeMany(
+  instances: readonly instanceTable.Instance[],
+  count: number,
+): Map<string, number> {
+  const loads = new Map<string, runTable.InstanceLoad>();
+  const counts = new Map<string, number>();
+  for (let index = 0; index < count; index++) {
+    const choice = placement.placeGeneration(
+      instances,
+      loads,
+      generation(),
+      1_000,
+    )!;
+    const {id} = choice.instance.record;
+    const load = loads.get(id) ?? {runs: 0, memoryTokens: 0, prefillTokens: 0};
+    load.runs++;
+    load.memoryTokens += 3_900;
+    loads.set(id, load);
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  return counts;
+}
+
+test('placement: a burst of long generations is spread evenly over the engines', t => {
+  const counts = [...placeMany(rows(6), 30).values()];
+  t.is(counts.length, 6);
+  t.true(Math.max(...counts) - Math.min(...counts) <= 1);
+});
+
+test('placement: a generation avoids the engine that still reads long prompts', t => {
+  const loads = new Map([
+    ['i-0', {runs: 1, memoryTokens: 3_900, prefillTokens: 12_000}],
+    ['i-2', {runs: 2, memoryTokens: 7_800, prefillTokens: 0}],
+  ]);
+  const [first, , third] = rows(3);
+  const choice = placement.placeGeneration(
+    [first, third],
+    loads,
+    generation(),
+    1_000,
+  );
+  t.is(choice!.instance, third);
+});
+
+test('placement: no work goes to draining or excluded instances', t => {
+  const instances = rows(3);
+  instances[0].drainingAt = 1;
+  const excluded = new Set(['i-1']);
+  const choice = placement.placeGeneration(
+    instances,
+    new Map(),
+    generation(excluded),
+    1_000,
+  );
+  t.is(choice!.instance, instances[2]);
+  instances[2].drainingAt = 1;
+  t.is(
+    placement.placeGeneration(
+      instances,
+      new Map(),
+      generation(excluded),
+      1_000,
+    ),
+    undefined,
+  );
+});
+
+test('placement: a replica that fails requests while its peers do not is avoided, and tried again later', t => {
+  const instances = rows(3);
+  for (let count = 0; count < 10; count++) {
+    instanceTable.noteOutcome(instances[0], true, 1_000);
+  }
+  const now = placement.candidates(instances, new Set(), 1_001);
+  t.deepEqual(now, instances.slice(1));
+  t.is(placement.candidates(instances, new Set(), 60_000).length, 3);
+});
+
+test('placement: errors that all replicas give alike eject none', t => {
+  const instances = rows(3);
+  for (let count = 0; count < 10; count++) {
+    instances.forEach(row => instanceTable.noteOutcome(row, true, 1_000));
+  }
+  t.is(placement.candidates(instances, new Set(), 1_001).length, 3);
+});
+
+test('placement: at most a third of the replicas is avoided', t => {
+  const instances = rows(6);
+  for (let count = 0; count < 10; count++) {
+    instances
+      .slice(0, 2)
+      .forEach(row => instanceTable.noteOutcome(row, true, 1_000));
+    instanceTable.noteOutcome(instances[2], true, 1_000);
+  }
+  t.true(placement.candidates(instances, new Set(), 1_001).length >= 4);
+});
+
+test('placement: short calls go to the least busy replica, near ones first', t => {
+  const instances = rows(3);
+  const request = {...generation(), draw: () => 0};
+  t.is(placement.placeCall(instances, request, 0), instances[0]);
+  instances[0].openRequests = 2;
+  t.is(placement.placeCall(instances, request, 0), instances[2]);
+  instances[2].openRequests = 2;
+  t.is(placement.placeCall(instances, request, 0), instances[1]);
+});
--- /dev/null
+++ b/test/gateway/common/retry_limiter.test.ts
@@ -0,0 +1,64 @@
+/** The budget of repeated sends, shared by gateways that do not talk about it. */
+import * as ava from 'ava';
+import * as fastCheck from 'fast-check';
+import * as retryLimiter from '../../../src/gateway/common/retry_limiter';
+
+const test = ava.default;
+const POLICY = {windowMilliseconds: 10_000, ratio: 0.2, allowance: 54};
+
+test('retries: under a failure of everything, all gateways together stay within the budget of any window', t => {
+  const send = fastCheck.record({
+    gateway: fastCheck.integer({min: 0, max: 3}),
+    pause: fastCheck.integer({min: 0, max: 40}),
+  });
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.array(send, {minLength: 500, maxLength: 2_000}),
+      sends => {
+        const limiters = Array.from(
+          {length: 4},
+          () => new retryLimiter.RetryLimiter(POLICY),
+        );
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        let now = 0;
+        for (const {gateway, pause} of sends) {
+          now += pause;
+          limiters[gateway].noteRequest('e', now);
+          requests.push(now);
+          if (limiters[gateway].spend('e', 4, now)) {
+            repeats.push(now);
+          }
+        }
+        for (const end of repeats) {
+          const within = (times: number[]) =>
+            times.filter(
+              at => at > end - POLICY.windowMilliseconds && at <= end,
+            ).length;
+          const bound = POLICY.ratio * within(requests) + POLICY.allowance;
+          t.true(within(repeats) <= bound);
+        }
+      },
+    ),
+    {seed: 11, numRuns: 20},
+  );
+});
+
+test('retries: a spent share comes back with the window', t => {
+  const limiter = new retryLimiter.RetryLimiter(POLICY);
+  let spent = 0;
+  while (limiter.spend('e', 4, 0)) {
+    spent++;
+  }
+  t.true(spent > 0);
+  t.false(limiter.spend('e', 4, 5_000));
+  t.true(limiter.spend('e', 4, 11_000));
+});
+
+test('retries: one endpoint does not spend the share of another', t => {
+  const limiter = new retryLimiter.RetryLimiter(POLICY);
+  while (limiter.spend('e', 4, 0)) {
+    // Spends all.
+  }
+  t.true(limiter.spend('f', 4, 0));
+});
--- /dev/null
+++ b/test/gateway/common/stall_policy.test.ts
@@ -0,0 +1,84 @@
+/** What becomes of streams that have gone quiet. */
+import * as ava from 'ava';
+import * as instanceClient from '../../../src/gateway/common/instance_client';
+import * as stallPolicy from '../../../src/gateway/common/stall_policy';
+
+const test = ava.default;
+const {StallDecision} = stallPolicy;
+
+function report(
+  made: number | undefined,
+  queuedRuns = 0,
+): instanceClient.InstanceReport {
+  const runs = made === undefined ? [] : [['run', made] as const];
+  return {eventsByRun: new Map(runs), queuedRuns};
+}
+
+interface Case {
+  readonly title: string;
+  readonly mayRepeat: boolean;
+  readonly hasCopy: boolean;
+  readonly report: instanceClient.InstanceReport | undefined;
+  readonly expected: stallPolicy.StallDecision;
+}
+
+const CASES: readonly Case[] = [
+  {
+    title: 'a run that the engine paused is waited for',
+    mayRepeat: false,
+    hasCopy: true,
+    report: report(11),
+    expected: StallDecision.Wait,
+  },
+  {
+    title: 'a dark instance is left for the copy',
+    mayRepeat: false,
+    hasCopy: true,
+    report: undefined,
+    expected: StallDecision.Leave,
+  },
+  {
+    title:
+      'without copy or repeat there is nothing better than a dark instance',
+    mayRepeat: false,
+    hasCopy: false,
+    report: undefined,
+    expected: StallDecision.Wait,
+  },
+  {
+    title: 'a run that goes on behind a silent connection is moved',
+    mayRepeat: false,
+    hasCopy: false,
+    report: report(30),
+    expected: StallDecision.Move,
+  },
+  {
+    title: 'a resumable one behind a silent connection is resumed',
+    mayRepeat: true,
+    hasCopy: false,
+    report: report(30),
+    expected: StallDecision.Leave,
+  },
+  {
+    title:
+      'a repeatable request that an idle instance does not know is sent elsewhere',
+    mayRepeat: true,
+    hasCopy: false,
+    report: report(undefined),
+    expected: StallDecision.Leave,
+  },
+  {
+    title: 'one that may wait in the queue of the instance is waited for',
+    mayRepeat: true,
+    hasCopy: false,
+    report: report(undefined, 3),
+    expected: StallDecision.Wait,
+  },
+];
+
+for (const each of CASES) {
+  test(`stall: ${each.title}`, t => {
+    const stream = {...each, hasStarted: true, eventsDelivered: 10};
+    t.is(stallPolicy.judgeStall(stream, 'run'), each.expected);
+  });
+}
--- /dev/null
+++ b/test/gateway/streams.test.ts
@@ -0,0 +1,144 @@
+/** What callers get of streams whose replicas leave, break off or stop. */
+import * as ava from 'ava';
+import * as replicaStandin from '../../standins/replica_standin';
+import * as testGateway from '../support/test_gateway';
+
+const test = ava.default;
+const {TestGateway} = testGateway;
+const {events, stamped, reset} = replicaStandin;
+const LAST = 6;
+
+/** Streams events behind the last one that the caller has; breaks off after `until`. */
+function streamUntil(
+  until: number,
+  end: (response: Parameters<replicaStandin.ReplicaBehaviour>[1]) => void,
+): replicaStandin.ReplicaBehaviour {
+  return (request, response) => {
+    const from = Number(request.headers['last-event-id'] ?? 0) + 1;
+    response.writeHead(200, stamped(request));
+    response.write(events(from, until), () => end(response));
+  };
+}
+
+const breakOff = streamUntil(3, response => {
+  response.write('id: 4\nda', () => response.socket!.resetAndDestroy());
+});
+const finish = streamUntil(LAST, response => response.end());
+
+/** Breaks the first stream off; whoever is asked next finishes it. */
+function breakFirst(): replicaStandin.ReplicaBehaviour {
+  let count = 0;
+  return (request, response) =>
+    (count++ === 0 ? breakOff : finish)(request, response);
+}
+
+test('stream: a whole stream is delivered as it is', async t => {
+  const gateway = await TestGateway.start(t, {'i-1': ['writers', finish]});
+  const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.true(answer.isWhole);
+  t.is(answer.body, events(1, LAST));
+  t.is(answer.headers['x-rhubarbvane-server-stamp'], 'stamp');
+});
+
+test('stream: a resumable one goes on at another replica without gap or repeat', async t => {
+  const behaviour = breakFirst();
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', behaviour],
+    'i-2': ['writers', behaviour],
+  });
+  const answer = await gateway.call('/tag/a', {method: 'POST', body: 'p'});
+  t.true(answer.isWhole);
+  t.is(answer.body, events(1, LAST));
+  t.is(gateway.requestCount, 2);
+});
+
+test('stream: one that may not be resumed ends visibly incomplete, with whole events only', async t => {
+  const behaviour = breakFirst();
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', behaviour],
+    'i-2': ['writers', behaviour],
+  });
+  const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.false(answer.isWhole);
+  t.is(answer.body, events(1, 3));
+  t.is(gateway.requestCount, 1);
+});
+
+test('stream: a reset before the first event may have run, and is not repeated', async t => {
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', reset],
+    'i-2': ['writers', reset],
+  });
+  const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.is(answer.status, 502);
+  t.is(answer.headers['rhubarbvane-work'], 'unknown');
+  t.is(gateway.requestCount, 1);
+});
+
+test('stream: a draft goes on from its copy when its leaving replica breaks off', async t => {
+  let source: replicaStandin.ReplicaStandin | undefined;
+  let breakSource = () => undefined as void;
+  const behaviour: replicaStandin.ReplicaBehaviour = (request, response) => {
+    if (request.headers['kv-from'] !== undefined) {
+      return finish(request, response);
+    }
+    const id = request.headers['x-rhubarbvane-expect-replica'] as string;
+    source = gateway.replicas.get(id);
+    response.writeHead(200, stamped(request));
+    response.write(events(1, 3));
+    breakSource = () => response.socket!.resetAndDestroy();
+  };
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', behaviour],
+    'i-2': ['writers', behaviour],
+  });
+  await gateway.until(() => gateway.process.state.instances.size === 2);
+  const answered = gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  await gateway.until(() => source !== undefined);
+  gateway.register(source!.id, 'writers', 'draining');
+  await gateway.until(() => source!.copies.length > 0);
+  await gateway.until(() => gateway.process.copiedRunCount > 0);
+  breakSource();
+  const answer = await answered;
+  t.true(answer.isWhole);
+  t.is(answer.body, events(1, LAST));
+  const target = [...gateway.replicas.values()].find(each => each !== source)!;
+  const [continued] = target.requests;
+  t.is(continued.headers['last-event-id'], '3');
+  t.regex(String(continued.headers['kv-from']), /^127\.0\.0\.1:\d+\/h\d+$/);
+});
+
+test('stream: events that do not follow those delivered are not joined', async t => {
+  const gateway = await TestGateway.start(t, {
+    'i-1': [
+      'writers',
+      (request, response) => {
+        response.writeHead(200, stamped(request));
+        response.write(events(1, 2));
+        response.end(events(4, 6));
+      },
+    ],
+  });
+  const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.false(answer.status === 200 && answer.isWhole);
+  t.false(answer.body.includes('piece 4'));
+});
+
+test('stream: a caller that leaves has its generation cancelled', async t => {
+  let isDropped = false;
+  const gateway = await TestGateway.start(t, {
+    'i-1': [
+      'writers',
+      (request, response) => {
+        response.writeHead(200, stamped(request));
+        response.write(events(1, 2));
+        response.once('close', () => (isDropped = true));
+      },
+    ],
+  });
+  const request = gateway.send('/draft/a', {method: 'POST', body: 'p'});
+  await new Promise(resolve => request.once('response', resolve));
+  request.destroy();
+  await gateway.until(() => isDropped);
+  t.pass();
+});
--- /dev/null
+++ b/test/platform/object_codec.test.ts
@@ -0,0 +1,82 @@
+/** Objects of the store as they may come, also from other writers. */
+import * as ava from 'ava';
+import * as configuration from '../../src/gateway/common/configuration';
+import * as instanceTable from '../../src/gateway/common/instance_table';
+import * as objectCodec from '../../src/platform/object_codec';
+
+const test = ava.default;
+const ENTRY = {
+  service: 'writers',
+  address: '10.0.0.1:80',
+  zone: 'a',
+  slots: 24,
+  state: 'ready',
+  warmLeftMs: 20,
+  born: 1_700_000_000_000,
+  seq: 3,
+};
+
+function decode(spec: unknown): instanceTable.InstanceRecord | undefined {
+  const stored = objectCodec.decodeObject({
+    meta: {name: 'i-1', revision: 4},
+    spec,
+  });
+  return stored && objectCodec.decodeInstance(stored);
+}
+
+test('registration: a whole entry names an instance', t => {
+  t.deepEqual(decode(ENTRY), {
+    id: 'i-1',
+    endpoint: 'writers',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    state: instanceTable.InstanceState.Ready,
+    slots: 24,
+    warmUpMilliseconds: 20,
+    startedAt: 1_700_000_000_000,
+  });
+});
+
+for (const [title, spec] of [
+  ['no service', {...ENTRY, service: undefined}],
+  ['a service of another type', {...ENTRY, service: 7}],
+  ['no address', {...ENTRY, address: undefined}],
+  ['an address that is none', {...ENTRY, address: 'replica-1'}],
+  ['an unknown state', {...ENTRY, state: 'resting'}],
+  ['a list', [1, 2]],
+  ['null', null],
+  ['bytes that are not JSON', '{"service": "wri'],
+] as const) {
+  test(`registration: an entry with ${title} names no instance`, t => {
+    t.is(decode(spec), undefined);
+  });
+}
+
+for (const value of [undefined, null, 1, 'x', [], {}, {meta: {}}, {meta: 1}]) {
+  test(`store: ${JSON.stringify(value)} is no object`, t => {
+    t.is(objectCodec.decodeObject(value), undefined);
+  });
+}
+
+test('configuration: routes that cannot be read are left out, the others hold', t => {
+  const good = {
+    name: 'r',
+    hostname: 'H.example',
+    pathPrefix: '/a/',
+    type: 'streaming',
+    split: [{service: 's', wt: 90}],
+    timeoutMs: 5,
+    resumable: true,
+  };
+  const stored = objectCodec.decodeObject({
+    meta: {name: 'main', revision: 1},
+    spec: {version: 3, routes: [{}, null, good, {...good, type: 'other'}]},
+  })!;
+  const decoded = objectCodec.decodeConfiguration(stored)!;
+  t.is(decoded.routes.length, 1);
+  const [route] = decoded.routes;
+  t.is(route.host, 'h.example');
+  t.is(route.kind, configuration.RequestKind.Streaming);
+  t.deepEqual(route.endpoints, [{endpoint: 's', weight: 90}]);
+  t.is(decoded.customers, undefined);
+});
--- /dev/null
+++ b/test/support/test_gateway.ts
@@ -0,0 +1,248 @@
+/** A gateway with stand-ins of store and replicas on the loopback. */
+import * as http from 'node:http';
+import * as ava from 'ava';
+import * as jsonLog from '../../src/base/node/json_log';
+import * as metrics from '../../src/base/node/metrics';
+import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
+import * as gatewayProcess from '../../src/gateway/node/gateway_process';
+import * as platformAdapter from '../../src/platform/platform_adapter';
+import * as replicaStandin from '../../standins/replica_standin';
+import * as storeStandin from '../../standins/store_standin';
+
+export const HOST = 'h.example';
+export const KEY = 'key-one';
+
+const LIMITS = {
+  maxHeaderBytes: 2_048,
+  maxBodyBytes: 10_000,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+const RUNTIME = {
+  slots: 24,
+  kvCap: 34_000,
+  kvBytes: 1,
+  linkMbps: 1_000,
+  moves: true,
+  backups: false,
+  stride: 4,
+  handleTtlS: 5,
+};
+
+function route(
+  pathPrefix: string,
+  type: string,
+  service: string,
+  more: object = {},
+): object {
+  return {
+    name: `route${pathPrefix}`,
+    hostname: HOST,
+    pathPrefix,
+    type,
+    service,
+    timeoutMs: 5_000,
+    sloMs: 1_000,
+    priority: 1,
+    attempts: 2,
+    public: false,
+    ...more,
+  };
+}
+
+/** A configuration in the platform's form. */
+export function configurationSpec(version: number, more: object = {}): object {
+  return {
+    version,
+    routes: [
+      route('/read/', 'idempotent', 'ledger'),
+      route('/file/', 'non_idempotent', 'ledger', {attempts: 1}),
+      route('/draft/', 'streaming', 'writers', {affinity: true, attempts: 1}),
+      route('/tag/', 'streaming', 'writers', {affinity: true, resumable: true}),
+      route('/open/', 'idempotent', 'ledger', {public: true}),
+    ],
+    services: [
+      {name: 'ledger', healthPath: '/healthz', maxConns: 100},
+      {
+        name: 'writers',
+        healthPath: '/healthz',
+        maxConns: 100,
+        runtime: RUNTIME,
+      },
+    ],
+    limits: LIMITS,
+    tenants: [{name: 'customer-one', apiKeys: [KEY]}],
+    ...more,
+  };
+}
+
+/** An answer as a caller received it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the body came whole. */
+  readonly isWhole: boolean;
+}
+
+/** What a caller sends. */
+export interface CallerOptions {
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly agent?: http.Agent;
+}
+
+let attempts = 0;
+
+export class TestGateway {
+  readonly store = new storeStandin.StoreStandin();
+  readonly replicas = new Map<string, replicaStandin.ReplicaStandin>();
+  private readonly addresses = new Map<string, string>();
+  private readonly gateway = new Map<string, gatewayProcess.GatewayProcess>();
+
+  private constructor(private readonly t: ava.ExecutionContext) {}
+
+  /** Starts the store and a gateway; nothing is configured yet. */
+  static async create(t: ava.ExecutionContext): Promise<TestGateway> {
+    const test = new TestGateway(t);
+    const store = await test.store.listen();
+    t.teardown(() => test.store.close());
+    const registry = new metrics.MetricsRegistry({});
+    const gateway = new gatewayProcess.GatewayProcess({
+      settings: {
+        instance: {name: 'gateway-1', data_centre: 'a', ip: '127.0.0.1'},
+        listen: {
+          callers: '127.0.0.1:0',
+          readiness: '127.0.0.1:0',
+          peers: '',
+          metrics_port: 0,
+        },
+        peers: {seeds: '', digest_port: 0},
+        platform: {store},
+        shutdown: {grace_seconds: 8},
+        retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
+      },
+      registry,
+      metrics: new gatewayMetrics.GatewayMetrics(registry),
+      log: new jsonLog.JsonLog({}, '/dev/null'),
+      source: platformAdapter.createStateSource(store, () => undefined),
+      client: platformAdapter.createInstanceClient(() => undefined),
+      decoder: platformAdapter.createCallerDecoder(),
+    });
+    await gateway.start();
+    t.teardown(() => gateway.dispose());
+    test.gateway.set('', gateway);
+    return test;
+  }
+
+  /** Starts a gateway with a configuration in force and these replicas. */
+  static async start(
+    t: ava.ExecutionContext,
+    replicas: Readonly<
+      Record<string, [string, replicaStandin.ReplicaBehaviour]>
+    >,
+    configuration = configurationSpec(1),
+  ): Promise<TestGateway> {
+    const test = await TestGateway.create(t);
+    for (const [id, [service, behaviour]] of Object.entries(replicas)) {
+      await test.addReplica(id, service, behaviour);
+    }
+    test.store.put('config', 'main', configuration);
+    await test.until(() => test.process.isReady);
+    return test;
+  }
+
+  get process(): gatewayProcess.GatewayProcess {
+    return this.gateway.get('')!;
+  }
+
+  async addReplica(
+    id: string,
+    service: string,
+    behaviour: replicaStandin.ReplicaBehaviour,
+  ): Promise<void> {
+    const replica = new replicaStandin.ReplicaStandin(id, behaviour);
+    this.addresses.set(id, await replica.listen());
+    this.t.teardown(() => replica.close());
+    this.replicas.set(id, replica);
+    this.register(id, service, 'ready');
+  }
+
+  /** Writes the registration of a replica. */
+  register(id: string, service: string, state: string): void {
+    this.store.put('servers', id, {
+      service,
+      address: this.addresses.get(id),
+      zone: 'a',
+      slots: 6,
+      state,
+      warmLeftMs: 0,
+      born: 1,
+      seq: 1,
+    });
+  }
+
+  /** Waits until the condition holds; the test's own time-out bounds it. */
+  async until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+      await new Promise(resolve => setTimeout(resolve, 5));
+    }
+  }
+
+  /** Requests that all replicas got. */
+  get requestCount(): number {
+    return [...this.replicas.values()].reduce(
+      (sum, replica) => sum + replica.requests.length,
+      0,
+    );
+  }
+
+  /** Sends a request as a caller; gives the open request for callers that leave. */
+  send(path: string, options: CallerOptions = {}): http.ClientRequest {
+    const request = http.request({
+      host: '127.0.0.1',
+      port: this.process.port,
+      path,
+      method: options.method ?? 'GET',
+      agent: options.agent ?? false,
+      headers: {
+        Host: HOST,
+        Authorization: `Bearer ${KEY}`,
+        'X-Rhubarbvane-Attempt-Id': String(++attempts).padStart(16, '0'),
+        'X-Rhubarbvane-Deadline-Ms': '4000',
+        'X-Rhubarbvane-Token-Count': '100,400',
+        ...options.headers,
+      },
+    });
+    request.on('error', () => undefined);
+    request.end(options.body);
+    return request;
+  }
+
+  /** Sends a request and waits for its answer. */
+  async call(path: string, options: CallerOptions = {}): Promise<CallerAnswer> {
+    const request = this.send(path, options);
+    return new Promise((resolve, reject) => {
+      request.once('error', reject);
+      request.once('response', response => resolve(readAnswer(response)));
+    });
+  }
+}
+
+function readAnswer(response: http.IncomingMessage): Promise<CallerAnswer> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.on('error', () => undefined);
+    response.once('close', () =>
+      resolve({
+        status: response.statusCode ?? 0,
+        headers: response.headers,
+        body: Buffer.concat(chunks).toString(),
+        isWhole: response.complete,
+      }),
+    );
+  });
+}
