--- a/src/gateway/common/evacuation.ts
+++ b/src/gateway/common/evacuation.ts
@@ -31,6 +31,8 @@
   readonly value: number;
   state: EvacuationState;
   dueAt: number;
+  /** Instances that had no room for the run. */
+  readonly fullTargets: Set<string>;
   /** Whether there is a copy, which only needs to be brought up to date. */
   isCopied: boolean;
 }
@@ -43,20 +45,20 @@
     runs: readonly {readonly run: T; readonly value: number}[],
     now: number,
   ) {
-    this.runs = runs
-      .map(each => ({
-        ...each,
-        state: EvacuationState.Waiting,
-        dueAt: now,
-        isCopied: false,
-      }))
-      .sort((left, right) => right.value - left.value);
+    this.runs = [];
+    runs.forEach(each => this.add(each.run, each.value, now));
   }
 
   /** Adds a run that came to the instance later. */
   add(run: T, value: number, now: number): void {
-    const state = EvacuationState.Waiting;
-    this.runs.push({run, value, state, dueAt: now, isCopied: false});
+    this.runs.push({
+      run,
+      value,
+      state: EvacuationState.Waiting,
+      dueAt: now,
+      fullTargets: new Set(),
+      isCopied: false,
+    });
     this.runs.sort((left, right) => right.value - left.value);
   }
 
--- a/src/gateway/node/evacuator.ts
+++ b/src/gateway/node/evacuator.ts
@@ -184,8 +184,11 @@
       evacuated.state = EvacuationState.Done;
       return;
     }
-    const target = call.copyTarget ?? this.chooseTarget(instance, call);
+    const target =
+      call.copyTarget ??
+      this.chooseTarget(instance, call, evacuated.fullTargets);
     if (target === undefined) {
+      evacuated.fullTargets.clear();
       plan.noteFailed(evacuated, performance.now(), RETRY_PAUSE_MILLISECONDS);
       return;
     }
@@ -221,16 +224,23 @@
       evacuated.state = EvacuationState.Done;
       return;
     }
+    if (copied.error.error === CopyError.NoRoom) {
+      evacuated.fullTargets.add(target.record.id);
+      plan.noteFailed(evacuated, now, 0);
+      return;
+    }
     plan.noteFailed(evacuated, now, RETRY_PAUSE_MILLISECONDS);
   }
 
   private chooseTarget(
     source: instanceTable.Instance,
     call: MovableCall,
+    fullTargets: ReadonlySet<string> = new Set(),
   ): instanceTable.Instance | undefined {
     return this.scheduler.placeElsewhere(
       call.run,
-      source,
+      new Set([source.record.id, ...fullTargets]),
+      source.record.dataCentre,
       call.engine.memoryTokens || Infinity,
       REMOTE_COPY_COST_MILLISECONDS,
     )?.instance;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -83,10 +83,11 @@
     });
   }
 
-  /** Instance for a run that leaves its own one; its memory is counted there from now on. */
+  /** Best instance for a run other than the excluded ones, near the data centre. */
   placeElsewhere(
     run: runTable.Run,
-    source: instanceTable.Instance,
+    excluded: ReadonlySet<string>,
+    dataCentre: string,
     capacityTokens: number,
     remoteCostMilliseconds: number,
   ): placement.GenerationChoice | undefined {
@@ -96,8 +97,8 @@
       this.runs.totalLoads(now),
       {
         endpoint: run.endpoint,
-        dataCentre: source.record.dataCentre,
-        excluded: new Set([source.record.id]),
+        dataCentre,
+        excluded,
         draw: Math.random,
         promptTokens: run.promptTokens,
         expectedTokens: run.expectedTokens,
@@ -116,7 +117,8 @@
   ): instanceTable.Instance | undefined {
     const choice = this.placeElsewhere(
       run,
-      source,
+      new Set([source.record.id]),
+      source.record.dataCentre,
       capacityTokens,
       REMOTE_BACKUP_COST_MILLISECONDS,
     );
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -293,7 +293,8 @@
     context.excluded.add(leg.instance.record.id);
     const choice = context.services.scheduler.placeElsewhere(
       run,
-      leg.instance,
+      context.excluded,
+      context.services.dataCentre,
       this.engine.memoryTokens || Infinity,
       0,
     );
