--- a/scripts/mark_programs.js
+++ b/scripts/mark_programs.js
@@ -1,5 +1,5 @@
-// Sets the run bit on the two compiled programs.
+// Sets the run bit on the compiled programs.
 const fs = require('node:fs');
-for (const program of ['build/src/daemon/main.js', 'build/src/tool/main.js']) {
+for (const program of ['build/src/daemon/main.js', 'build/src/daemon/gateway_main.js', 'build/src/tool/main.js']) {
   fs.chmodSync(program, 0o755);
 }
--- a/src/daemon/gateway_main.ts
+++ b/src/daemon/gateway_main.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
-/** The gateway program. Usage: gateway [settings file]. */
+/** The gateway program. */
+import * as clipanion from 'clipanion';
+import * as failure from '../base/common/failure';
 import * as jsonLog from '../base/node/json_log';
 import * as metrics from '../base/node/metrics';
 import * as resultCode from '../base/common/result_code';
@@ -8,19 +10,74 @@
 import * as gatewaySettings from '../gateway/node/gateway_settings';
 import * as platformAdapter from '../platform/platform_adapter';
 
-async function run(): Promise<number> {
-  const path = process.argv[2] ?? platformAdapter.settingsPath();
-  const settings = gatewaySettings.readGatewaySettings(path);
-  if (settings.isErr()) {
-    process.stderr.write(`gateway: ${settings.error.message}\n`);
-    return settings.error.code;
+/** Runs a gateway until it is asked to leave. */
+class RunCommand extends clipanion.Command {
+  static override paths = [clipanion.Command.Default];
+  static override usage = clipanion.Command.Usage({
+    description: 'Run a gateway',
+    details:
+      'SIGTERM makes the gateway unready, refuse new generations, finish what it can within the grace time and exit with 0. SIGHUP reads the settings again.',
+    examples: [['Run a gateway', 'rhubarbvane-gateway --config gateway.ini']],
+  });
+
+  config = clipanion.Option.String('--config', {
+    description: 'Settings file in INI form; the platform names it otherwise',
+  });
+  check = clipanion.Option.Boolean('--check', false, {
+    description: 'Only check the settings',
+  });
+
+  async execute(): Promise<number> {
+    const path = this.config ?? platformAdapter.settingsPath();
+    const settings = gatewaySettings.readGatewaySettings(path);
+    if (settings.isErr()) {
+      return this.refuse(settings.error);
+    }
+    return this.check
+      ? resultCode.ResultCode.Ok
+      : this.run(path, settings.value);
+  }
+
+  private async run(
+    path: string,
+    settings: gatewaySettings.GatewaySettings,
+  ): Promise<number> {
+    const log = new jsonLog.JsonLog({gateway: settings.instance.name});
+    const gateway = createGateway(settings, log);
+    logUncaught(log);
+    process.on('SIGHUP', () => reload(path, gateway, log));
+    const asked = new Promise<void>(resolve => {
+      process.once('SIGTERM', resolve);
+      process.once('SIGINT', resolve);
+    });
+    try {
+      await gateway.start();
+    } catch (error) {
+      const code = resultCode.ResultCode.AddressInUse;
+      const message = `${path}: section [listen], key callers: ${String(error)}`;
+      return this.refuse(failure.notRun(code, message));
+    }
+    await asked;
+    await gateway.leave();
+    log.end();
+    return resultCode.ResultCode.Ok;
+  }
+
+  private refuse(cause: failure.Failure): number {
+    this.context.stderr.write(`rhubarbvane-gateway: ${cause.message}\n`);
+    return cause.code;
   }
-  const {instance, platform} = settings.value;
-  const log = new jsonLog.JsonLog({instance: instance.name});
+}
+
+function createGateway(
+  settings: gatewaySettings.GatewaySettings,
+  log: jsonLog.JsonLog,
+): gatewayProcess.GatewayProcess {
+  const {instance, platform} = settings;
   const registry = new metrics.MetricsRegistry({instance: instance.name});
   const meters = new gatewayMetrics.GatewayMetrics(registry);
-  const gateway = new gatewayProcess.GatewayProcess({
-    settings: settings.value,
+  return new gatewayProcess.GatewayProcess({
+    settings,
     registry,
     metrics: meters,
     log,
@@ -32,7 +89,22 @@
     ),
     decoder: platformAdapter.createCallerDecoder(),
   });
-  process.on('SIGHUP', () => gateway.noteReload());
+}
+
+function reload(
+  path: string,
+  gateway: gatewayProcess.GatewayProcess,
+  log: jsonLog.JsonLog,
+): void {
+  const settings = gatewaySettings.readGatewaySettings(path);
+  if (settings.isErr()) {
+    log.write('reload-refused', {reason: settings.error.message}, true);
+    return;
+  }
+  gateway.reload(settings.value);
+}
+
+function logUncaught(log: jsonLog.JsonLog): void {
   process.on('uncaughtException', error => {
     log.write('uncaught-error', {error: String(error.stack)}, true);
   });
@@ -40,20 +112,12 @@
     const detail = reason instanceof Error ? reason.stack : reason;
     log.write('unhandled-rejection', {error: String(detail)}, true);
   });
-  const asked = new Promise<void>(resolve => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
-  try {
-    await gateway.start();
-  } catch (error) {
-    process.stderr.write(`gateway: listen.callers: ${String(error)}\n`);
-    return resultCode.ResultCode.AddressInUse;
-  }
-  await asked;
-  await gateway.leave();
-  log.end();
-  return resultCode.ResultCode.Ok;
 }
 
-void run().then(code => process.exit(code));
+const cli = new clipanion.Cli({
+  binaryLabel: 'rhubarbvane-gateway',
+  binaryName: 'rhubarbvane-gateway',
+});
+cli.register(RunCommand);
+cli.register(clipanion.Builtins.HelpCommand);
+void cli.run(process.argv.slice(2)).then(code => process.exit(code));
--- a/src/gateway/common/peer_digest.ts
+++ b/src/gateway/common/peer_digest.ts
@@ -13,7 +13,7 @@
   readonly instancesRevision: number;
   readonly loads: runTable.LoadsByInstance;
   readonly crashes: readonly crashTable.Crash[];
-  /** IPs of the gateways that it knows. */
+  /** IPs of the gateways that it heard lately. */
   readonly peers: readonly string[];
   /** Whether it is about to end. */
   readonly isLeaving: boolean;
@@ -30,6 +30,9 @@
 /** Time without a digest after which a peer counts as gone, in milliseconds. */
 export const PEER_LIFETIME_MILLISECONDS = 3_000;
 
+/** Time without a digest after which a peer is forgotten, in milliseconds; longer than budgets are counted. */
+const FORGET_MILLISECONDS = 60_000;
+
 interface Peer {
   digest: PeerDigest;
   heardAt: number;
@@ -38,28 +41,41 @@
 /** Peers by IP. */
 export class PeerTable {
   private readonly peers = new Map<string, Peer>();
-  private readonly known: Set<string>;
-  private largest = 1;
+  /** Time at which each peer was last heard or first named, by IP. */
+  private readonly known = new Map<string, number>();
 
   constructor(
     private readonly ownIp: string,
-    seeds: readonly string[],
+    private readonly seeds: readonly string[],
   ) {
-    this.known = new Set(seeds.filter(ip => ip !== ownIp));
+    seeds.forEach(ip => this.learn(ip));
+  }
+
+  /** Learns of a peer. */
+  learn(ip: string, now = performance.now()): void {
+    if (ip !== this.ownIp && !this.known.has(ip)) {
+      this.known.set(ip, now);
+    }
   }
 
   /** IPs to send digests to. */
   addresses(): string[] {
-    return [...this.known];
+    return [...this.known.keys()];
+  }
+
+  /** IPs of the peers heard lately; only those are passed on, so that a dead one is forgotten everywhere. */
+  heard(now: number): string[] {
+    return [...this.peers]
+      .filter(([, peer]) => now - peer.heardAt <= PEER_LIFETIME_MILLISECONDS)
+      .map(([ip]) => ip);
   }
 
   /** Takes a digest and learns of the peers that it names. */
   note(ip: string, digest: PeerDigest, now: number): void {
     this.peers.set(ip, {digest, heardAt: now});
-    [ip, ...digest.peers]
-      .filter(each => each !== this.ownIp)
-      .forEach(each => this.known.add(each));
-    this.largest = Math.max(this.largest, this.live(now).length + 1);
+    this.known.set(ip, now);
+    digest.peers.forEach(each => this.learn(each, now));
+    this.forget(now);
   }
 
   /** Digests of the peers heard lately. */
@@ -71,6 +87,17 @@
 
   /** Number of gateways that shared budgets are divided by: unseen ones may still spend theirs. */
   gatewayCount(): number {
-    return Math.max(this.largest, this.known.size + 1);
+    return this.known.size + 1;
+  }
+
+  /** Forgets peers that were not heard for long; seeds are kept. */
+  private forget(now: number): void {
+    for (const [ip, heardAt] of this.known) {
+      const isOld = now - heardAt > FORGET_MILLISECONDS;
+      if (isOld && !this.seeds.includes(ip)) {
+        this.known.delete(ip);
+        this.peers.delete(ip);
+      }
+    }
   }
 }
--- a/src/gateway/common/retry_limiter.ts
+++ b/src/gateway/common/retry_limiter.ts
@@ -55,7 +55,15 @@
 export class RetryLimiter {
   private readonly windows = new Map<string, EndpointWindow>();
 
-  constructor(private readonly policy: RetryPolicy) {}
+  constructor(private policy: RetryPolicy) {}
+
+  /** Takes another budget; a window of another length starts anew. */
+  setPolicy(policy: RetryPolicy): void {
+    if (policy.windowMilliseconds !== this.policy.windowMilliseconds) {
+      this.windows.clear();
+    }
+    this.policy = policy;
+  }
 
   /** Notes a request of a caller for the endpoint. */
   noteRequest(endpoint: string, now: number): void {
--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -59,6 +59,11 @@
     return this.runs.size;
   }
 
+  /** Peers whose reports count. */
+  get peerCount(): number {
+    return this.peers.size;
+  }
+
   add(run: Run): void {
     this.runs.add(run);
   }
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -148,6 +148,7 @@
     const seconds = callerAnswer.retryAfter(
       retryAfterSeconds,
       this.remainingMilliseconds,
+      Math.random(),
     );
     this.fail(failure.notRun(code, message, seconds), 503);
   }
--- a/src/gateway/node/caller_answer.ts
+++ b/src/gateway/node/caller_answer.ts
@@ -9,13 +9,18 @@
 /** Least time after which a caller may come back, in seconds. */
 const MIN_RETRY_AFTER_SECONDS = 0.05;
 
-/** Bounds the time after which a caller is asked to come back, in seconds. */
+/** Part by which the time is shortened or lengthened at random, so that callers do not come back together. */
+const SPREAD = 0.25;
+
+/** Time after which a caller is asked to come back, in seconds; `draw` is between 0 and 1. */
 export function retryAfter(
   seconds: number,
   remainingMilliseconds: number,
+  draw: number,
 ): number {
   const most = (remainingMilliseconds / 1000) * MAX_RETRY_AFTER_SHARE;
-  return Math.max(MIN_RETRY_AFTER_SECONDS, Math.min(seconds, most));
+  const spread = seconds * (1 - SPREAD + 2 * SPREAD * draw);
+  return Math.max(MIN_RETRY_AFTER_SECONDS, Math.min(spread, most));
 }
 
 /** Answers with a failure of this gateway. Statuses that promise that nothing ran are used only for work that did not run. */
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -1,4 +1,5 @@
 /** The gateway: serves callers, follows the platform's state and leaves without cutting work off. */
+import * as os from 'node:os';
 import * as deadline from '../../base/common/deadline';
 import * as disposable from '../../base/common/disposable';
 import * as jsonLog from '../../base/node/json_log';
@@ -53,6 +54,7 @@
   private readonly exchange: peerExchange.PeerExchange;
   private isLeaving = false;
   private lastCheckAt = performance.now();
+  private lastUptime = os.uptime() * 1000;
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, log, client} = options;
@@ -62,10 +64,7 @@
     const predictor = new lengthPredictor.LengthPredictor();
     const peers = new peerDigest.PeerTable(
       settings.instance.ip,
-      settings.peers.seeds
-        .split(',')
-        .map(seed => seed.split(':')[0].trim())
-        .filter(ip => ip.length > 0),
+      seedIps(settings),
     );
     const scheduler = new generationScheduler.GenerationScheduler(
       follower,
@@ -81,11 +80,7 @@
       client,
       runs,
       crashes,
-      retries: new retryLimiter.RetryLimiter({
-        windowMilliseconds: settings.retries.window_seconds * 1000,
-        ratio: settings.retries.ratio,
-        allowance: settings.retries.allowance,
-      }),
+      retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       peers,
       predictor,
       scheduler,
@@ -210,20 +205,36 @@
     this.dispose();
   }
 
-  /** Notes that the settings were read again. */
-  noteReload(): void {
-    this.options.log.write('reloaded', {}, true);
+  /** Takes what may change while the process runs: seeds and the budget of repeats. */
+  reload(settings: gatewaySettings.GatewaySettings): void {
+    const {peers, retries} = this.services;
+    seedIps(settings).forEach(ip => peers.learn(ip));
+    retries.setPolicy(retryPolicy(settings));
+    const isWhole =
+      JSON.stringify({...settings, peers: {}, retries: {}}) ===
+      JSON.stringify({...this.options.settings, peers: {}, retries: {}});
+    this.options.log.write(
+      'reloaded',
+      {seeds: settings.peers.seeds, needs_restart: !isWhole},
+      true,
+    );
   }
 
   dispose(): void {
     this.disposables.dispose();
   }
 
-  /** A process that stood still knows only what was true before. */
+  /**
+   * A process that stood still knows only what was true before. The steady
+   * clock leaves out the time for which the machine was suspended; the uptime
+   * of the system does not.
+   */
   private checkStandstill(): void {
     const now = performance.now();
-    const gap = now - this.lastCheckAt;
+    const uptime = os.uptime() * 1000;
+    const gap = Math.max(now - this.lastCheckAt, uptime - this.lastUptime);
     this.lastCheckAt = now;
+    this.lastUptime = uptime;
     if (gap < STANDSTILL_MILLISECONDS) {
       return;
     }
@@ -232,3 +243,18 @@
     void this.services.follower.refreshInstances();
   }
 }
+
+/** IPs of the seeds, which are written with a port. */
+function seedIps(settings: gatewaySettings.GatewaySettings): string[] {
+  return settings.peers.seeds
+    .split(',')
+    .map(seed => seed.split(':')[0].trim())
+    .filter(ip => ip.length > 0);
+}
+
+function retryPolicy(
+  settings: gatewaySettings.GatewaySettings,
+): retryLimiter.RetryPolicy {
+  const {window_seconds, ratio, allowance} = settings.retries;
+  return {windowMilliseconds: window_seconds * 1000, ratio, allowance};
+}
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -15,7 +15,8 @@
 const address = settingsFile.addressSetting();
 const port = settingsFile.numberSetting(0, 65_535);
 
-const gatewayFileSchema = zod.z.object({
+/** Schema of the whole file. */
+export const gatewayFileSchema = zod.z.object({
   instance: zod.z.object({
     name: zod.z.string().min(1, 'the name of this instance'),
     data_centre: zod.z.string().min(1, 'the name of a data centre'),
@@ -66,8 +67,5 @@
 export function readGatewaySettings(
   path: string,
 ): neverthrow.Result<GatewaySettings, failure.Failure> {
-  return settingsFile.readSettings(
-    path,
-    gatewayFileSchema as unknown as zod.ZodType<GatewaySettings>,
-  );
+  return settingsFile.readSettings(path, gatewayFileSchema);
 }
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -197,6 +197,8 @@
         prompt_tokens: run.promptTokens,
         waiting: this.queue.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
+        instances_revision: this.follower.instancesRevision,
+        reporting_peers: this.runs.peerCount,
       },
       instance,
     );
--- a/src/gateway/node/peer_exchange.ts
+++ b/src/gateway/node/peer_exchange.ts
@@ -100,7 +100,7 @@
       instancesRevision: this.follower.instancesRevision,
       loads: this.runs.ownLoads(),
       crashes: this.crashes.recent(),
-      peers: this.peers.addresses(),
+      peers: this.peers.heard(performance.now()),
       isLeaving: this.isLeaving,
     };
     const bytes = Buffer.from(JSON.stringify(digest));
--- /dev/null
+++ b/test/gateway/common/peer_digest.test.ts
@@ -0,0 +1,42 @@
+/** Which gateways know each other, over starts, losses and replacements. */
+import * as ava from 'ava';
+import * as peerDigest from '../../../src/gateway/common/peer_digest';
+
+const test = ava.default;
+
+function digest(...peers: string[]): peerDigest.PeerDigest {
+  return {
+    name: 'g',
+    stateAddress: '',
+    configurationVersion: 1,
+    instancesRevision: 1,
+    loads: {},
+    crashes: [],
+    peers,
+    isLeaving: false,
+  };
+}
+
+test('peers: from one seed, all become known', t => {
+  const table = new peerDigest.PeerTable('10.0.0.1', ['10.0.0.1', '10.0.0.2']);
+  t.deepEqual(table.addresses(), ['10.0.0.2']);
+  table.note('10.0.0.2', digest('10.0.0.3', '10.0.0.1'), 0);
+  t.deepEqual(table.addresses(), ['10.0.0.2', '10.0.0.3']);
+  t.is(table.gatewayCount(), 3);
+});
+
+test('peers: one that is silent counts for shared budgets until it is forgotten, and is not passed on', t => {
+  const table = new peerDigest.PeerTable('10.0.0.1', ['10.0.0.2']);
+  table.note('10.0.0.9', digest(), 0);
+  t.deepEqual(table.heard(1_000), ['10.0.0.9']);
+  t.deepEqual(table.heard(10_000), []);
+  t.is(table.gatewayCount(), 3);
+  table.note('10.0.0.2', digest(), 70_000);
+  t.deepEqual(table.addresses(), ['10.0.0.2']);
+});
+
+test('peers: seeds are never forgotten', t => {
+  const table = new peerDigest.PeerTable('10.0.0.1', ['10.0.0.2']);
+  table.note('10.0.0.3', digest(), 10_000_000);
+  t.true(table.addresses().includes('10.0.0.2'));
+});
--- /dev/null
+++ b/test/gateway/gateway_settings.test.ts
@@ -0,0 +1,59 @@
+/** Settings of a gateway: the example, what templates leave empty, and mistakes. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as ava from 'ava';
+import * as settingsFile from '../../src/base/node/settings_file';
+import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
+
+const test = ava.default;
+const EXAMPLE = path.join(__dirname, '../../../examples/gateway.ini');
+const TEXT = fs.readFileSync(EXAMPLE, 'utf8');
+
+function parse(text: string) {
+  return settingsFile.parseSettings(
+    'x.ini',
+    text,
+    gatewaySettings.gatewayFileSchema,
+  );
+}
+
+test('gateway settings: the example is valid', t => {
+  const read = gatewaySettings.readGatewaySettings(EXAMPLE);
+  t.true(read.isOk(), read.isErr() ? read.error.message : '');
+});
+
+test('gateway settings: values that the platform has none for take their defaults', t => {
+  const text = TEXT.replace('ratio = 0.2', 'ratio =').replace(
+    'grace_seconds = 8',
+    'grace_seconds =',
+  );
+  const settings = parse(text)._unsafeUnwrap();
+  t.is(settings.retries.ratio, 0.1);
+  t.is(settings.shutdown.grace_seconds, 8);
+});
+
+for (const [title, from, to, message] of [
+  [
+    'a missing store',
+    'store = 127.0.0.1:8742',
+    '',
+    /section \[platform\], key store: saw nothing, expected/,
+  ],
+  [
+    'a wrong port',
+    'callers = 127.0.0.1:8740',
+    'callers = 127.0.0.1:99999',
+    /section \[listen\], key callers: saw "127\.0\.0\.1:99999", expected/,
+  ],
+  [
+    'a wrong number',
+    'ratio = 0.2',
+    'ratio = many',
+    /section \[retries\], key ratio: saw "many", expected a number from 0 to 10/,
+  ],
+] as const) {
+  test(`gateway settings: ${title} is told with its place`, t => {
+    const parsed = parse(TEXT.replace(from, to));
+    t.regex(parsed._unsafeUnwrapErr().message, message);
+  });
+}
