A leaving gateway takes the generations that end in time; incidents written up

Cause (inc-b736): every generation was refused from SIGTERM on, and its caller came back to another gateway that was leaving too.

--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -187,15 +187,14 @@
     const startedAt = performance.now();
     const graceMilliseconds = settings.shutdown.grace_seconds * 1000;
     this.isLeaving = true;
-    this.handler.isLeaving = true;
     this.exchange.isLeaving = true;
     log.write('leaving', {open: this.server.openRequestCount}, true);
     const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
+    this.handler.closesAt = endsAt - LAST_CALL_MILLISECONDS;
     const mayEndAt = Math.min(startedAt + BALANCER_MILLISECONDS, endsAt);
     for (;;) {
       await deadline.delay(LEAVE_CHECK_MILLISECONDS);
       const now = performance.now();
-      this.handler.isClosing = now >= endsAt - LAST_CALL_MILLISECONDS;
       const isIdle = this.server.openRequestCount === 0;
       if (now >= endsAt || (isIdle && now >= mayEndAt)) {
         break;
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -6,10 +6,12 @@
 import * as httpServer from '../../base/node/http_server';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
+import * as leavingPolicy from '../common/leaving_policy';
 import * as routeIndex from '../common/route_index';
 import * as callContext from './call_context';
 import * as callerAnswer from './caller_answer';
 import * as gatewayServices from './gateway_services';
+import * as generationScheduler from './generation_scheduler';
 import * as plainCall from './plain_call';
 import * as streamCall from './stream_call';
 
@@ -37,10 +39,8 @@
 
 /** Handles every request of callers. */
 export class RequestHandler {
-  /** Whether the process is about to end: no generation would. */
-  isLeaving = false;
-  /** Whether the process ends before any request surely would. */
-  isClosing = false;
+  /** Monotonic milliseconds at which the process takes no more requests; undefined unless it is about to end. */
+  closesAt: number | undefined;
 
   constructor(
     private readonly services: gatewayServices.GatewayServices,
@@ -52,7 +52,7 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const arrivedAt = performance.now();
-    if (this.isLeaving) {
+    if (this.closesAt !== undefined) {
       response.setHeader('Connection', 'close');
     }
     const caller = this.decoder.decode(request);
@@ -114,7 +114,7 @@
         Infinity,
       );
     }
-    if (this.isClosing || (isStreaming && this.isLeaving)) {
+    if (!this.endsInTime(context)) {
       return context.refuse(
         ResultCode.NotReady,
         'this gateway ends before the request would',
@@ -126,6 +126,20 @@
       : new plainCall.PlainCall(context).run());
   }
 
+  /** Whether the call is likely to end before this process does. */
+  private endsInTime(context: callContext.CallContext): boolean {
+    if (this.closesAt === undefined) {
+      return true;
+    }
+    const left = this.closesAt - performance.now();
+    if (context.call.route.kind !== configuration.RequestKind.Streaming) {
+      return left > 0;
+    }
+    const {predictor} = this.services;
+    const expected = generationScheduler.expectedTokens(context, predictor);
+    return leavingPolicy.endsInTime(expected, left);
+  }
+
   private async rejectEarly(
     request: http.IncomingMessage,
     caller: instanceClient.CallerRequest,
