Each of many gateways chooses among three engines drawn at random

Cause: 22 and 27 gateways placed by the same reports, up to 0.5 s old, and all chose the least loaded engine: first tokens at a median of 1.5 s with memory free elsewhere. Digests now go out at up to 100 a second.

--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -21,6 +21,8 @@
   readonly capacityTokens: number;
   /** Cost of an instance in another data centre, in milliseconds. */
   readonly remoteCostMilliseconds: number;
+  /** Gateways that place by the same reports. */
+  readonly gatewayCount: number;
 }
 
 /** Where a generation may go. */
@@ -54,6 +56,11 @@
 /** Time after registration in which a starting engine is slow, in milliseconds. */
 const WARM_UP_COST_MILLISECONDS = 300;
 
+/** Gateways up to which each looks at all instances; their digests are frequent enough. */
+const FEW_GATEWAYS = 6;
+/** Instances that each of many gateways looks at. */
+const SAMPLE_SIZE = 3;
+
 /** Instances that may take new work, without those that fail far more than their peers. */
 export function candidates(
   instances: readonly instanceTable.Instance[],
@@ -131,10 +138,32 @@
       request.draw() * TIE_MILLISECONDS
     );
   };
-  const instance = cheapest(candidates(instances, request.excluded, now), cost);
+  const possible = candidates(instances, request.excluded, now);
+  const instance = cheapest(sample(possible, request), cost);
   return instance && {instance, memoryShare: shareOf(instance)};
 }
 
+/**
+ * Many gateways with the same late reports would all choose the least loaded
+ * instance, so each chooses among a few drawn at random.
+ */
+function sample(
+  rows: readonly instanceTable.Instance[],
+  request: GenerationRequest,
+): readonly instanceTable.Instance[] {
+  if (request.gatewayCount <= FEW_GATEWAYS || rows.length <= SAMPLE_SIZE) {
+    return rows;
+  }
+  const rest = [...rows];
+  return Array.from({length: SAMPLE_SIZE}, () => {
+    const index = Math.min(
+      rest.length - 1,
+      Math.floor(request.draw() * rest.length),
+    );
+    return rest.splice(index, 1)[0];
+  });
+}
+
 function cheapest(
   rows: readonly instanceTable.Instance[],
   cost: (row: instanceTable.Instance) => number,
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -71,6 +71,7 @@
       runs,
       predictor,
       settings.instance.data_centre,
+      peers,
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -3,6 +3,7 @@
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as generationQueue from '../common/generation_queue';
 import * as instanceTable from '../common/instance_table';
+import * as peerDigest from '../common/peer_digest';
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
@@ -52,6 +53,7 @@
     private readonly runs: runTable.RunTable,
     private readonly predictor: lengthPredictor.LengthPredictor,
     private readonly dataCentre: string,
+    private readonly peers: peerDigest.PeerTable,
   ) {
     this.timer = setInterval(() => this.step(), STEP_MILLISECONDS);
     this.timer.unref();
@@ -104,6 +106,7 @@
         expectedTokens: run.expectedTokens,
         capacityTokens,
         remoteCostMilliseconds,
+        gatewayCount: this.peers.gatewayCount(),
       },
       now,
     );
@@ -165,6 +168,7 @@
         expectedTokens: expected,
         capacityTokens: engine?.memoryTokens || Infinity,
         remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
+        gatewayCount: this.peers.gatewayCount(),
       },
       now,
     );
--- a/src/gateway/node/peer_exchange.ts
+++ b/src/gateway/node/peer_exchange.ts
@@ -12,7 +12,7 @@
 /** Time between digests with few peers, in milliseconds. */
 const MIN_INTERVAL_MILLISECONDS = 200;
 /** Digests that one gateway sends in a second at most. */
-const MAX_DIGESTS_PER_SECOND = 40;
+const MAX_DIGESTS_PER_SECOND = 100;
 /** Time for which newer state at a peer may be on its way from the store, in milliseconds. */
 const STORE_HEAD_START_MILLISECONDS = 150;
 const FETCH_TIMEOUT_MILLISECONDS = 800;
--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -33,6 +33,7 @@
     expectedTokens: 900,
     capacityTokens: CAPACITY,
     remoteCostMilliseconds: 5,
+    gatewayCount: 4,
   };
 }
 
@@ -142,3 +143,24 @@
   instances[2].openRequests = 2;
   t.is(placement.placeCall(instances, request, 0), instances[1]);
 });
+
+test('placement: many gateways with the same reports do not all choose the same engine', t => {
+  const instances = rows(29);
+  const loads = new Map(
+    instances.slice(1).map(row => {
+      const load = {runs: 3, memoryTokens: 11_700, prefillTokens: 0};
+      return [row.record.id, load] as const;
+    }),
+  );
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 220; index++) {
+    // A fixed sequence that is spread evenly over 0 to 1.
+    let step = index * 3;
+    const draw = () => (++step * 0.618_033_988_75) % 1;
+    const request = {...generation(), gatewayCount: 22, draw};
+    const choice = placement.placeGeneration(instances, loads, request, 1_000)!;
+    const {id} = choice.instance.record;
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.true(Math.max(...counts.values()) <= 220 / 4);
+});
