--- a/src/gateway/node/evacuator.ts
+++ b/src/gateway/node/evacuator.ts
@@ -24,6 +24,7 @@
 const REMOTE_COPY_COST_MILLISECONDS = 200;
 /** Time after which an evacuation ends though its instance still runs, in milliseconds. */
 const MAX_DURATION_MILLISECONDS = 30_000;
+
 /** A generation that can be moved. */
 export abstract class MovableCall {
   abstract readonly run: runTable.Run;
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -232,6 +232,7 @@
   private checkStandstill(): void {
     const now = performance.now();
     const uptime = os.uptime() * 1000;
+    this.options.metrics.waiting.set(this.services.scheduler.waitingCount);
     const gap = Math.max(now - this.lastCheckAt, uptime - this.lastUptime);
     this.lastCheckAt = now;
     this.lastUptime = uptime;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -76,7 +76,10 @@
         resolve,
         urgency: urgencyOf(context),
         arrivedAt,
-        objectiveMilliseconds: route.objectiveMilliseconds,
+        objectiveMilliseconds: Math.min(
+          route.objectiveMilliseconds,
+          context.call.deadlineAt - arrivedAt,
+        ),
       };
       if (!this.queue.add(waiting)) {
         return resolve(undefined);
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -18,6 +18,7 @@
 
 /** When to come back if engines are expected to be full, in seconds. */
 const CROWDED_RETRY_SECONDS = 1;
+
 /** Runs one generation. */
 export class StreamCall extends evacuator.MovableCall {
   run!: runTable.Run;
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -142,3 +142,23 @@
   await gateway.until(() => isDropped);
   t.pass();
 });
+
+test('stream: a generation that finds no room in time is refused as not run', async t => {
+  const gateway = await TestGateway.start(t, {'i-1': ['writers', finish]});
+  const full: replicaStandin.ReplicaBehaviour = (request, response) => {
+    response.writeHead(200, stamped(request));
+    response.write(events(1, 1));
+  };
+  gateway.replicas.get('i-1')!.behaviour = full;
+  const big = {'X-Rhubarbvane-Token-Count': '33000,900'};
+  gateway.send('/draft/a', {method: 'POST', body: 'p', headers: big});
+  await gateway.until(() => gateway.requestCount === 1);
+  const answer = await gateway.call('/draft/b', {
+    method: 'POST',
+    body: 'q',
+    headers: {...big, 'X-Rhubarbvane-Deadline-Ms': '300'},
+  });
+  t.is(answer.status, 503);
+  t.is(answer.headers['rhubarbvane-work'], 'not-run');
+  t.is(gateway.requestCount, 1);
+});
