--- /dev/null
+++ b/test/gateway/leaving.test.ts
@@ -0,0 +1,49 @@
+/** A planned stop: what runs ends whole, and what comes is served or truly refused. */
+import * as ava from 'ava';
+import * as replicaStandin from '../../standins/replica_standin';
+import * as testGateway from '../support/test_gateway';
+
+const test = ava.default;
+const {TestGateway} = testGateway;
+const {events, stamped, succeed} = replicaStandin;
+
+test('leaving: a stream that runs is finished, calls are served, long generations are refused as not run', async t => {
+  let finish = () => undefined as void;
+  const gateway = await TestGateway.start(t, {
+    'i-1': [
+      'writers',
+      (request, response) => {
+        response.writeHead(200, stamped(request));
+        response.write(events(1, 2));
+        finish = () => void response.end(events(3, 4));
+      },
+    ],
+    'i-2': ['ledger', succeed('record')],
+  });
+  await gateway.until(() => gateway.process.state.instances.size === 2);
+  const running = gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  await gateway.until(() => gateway.requestCount === 1);
+  const left = gateway.process.leave();
+  t.false(gateway.process.isReady);
+
+  const served = await gateway.call('/read/a');
+  t.is(served.status, 200);
+  t.is(served.headers.connection, 'close');
+  const refused = await gateway.call('/draft/b', {
+    method: 'POST',
+    body: 'q',
+    headers: {
+      'X-Rhubarbvane-Token-Count': '100,40000',
+      'X-Rhubarbvane-Length-Hint': '40000',
+    },
+  });
+  t.is(refused.status, 503);
+  t.is(refused.headers['rhubarbvane-work'], 'not-run');
+  t.is(gateway.replicas.get('i-1')!.requests.length, 1);
+
+  finish();
+  const answer = await running;
+  t.true(answer.isWhole);
+  t.is(answer.body, events(1, 4));
+  await left;
+});
