An entry that was ready stays ready when later links open

Cause: readiness looked at all links that were opening, so within 5 s of its start an entry became unready again when a new endpoint instance was listed. Ruled out: leaving (the answer named the links), the list being lost. Now the links of the first listing are waited for, once.

--- a/src/entry/node/link_manager.ts
+++ b/src/entry/node/link_manager.ts
@@ -33,7 +33,9 @@
 export class LinkManager implements disposable.Disposable {
   readonly table = new endpointTable.EndpointTable();
   private readonly clients = new Map<string, linkClient.LinkClient>();
-  private readonly unsettled = new Set<string>();
+  /** Instances of the first listing whose link was neither up nor failed yet. */
+  private readonly opening = new Set<string>();
+  private hasSettled = false;
   private readonly spareUntil = new Map<string, number>();
   private readonly events = new rxjs.Subject<InstanceEvent>();
   private readonly subscription: rxjs.Subscription;
@@ -53,9 +55,12 @@
     return this.events;
   }
 
-  /** Whether each link was up or failed at least once. */
+  /**
+   * Whether each link of the first listing was up or failed at least once. Stays
+   * true from then on: a link to an instance listed later does not undo it.
+   */
   get isSettled(): boolean {
-    return this.unsettled.size === 0;
+    return this.hasSettled;
   }
 
   client(instance: string): linkClient.LinkClient | undefined {
@@ -116,6 +121,9 @@
       }
       this.table.get(record.instance)!.isListedLeaving = record.isLeaving;
     }
+    const isListed = view.readAt > 0;
+    this.hasSettled =
+      this.hasSettled || (isListed && this.opening.size === 0);
   }
 
   /** Chooses by rendezvous hashing, so that each instance has about the same number of entries. */
@@ -172,7 +180,9 @@
       isListedLeaving: record.isLeaving,
     });
     this.clients.set(record.instance, client);
-    this.unsettled.add(record.instance);
+    if (!this.hasSettled) {
+      this.opening.add(record.instance);
+    }
     client.onDidHappen.subscribe(event =>
       this.onLinkEvent(record.instance, event),
     );
@@ -184,7 +194,7 @@
     client.dispose();
     this.clients.delete(instance);
     this.table.remove(instance);
-    this.unsettled.delete(instance);
+    this.settle(instance);
     const reason = 'the instance is no longer listed';
     this.events.next({
       instance,
@@ -196,11 +206,16 @@
     const row = this.table.get(instance);
     if (row !== undefined) {
       this.note(row, event);
-      this.unsettled.delete(instance);
+      this.settle(instance);
     }
     this.events.next({instance, event});
   }
 
+  private settle(instance: string): void {
+    this.opening.delete(instance);
+    this.hasSettled = this.hasSettled || this.opening.size === 0;
+  }
+
   private note(
     row: endpointTable.EndpointInstance,
     event: linkClient.LinkEvent,
--- /dev/null
+++ b/test/entry/link_manager.test.ts
@@ -0,0 +1,76 @@
+import * as net from 'node:net';
+import test from 'ava';
+import * as neverthrow from 'neverthrow';
+import * as rxjs from 'rxjs';
+import * as metrics from '../../src/base/node/metrics';
+import * as entryMetrics from '../../src/entry/node/entry_metrics';
+import * as linkManager from '../../src/entry/node/link_manager';
+import * as membership from '../../src/entry/node/membership';
+import * as trafficMetrics from '../../src/protocol/node/traffic_metrics';
+import * as instanceList from '../../src/storage/common/instance_list';
+
+/** An address of loopback that refuses connections. */
+async function refusingAddress(): Promise<string> {
+  const server = net.createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
+
+function side(instance: string, address: string): instanceList.InstanceRecord {
+  return {
+    instance,
+    role: instanceList.InstanceRole.Side,
+    endpoint: 'engine',
+    dataCentre: 'dc1',
+    address,
+    isLeaving: false,
+  } as instanceList.InstanceRecord;
+}
+
+class FixedList extends instanceList.InstanceList {
+  constructor(private readonly records: instanceList.InstanceRecord[]) {
+    super();
+  }
+
+  async read() {
+    return neverthrow.ok(this.records);
+  }
+}
+
+test('links opened after the start do not unsettle an entry that was ready', async t => {
+  const address = await refusingAddress();
+  const first = side('side-0', address);
+  const registry = new metrics.MetricsRegistry({});
+  const members = new membership.Membership(new FixedList([first]));
+  const links = new linkManager.LinkManager(
+    {
+      entry: 'entry-0',
+      entryAddress: () => '127.0.0.1:1',
+      dataCentre: 'dc1',
+      token: 'token',
+      linksPerEndpoint: 4,
+      revision: () => 1,
+    },
+    members,
+    new trafficMetrics.TrafficMetrics(registry),
+    new entryMetrics.EntryMetrics(registry),
+  );
+  t.false(links.isSettled, 'the list was not read yet');
+  const failed = rxjs.firstValueFrom(links.onDidHappen);
+  await members.start();
+  t.false(links.isSettled, 'the first link was not tried yet');
+  await failed;
+  t.true(links.isSettled);
+
+  members.adopt({
+    readAt: Date.now() + 1,
+    hash: 'two instances',
+    instances: [first, side('side-1', address)],
+  });
+  t.true(links.isSettled, 'a link to a new instance is opening');
+
+  links.dispose();
+  members.dispose();
+});
