--- a/src/entry/node/link_manager.ts
+++ b/src/entry/node/link_manager.ts
@@ -122,8 +122,7 @@
       this.table.get(record.instance)!.isListedLeaving = record.isLeaving;
     }
     const isListed = view.readAt > 0;
-    this.hasSettled =
-      this.hasSettled || (isListed && this.opening.size === 0);
+    this.hasSettled = this.hasSettled || (isListed && this.opening.size === 0);
   }
 
   /** Chooses by rendezvous hashing, so that each instance has about the same number of entries. */
--- a/test/entry/link_manager.test.ts
+++ b/test/entry/link_manager.test.ts
@@ -1,5 +1,5 @@
 import * as net from 'node:net';
-import test from 'ava';
+import * as ava from 'ava';
 import * as neverthrow from 'neverthrow';
 import * as rxjs from 'rxjs';
 import * as metrics from '../../src/base/node/metrics';
@@ -9,6 +9,8 @@
 import * as trafficMetrics from '../../src/protocol/node/traffic_metrics';
 import * as instanceList from '../../src/storage/common/instance_list';
 
+const test = ava.default;
+
 /** An address of loopback that refuses connections. */
 async function refusingAddress(): Promise<string> {
   const server = net.createServer();
