Rolling stops: refuse by what peers tell, and take late generations only if they surely end

Ruled out: the balancer (it had dropped the gateways), engines (idle). Now digests say when a gateway ends; a refused caller comes back when the first one is back, never earlier; after 2.8 s only what ends by the caller's own bound is taken; the pace of engines is measured instead of assumed; short calls are taken until three objectives before the end and answered before it.

--- a/src/gateway/common/peer_digest.ts
+++ b/src/gateway/common/peer_digest.ts
@@ -2,6 +2,7 @@
 import * as configuration from './configuration';
 import * as crashTable from './crash_table';
 import * as instanceTable from './instance_table';
+import * as leavingPolicy from './leaving_policy';
 import * as runTable from './run_table';
 
 /** A short report of one gateway. */
@@ -15,8 +16,8 @@
   readonly crashes: readonly crashTable.Crash[];
   /** IPs of the gateways that it heard lately. */
   readonly peers: readonly string[];
-  /** Whether it is about to end. */
-  readonly isLeaving: boolean;
+  /** Time until it ends, in milliseconds; undefined unless it is about to end. */
+  readonly endsInMilliseconds?: number;
 }
 
 /** The whole state of a gateway, for peers that lack it. */
@@ -85,6 +86,25 @@
       .map(peer => peer.digest);
   }
 
+  /** Which peers take new callers, and when the first of the others ends. */
+  outlook(now: number): leavingPolicy.PeerOutlook {
+    let stayingCount = 0;
+    let firstEndMilliseconds = Infinity;
+    for (const {digest, heardAt} of this.peers.values()) {
+      const age = now - heardAt;
+      if (age > PEER_LIFETIME_MILLISECONDS) {
+        continue;
+      }
+      if (digest.endsInMilliseconds === undefined) {
+        stayingCount++;
+      } else {
+        const endsIn = Math.max(0, digest.endsInMilliseconds - age);
+        firstEndMilliseconds = Math.min(firstEndMilliseconds, endsIn);
+      }
+    }
+    return {stayingCount, firstEndMilliseconds};
+  }
+
   /** Number of gateways that shared budgets are divided by: unseen ones may still spend theirs. */
   gatewayCount(): number {
     return this.known.size + 1;
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -43,6 +43,8 @@
   private rejected = 0;
   private isFinished = false;
   private onGone: () => void = () => undefined;
+  /** Monotonic milliseconds at which this process has to have answered. */
+  private answerBy = Infinity;
 
   constructor(
     readonly services: gatewayServices.GatewayServices,
@@ -65,7 +67,13 @@
   }
 
   get remainingMilliseconds(): number {
-    return this.call.deadlineAt - performance.now();
+    const answerBy = Math.min(this.call.deadlineAt, this.answerBy);
+    return answerBy - performance.now();
+  }
+
+  /** Ends the call at the time, also if its caller would wait longer. */
+  limitTo(answerBy: number): void {
+    this.answerBy = answerBy;
   }
 
   /** Calls back once when the caller leaves before its answer. */
--- a/src/gateway/node/caller_answer.ts
+++ b/src/gateway/node/caller_answer.ts
@@ -9,8 +9,11 @@
 /** Least time after which a caller may come back, in seconds. */
 const MIN_RETRY_AFTER_SECONDS = 0.05;
 
-/** Part by which the time is shortened or lengthened at random, so that callers do not come back together. */
-const SPREAD = 0.25;
+/**
+ * Part by which the time is lengthened at random, so that callers do not come
+ * back together. It is never shortened: who comes back early is refused again.
+ */
+const SPREAD = 0.5;
 
 /** Time after which a caller is asked to come back, in seconds; `draw` is between 0 and 1. */
 export function retryAfter(
@@ -19,7 +22,7 @@
   draw: number,
 ): number {
   const most = (remainingMilliseconds / 1000) * MAX_RETRY_AFTER_SHARE;
-  const spread = seconds * (1 - SPREAD + 2 * SPREAD * draw);
+  const spread = seconds * (1 + SPREAD * draw);
   return Math.max(MIN_RETRY_AFTER_SECONDS, Math.min(spread, most));
 }
 
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -9,6 +9,7 @@
   private splitter = new eventSplitter.EventSplitter();
   private isHeadWritten = false;
   private lastId: string | undefined;
+  private firstEventAt = 0;
   private lastEventAt = 0;
   private longestPause = 0;
 
@@ -30,6 +31,11 @@
     return this.lastId;
   }
 
+  /** Time from the first event to the last, in milliseconds. */
+  get streamMilliseconds(): number {
+    return this.lastEventAt - this.firstEventAt;
+  }
+
   /** Forgets the unfinished event of the instance before. */
   beginLeg(): void {
     this.splitter = new eventSplitter.EventSplitter();
@@ -127,6 +133,7 @@
   private notePause(): void {
     const now = performance.now();
     const pause = this.lastEventAt > 0 ? now - this.lastEventAt : 0;
+    this.firstEventAt ||= now;
     this.lastEventAt = now;
     this.longestPause = Math.max(this.longestPause, pause);
     const {maxPauseMilliseconds} = this.context.call.route;
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -11,6 +11,7 @@
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
+import * as tokenPace from '../common/token_pace';
 import * as callerServer from './caller_server';
 import * as evacuator from './evacuator';
 import * as gatewayMetrics from './gateway_metrics';
@@ -26,8 +27,6 @@
 const BALANCER_MILLISECONDS = 3_500;
 /** Time before the end of grace at which the process ends by itself, in milliseconds. */
 const GRACE_MARGIN_MILLISECONDS = 300;
-/** Time before its own end in which the process refuses requests that it might not finish, in milliseconds. */
-const LAST_CALL_MILLISECONDS = 1_500;
 const LEAVE_CHECK_MILLISECONDS = 50;
 /** Interval at which standstills of the process are looked for, in milliseconds. */
 const STANDSTILL_CHECK_MILLISECONDS = 200;
@@ -84,6 +83,7 @@
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       peers,
       predictor,
+      pace: new tokenPace.TokenPace(),
       scheduler,
       evacuator: new evacuator.Evacuator(
         follower,
@@ -188,10 +188,11 @@
     const startedAt = performance.now();
     const graceMilliseconds = settings.shutdown.grace_seconds * 1000;
     this.isLeaving = true;
-    this.exchange.isLeaving = true;
     log.write('leaving', {open: this.server.openRequestCount}, true);
     const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
-    this.handler.closesAt = endsAt - LAST_CALL_MILLISECONDS;
+    this.handler.endAt(endsAt);
+    this.exchange.endsAt = endsAt;
+    this.exchange.announce();
     const mayEndAt = Math.min(startedAt + BALANCER_MILLISECONDS, endsAt);
     for (;;) {
       await deadline.delay(LEAVE_CHECK_MILLISECONDS);
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -6,6 +6,7 @@
 import * as peerDigest from '../common/peer_digest';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
+import * as tokenPace from '../common/token_pace';
 import * as evacuator from './evacuator';
 import * as gatewayMetrics from './gateway_metrics';
 import * as generationScheduler from './generation_scheduler';
@@ -23,6 +24,7 @@
   readonly retries: retryLimiter.RetryLimiter;
   readonly peers: peerDigest.PeerTable;
   readonly predictor: lengthPredictor.LengthPredictor;
+  readonly pace: tokenPace.TokenPace;
   readonly scheduler: generationScheduler.GenerationScheduler;
   readonly evacuator: evacuator.Evacuator;
 }
--- a/src/gateway/node/peer_exchange.ts
+++ b/src/gateway/node/peer_exchange.ts
@@ -40,7 +40,8 @@
   private awaitedVersion = 0;
   private awaitedSince = 0;
   private isFetching = false;
-  isLeaving = false;
+  /** Monotonic milliseconds at which this process ends; undefined unless it is about to end. */
+  endsAt: number | undefined;
 
   constructor(
     private readonly settings: PeerSettings,
@@ -79,6 +80,11 @@
     this.server.closeAllConnections();
   }
 
+  /** Tells the peers at once, without waiting for the next digest. */
+  announce(): void {
+    this.sendDigests();
+  }
+
   private schedule(): void {
     const count = this.peers.addresses().length;
     const interval = Math.max(
@@ -101,7 +107,10 @@
       loads: this.runs.ownLoads(),
       crashes: this.crashes.recent(),
       peers: this.peers.heard(performance.now()),
-      isLeaving: this.isLeaving,
+      endsInMilliseconds:
+        this.endsAt === undefined
+          ? undefined
+          : Math.round(this.endsAt - performance.now()),
     };
     const bytes = Buffer.from(JSON.stringify(digest));
     if (bytes.length > MAX_DIGEST_BYTES) {
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -21,8 +21,8 @@
 const REJECTION_MAX_AGE_MILLISECONDS = 250;
 /** When to come back while nothing is configured, in seconds. */
 const NOT_READY_RETRY_SECONDS = 0.5;
-/** When to come back to a gateway that is about to end: other gateways take the caller at once. */
-const LEAVING_RETRY_SECONDS = 0.05;
+/** Time before the process ends in which the last answers are written, in milliseconds. */
+const LAST_ANSWER_MILLISECONDS = 100;
 
 /** Decodes requests as the platform's callers send them. */
 export abstract class CallerDecoder {
@@ -39,20 +39,27 @@
 
 /** Handles every request of callers. */
 export class RequestHandler {
-  /** Monotonic milliseconds at which the process takes no more requests; undefined unless it is about to end. */
-  closesAt: number | undefined;
+  private signalAt = 0;
+  /** Monotonic milliseconds at which the process ends; undefined unless it is about to end. */
+  private endsAt: number | undefined;
 
   constructor(
     private readonly services: gatewayServices.GatewayServices,
     private readonly decoder: CallerDecoder,
   ) {}
 
+  /** Takes only what is likely to be answered before the process ends. */
+  endAt(endsAt: number): void {
+    this.signalAt = performance.now();
+    this.endsAt = endsAt;
+  }
+
   async handle(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
     const arrivedAt = performance.now();
-    if (this.closesAt !== undefined) {
+    if (this.endsAt !== undefined) {
       response.setHeader('Connection', 'close');
     }
     const caller = this.decoder.decode(request);
@@ -115,11 +122,10 @@
       );
     }
     if (!this.endsInTime(context)) {
-      return context.refuse(
-        ResultCode.NotReady,
-        'this gateway ends before the request would',
-        LEAVING_RETRY_SECONDS,
-      );
+      return this.refuseLate(context);
+    }
+    if (this.endsAt !== undefined) {
+      context.limitTo(this.endsAt - LAST_ANSWER_MILLISECONDS);
     }
     await (isStreaming
       ? new streamCall.StreamCall(context).start()
@@ -128,16 +134,46 @@
 
   /** Whether the call is likely to end before this process does. */
   private endsInTime(context: callContext.CallContext): boolean {
-    if (this.closesAt === undefined) {
+    if (this.endsAt === undefined) {
       return true;
     }
-    const left = this.closesAt - performance.now();
-    if (context.call.route.kind !== configuration.RequestKind.Streaming) {
-      return left > 0;
+    const {route, endpointName} = context.call;
+    const now = performance.now();
+    const left = this.endsAt - LAST_ANSWER_MILLISECONDS - now;
+    if (route.kind !== configuration.RequestKind.Streaming) {
+      return leavingPolicy.callEndsInTime(route.objectiveMilliseconds, left);
     }
-    const {predictor} = this.services;
-    const expected = generationScheduler.expectedTokens(context, predictor);
-    return leavingPolicy.endsInTime(expected, left);
+    const {predictor, pace} = this.services;
+    return leavingPolicy.generationEndsInTime(
+      {
+        expectedTokens: generationScheduler.expectedTokens(context, predictor),
+        maxTokens: context.call.caller.maxTokens,
+        millisecondsPerToken: pace.of(endpointName),
+      },
+      {
+        sinceSignalMilliseconds: now - this.signalAt,
+        leftMilliseconds: left,
+      },
+    );
+  }
+
+  /** Refuses a call that this process would not finish. */
+  private refuseLate(context: callContext.CallContext): void {
+    const now = performance.now();
+    const left = this.endsAt! - now;
+    const outlook = this.services.peers.outlook(now);
+    context.log('refused-before-end', {
+      ends_in_ms: Math.round(left),
+      staying_peers: outlook.stayingCount,
+      first_peer_ends_in_ms: Number.isFinite(outlook.firstEndMilliseconds)
+        ? Math.round(outlook.firstEndMilliseconds)
+        : undefined,
+    });
+    context.refuse(
+      ResultCode.NotReady,
+      'this gateway ends before the request would',
+      leavingPolicy.comeBackMilliseconds(left, outlook) / 1000,
+    );
   }
 
   private async rejectEarly(
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -170,11 +170,11 @@
     instanceTable.noteOutcome(instance, isFailure, now);
     if (end === LegEnd.Whole) {
       services.crashes.clear(call.fingerprint, now);
-      services.predictor.record(
-        call.customer?.name ?? '',
-        call.route.name,
-        run.eventsDelivered * run.tokensPerEvent,
-      );
+      const tokens = run.eventsDelivered * run.tokensPerEvent;
+      const customer = call.customer?.name ?? '';
+      services.predictor.record(customer, call.route.name, tokens);
+      const {streamMilliseconds} = this.delivery;
+      services.pace.note(call.endpointName, streamMilliseconds, tokens);
     }
     if (end === LegEnd.Broken && isFailure && !context.isOver) {
       context.noteCrash(instance);
--- a/test/gateway/common/leaving_policy.test.ts
+++ b/test/gateway/common/leaving_policy.test.ts
@@ -1,16 +1,71 @@
-/** Generations that arrive at a gateway in its grace time. */
+/** Requests that arrive at a gateway in its grace time. */
 import * as ava from 'ava';
 import * as leavingPolicy from '../../../src/gateway/common/leaving_policy';
 
 const test = ava.default;
 
-for (const [title, tokens, left, expected] of [
-  ['a tag of a few tokens is served until the last moments', 12, 1_000, true],
-  ['a tag is refused in the last moments', 12, 500, false],
-  ['a draft of middle length is served at the beginning', 400, 6_000, true],
-  ['a long draft is refused at once', 2_000, 6_000, false],
+for (const [title, expectedTokens, maxTokens, pace, since, left, isTaken] of [
+  ['a tag is served until the last moments', 12, 44, 12, 6e3, 1_250, true],
+  ['a tag is refused in the last moments', 12, 44, 12, 7e3, 500, false],
+  ['a draft of middle length is served at first', 400, 2_200, 12, 0, 7e3, true],
+  ['the same draft is refused on slow engines', 400, 2_200, 20, 0, 7e3, false],
+  ['a longer draft is served on quick engines', 650, 2_200, 8, 0, 7e3, true],
+  ['a long draft is refused at once', 2_000, 2_200, 8, 0, 7e3, false],
+  ['late, a short draft may grow too long', 200, 2_200, 8, 3e3, 4_500, false],
+  ['late, a draft of unknown bound is refused', 200, 0, 8, 3e3, 4_500, false],
 ] as const) {
   test(`leaving: ${title}`, t => {
-    t.is(leavingPolicy.endsInTime(tokens, left), expected);
+    const isInTime = leavingPolicy.generationEndsInTime(
+      {expectedTokens, maxTokens, millisecondsPerToken: pace},
+      {sinceSignalMilliseconds: since, leftMilliseconds: left},
+    );
+    t.is(isInTime, isTaken);
   });
 }
+
+for (const [title, objective, left, expected] of [
+  ['a quick call is served shortly before the end', 120, 400, true],
+  ['a quick call is refused in the last moments', 120, 300, false],
+  ['a slow call needs no more than its bound', 2_000, 1_600, true],
+] as const) {
+  test(`leaving: ${title}`, t => {
+    t.is(leavingPolicy.callEndsInTime(objective, left), expected);
+  });
+}
+
+for (const [title, left, staying, firstEnd, expected] of [
+  ['others take callers', 5_000, 2, 1_000, 50],
+  ['a peer ends first', 5_000, 0, 1_000, 2_200],
+  ['this one ends first', 500, 0, 4_000, 1_700],
+  ['a peer should have ended', 5_000, 0, 0, 1_200],
+  ['there is no peer', 5_000, 0, Infinity, 6_200],
+] as const) {
+  test(`leaving: when refused callers come back if ${title}`, t => {
+    const peers = {stayingCount: staying, firstEndMilliseconds: firstEnd};
+    t.is(leavingPolicy.comeBackMilliseconds(left, peers), expected);
+  });
+}
+
+test('leaving: in a rolling restart of all gateways no caller is sent to one that ends', t => {
+  // Four gateways get their stop signal a second apart, and are back 1.2 s after their end.
+  const graceMilliseconds = 7_700;
+  const restartMilliseconds = 1_200;
+  const stops = [0, 1_000, 2_000, 3_000];
+  const endOf = (stop: number) => stop + graceMilliseconds;
+  const isUp = (stop: number, at: number) =>
+    at < stop || at >= endOf(stop) + restartMilliseconds;
+  for (let at = 0; at < 12_000; at += 100) {
+    for (const stop of stops.filter(each => at >= each && at < endOf(each))) {
+      const others = stops.filter(each => each !== stop);
+      const ending = others.filter(each => at >= each && at < endOf(each));
+      const wait = leavingPolicy.comeBackMilliseconds(endOf(stop) - at, {
+        stayingCount: others.filter(each => isUp(each, at)).length,
+        firstEndMilliseconds: Math.min(...ending.map(each => endOf(each) - at)),
+      });
+      t.true(
+        stops.some(each => isUp(each, at + wait)),
+        `refused at ${at} ms by the gateway stopped at ${stop} ms`,
+      );
+    }
+  }
+});
--- a/test/gateway/common/peer_digest.test.ts
+++ b/test/gateway/common/peer_digest.test.ts
@@ -13,7 +13,6 @@
     loads: {},
     crashes: [],
     peers,
-    isLeaving: false,
   };
 }
 
@@ -40,3 +39,19 @@
   table.note('10.0.0.3', digest(), 10_000_000);
   t.true(table.addresses().includes('10.0.0.2'));
 });
+
+test('peers: those that are about to end are told apart from those that stay', t => {
+  const table = new peerDigest.PeerTable('10.0.0.1', []);
+  table.note('10.0.0.2', {...digest(), endsInMilliseconds: 5_000}, 1_000);
+  table.note('10.0.0.3', {...digest(), endsInMilliseconds: 3_000}, 1_500);
+  t.deepEqual(table.outlook(2_000), {
+    stayingCount: 0,
+    firstEndMilliseconds: 2_500,
+  });
+  table.note('10.0.0.4', digest(), 2_000);
+  t.is(table.outlook(2_000).stayingCount, 1);
+  t.deepEqual(table.outlook(10_000), {
+    stayingCount: 0,
+    firstEndMilliseconds: Infinity,
+  });
+});
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -47,3 +47,31 @@
   t.is(answer.body, events(1, 4));
   await left;
 });
+
+test('leaving: a refused caller comes back when a gateway takes it, not within the time left here', async t => {
+  const routes = [
+    testGateway.route('/draft/', 'streaming', 'writers', {
+      affinity: true,
+      attempts: 1,
+      timeoutMs: 60_000,
+    }),
+  ];
+  const gateway = await TestGateway.start(
+    t,
+    {'i-1': ['writers', succeed('unused')]},
+    testGateway.configurationSpec(1, {routes}),
+  );
+  void gateway.process.leave();
+  const refused = await gateway.call('/draft/b', {
+    method: 'POST',
+    body: 'q',
+    headers: {
+      'X-Rhubarbvane-Token-Count': '100,40000',
+      'X-Rhubarbvane-Length-Hint': '40000',
+      'X-Rhubarbvane-Deadline-Ms': '60000',
+    },
+  });
+  t.is(refused.status, 503);
+  // Grace of 8 s and a restart, spread by a quarter; a third of the time left here is 2.5 s.
+  t.true(Number(refused.headers['retry-after']) > 5);
+});
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -30,7 +30,8 @@
   handleTtlS: 5,
 };
 
-function route(
+/** A route in the platform's form. */
+export function route(
   pathPrefix: string,
   type: string,
   service: string,
