Of many gateways, three watch the store and pass on what they see

Rejections of revoked keys and dropped routes read the configuration each time, too. Now, with more than 6 gateways alive, the first three by hash that reach the store watch; changes go to the others in datagrams, gaps are fetched from peers, and whoever hears no watcher for a second watches itself. Names that this gateway saw taken away are rejected without reading again. Ruled out: fewer calls by longer watches (a silent one would be noticed late).

--- a/src/gateway/common/instance_registry.ts
+++ b/src/gateway/common/instance_registry.ts
@@ -12,20 +12,45 @@
  * an instance that left must get no work two seconds after it was seen to.
  */
 export const RETURN_GRACE_MILLISECONDS = 1_800;
+/**
+ * What the position advances by when kept entries are dropped without a new
+ * revision; less than one, so that the next revision is still later.
+ */
+const EXPIRY_STEP = 0.5;
+
+/** Changes that lead from one position of a registry to a later one. */
+export interface RegistryChange {
+  readonly from: number;
+  readonly to: number;
+  readonly changes: readonly stateSource.InstanceChange[];
+}
 
 /** Records by id, and what is kept though it is missing. */
 export class InstanceRegistry {
   private readonly records = new Map<string, instanceTable.InstanceRecord>();
   private readonly missing = new Set<string>();
+  private readonly changed = new Map<
+    string,
+    instanceTable.InstanceRecord | undefined
+  >();
   private revisionSeen = 0;
+  private positionReached = 0;
   private isSourceAway = false;
   private graceUntil = 0;
 
-  /** Revision that the records are as of; 0 before the first. */
+  /** Revision of the source up to which it has been read; 0 before the first. */
   get revision(): number {
     return this.revisionSeen;
   }
 
+  /**
+   * Orders the contents of the registries of several gateways: about the
+   * revision at which the records in use changed last; 0 before the first.
+   */
+  get position(): number {
+    return this.positionReached;
+  }
+
   /** Time at which missing entries stop being kept; undefined when none is. */
   get graceEnd(): number | undefined {
     return this.missing.size > 0 ? this.graceUntil : undefined;
@@ -51,15 +76,7 @@
       return false;
     }
     this.revisionSeen = snapshot.revision;
-    const listed = new Map(
-      snapshot.value.map(record => [record.id, record] as const),
-    );
-    for (const id of [...this.records.keys()]) {
-      if (!listed.has(id)) {
-        this.lose(id, now);
-      }
-    }
-    listed.forEach(record => this.keep(record));
+    this.replaceAll(snapshot.value, now);
     return true;
   }
 
@@ -82,16 +99,83 @@
     }
   }
 
+  /** Takes all records of a peer that is further; gives whether it was. */
+  takePeer(
+    position: number,
+    records: readonly instanceTable.InstanceRecord[],
+    now: number,
+  ): boolean {
+    if (position <= this.positionReached) {
+      return false;
+    }
+    // A peer that started in the same outage lacks what lapsed in it.
+    this.noteSourceBack(now);
+    this.replaceAll(records, now);
+    this.advance(position);
+    return true;
+  }
+
+  /** Takes what a peer passed on; false when something between is missing here. */
+  takeRelayed(change: RegistryChange): boolean {
+    if (change.to <= this.positionReached) {
+      return true;
+    }
+    if (change.from > this.positionReached || this.positionReached === 0) {
+      return false;
+    }
+    for (const {id, record} of change.changes) {
+      if (record === undefined) {
+        this.drop(id);
+      } else {
+        this.keep(record);
+      }
+    }
+    this.advance(change.to);
+    return true;
+  }
+
   /** Drops the missing entries whose time is over; gives whether there were any. */
   expire(now: number): boolean {
     if (this.missing.size === 0 || now < this.graceUntil) {
       return false;
     }
-    this.missing.forEach(id => this.records.delete(id));
-    this.missing.clear();
+    this.missing.forEach(id => this.drop(id));
     return true;
   }
 
+  /** Ends a change of the records; undefined when it left them as they were. */
+  settle(): RegistryChange | undefined {
+    const from = this.positionReached;
+    const isFirst = from === 0 && this.revisionSeen > 0;
+    if (this.changed.size === 0 && !isFirst) {
+      return undefined;
+    }
+    const to = Math.max(this.revisionSeen, from + EXPIRY_STEP);
+    const changes = [...this.changed].map(([id, record]) => ({id, record}));
+    this.changed.clear();
+    this.positionReached = to;
+    return {from, to, changes};
+  }
+
+  private advance(position: number): void {
+    this.changed.clear();
+    this.positionReached = position;
+    this.revisionSeen = Math.max(this.revisionSeen, Math.floor(position));
+  }
+
+  private replaceAll(
+    records: readonly instanceTable.InstanceRecord[],
+    now: number,
+  ): void {
+    const listed = new Map(records.map(record => [record.id, record] as const));
+    for (const id of [...this.records.keys()]) {
+      if (!listed.has(id)) {
+        this.lose(id, now);
+      }
+    }
+    listed.forEach(record => this.keep(record));
+  }
+
   private noteSourceBack(now: number): void {
     if (this.isSourceAway) {
       this.isSourceAway = false;
@@ -100,6 +184,10 @@
   }
 
   private keep(record: instanceTable.InstanceRecord): void {
+    const known = this.records.get(record.id);
+    if (JSON.stringify(known) !== JSON.stringify(record)) {
+      this.changed.set(record.id, record);
+    }
     this.records.set(record.id, record);
     this.missing.delete(record.id);
   }
@@ -111,7 +199,13 @@
       this.missing.add(id);
       return;
     }
-    this.records.delete(id);
+    this.drop(id);
+  }
+
+  private drop(id: string): void {
+    if (this.records.delete(id)) {
+      this.changed.set(id, undefined);
+    }
     this.missing.delete(id);
   }
 }
--- a/src/gateway/common/peer_digest.ts
+++ b/src/gateway/common/peer_digest.ts
@@ -11,7 +11,12 @@
   /** Address at which its state is served; empty when it serves none. */
   readonly stateAddress: string;
   readonly configurationVersion: number;
-  readonly instancesRevision: number;
+  /** Position of its registry of instances. */
+  readonly instancesPosition: number;
+  /** Whether its last call to the source of state failed. */
+  readonly isSourceAway: boolean;
+  /** Age of what the source told it last, in milliseconds; undefined unless it watches the source. */
+  readonly sourceAgeMilliseconds?: number;
   readonly loads: runTable.LoadsByInstance;
   readonly crashes: readonly crashTable.Crash[];
   /** IPs of the gateways that it heard lately. */
@@ -24,24 +29,29 @@
 export interface PeerState {
   readonly configurationRevision: number;
   readonly configuration: configuration.Configuration | undefined;
-  readonly instancesRevision: number;
+  readonly instancesPosition: number;
   readonly instances: readonly instanceTable.InstanceRecord[];
 }
 
 /** Time without a digest after which a peer counts as gone, in milliseconds. */
 export const PEER_LIFETIME_MILLISECONDS = 3_000;
 
+/** Time without a digest after which a peer is not relied on, in milliseconds; digests come several times a second. */
+const FRESH_MILLISECONDS = 1_000;
+
 /** Time without a digest after which a peer is forgotten, in milliseconds; longer than budgets are counted. */
 const FORGET_MILLISECONDS = 60_000;
 
-interface Peer {
-  digest: PeerDigest;
-  heardAt: number;
+/** A peer with its last digest. */
+export interface HeardPeer {
+  readonly digest: PeerDigest;
+  /** Monotonic milliseconds. */
+  readonly heardAt: number;
 }
 
 /** Peers by IP. */
 export class PeerTable {
-  private readonly peers = new Map<string, Peer>();
+  private readonly peers = new Map<string, HeardPeer>();
   /** Time at which each peer was last heard or first named, by IP. */
   private readonly known = new Map<string, number>();
 
@@ -86,6 +96,13 @@
       .map(peer => peer.digest);
   }
 
+  /** Peers that are surely alive. */
+  fresh(now: number): HeardPeer[] {
+    return [...this.peers.values()].filter(
+      peer => now - peer.heardAt <= FRESH_MILLISECONDS,
+    );
+  }
+
   /** Which peers take new callers, and when the first of the others ends. */
   outlook(now: number): leavingPolicy.PeerOutlook {
     let stayingCount = 0;
--- /dev/null
+++ b/src/gateway/common/retired_names.ts
@@ -0,0 +1,71 @@
+/**
+ * Remembers which keys and routes later versions of the configuration took
+ * away. Answers callers that go on with a revoked key or a dropped route: they
+ * are rejected without asking the source each time whether something newer
+ * allows them, which only makes sense for names never seen before.
+ */
+import * as configuration from './configuration';
+
+/** Names kept of each kind; the oldest are forgotten first. */
+const MAX_NAMES = 10_000;
+
+/** Names that were in force once and are not any more. */
+export class RetiredNames {
+  private readonly keys = new Set<string>();
+  private readonly routes = new Set<string>();
+
+  /** Takes the step from one version to the next. */
+  note(
+    before: configuration.Configuration,
+    after: configuration.Configuration,
+  ): void {
+    retire(this.keys, keysOf(before), keysOf(after));
+    retire(this.routes, routesOf(before), routesOf(after));
+  }
+
+  hasKey(key: string | undefined): boolean {
+    return key !== undefined && this.keys.has(key);
+  }
+
+  /** Whether a retired route served the path. */
+  hasRoute(host: string, path: string): boolean {
+    for (
+      let end = path.lastIndexOf('/');
+      end >= 0;
+      end = end > 0 ? path.lastIndexOf('/', end - 1) : -1
+    ) {
+      if (this.routes.has(routeName(host, path.slice(0, end + 1)))) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
+
+function retire(
+  retired: Set<string>,
+  before: readonly string[],
+  after: readonly string[],
+): void {
+  const inForce = new Set(after);
+  before.filter(name => !inForce.has(name)).forEach(name => retired.add(name));
+  after.forEach(name => retired.delete(name));
+  for (const oldest of retired) {
+    if (retired.size <= MAX_NAMES) {
+      break;
+    }
+    retired.delete(oldest);
+  }
+}
+
+function keysOf(value: configuration.Configuration): string[] {
+  return (value.customers ?? []).flatMap(customer => [...customer.keys]);
+}
+
+function routesOf(value: configuration.Configuration): string[] {
+  return value.routes.map(route => routeName(route.host, route.pathPrefix));
+}
+
+function routeName(host: string, pathPrefix: string): string {
+  return `${host.toLowerCase()} ${pathPrefix}`;
+}
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -12,6 +12,7 @@
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
 import * as tokenPace from '../common/token_pace';
+import * as watchDuty from '../common/watch_duty';
 import * as callerServer from './caller_server';
 import * as evacuator from './evacuator';
 import * as gatewayMetrics from './gateway_metrics';
@@ -57,7 +58,6 @@
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, log, client} = options;
-    const follower = new stateFollower.StateFollower(options.source, log);
     const runs = new runTable.RunTable();
     const crashes = new crashTable.CrashTable();
     const predictor = new lengthPredictor.LengthPredictor();
@@ -65,6 +65,11 @@
       settings.instance.ip,
       seedIps(settings),
     );
+    const follower = new stateFollower.StateFollower(
+      options.source,
+      new watchDuty.WatchDuty(settings.instance.name, peers),
+      log,
+    );
     const scheduler = new generationScheduler.GenerationScheduler(
       follower,
       runs,
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -204,7 +204,7 @@
         prompt_tokens: run.promptTokens,
         waiting: this.queue.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
-        instances_revision: this.follower.instancesRevision,
+        instances_position: this.follower.instancesPosition,
         reporting_peers: this.runs.peerCount,
       },
       instance,
--- a/src/gateway/node/peer_exchange.ts
+++ b/src/gateway/node/peer_exchange.ts
@@ -1,10 +1,13 @@
-/** Digests to and from other gateways over UDP, and whole state over HTTP when a peer has newer. */
+/** Digests and changes to and from other gateways over UDP, and whole state over HTTP when a peer has newer. */
 import * as dgram from 'node:dgram';
 import * as http from 'node:http';
+import * as rxjs from 'rxjs';
 import * as disposable from '../../base/common/disposable';
 import * as httpClient from '../../base/node/http_client';
 import * as jsonLog from '../../base/node/json_log';
 import * as crashTable from '../common/crash_table';
+import * as headStart from '../common/head_start';
+import * as instanceRegistry from '../common/instance_registry';
 import * as peerDigest from '../common/peer_digest';
 import * as runTable from '../common/run_table';
 import * as stateFollower from './state_follower';
@@ -13,13 +16,22 @@
 const MIN_INTERVAL_MILLISECONDS = 200;
 /** Digests that one gateway sends in a second at most. */
 const MAX_DIGESTS_PER_SECOND = 100;
-/** Time for which newer state at a peer may be on its way from the store, in milliseconds. */
+/** Time for which newer configuration at a peer may be on its way from the store, in milliseconds. */
 const STORE_HEAD_START_MILLISECONDS = 150;
+/** Time for which newer instances at a peer may be on their way in a datagram, in milliseconds. */
+const RELAY_HEAD_START_MILLISECONDS = 20;
 const FETCH_TIMEOUT_MILLISECONDS = 800;
-/** Largest digest that is surely carried in one datagram. */
-const MAX_DIGEST_BYTES = 8_000;
+/** Largest message that is surely carried in one datagram. */
+const MAX_MESSAGE_BYTES = 8_000;
 const STATE_PATH = '/v1/state';
 
+/** What one datagram carries. */
+interface PeerMessage {
+  readonly digest: peerDigest.PeerDigest;
+  /** Instances that changed, as the sender read from the source. */
+  readonly change?: instanceRegistry.RegistryChange;
+}
+
 /** How this gateway appears to its peers. */
 export interface PeerSettings {
   readonly name: string;
@@ -36,9 +48,9 @@
     this.serveState(request, response),
   );
   private timer: NodeJS.Timeout | undefined;
-  /** Version that a peer has and this gateway lacks, or lacked last. */
-  private awaitedVersion = 0;
-  private awaitedSince = 0;
+  private readonly awaitedConfiguration = new headStart.HeadStart();
+  private readonly awaitedInstances = new headStart.HeadStart();
+  private readonly subscriptions: rxjs.Subscription[] = [];
   private isFetching = false;
   /** Monotonic milliseconds at which this process ends; undefined unless it is about to end. */
   endsAt: number | undefined;
@@ -70,10 +82,15 @@
         this.settings.stateAddress.slice(0, separator),
       );
     }
+    this.subscriptions.push(
+      this.follower.onDidReadChange.subscribe(change => this.relay(change)),
+      this.follower.onDidChangeConfiguration.subscribe(() => this.relay()),
+    );
     this.schedule();
   }
 
   dispose(): void {
+    this.subscriptions.forEach(each => each.unsubscribe());
     clearTimeout(this.timer);
     this.socket.close();
     this.server.close();
@@ -82,7 +99,14 @@
 
   /** Tells the peers at once, without waiting for the next digest. */
   announce(): void {
-    this.sendDigests();
+    this.sendMessage();
+  }
+
+  /** Passes on what was read from the source, if that is this gateway's duty. */
+  private relay(change?: instanceRegistry.RegistryChange): void {
+    if (this.follower.isWatching) {
+      this.sendMessage(change);
+    }
   }
 
   private schedule(): void {
@@ -92,69 +116,102 @@
       (count * 1000) / MAX_DIGESTS_PER_SECOND,
     );
     this.timer = setTimeout(() => {
-      this.sendDigests();
+      this.sendMessage();
       this.schedule();
     }, interval);
     this.timer.unref();
   }
 
-  private sendDigests(): void {
-    const digest: peerDigest.PeerDigest = {
-      name: this.settings.name,
-      stateAddress: this.settings.stateAddress,
-      configurationVersion: this.follower.configurationVersion,
-      instancesRevision: this.follower.instancesRevision,
-      loads: this.runs.ownLoads(),
-      crashes: this.crashes.recent(),
-      peers: this.peers.heard(performance.now()),
-      endsInMilliseconds:
-        this.endsAt === undefined
-          ? undefined
-          : Math.round(this.endsAt - performance.now()),
-    };
-    const bytes = Buffer.from(JSON.stringify(digest));
-    if (bytes.length > MAX_DIGEST_BYTES) {
+  private sendMessage(change?: instanceRegistry.RegistryChange): void {
+    const message: PeerMessage = {digest: this.digest(), change};
+    let bytes = Buffer.from(JSON.stringify(message));
+    if (bytes.length > MAX_MESSAGE_BYTES && change !== undefined) {
+      // Peers fetch what they lack by the position in the digest.
+      bytes = Buffer.from(JSON.stringify({digest: message.digest}));
+    }
+    if (bytes.length > MAX_MESSAGE_BYTES) {
       this.log.write('peer-digest-too-large', {bytes: bytes.length});
       return;
     }
     for (const ip of this.peers.addresses()) {
-      // Lost digests are followed by the next one.
+      // Lost messages are followed by the next digest.
       this.socket.send(bytes, this.settings.digestPort, ip, () => undefined);
     }
   }
 
+  private digest(): peerDigest.PeerDigest {
+    const now = performance.now();
+    const {follower} = this;
+    const sourceAge = follower.sourceAge(now);
+    return {
+      name: this.settings.name,
+      stateAddress: this.settings.stateAddress,
+      configurationVersion: follower.configurationVersion,
+      instancesPosition: follower.instancesPosition,
+      isSourceAway: follower.isSourceAway,
+      sourceAgeMilliseconds:
+        sourceAge === undefined ? undefined : Math.round(sourceAge),
+      loads: this.runs.ownLoads(),
+      crashes: this.crashes.recent(),
+      peers: this.peers.heard(now),
+      endsInMilliseconds:
+        this.endsAt === undefined ? undefined : Math.round(this.endsAt - now),
+    };
+  }
+
   private receive(bytes: Buffer, ip: string): void {
     const now = performance.now();
-    const digest = parseDigest(bytes);
-    if (digest === undefined) {
+    const message = parseMessage(bytes);
+    if (message === undefined) {
       this.log.write('peer-digest-unreadable', {ip, bytes: bytes.length});
       return;
     }
+    const {digest, change} = message;
     this.peers.note(ip, digest, now);
     this.runs.notePeer(digest.name, digest.loads, now);
     digest.crashes.forEach(crash => this.crashes.note(crash, now));
-    this.considerFetch(digest, now);
+    if (change !== undefined && !this.follower.isWatching) {
+      this.follower.takeRelayed(change, digest.name);
+    }
+    if (digest.sourceAgeMilliseconds !== undefined) {
+      this.follower.confirmConfiguration(
+        digest.configurationVersion,
+        now - digest.sourceAgeMilliseconds,
+      );
+    }
+    this.followPeer(digest, now);
   }
 
-  /** Fetches newer state of a peer, unless it is about to come from the store. */
-  private considerFetch(digest: peerDigest.PeerDigest, now: number): void {
+  /** Gets newer state that a peer has: from the store, and from the peer unless it comes from there. */
+  private followPeer(digest: peerDigest.PeerDigest, now: number): void {
     const {follower} = this;
     const hasConfiguration =
       digest.configurationVersion > follower.configurationVersion;
-    const hasInstances =
-      follower.isSourceAway &&
-      digest.instancesRevision > follower.instancesRevision;
-    if (digest.stateAddress === '' || !(hasConfiguration || hasInstances)) {
-      return;
+    if (hasConfiguration && !follower.isWatching) {
+      void follower.refreshConfiguration(0);
     }
-    if (this.awaitedVersion <= follower.configurationVersion) {
-      this.awaitedVersion = digest.configurationVersion;
-      this.awaitedSince = now;
-    }
-    const isDue =
+    const isConfigurationDue =
+      hasConfiguration &&
+      this.awaitedConfiguration.isOver(
+        digest.configurationVersion,
+        follower.configurationVersion,
+        now,
+        follower.isSourceAway ? 0 : STORE_HEAD_START_MILLISECONDS,
+      );
+    const isRelay =
       follower.isSourceAway ||
-      now - this.awaitedSince > STORE_HEAD_START_MILLISECONDS;
-    if (isDue && !this.isFetching) {
+      (!follower.isWatching && digest.sourceAgeMilliseconds !== undefined);
+    const areInstancesDue =
+      isRelay &&
+      digest.instancesPosition > follower.instancesPosition &&
+      this.awaitedInstances.isOver(
+        digest.instancesPosition,
+        follower.instancesPosition,
+        now,
+        follower.isSourceAway ? 0 : RELAY_HEAD_START_MILLISECONDS,
+      );
+    const isDue = isConfigurationDue || areInstancesDue;
+    if (isDue && digest.stateAddress !== '' && !this.isFetching) {
       void this.fetchState(digest);
     }
   }
@@ -199,14 +256,16 @@
   }
 }
 
-function parseDigest(bytes: Buffer): peerDigest.PeerDigest | undefined {
+function parseMessage(bytes: Buffer): PeerMessage | undefined {
   try {
-    const value = JSON.parse(bytes.toString('utf8')) as peerDigest.PeerDigest;
+    const message = JSON.parse(bytes.toString('utf8')) as PeerMessage;
+    const {digest, change} = message;
     const isDigest =
-      typeof value.name === 'string' &&
-      Array.isArray(value.crashes) &&
-      Array.isArray(value.peers);
-    return isDigest ? value : undefined;
+      typeof digest.name === 'string' &&
+      Array.isArray(digest.crashes) &&
+      Array.isArray(digest.peers);
+    const isChange = change === undefined || Array.isArray(change.changes);
+    return isDigest && isChange ? message : undefined;
   } catch {
     // The caller logs unreadable datagrams.
     return undefined;
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -19,6 +19,8 @@
 
 /** Age up to which the configuration is trusted to reject a route or key, in milliseconds. */
 const REJECTION_MAX_AGE_MILLISECONDS = 250;
+/** The same for routes and keys that this gateway saw taken away; a watch confirms the configuration as often. */
+const RETIRED_MAX_AGE_MILLISECONDS = 2_500;
 /** When to come back while nothing is configured, in seconds. */
 const NOT_READY_RETRY_SECONDS = 0.5;
 /** Time before the process ends in which the last answers are written, in milliseconds. */
@@ -209,8 +211,13 @@
     if (!(first instanceof Rejection)) {
       return first;
     }
-    await this.services.follower.refreshConfiguration(
-      REJECTION_MAX_AGE_MILLISECONDS,
+    const {follower} = this.services;
+    const isRetired =
+      first.failure.code === ResultCode.UnknownRoute
+        ? follower.retired.hasRoute(caller.host, caller.path)
+        : follower.retired.hasKey(caller.key);
+    await follower.refreshConfiguration(
+      isRetired ? RETIRED_MAX_AGE_MILLISECONDS : REJECTION_MAX_AGE_MILLISECONDS,
     );
     return this.find(caller);
   }
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -6,8 +6,10 @@
 import * as instanceRegistry from '../common/instance_registry';
 import * as instanceTable from '../common/instance_table';
 import * as peerDigest from '../common/peer_digest';
+import * as retiredNames from '../common/retired_names';
 import * as routeIndex from '../common/route_index';
 import * as stateSource from '../common/state_source';
+import * as watchDuty from '../common/watch_duty';
 
 /** First pause after a failed call, in milliseconds; doubled at each further one. */
 const MIN_BACKOFF_MILLISECONDS = 100;
@@ -17,16 +19,27 @@
 /** Time between two extra reads, in milliseconds. */
 const FRESHNESS_INTERVAL_MILLISECONDS = 300;
 
+/** Time between looks whether this gateway has to watch the source, in milliseconds. */
+const DUTY_CHECK_MILLISECONDS = 200;
+/** Origin of what was read here, in logs. */
+const SOURCE_ORIGIN = 'store';
+
 /** Follows the newest state. */
 export class StateFollower implements disposable.Disposable {
   readonly onDidChangeConfiguration = new rxjs.Subject<routeIndex.RouteIndex>();
   readonly onDidDrain = new rxjs.Subject<instanceTable.Instance>();
   readonly onDidChangeInstances = new rxjs.Subject<void>();
+  /** Fires with what the source changed, to be passed on. */
+  readonly onDidReadChange =
+    new rxjs.Subject<instanceRegistry.RegistryChange>();
   readonly instances = new instanceTable.InstanceTable();
+  readonly retired = new retiredNames.RetiredNames();
   private readonly registry = new instanceRegistry.InstanceRegistry();
   private index: routeIndex.RouteIndex | undefined;
   private configurationRevision = 0;
   private confirmedAt = -Infinity;
+  private instancesReadAt = -Infinity;
+  private isWatchingSource = true;
   private isDisposed = false;
   private readonly isAway = new Map<string, boolean>();
   private extraRead: Promise<void> | undefined;
@@ -34,6 +47,7 @@
 
   constructor(
     private readonly source: stateSource.StateSource,
+    private readonly duty: watchDuty.WatchDuty,
     private readonly log: jsonLog.JsonLog,
   ) {}
 
@@ -46,8 +60,20 @@
     return this.index?.configuration.version ?? 0;
   }
 
-  get instancesRevision(): number {
-    return this.registry.revision;
+  get instancesPosition(): number {
+    return this.registry.position;
+  }
+
+  /** Whether this gateway watches the source, rather than peers for it. */
+  get isWatching(): boolean {
+    return this.isWatchingSource;
+  }
+
+  /** Age of what the source told last, in milliseconds; undefined unless it is watched here. */
+  sourceAge(now = performance.now()): number | undefined {
+    const isWatched = this.isWatchingSource && !this.isSourceAway;
+    const readAt = Math.min(this.confirmedAt, this.instancesReadAt);
+    return isWatched ? now - readAt : undefined;
   }
 
   /** Whether the last call of either kind failed. */
@@ -101,7 +127,7 @@
     return {
       configurationRevision: this.configurationRevision,
       configuration: this.index?.configuration,
-      instancesRevision: this.registry.revision,
+      instancesPosition: this.registry.position,
       instances: this.registry.values(),
     };
   }
@@ -114,16 +140,27 @@
         peer,
       );
     }
-    if (state.instancesRevision > this.registry.revision) {
-      const revision = state.instancesRevision;
-      this.registry.takeList(
-        {revision, value: state.instances},
-        performance.now(),
-      );
+    const {instancesPosition, instances} = state;
+    const now = performance.now();
+    if (this.registry.takePeer(instancesPosition, instances, now)) {
       this.applyInstances(peer);
     }
   }
 
+  /** Takes changes that a peer read; false when others before them are missing here. */
+  takeRelayed(change: instanceRegistry.RegistryChange, peer: string): boolean {
+    const isWhole = this.registry.takeRelayed(change);
+    this.applyInstances(peer);
+    return isWhole;
+  }
+
+  /** Takes a peer's word for the version that the source had lately. */
+  confirmConfiguration(version: number, at: number): void {
+    if (version === this.configurationVersion) {
+      this.confirmedAt = Math.max(this.confirmedAt, at);
+    }
+  }
+
   private followConfiguration(): Promise<void> {
     return this.follow(
       () => this.index !== undefined,
@@ -156,6 +193,10 @@
       if (!isCurrent || !isKnown()) {
         isCurrent = await read();
         failures += isCurrent ? 0 : 1;
+      } else if (!this.isOnDuty()) {
+        await deadline.delay(DUTY_CHECK_MILLISECONDS);
+        isCurrent = !this.isOnDuty();
+        continue;
       } else {
         isCurrent = await watch();
         failures = isCurrent ? 0 : failures + 1;
@@ -166,6 +207,15 @@
     }
   }
 
+  private isOnDuty(): boolean {
+    const isOnDuty = this.duty.isOnDuty(performance.now());
+    if (isOnDuty !== this.isWatchingSource) {
+      this.isWatchingSource = isOnDuty;
+      this.log.write('watch-duty', {watching: isOnDuty}, true);
+    }
+    return isOnDuty;
+  }
+
   private async backOff(failures: number): Promise<void> {
     if (failures <= 1) {
       return;
@@ -183,7 +233,7 @@
     }
     this.noteSuccess('configuration');
     this.confirmedAt = performance.now();
-    this.takeConfiguration(read.value, 'store');
+    this.takeConfiguration(read.value, SOURCE_ORIGIN);
     return true;
   }
 
@@ -204,7 +254,7 @@
       );
       return true;
     }
-    this.takeConfiguration({revision, value}, 'store');
+    this.takeConfiguration({revision, value}, SOURCE_ORIGIN);
     return true;
   }
 
@@ -221,6 +271,9 @@
       this.configurationRevision,
       snapshot.revision,
     );
+    if (this.index !== undefined) {
+      this.retired.note(this.index.configuration, snapshot.value);
+    }
     this.index = new routeIndex.RouteIndex(snapshot.value);
     this.log.write(
       'configuration-in-force',
@@ -242,8 +295,9 @@
       return this.noteFailure('instances', listed.error);
     }
     this.noteSuccess('instances');
-    this.registry.takeList(listed.value, performance.now());
-    this.applyInstances('store');
+    this.instancesReadAt = performance.now();
+    this.registry.takeList(listed.value, this.instancesReadAt);
+    this.applyInstances(SOURCE_ORIGIN);
     return true;
   }
 
@@ -253,14 +307,19 @@
       return this.noteFailure('instances', watched.error);
     }
     this.noteSuccess('instances');
-    this.registry.takeChanges(watched.value, performance.now());
-    this.applyInstances('store');
+    this.instancesReadAt = performance.now();
+    this.registry.takeChanges(watched.value, this.instancesReadAt);
+    this.applyInstances(SOURCE_ORIGIN);
     return true;
   }
 
   private applyInstances(origin: string): void {
     const now = performance.now();
     this.registry.expire(now);
+    const change = this.registry.settle();
+    if (change !== undefined && origin === SOURCE_ORIGIN) {
+      this.onDidReadChange.next(change);
+    }
     const changes = this.instances.replace(this.registry.values(), now);
     const describe = (row: instanceTable.Instance) => row.record.id;
     const isChanged =
@@ -270,6 +329,7 @@
     }
     this.log.write('instances-changed', {
       revision: this.registry.revision,
+      position: this.registry.position,
       origin,
       added: changes.added.map(describe),
       drained: changes.drained.map(describe),
@@ -289,7 +349,7 @@
     setTimeout(
       () => {
         if (this.registry.expire(performance.now())) {
-          this.applyInstances('grace-over');
+          this.applyInstances(SOURCE_ORIGIN);
         }
       },
       Math.max(0, graceEnd - now) + 1,
--- a/test/gateway/common/instance_registry.test.ts
+++ b/test/gateway/common/instance_registry.test.ts
@@ -3,6 +3,7 @@
 import * as fastCheck from 'fast-check';
 import * as instanceRegistry from '../../../src/gateway/common/instance_registry';
 import * as instanceTable from '../../../src/gateway/common/instance_table';
+import * as stateSource from '../../../src/gateway/common/state_source';
 
 const test = ava.default;
 const GRACE = instanceRegistry.RETURN_GRACE_MILLISECONDS;
@@ -95,3 +96,99 @@
     {seed: 7, numRuns: 200},
   );
 });
+
+test('registry: a gateway that gets changes from two readers of the source ends up with the same records', t => {
+  const names = ['a', 'b', 'c', 'd'];
+  const event = fastCheck.record({
+    id: fastCheck.constantFrom(...names),
+    state: fastCheck.constantFrom('ready', 'draining', 'gone'),
+  });
+  const step = fastCheck.record({
+    events: fastCheck.array(event, {minLength: 1, maxLength: 3}),
+    /** Which readers read now, in what order their changes arrive, and which get lost. */
+    readers: fastCheck.shuffledSubarray([0, 1]),
+    lost: fastCheck.subarray([0, 1]),
+  });
+  const shared = (registry: instanceRegistry.InstanceRegistry) =>
+    [...registry.values()].sort((left, right) =>
+      left.id.localeCompare(right.id),
+    );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(step, {maxLength: 40}), steps => {
+      let revision = 10;
+      const history: {revision: number; change: stateSource.InstanceChange}[] =
+        [];
+      const readers = [registryWith('a', 'b'), registryWith('a', 'b')];
+      readers.forEach(reader => reader.settle());
+      const follower = registryWith('a', 'b');
+      follower.settle();
+      const read = (index: number, isLost: boolean) => {
+        const reader = readers[index];
+        const value = history
+          .filter(each => each.revision > reader.revision)
+          .map(each => each.change);
+        reader.takeChanges({revision, value}, revision);
+        const change = reader.settle();
+        if (change !== undefined && !isLost) {
+          const sent = JSON.parse(
+            JSON.stringify(change),
+          ) as instanceRegistry.RegistryChange;
+          if (!follower.takeRelayed(sent)) {
+            follower.takePeer(reader.position, reader.values(), revision);
+          }
+        }
+      };
+      for (const {events, readers: order, lost} of steps) {
+        for (const {id, state} of events) {
+          const isGone = state === 'gone';
+          const change = {
+            id,
+            record: isGone
+              ? undefined
+              : record(id, state as instanceTable.InstanceState),
+          };
+          history.push({revision: ++revision, change});
+        }
+        const before = follower.position;
+        order.forEach(index => read(index, lost.includes(index)));
+        if (follower.position < before) {
+          return false;
+        }
+      }
+      // What was lost is fetched by the position in the next digest.
+      [0, 1].forEach(index => read(index, false));
+      readers.forEach(reader =>
+        follower.takePeer(reader.position, reader.values(), revision),
+      );
+      return (
+        JSON.stringify(shared(follower)) === JSON.stringify(shared(readers[0]))
+      );
+    }),
+    {seed: 20_261_204, numRuns: 500},
+  );
+  t.pass();
+});
+
+test('registry: entries dropped after the grace are passed on though the revision stands still', t => {
+  const reader = registryWith('a', 'b');
+  reader.settle();
+  const follower = registryWith('a', 'b');
+  follower.settle();
+  reader.noteSourceAway();
+  reader.takeList({revision: 20, value: [record('a')]}, 100);
+  t.is(reader.settle(), undefined, 'nothing changed within the grace');
+  reader.expire(100 + GRACE);
+  t.true(follower.takeRelayed(reader.settle()!));
+  t.deepEqual(ids(follower), ['a']);
+});
+
+test('registry: a change with others missing before it is not taken', t => {
+  const follower = registryWith('a');
+  follower.settle();
+  const changes = [{id: 'b', record: record('b')}];
+  t.false(follower.takeRelayed({from: 12, to: 13, changes}));
+  t.deepEqual(ids(follower), ['a']);
+  t.true(follower.takeRelayed({from: 10, to: 13, changes}));
+  t.true(follower.takeRelayed({from: 9, to: 11, changes: []}));
+  t.is(follower.position, 13);
+});
--- /dev/null
+++ b/test/gateway/common/retired_names.test.ts
@@ -0,0 +1,67 @@
+/** Names that later versions took away. */
+import * as ava from 'ava';
+import * as configuration from '../../../src/gateway/common/configuration';
+import * as retiredNames from '../../../src/gateway/common/retired_names';
+
+const test = ava.default;
+
+function version(
+  keys: readonly string[],
+  prefixes: readonly string[],
+): configuration.Configuration {
+  return {
+    version: 1,
+    routes: prefixes.map(pathPrefix => ({
+      name: pathPrefix,
+      host: 'h.example',
+      pathPrefix,
+      kind: configuration.RequestKind.Idempotent,
+      timeoutMilliseconds: 1,
+      objectiveMilliseconds: 1,
+      maxPauseMilliseconds: 0,
+      priority: 0,
+      endpoints: [],
+      attempts: 1,
+      isPublic: false,
+      isGeneration: false,
+      isResumable: false,
+    })),
+    endpoints: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    customers: [{name: 'customer', keys}],
+  };
+}
+
+test('retired: a key is retired when a version drops it, and no more when one brings it back', t => {
+  const retired = new retiredNames.RetiredNames();
+  retired.note(version(['a', 'b'], []), version(['b'], []));
+  t.true(retired.hasKey('a'));
+  t.false(retired.hasKey('b'));
+  t.false(retired.hasKey('never-seen'));
+  t.false(retired.hasKey(undefined));
+  retired.note(version(['b'], []), version(['a', 'b'], []));
+  t.false(retired.hasKey('a'));
+});
+
+test('retired: paths of a dropped route are known by its prefix', t => {
+  const retired = new retiredNames.RetiredNames();
+  retired.note(version([], ['/a/b/', '/c/']), version([], ['/c/']));
+  t.true(retired.hasRoute('H.Example', '/a/b/some/path'));
+  t.true(retired.hasRoute('h.example', '/a/b/'));
+  t.false(retired.hasRoute('h.example', '/a/'));
+  t.false(retired.hasRoute('h.example', '/c/x'));
+  t.false(retired.hasRoute('other.example', '/a/b/x'));
+});
+
+test('retired: the oldest names are forgotten', t => {
+  const retired = new retiredNames.RetiredNames();
+  const names = Array.from({length: 10_001}, (_, index) => `key-${index}`);
+  retired.note(version(names, []), version([], []));
+  t.false(retired.hasKey('key-0'));
+  t.true(retired.hasKey('key-10000'));
+});
--- /dev/null
+++ b/test/gateway/peers.test.ts
@@ -0,0 +1,66 @@
+/** Several gateways: who reads the store, and what the others learn from whom. */
+import * as ava from 'ava';
+import * as tcpRelay from '../../standins/tcp_relay';
+import * as gatewayFleet from '../support/gateway_fleet';
+import * as testGateway from '../support/test_gateway';
+
+const test = ava.default;
+const {GatewayFleet} = gatewayFleet;
+const MANY = 8;
+
+test('peers: three of many gateways watch the store, and all learn of instances and configurations', async t => {
+  const fleet = await GatewayFleet.start(t, MANY);
+  await fleet.until(() => fleet.watchers.length === 3);
+  fleet.register('i-2');
+  fleet.store.put('config', 'main', testGateway.configurationSpec(2));
+  await fleet.untilKnown('i-2');
+  await fleet.until(() =>
+    fleet.gateways.every(each => each.process.state.configurationVersion === 2),
+  );
+  fleet.store.remove('servers', 'i-2');
+  await fleet.until(() =>
+    fleet.gateways.every(
+      each => each.process.state.instances.get('i-2') === undefined,
+    ),
+  );
+  t.is(fleet.watchers.length, 3);
+});
+
+test('peers: when all watchers end, others read the store', async t => {
+  const fleet = await GatewayFleet.start(t, MANY);
+  await fleet.until(() => fleet.watchers.length === 3);
+  const ended = fleet.watchers;
+  ended.forEach(each => each.process.dispose());
+  fleet.register('i-2');
+  const rest = fleet.gateways.filter(each => !ended.includes(each));
+  await fleet.untilKnown('i-2', rest);
+  t.is(rest.length, MANY - 3);
+});
+
+test('peers: watchers whose calls to the store carry nothing any more are replaced', async t => {
+  const fleet = await GatewayFleet.start(t, MANY);
+  await fleet.until(() => fleet.watchers.length === 3);
+  const before = fleet.watchers;
+  before.forEach(each => each.relay.set(tcpRelay.RelayMode.SilenceAll));
+  fleet.register('i-2');
+  fleet.store.put('config', 'main', testGateway.configurationSpec(2));
+  await fleet.untilKnown('i-2');
+  await fleet.until(() =>
+    fleet.gateways.every(each => each.process.state.configurationVersion === 2),
+  );
+  t.true(fleet.watchers.some(each => !before.includes(each)));
+});
+
+test('peers: a gateway that the store turns away refuses a key that was taken away', async t => {
+  const fleet = await GatewayFleet.start(t, 2);
+  const [cut] = fleet.gateways;
+  cut.relay.set(tcpRelay.RelayMode.Cut);
+  const tenants = [{name: 'customer-one', apiKeys: ['key-two']}];
+  fleet.store.put(
+    'config',
+    'main',
+    testGateway.configurationSpec(2, {tenants}),
+  );
+  await fleet.until(() => cut.process.state.configurationVersion === 2);
+  t.is(await fleet.statusAt(cut, testGateway.KEY), 401);
+});
--- /dev/null
+++ b/test/support/gateway_fleet.ts
@@ -0,0 +1,165 @@
+/** Several gateways of one deployment on addresses of the loopback, with one store. */
+import * as dgram from 'node:dgram';
+import * as net from 'node:net';
+import * as http from 'node:http';
+import * as ava from 'ava';
+import * as jsonLog from '../../src/base/node/json_log';
+import * as metrics from '../../src/base/node/metrics';
+import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
+import * as gatewayProcess from '../../src/gateway/node/gateway_process';
+import * as platformAdapter from '../../src/platform/platform_adapter';
+import * as storeStandin from '../../standins/store_standin';
+import * as tcpRelay from '../../standins/tcp_relay';
+import * as testGateway from './test_gateway';
+
+/** Time between looks at a condition, in milliseconds. */
+const LOOK_MILLISECONDS = 10;
+
+/** One gateway and its way to the store. */
+export interface FleetGateway {
+  readonly process: gatewayProcess.GatewayProcess;
+  readonly relay: tcpRelay.TcpRelay;
+  readonly ip: string;
+}
+
+/** Gateways that know each other. */
+export class GatewayFleet {
+  readonly store = new storeStandin.StoreStandin();
+  readonly gateways: FleetGateway[] = [];
+
+  static async start(
+    t: ava.ExecutionContext,
+    count: number,
+  ): Promise<GatewayFleet> {
+    const fleet = new GatewayFleet();
+    const store = await fleet.store.listen();
+    t.teardown(() => fleet.store.close());
+    fleet.store.put('config', 'main', testGateway.configurationSpec(1));
+    fleet.register('i-1');
+    const digestPort = await freeDatagramPort();
+    for (let index = 1; index <= count; index++) {
+      const gateway = await startGateway(index, store, digestPort);
+      fleet.gateways.push(gateway);
+      t.teardown(() => gateway.relay.dispose());
+      t.teardown(() => gateway.process.dispose());
+    }
+    await fleet.until(() => fleet.gateways.every(each => each.process.isReady));
+    return fleet;
+  }
+
+  /** Writes the registration of a replica that no test sends to. */
+  register(id: string, state = 'ready'): void {
+    this.store.put('servers', id, {
+      service: 'ledger',
+      address: '127.0.0.1:9',
+      zone: 'a',
+      slots: 6,
+      state,
+      warmLeftMs: 0,
+      born: 1,
+      seq: 1,
+    });
+  }
+
+  /** Gateways that watch the store. */
+  get watchers(): FleetGateway[] {
+    return this.gateways.filter(each => each.process.state.isWatching);
+  }
+
+  /** Waits until the condition holds; the test's own time-out bounds it. */
+  async until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+      await new Promise(resolve => setTimeout(resolve, LOOK_MILLISECONDS));
+    }
+  }
+
+  /** Waits until all of the gateways know the replica. */
+  untilKnown(id: string, gateways = this.gateways): Promise<void> {
+    return this.until(() =>
+      gateways.every(
+        each => each.process.state.instances.get(id) !== undefined,
+      ),
+    );
+  }
+
+  /** Status of a request with the key at the gateway. */
+  statusAt(gateway: FleetGateway, key: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const request = http.request(
+        {
+          host: gateway.ip,
+          port: gateway.process.port,
+          path: '/read/a',
+          agent: false,
+          headers: {
+            Host: testGateway.HOST,
+            Authorization: `Bearer ${key}`,
+            'X-Rhubarbvane-Attempt-Id': '00000000000000aa',
+            'X-Rhubarbvane-Deadline-Ms': '3000',
+          },
+        },
+        response => {
+          response.resume();
+          resolve(response.statusCode ?? 0);
+        },
+      );
+      request.once('error', reject);
+      request.end();
+    });
+  }
+}
+
+async function startGateway(
+  index: number,
+  store: string,
+  digestPort: number,
+): Promise<FleetGateway> {
+  const ip = `127.0.0.${index}`;
+  const relay = new tcpRelay.TcpRelay(Number(store.split(':')[1]));
+  const registry = new metrics.MetricsRegistry({});
+  const statePort = await freeStreamPort(ip);
+  const process = new gatewayProcess.GatewayProcess({
+    settings: {
+      instance: {name: `gateway-${index}`, data_centre: 'a', ip},
+      listen: {
+        callers: `${ip}:0`,
+        readiness: `${ip}:0`,
+        peers: `${ip}:${statePort}`,
+        metrics_port: 0,
+      },
+      peers: {seeds: '127.0.0.1:1,127.0.0.2:1', digest_port: digestPort},
+      platform: {store},
+      shutdown: {grace_seconds: 8},
+      retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
+    },
+    registry,
+    metrics: new gatewayMetrics.GatewayMetrics(registry),
+    log: new jsonLog.JsonLog({}, '/dev/null'),
+    source: platformAdapter.createStateSource(
+      await relay.listen(),
+      () => undefined,
+    ),
+    client: platformAdapter.createInstanceClient(() => undefined),
+    decoder: platformAdapter.createCallerDecoder(),
+  });
+  await process.start();
+  return {process, relay, ip};
+}
+
+/** All gateways use one port for digests, so it cannot be chosen when the first binds it. */
+async function freeDatagramPort(): Promise<number> {
+  const socket = dgram.createSocket('udp4');
+  await new Promise<void>(resolve => socket.bind(0, '127.0.0.1', resolve));
+  const {port} = socket.address();
+  await new Promise<void>(resolve => socket.close(resolve));
+  return port;
+}
+
+/** Peers are told the port before it is bound. */
+async function freeStreamPort(ip: string): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>(resolve => server.listen(0, ip, resolve));
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
