A fault soak of real gateway processes

npm run soak: gateways as processes, relays on their ways to store and callers, signals, replicas that fail, drain and lose answers; a ledger checks runs, refusals, bodies, streams, keys and drains.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,6 +20,7 @@
   'src/tool',
   'standins',
   'bench',
+  'soak',
   'test',
 ];
 
--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,141 @@
+/** Callers that keep their connections open for as long as a gateway keeps them. */
+import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
+import * as hdr from 'hdr-histogram-js';
+import * as deployment from './deployment';
+import * as gatewayChild from './gateway_child';
+import * as ledger from './ledger';
+import * as random from './random';
+
+const {RequestKind} = ledger;
+
+const PATHS: Readonly<Record<ledger.RequestKind, string>> = {
+  [RequestKind.Read]: '/read/',
+  [RequestKind.File]: '/file/',
+  [RequestKind.Draft]: '/draft/',
+  [RequestKind.Tag]: '/tag/',
+};
+/** Kinds in the shares in which they are sent. */
+const MIX = [
+  RequestKind.Read,
+  RequestKind.Read,
+  RequestKind.File,
+  RequestKind.File,
+  RequestKind.File,
+  RequestKind.Draft,
+  RequestKind.Tag,
+];
+const MAX_THINK_MILLISECONDS = 150;
+/** Share of the callers that leave before their answer. */
+const LEAVING_SHARE = 0.03;
+/** Share of the callers that go on with a key that was taken away. */
+const OLD_KEY_SHARE = 0.05;
+const PLAIN_WAIT_MILLISECONDS = 2_000;
+const STREAM_WAIT_MILLISECONDS = 20_000;
+
+/** Sends requests until it is told to stop. */
+export class Callers {
+  readonly latencies = hdr.build({highestTrackableValue: 60_000});
+  private isStopping = false;
+  private attemptCount = 0;
+  private readonly knownKeys = new Set<string>();
+
+  constructor(
+    private readonly target: deployment.Deployment,
+    private readonly book: ledger.Ledger,
+    private readonly draws: random.Random,
+  ) {}
+
+  /** Runs so many callers; resolves when all have stopped. */
+  async run(count: number): Promise<void> {
+    await Promise.all(Array.from({length: count}, () => this.runOne()));
+  }
+
+  stop(): void {
+    this.isStopping = true;
+  }
+
+  private async runOne(): Promise<void> {
+    const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+    while (!this.isStopping) {
+      const gateway = this.draws.pick(this.target.gateways);
+      await this.send(gateway, agent, this.draws.pick(MIX));
+      await timers.setTimeout(this.draws.integer(0, MAX_THINK_MILLISECONDS));
+    }
+    agent.destroy();
+  }
+
+  private key(): string {
+    this.target.keys.forEach(key => this.knownKeys.add(key));
+    const keys = this.draws.chance(OLD_KEY_SHARE)
+      ? this.knownKeys
+      : this.target.keys;
+    return this.draws.pick([...keys]);
+  }
+
+  /** Sends one request and notes its answer; a caller that leaves notes none. */
+  private send(
+    gateway: gatewayChild.GatewayChild,
+    agent: http.Agent,
+    kind: ledger.RequestKind,
+  ): Promise<void> {
+    const attempt = (++this.attemptCount).toString(16).padStart(16, '0');
+    const key = this.key();
+    const isStream = kind === RequestKind.Draft || kind === RequestKind.Tag;
+    const wait = isStream ? STREAM_WAIT_MILLISECONDS : PLAIN_WAIT_MILLISECONDS;
+    const pieces = this.draws.integer(1, kind === RequestKind.Tag ? 5 : 120);
+    const leavesAfter = this.draws.chance(LEAVING_SHARE)
+      ? this.draws.integer(1, 300)
+      : wait + 1_000;
+    this.book.noteSent(attempt, kind, key, gateway.name);
+    const startedAt = performance.now();
+    return new Promise(resolve => {
+      const request = http.request(
+        {
+          host: gateway.address.split(':')[0],
+          port: Number(gateway.address.split(':')[1]),
+          path: `${PATHS[kind]}x`,
+          method: kind === RequestKind.Read ? 'GET' : 'POST',
+          agent,
+          headers: {
+            Host: deployment.HOST,
+            Authorization: `Bearer ${key}`,
+            'X-Rhubarbvane-Attempt-Id': attempt,
+            'X-Rhubarbvane-Deadline-Ms': String(wait),
+            'X-Rhubarbvane-Token-Count': `100,${pieces}`,
+          },
+        },
+        response => this.receive(attempt, response, resolve, startedAt),
+      );
+      const timer = setTimeout(() => request.destroy(), leavesAfter);
+      request.once('error', () => resolve());
+      request.once('close', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      request.end(isStream ? String(pieces) : undefined);
+    });
+  }
+
+  private receive(
+    attempt: string,
+    response: http.IncomingMessage,
+    resolve: () => void,
+    startedAt: number,
+  ): void {
+    const chunks: Buffer[] = [];
+    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.on('error', () => undefined);
+    response.once('close', () => {
+      const stamp = response.headers['x-rhubarbvane-server-stamp'];
+      this.book.noteAnswer(attempt, {
+        status: response.statusCode ?? 0,
+        body: Buffer.concat(chunks).toString(),
+        isWhole: response.complete,
+        stamp: stamp === undefined ? undefined : String(stamp),
+      });
+      this.latencies.recordValue(Math.round(performance.now() - startedAt));
+      resolve();
+    });
+  }
+}
--- /dev/null
+++ b/soak/engine_fleet.ts
@@ -0,0 +1,249 @@
+/** Replicas of the soak: plain services and engines whose runs can be copied. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as ledger from './ledger';
+
+/** Time between the pieces of a stream, in milliseconds. */
+const PIECE_MILLISECONDS = 20;
+const PLAIN_MILLISECONDS = 10;
+/** Pieces of a stream unless the request asks for fewer. */
+const MAX_PIECES = 120;
+
+/** How a replica behaves. */
+export enum ReplicaMode {
+  Sound = 'sound',
+  /** Accepts connections and answers nothing. */
+  Silent = 'silent',
+  /** Resets every request. */
+  Resetting = 'resetting',
+  /** Runs requests and loses their answers. */
+  Forgetful = 'forgetful',
+  /** States that it runs nothing. */
+  Shedding = 'shedding',
+  /** Appends a second answer to plain answers. */
+  Doubling = 'doubling',
+}
+
+interface StreamRun {
+  readonly attempt: string;
+  made: number;
+  timer: NodeJS.Timeout | undefined;
+  response: http.ServerResponse;
+}
+
+/** Progress of copied runs by handle, shared by all replicas. */
+type Copies = Map<string, {readonly attempt: string; readonly made: number}>;
+
+/** One replica. */
+export class Replica {
+  mode = ReplicaMode.Sound;
+  address = '';
+  private readonly streams = new Map<string, StreamRun>();
+  private readonly server = http.createServer((request, response) =>
+    this.receive(request, response),
+  );
+
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    private readonly book: ledger.Ledger,
+    private readonly copies: Copies,
+  ) {}
+
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    const {port} = this.server.address() as net.AddressInfo;
+    this.address = `127.0.0.1:${port}`;
+  }
+
+  /** Ends at once, as a crash does. */
+  crash(): void {
+    this.streams.forEach(run => clearInterval(run.timer));
+    this.streams.clear();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private receive(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    request.once('end', () =>
+      this.answer(request, response, Buffer.concat(chunks).toString()),
+    );
+  }
+
+  private answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    body: string,
+  ): void {
+    if (this.mode === ReplicaMode.Silent) {
+      return;
+    }
+    const {url = '', headers} = request;
+    if (url === '/report') {
+      const runs = [...this.streams.values()].map(run => [
+        run.attempt,
+        1,
+        run.made,
+        1,
+      ]);
+      return sendJson(response, 200, {queued: 0, runs});
+    }
+    if (url === '/kv-move') {
+      return this.copy(response, JSON.parse(body) as CopyOrder);
+    }
+    if (url.startsWith('/kv-handle/')) {
+      this.copies.delete(url.slice('/kv-handle/'.length));
+      return sendJson(response, 200, {});
+    }
+    this.serve(headers, response, body);
+  }
+
+  private serve(
+    headers: http.IncomingHttpHeaders,
+    response: http.ServerResponse,
+    body: string,
+  ): void {
+    const attempt = String(headers['x-rhubarbvane-attempt-id']);
+    const isOther = headers['x-rhubarbvane-expect-replica'] !== this.id;
+    if (isOther || this.mode === ReplicaMode.Shedding) {
+      response.writeHead(isOther ? 421 : 503, {
+        'X-Rhubarbvane-Not-Executed': '1',
+      });
+      response.end();
+      return;
+    }
+    if (this.mode === ReplicaMode.Resetting) {
+      response.socket?.resetAndDestroy();
+      return;
+    }
+    if (this.service === 'writers') {
+      return this.stream(attempt, headers, response, body);
+    }
+    this.book.noteRun(attempt, this.id, performance.now(), false);
+    if (this.mode === ReplicaMode.Forgetful) {
+      response.socket?.destroy();
+      return;
+    }
+    setTimeout(() => this.finishPlain(attempt, response), PLAIN_MILLISECONDS);
+  }
+
+  private finishPlain(attempt: string, response: http.ServerResponse): void {
+    const body = ledger.plainBody(attempt, this.id);
+    const {socket} = response;
+    response.writeHead(200, {
+      ...stamped(attempt, this.id),
+      'Content-Length': Buffer.byteLength(body),
+    });
+    response.end(body);
+    if (this.mode === ReplicaMode.Doubling) {
+      socket?.write(
+        'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Rhubarbvane-Server-Stamp: x\r\n\r\nstray',
+      );
+    }
+  }
+
+  private stream(
+    attempt: string,
+    headers: http.IncomingHttpHeaders,
+    response: http.ServerResponse,
+    body: string,
+  ): void {
+    const from = headers['kv-from'];
+    const copy =
+      from === undefined
+        ? undefined
+        : this.copies.get(String(from).split('/')[1]);
+    if (from !== undefined && copy === undefined) {
+      response.writeHead(503, {'X-Rhubarbvane-Not-Executed': '1'}).end();
+      return;
+    }
+    if (from !== undefined) {
+      this.copies.delete(String(from).split('/')[1]);
+    }
+    const made = Number(headers['last-event-id'] ?? 0);
+    this.book.noteRun(
+      attempt,
+      this.id,
+      performance.now(),
+      made > 0 || from !== undefined,
+    );
+    response.writeHead(200, {
+      ...stamped(attempt, this.id),
+      'Content-Type': 'text/event-stream',
+    });
+    const pieces = Math.min(MAX_PIECES, Number(body) || MAX_PIECES);
+    const run: StreamRun = {attempt, made, timer: undefined, response};
+    this.streams.set(attempt, run);
+    run.timer = setInterval(
+      () => this.makePiece(run, pieces),
+      PIECE_MILLISECONDS,
+    );
+    response.once('close', () => this.endStream(run));
+  }
+
+  private makePiece(run: StreamRun, pieces: number): void {
+    if (this.mode === ReplicaMode.Silent) {
+      return;
+    }
+    if (run.made < pieces) {
+      run.response.write(ledger.pieceOf(run.attempt, ++run.made));
+      return;
+    }
+    run.response.end(ledger.endOf(run.attempt, pieces));
+    this.endStream(run);
+  }
+
+  private endStream(run: StreamRun): void {
+    clearInterval(run.timer);
+    if (this.streams.get(run.attempt) === run) {
+      this.streams.delete(run.attempt);
+    }
+  }
+
+  private copy(response: http.ServerResponse, order: CopyOrder): void {
+    const run = this.streams.get(order.id);
+    if (run === undefined) {
+      return sendJson(response, 404, {});
+    }
+    const handle = `${this.id}-${order.id}-${run.made}`;
+    this.copies.set(handle, {attempt: run.attempt, made: run.made});
+    sendJson(response, 200, {kvHandle: handle, created: run.made});
+    if (order.last === true) {
+      this.endStream(run);
+      run.response.destroy();
+    }
+  }
+}
+
+interface CopyOrder {
+  readonly id: string;
+  readonly last?: boolean;
+}
+
+function stamped(
+  attempt: string,
+  replica: string,
+): Readonly<Record<string, string>> {
+  return {
+    'X-Rhubarbvane-Attempt-Id': attempt,
+    'X-Rhubarbvane-Server-Stamp': replica,
+  };
+}
+
+function sendJson(
+  response: http.ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  response.writeHead(status, {'Content-Type': 'application/json'});
+  response.end(JSON.stringify(value));
+}
--- /dev/null
+++ b/soak/gateway_child.ts
@@ -0,0 +1,154 @@
+/** A gateway as a process of its own, with its ways to store and callers behind relays. */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as tcpRelay from '../standins/tcp_relay';
+
+const PROGRAM = path.join(__dirname, '..', 'src', 'daemon', 'gateway_main.js');
+
+/** Where a gateway listens and whom it asks. */
+export interface GatewayPlace {
+  readonly name: string;
+  readonly ip: string;
+  readonly seeds: readonly string[];
+  readonly digestPort: number;
+  readonly storePort: number;
+  /** Collects its log lines. */
+  readonly logFile: string;
+}
+
+/** One gateway over all its lives. */
+export class GatewayChild {
+  private process: childProcess.ChildProcess | undefined;
+  private readonly settingsFile: string;
+  private ports = {callers: 0, readiness: 0, peers: 0};
+  private isEndExpected = false;
+  storeRelay: tcpRelay.TcpRelay;
+  callerRelay!: tcpRelay.TcpRelay;
+  /** Address that callers use. */
+  address = '';
+
+  constructor(
+    private readonly place: GatewayPlace,
+    private readonly onUnexpectedEnd: (detail: string) => void,
+  ) {
+    this.settingsFile = path.join(
+      fs.mkdtempSync(path.join(os.tmpdir(), 'soak-')),
+      'gateway.ini',
+    );
+    this.storeRelay = new tcpRelay.TcpRelay(place.storePort);
+  }
+
+  get name(): string {
+    return this.place.name;
+  }
+
+  get isRunning(): boolean {
+    return this.process !== undefined;
+  }
+
+  /** Chooses ports, opens the relays and starts the first life. */
+  async open(): Promise<void> {
+    const {ip} = this.place;
+    this.ports = {
+      callers: await freePort(ip),
+      readiness: await freePort(ip),
+      peers: await freePort(ip),
+    };
+    this.callerRelay = new tcpRelay.TcpRelay(this.ports.callers, ip);
+    this.address = await this.callerRelay.listen();
+    fs.writeFileSync(
+      this.settingsFile,
+      this.settings(await this.storeRelay.listen()),
+    );
+    this.start();
+  }
+
+  /** Starts a life unless one runs. */
+  start(): void {
+    if (this.process !== undefined) {
+      return;
+    }
+    const log = fs.openSync(this.place.logFile, 'a');
+    const child = childProcess.spawn(
+      process.execPath,
+      ['--max-old-space-size=96', PROGRAM, '--config', this.settingsFile],
+      {stdio: ['ignore', log, log]},
+    );
+    fs.closeSync(log);
+    this.process = child;
+    this.isEndExpected = false;
+    child.once('exit', (code, signal) => {
+      this.process = undefined;
+      if (!this.isEndExpected) {
+        this.onUnexpectedEnd(`${this.name} ended with ${code ?? signal}`);
+      }
+    });
+  }
+
+  /** Ends the life without waiting; for a soak that ends early. */
+  abandon(): void {
+    this.process?.kill('SIGKILL');
+  }
+
+  /** Sends a signal to the running life. */
+  signal(signal: NodeJS.Signals): void {
+    this.isEndExpected ||= signal === 'SIGKILL' || signal === 'SIGTERM';
+    this.process?.kill(signal);
+  }
+
+  /** Resolves when no life runs. */
+  async whenEnded(): Promise<void> {
+    const {process: child} = this;
+    if (child !== undefined) {
+      await new Promise(resolve => child.once('exit', resolve));
+    }
+  }
+
+  async close(): Promise<void> {
+    const ended = this.whenEnded();
+    this.signal('SIGKILL');
+    await ended;
+    this.storeRelay.dispose();
+    this.callerRelay.dispose();
+    fs.rmSync(path.dirname(this.settingsFile), {recursive: true});
+  }
+
+  private settings(store: string): string {
+    const {name, ip, seeds, digestPort} = this.place;
+    const {callers, readiness, peers} = this.ports;
+    return [
+      '[instance]',
+      `name = ${name}`,
+      'data_centre = a',
+      `ip = ${ip}`,
+      '[listen]',
+      `callers = ${ip}:${callers}`,
+      `readiness = ${ip}:${readiness}`,
+      `peers = ${ip}:${peers}`,
+      'metrics_port = 0',
+      '[peers]',
+      `seeds = ${seeds.join(',')}`,
+      `digest_port = ${digestPort}`,
+      '[platform]',
+      `store = ${store}`,
+      '[shutdown]',
+      'grace_seconds = 6',
+      '[retries]',
+      'window_seconds = 10',
+      'ratio = 0.2',
+      'allowance = 50',
+    ].join('\n');
+  }
+}
+
+/** Peers and callers are told a port before the process binds it. */
+async function freePort(ip: string): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>(resolve => server.listen(0, ip, resolve));
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
--- /dev/null
+++ b/soak/ledger.ts
@@ -0,0 +1,266 @@
+/**
+ * What callers and replicas saw, and which promises it breaks. Pure: the soak
+ * feeds it while it runs, and tests feed it by hand.
+ */
+
+/** Kinds of requests that the soak sends. */
+export enum RequestKind {
+  /** May run again. */
+  Read = 'read',
+  /** Runs once at most. */
+  File = 'file',
+  /** A stream that goes on only from a copy of its run. */
+  Draft = 'draft',
+  /** A stream that may go on by event id. */
+  Tag = 'tag',
+}
+
+/** How an answer ended for its caller. */
+export interface ReceivedAnswer {
+  /** 0 when no answer began. */
+  readonly status: number;
+  readonly body: string;
+  /** Whether the answer looked complete. */
+  readonly isWhole: boolean;
+  /** The replica's proof; undefined on answers of a gateway. */
+  readonly stamp: string | undefined;
+}
+
+/** One broken promise. */
+export interface Violation {
+  readonly promise: string;
+  readonly attempt: string;
+  readonly detail: string;
+}
+
+interface SentRequest {
+  readonly kind: RequestKind;
+  readonly key: string;
+  readonly gateway: string;
+  answer?: ReceivedAnswer;
+}
+
+interface Run {
+  readonly replica: string;
+  readonly at: number;
+  readonly isContinued: boolean;
+}
+
+interface Span {
+  readonly from: number;
+  to: number;
+}
+
+/** Statuses that promise that the request did not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Time in which a change is in force at a gateway that is in touch, in milliseconds; twice the platform's bound, since the machine is shared. */
+const CHANGE_MILLISECONDS = 4_000;
+/** Time without any fault after which a gateway counts as in touch, in milliseconds. */
+const CONTACT_MILLISECONDS = 4_000;
+
+/** Body of a whole plain answer. */
+export function plainBody(attempt: string, replica: string): string {
+  return `${attempt} served by ${replica}`;
+}
+
+/** One piece of a stream. */
+export function pieceOf(attempt: string, index: number): string {
+  return `id: ${index}\ndata: ${attempt} piece ${index}\n\n`;
+}
+
+/** Last event of a whole stream. */
+export function endOf(attempt: string, pieces: number): string {
+  return `id: ${pieces + 1}\ndata: ${attempt} end\n\n`;
+}
+
+/** Holds everything that was seen in one soak. */
+export class Ledger {
+  private readonly sent = new Map<string, SentRequest>();
+  private readonly runs = new Map<string, Run[]>();
+  private readonly faults: {gateway: string | undefined; span: Span}[] = [];
+  private readonly revoked = new Map<string, number>();
+  private readonly drained = new Map<string, number>();
+  private readonly unexpected: Violation[] = [];
+
+  noteSent(
+    attempt: string,
+    kind: RequestKind,
+    key: string,
+    gateway: string,
+  ): void {
+    this.sent.set(attempt, {kind, key, gateway});
+  }
+
+  noteAnswer(attempt: string, answer: ReceivedAnswer): void {
+    this.sent.get(attempt)!.answer = answer;
+  }
+
+  noteRun(
+    attempt: string,
+    replica: string,
+    at: number,
+    isContinued: boolean,
+  ): void {
+    const runs = this.runs.get(attempt) ?? [];
+    runs.push({replica, at, isContinued});
+    this.runs.set(attempt, runs);
+  }
+
+  /** Notes a fault at one gateway, or at all when none is named; gives a call that ends it. */
+  beginFault(gateway: string | undefined, at: number): (at: number) => void {
+    const span: Span = {from: at, to: Infinity};
+    this.faults.push({gateway, span});
+    return endsAt => (span.to = endsAt);
+  }
+
+  noteRevoked(key: string, at: number): void {
+    this.revoked.set(key, at);
+  }
+
+  noteDrained(replica: string, at: number): void {
+    this.drained.set(replica, at);
+  }
+
+  /** Notes something that the soak saw itself, such as the end of a process. */
+  noteUnexpected(promise: string, detail: string): void {
+    this.unexpected.push({promise, attempt: '', detail});
+  }
+
+  /** Requests by outcome. */
+  summary(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const {kind, answer} of this.sent.values()) {
+      const outcome = answer === undefined ? 'open' : outcomeOf(answer);
+      counts[`${kind} ${outcome}`] = (counts[`${kind} ${outcome}`] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /** Everything that broke a promise. */
+  violations(): Violation[] {
+    const found = [...this.unexpected];
+    for (const [attempt, request] of this.sent) {
+      const runs = this.runs.get(attempt) ?? [];
+      found.push(
+        ...this.checkRuns(attempt, request, runs),
+        ...this.checkAnswer(attempt, request, runs),
+      );
+    }
+    for (const attempt of this.runs.keys()) {
+      if (!this.sent.has(attempt)) {
+        found.push({promise: 'asked', attempt, detail: 'no caller sent it'});
+      }
+    }
+    return found;
+  }
+
+  private checkRuns(
+    attempt: string,
+    {kind, key, gateway}: SentRequest,
+    runs: readonly Run[],
+  ): Violation[] {
+    const found: Violation[] = [];
+    const started = runs.filter(run => !run.isContinued);
+    const isOnceOnly = kind === RequestKind.File || kind === RequestKind.Draft;
+    if (isOnceOnly && started.length > 1) {
+      const detail = started.map(run => run.replica).join(', ');
+      found.push({promise: 'once', attempt, detail: `ran at ${detail}`});
+    }
+    const revokedAt = this.revoked.get(key) ?? Infinity;
+    for (const run of started) {
+      if (this.isLate(run.at, revokedAt, gateway)) {
+        const detail = `${Math.round(run.at - revokedAt)} ms after its key was taken away`;
+        found.push({promise: 'key', attempt, detail});
+      }
+      const drainedAt = this.drained.get(run.replica) ?? Infinity;
+      if (this.isLate(run.at, drainedAt, gateway)) {
+        const detail = `${Math.round(run.at - drainedAt)} ms after ${run.replica} was draining`;
+        found.push({promise: 'drain', attempt, detail});
+      }
+    }
+    return found;
+  }
+
+  /** Whether the time of the change is over though the gateway was in touch for long enough to learn of it. */
+  private isLate(at: number, changedAt: number, gateway: string): boolean {
+    const since = at - CHANGE_MILLISECONDS - CONTACT_MILLISECONDS;
+    const isTouched = this.faults.some(
+      ({gateway: where, span}) =>
+        (where === undefined || where === gateway) &&
+        span.from <= at &&
+        span.to >= since,
+    );
+    return at > changedAt + CHANGE_MILLISECONDS && !isTouched;
+  }
+
+  private checkAnswer(
+    attempt: string,
+    {kind, answer}: SentRequest,
+    runs: readonly Run[],
+  ): Violation[] {
+    if (answer === undefined) {
+      return [];
+    }
+    const {status, stamp, isWhole} = answer;
+    const promisesNotRun =
+      NOT_RUN_STATUSES.has(status) && stamp === undefined && isWhole;
+    if (promisesNotRun && runs.length > 0 && kind !== RequestKind.Read) {
+      const detail = `answered ${status}, but ran at ${runs[0].replica}`;
+      return [{promise: 'not-run', attempt, detail}];
+    }
+    if (status !== 200) {
+      return [];
+    }
+    const fault =
+      kind === RequestKind.Draft || kind === RequestKind.Tag
+        ? checkStream(attempt, answer)
+        : checkPlain(attempt, answer, runs);
+    return fault === undefined
+      ? []
+      : [{promise: 'whole', attempt, detail: fault}];
+  }
+}
+
+function outcomeOf({status, isWhole}: ReceivedAnswer): string {
+  if (status === 0) {
+    return 'no answer';
+  }
+  return isWhole ? String(status) : `${status} cut`;
+}
+
+function checkPlain(
+  attempt: string,
+  {body, isWhole, stamp}: ReceivedAnswer,
+  runs: readonly Run[],
+): string | undefined {
+  if (!isWhole) {
+    return undefined;
+  }
+  const isOwn = runs.some(
+    run => run.replica === stamp && body === plainBody(attempt, run.replica),
+  );
+  return isOwn ? undefined : `body "${body}" with stamp ${stamp}`;
+}
+
+function checkStream(
+  attempt: string,
+  {body, isWhole}: ReceivedAnswer,
+): string | undefined {
+  let expected = '';
+  let pieces = 0;
+  while (body.startsWith(expected + pieceOf(attempt, pieces + 1))) {
+    expected += pieceOf(attempt, ++pieces);
+  }
+  const rest = body.slice(expected.length);
+  if (rest === endOf(attempt, pieces)) {
+    return undefined;
+  }
+  // A cut answer may end in the middle of a piece or of the end.
+  const isCut =
+    pieceOf(attempt, pieces + 1).startsWith(rest) ||
+    endOf(attempt, pieces).startsWith(rest);
+  if (!isWhole && isCut) {
+    return undefined;
+  }
+  return `after piece ${pieces}: "${rest.slice(0, 80)}", complete ${isWhole}`;
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,68 @@
+/** Plays soaks: `npm run soak -- --seed 1 --minutes 1`. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as clipanion from 'clipanion';
+import * as soak from './soak';
+
+/** Plays one seed, or several one after the other. */
+class SoakCommand extends clipanion.Command {
+  static override paths = [clipanion.Command.Default];
+
+  seed = clipanion.Option.String('--seed', '1', {
+    description: 'First seed; faults and callers follow from it',
+  });
+  seeds = clipanion.Option.String('--seeds', '1', {
+    description: 'Number of seeds, one after the other',
+  });
+  minutes = clipanion.Option.String('--minutes', '0.5', {
+    description: 'Length of the faults of each seed',
+  });
+  gateways = clipanion.Option.String('--gateways', '4', {
+    description: 'Gateway processes; from 7 on, three watch for all',
+  });
+  callers = clipanion.Option.String('--callers', '24', {
+    description: 'Callers, each with one connection',
+  });
+  logs = clipanion.Option.String('--logs', 'target/soak', {
+    description: 'Directory for the gateways log lines and the faults',
+  });
+
+  async execute(): Promise<number> {
+    let failed = 0;
+    fs.mkdirSync(this.logs, {recursive: true});
+    for (let index = 0; index < Number(this.seeds); index++) {
+      const seed = Number(this.seed) + index;
+      failed += (await this.play(seed)) ? 0 : 1;
+    }
+    return failed === 0 ? 0 : 1;
+  }
+
+  private async play(seed: number): Promise<boolean> {
+    const faults: object[] = [];
+    const verdict = await soak.runSoak({
+      seed,
+      milliseconds: Number(this.minutes) * 60_000,
+      size: {gateways: Number(this.gateways), engines: 4, services: 3},
+      callers: Number(this.callers),
+      logFile: path.join(this.logs, `seed-${seed}.log`),
+      report: event => faults.push(event),
+    });
+    fs.writeFileSync(
+      path.join(this.logs, `seed-${seed}.faults.json`),
+      faults.map(event => JSON.stringify(event)).join('\n'),
+    );
+    this.context.stdout.write(
+      `${JSON.stringify({seed, faults: faults.length, ...verdict})}\n`,
+    );
+    return verdict.violations.length === 0;
+  }
+}
+
+process.once('SIGTERM', () => process.exit(1));
+process.once('SIGINT', () => process.exit(1));
+
+const cli = new clipanion.Cli({binaryLabel: 'soak', binaryName: 'soak'});
+cli.register(SoakCommand);
+void cli
+  .runExit(process.argv.slice(2))
+  .then(() => process.exit(process.exitCode));
--- /dev/null
+++ b/soak/probe.ts
@@ -0,0 +1,42 @@
+/** Single requests that ask whether a gateway serves. */
+import * as http from 'node:http';
+import * as deployment from './deployment';
+import * as ledger from './ledger';
+
+const TIMEOUT_MILLISECONDS = 1_000;
+
+let probeCount = 0;
+
+/** Status of a read at the gateway; 0 when no answer came. */
+export function probe(
+  gateway: {readonly address: string; readonly name: string},
+  key: string,
+  book: ledger.Ledger,
+): Promise<number> {
+  const attempt = `f${(++probeCount).toString(16).padStart(15, '0')}`;
+  const [host, port] = gateway.address.split(':');
+  book.noteSent(attempt, ledger.RequestKind.Read, key, gateway.name);
+  return new Promise(resolve => {
+    const request = http.get(
+      {
+        host,
+        port: Number(port),
+        path: '/read/probe',
+        agent: false,
+        timeout: TIMEOUT_MILLISECONDS,
+        headers: {
+          Host: deployment.HOST,
+          Authorization: `Bearer ${key}`,
+          'X-Rhubarbvane-Attempt-Id': attempt,
+          'X-Rhubarbvane-Deadline-Ms': String(TIMEOUT_MILLISECONDS),
+        },
+      },
+      response => {
+        response.resume();
+        response.once('close', () => resolve(response.statusCode ?? 0));
+      },
+    );
+    request.once('timeout', () => request.destroy());
+    request.once('error', () => resolve(0));
+  });
+}
--- /dev/null
+++ b/soak/random.ts
@@ -0,0 +1,24 @@
+/** Draws of one seed. */
+import * as pureRand from 'pure-rand';
+
+/** A stream of draws that depends on nothing but its seed. */
+export class Random {
+  private readonly generator: pureRand.RandomGenerator;
+
+  constructor(seed: number) {
+    this.generator = pureRand.xoroshiro128plus(seed);
+  }
+
+  /** A whole number from `least` to `most`. */
+  integer(least: number, most: number): number {
+    return pureRand.unsafeUniformIntDistribution(least, most, this.generator);
+  }
+
+  chance(share: number): boolean {
+    return this.integer(1, 1_000) <= share * 1_000;
+  }
+
+  pick<T>(values: readonly T[]): T {
+    return values[this.integer(0, values.length - 1)];
+  }
+}
--- /dev/null
+++ b/test/soak/ledger.test.ts
@@ -0,0 +1,146 @@
+/** The checks of the soak find what they are for, and nothing else. */
+import * as ava from 'ava';
+import * as ledger from '../../soak/ledger';
+
+const test = ava.default;
+const {RequestKind} = ledger;
+
+function answer(
+  status: number,
+  body: string,
+  more: Partial<ledger.ReceivedAnswer> = {},
+): ledger.ReceivedAnswer {
+  return {status, body, isWhole: true, stamp: undefined, ...more};
+}
+
+interface Case {
+  readonly title: string;
+  readonly kind: ledger.RequestKind;
+  readonly runs: readonly [replica: string, at: number, isContinued: boolean][];
+  readonly answer?: ledger.ReceivedAnswer;
+  readonly promise: string | undefined;
+}
+
+const PIECES = ledger.pieceOf('a', 1) + ledger.pieceOf('a', 2);
+const CASES: readonly Case[] = [
+  {
+    title: 'a filing that ran twice',
+    kind: RequestKind.File,
+    runs: [
+      ['r1', 1, false],
+      ['r2', 2, false],
+    ],
+    promise: 'once',
+  },
+  {
+    title: 'a read that ran twice is allowed',
+    kind: RequestKind.Read,
+    runs: [
+      ['r1', 1, false],
+      ['r2', 2, false],
+    ],
+    promise: undefined,
+  },
+  {
+    title: 'a draft that goes on elsewhere is one run',
+    kind: RequestKind.Draft,
+    runs: [
+      ['r1', 1, false],
+      ['r2', 2, true],
+    ],
+    promise: undefined,
+  },
+  {
+    title: 'a refusal of what ran',
+    kind: RequestKind.File,
+    runs: [['r1', 1, false]],
+    answer: answer(503, ''),
+    promise: 'not-run',
+  },
+  {
+    title: 'an unknown outcome of what ran is allowed',
+    kind: RequestKind.File,
+    runs: [['r1', 1, false]],
+    answer: answer(502, ''),
+    promise: undefined,
+  },
+  {
+    title: 'the body of another request',
+    kind: RequestKind.File,
+    runs: [['r1', 1, false]],
+    answer: answer(200, ledger.plainBody('b', 'r1'), {stamp: 'r1'}),
+    promise: 'whole',
+  },
+  {
+    title: 'the whole body',
+    kind: RequestKind.File,
+    runs: [['r1', 1, false]],
+    answer: answer(200, ledger.plainBody('a', 'r1'), {stamp: 'r1'}),
+    promise: undefined,
+  },
+  {
+    title: 'a stream without its end that looks complete',
+    kind: RequestKind.Draft,
+    runs: [['r1', 1, false]],
+    answer: answer(200, PIECES, {stamp: 'r1'}),
+    promise: 'whole',
+  },
+  {
+    title: 'a stream that is visibly cut is allowed',
+    kind: RequestKind.Draft,
+    runs: [['r1', 1, false]],
+    answer: answer(200, PIECES + 'id: 3', {stamp: 'r1', isWhole: false}),
+    promise: undefined,
+  },
+  {
+    title: 'a stream with a piece twice',
+    kind: RequestKind.Draft,
+    runs: [['r1', 1, false]],
+    answer: answer(200, PIECES + PIECES, {stamp: 'r1', isWhole: false}),
+    promise: 'whole',
+  },
+  {
+    title: 'a whole stream',
+    kind: RequestKind.Draft,
+    runs: [['r1', 1, false]],
+    answer: answer(200, PIECES + ledger.endOf('a', 2), {stamp: 'r1'}),
+    promise: undefined,
+  },
+];
+
+for (const each of CASES) {
+  test(`ledger: ${each.title}`, t => {
+    const book = new ledger.Ledger();
+    book.noteSent('a', each.kind, 'key', 'g1');
+    each.runs.forEach(run => book.noteRun('a', ...run));
+    if (each.answer !== undefined) {
+      book.noteAnswer('a', each.answer);
+    }
+    const promises = book.violations().map(found => found.promise);
+    t.deepEqual(promises, each.promise === undefined ? [] : [each.promise]);
+  });
+}
+
+for (const [title, at, faultTo, expected] of [
+  ['long after its key was taken away', 20_000, 0, ['key']],
+  ['within the time that a change takes', 11_000, 0, []],
+  ['at a gateway that was cut off meanwhile', 20_000, 15_000, []],
+] as const) {
+  test(`ledger: a request that runs ${title}`, t => {
+    const book = new ledger.Ledger();
+    book.noteSent('a', RequestKind.File, 'key', 'g1');
+    book.noteRevoked('key', 10_000);
+    book.beginFault('g1', 0)(faultTo);
+    book.noteRun('a', 'r1', at, false);
+    t.deepEqual(
+      book.violations().map(found => found.promise),
+      [...expected],
+    );
+  });
+}
+
+test('ledger: a request that runs though nobody sent it', t => {
+  const book = new ledger.Ledger();
+  book.noteRun('stray', 'r1', 1, false);
+  t.is(book.violations()[0].promise, 'asked');
+});
