Read the reports of crowded engines for all gateways; backups only while memory is spare everywhere

Backups were taken by any engine below 0.8 while the others had no memory left. Now the gateways that watch the store read one report a second of each engine above 0.6 and pass it on; waiting runs and memory in use count in placement. Backups need a mean share of up to 0.75.

--- /dev/null
+++ b/bench/naive/naive_gateway.ts
@@ -0,0 +1,145 @@
+/**
+ * The baseline that each mechanism of the gateway is quoted against: requests
+ * go to the instance with the fewest open ones, without queue, repeats, copies
+ * or word from peers. Not shipped; see bench/naive/system.toml.
+ */
+import * as http from 'node:http';
+import * as jsonLog from '../../src/base/node/json_log';
+import * as httpServer from '../../src/base/node/http_server';
+import * as instanceClient from '../../src/gateway/common/instance_client';
+import * as instanceTable from '../../src/gateway/common/instance_table';
+import * as peerDigest from '../../src/gateway/common/peer_digest';
+import * as routeIndex from '../../src/gateway/common/route_index';
+import * as watchDuty from '../../src/gateway/common/watch_duty';
+import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
+import * as stateFollower from '../../src/gateway/node/state_follower';
+import * as platformAdapter from '../../src/platform/platform_adapter';
+
+const MAX_BODY_BYTES = 100_000;
+/** Time after the stop signal in which the balancer still sends callers, in milliseconds. */
+const STOP_MILLISECONDS = 7_500;
+
+const settings = gatewaySettings
+  .readGatewaySettings(platformAdapter.settingsPath())
+  ._unsafeUnwrap();
+const log = new jsonLog.JsonLog({gateway: settings.instance.name});
+const peers = new peerDigest.PeerTable(settings.instance.ip, []);
+const follower = new stateFollower.StateFollower(
+  platformAdapter.createStateSource(settings.platform.store, () => undefined),
+  new watchDuty.WatchDuty(settings.instance.name, peers),
+  log,
+);
+const client = platformAdapter.createInstanceClient(() => undefined);
+const decoder = platformAdapter.createCallerDecoder();
+let isLeaving = false;
+
+function answer(response: http.ServerResponse, status: number): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(status, {'Content-Length': 0}).end();
+}
+
+function leastLoaded(endpoint: string): instanceTable.Instance | undefined {
+  return [...follower.instances.ofEndpoint(endpoint)]
+    .filter(row => row.drainingAt === undefined)
+    .sort((left, right) => left.openRequests - right.openRequests)[0];
+}
+
+async function handle(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const index = follower.routes;
+  const caller = decoder.decode(request);
+  const route = index?.findRoute(caller.host, caller.path);
+  const body = await httpServer.readBody(request, MAX_BODY_BYTES);
+  if (index === undefined || body.isErr()) {
+    return answer(response, index === undefined ? 503 : 400);
+  }
+  if (route === undefined) {
+    return answer(response, 404);
+  }
+  const customer = index.findCustomer(caller.key ?? '');
+  if (index.needsKeys && !route.isPublic && customer === undefined) {
+    return answer(response, 401);
+  }
+  const endpoint = routeIndex.drawEndpoint(route, Math.random()) ?? '';
+  const instance = leastLoaded(endpoint);
+  if (instance === undefined) {
+    return answer(response, 503);
+  }
+  const exchange = client.send(instance, {
+    caller,
+    body: body.value,
+    remainingMilliseconds: Math.min(
+      caller.waitMilliseconds ?? Infinity,
+      route.timeoutMilliseconds,
+    ),
+    customer: customer?.name,
+    urgency: route.isGeneration ? route.priority : undefined,
+    lastEventId: caller.lastEventId,
+    continuation: undefined,
+    backupAddress: undefined,
+  });
+  instance.openRequests++;
+  response.once('close', () => exchange.cancel());
+  await deliver(exchange, response);
+  instance.openRequests--;
+}
+
+async function deliver(
+  exchange: instanceClient.Exchange,
+  response: http.ServerResponse,
+): Promise<void> {
+  const sent = await exchange.answer;
+  if (sent.isErr() || sent.value.isNotRun) {
+    const isProved =
+      sent.isOk() || sent.error === instanceClient.SendError.NeverSent;
+    return answer(response, isProved ? 503 : 502);
+  }
+  const {status, passedHeaders, body} = sent.value;
+  await new Promise<void>(resolve => {
+    response.writeHead(status, [...passedHeaders]);
+    body.listen({
+      onData: chunk => void response.write(chunk),
+      onDidEnd: () => {
+        response.end();
+        resolve();
+      },
+      onDidFail: () => {
+        response.destroy();
+        resolve();
+      },
+    });
+  });
+}
+
+function listen(server: http.Server, address: string): void {
+  const [ip, port] = address.split(':');
+  server.listen(Number(port), ip, 1_024);
+}
+
+follower.start();
+listen(
+  http.createServer(
+    {keepAliveTimeout: 120_000},
+    (request, response) => void handle(request, response),
+  ),
+  settings.listen.callers,
+);
+listen(
+  http.createServer((_, response) => {
+    const isReady =
+      !isLeaving &&
+      follower.routes !== undefined &&
+      follower.instances.size > 0;
+    response.writeHead(isReady ? 200 : 503).end();
+  }),
+  settings.listen.readiness,
+);
+process.once('SIGTERM', () => {
+  isLeaving = true;
+  setTimeout(() => process.exit(0), STOP_MILLISECONDS);
+});
--- a/src/gateway/common/peer_digest.ts
+++ b/src/gateway/common/peer_digest.ts
@@ -1,6 +1,7 @@
 /** What gateways tell each other several times a second, and how they judge it. */
 import * as configuration from './configuration';
 import * as crashTable from './crash_table';
+import * as engineReports from './engine_reports';
 import * as instanceTable from './instance_table';
 import * as leavingPolicy from './leaving_policy';
 import * as runTable from './run_table';
@@ -19,6 +20,8 @@
   readonly sourceAgeMilliseconds?: number;
   readonly loads: runTable.LoadsByInstance;
   readonly crashes: readonly crashTable.Crash[];
+  /** Reports of engines that it read; absent when there are none. */
+  readonly reports?: readonly engineReports.RelayedReport[];
   /** IPs of the gateways that it heard lately. */
   readonly peers: readonly string[];
   /** Time until it ends, in milliseconds; undefined unless it is about to end. */
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -49,6 +49,8 @@
 /** Share of the memory beyond which preemption threatens. */
 const CROWDED_SHARE = 0.9;
 const CROWDED_COST_MILLISECONDS = 5_000;
+/** Time for which a run that waits at an engine keeps a new one waiting, in milliseconds. */
+const QUEUED_COST_MILLISECONDS = 400;
 /** Range of the random part of the cost, in milliseconds. */
 const TIE_MILLISECONDS = 20;
 /** Cost of a full failure rate, in milliseconds. */
@@ -124,12 +126,15 @@
     request.capacityTokens;
   const cost = (row: instanceTable.Instance) => {
     const share = shareOf(row);
-    const prefillTokens = loads.get(row.record.id)?.prefillTokens ?? 0;
+    const load = loads.get(row.record.id);
+    const prefillTokens = load?.prefillTokens ?? 0;
+    const queuedRuns = load?.queuedRuns ?? 0;
     const isWarm = now - row.firstSeenAt > row.record.warmUpMilliseconds;
     return (
       share * MEMORY_COST_MILLISECONDS +
       Math.max(0, share - CROWDED_SHARE) * CROWDED_COST_MILLISECONDS +
       prefillTokens * PREFILL_MILLISECONDS_PER_TOKEN +
+      queuedRuns * QUEUED_COST_MILLISECONDS +
       row.failureRate * FAILURE_COST_MILLISECONDS +
       (isWarm ? 0 : WARM_UP_COST_MILLISECONDS) +
       (row.record.dataCentre === request.dataCentre
--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -25,6 +25,8 @@
   memoryTokens: number;
   /** Prompt tokens still to be read. */
   prefillTokens: number;
+  /** Runs that wait at the engine by its own report; undefined without one. */
+  queuedRuns?: number;
 }
 
 const IDLE: InstanceLoad = {runs: 0, memoryTokens: 0, prefillTokens: 0};
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -6,6 +6,7 @@
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as crashTable from '../common/crash_table';
+import * as engineReports from '../common/engine_reports';
 import * as instanceClient from '../common/instance_client';
 import * as peerDigest from '../common/peer_digest';
 import * as retryLimiter from '../common/retry_limiter';
@@ -21,6 +22,7 @@
 import * as generationScheduler from './generation_scheduler';
 import * as observabilityServer from './observability_server';
 import * as peerExchange from './peer_exchange';
+import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
 import * as stateFollower from './state_follower';
 
@@ -60,6 +62,7 @@
     const {settings, log, client} = options;
     const runs = new runTable.RunTable();
     const crashes = new crashTable.CrashTable();
+    const reports = new engineReports.EngineReports();
     const predictor = new lengthPredictor.LengthPredictor();
     const peers = new peerDigest.PeerTable(
       settings.instance.ip,
@@ -76,6 +79,7 @@
       predictor,
       settings.instance.data_centre,
       peers,
+      reports,
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -118,8 +122,12 @@
       follower,
       runs,
       crashes,
+      reports,
       log,
     );
+    this.disposables.add(
+      new reportReader.ReportReader(follower, client, runs, reports),
+    );
   }
 
   /** Whether the balancer should send connections here. */
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -1,6 +1,7 @@
 /** Gives generations their instance, at once or when memory comes free. */
 import * as disposable from '../../base/common/disposable';
 import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as engineReports from '../common/engine_reports';
 import * as generationQueue from '../common/generation_queue';
 import * as instanceTable from '../common/instance_table';
 import * as peerDigest from '../common/peer_digest';
@@ -17,6 +18,8 @@
 const REMOTE_BACKUP_COST_MILLISECONDS = 60;
 /** Memory share, by the expected ends of all runs and copies, up to which an engine takes backups. */
 const MAX_BACKUP_SHARE = 0.8;
+/** Share of the memory of all engines together up to which any takes backups; beyond it, they would take the place of work. */
+const MAX_BACKUP_MEAN_SHARE = 0.75;
 /** Output length assumed before anything is known, in tokens. */
 const ASSUMED_TOKENS = 400;
 
@@ -54,6 +57,7 @@
     private readonly predictor: lengthPredictor.LengthPredictor,
     private readonly dataCentre: string,
     private readonly peers: peerDigest.PeerTable,
+    private readonly reports: engineReports.EngineReports,
   ) {
     this.timer = setInterval(() => this.step(), STEP_MILLISECONDS);
     this.timer.unref();
@@ -99,7 +103,7 @@
     const now = performance.now();
     return placement.placeGeneration(
       this.follower.instances.ofEndpoint(run.endpoint),
-      this.runs.totalLoads(now),
+      this.loads(now),
       {
         endpoint: run.endpoint,
         dataCentre,
@@ -129,10 +133,38 @@
       REMOTE_BACKUP_COST_MILLISECONDS,
     );
     const hasRoom =
-      choice !== undefined && choice.memoryShare <= MAX_BACKUP_SHARE;
+      choice !== undefined &&
+      choice.memoryShare <= MAX_BACKUP_SHARE &&
+      this.meanShare(run.endpoint, capacityTokens) <= MAX_BACKUP_MEAN_SHARE;
     return hasRoom ? choice.instance : undefined;
   }
 
+  /** Loads as gateways account for them, and at least what engines report. */
+  private loads(now: number): Map<string, runTable.InstanceLoad> {
+    const loads = this.runs.totalLoads(now);
+    for (const [id, load] of loads) {
+      const report = this.reports.of(id, now);
+      if (report !== undefined) {
+        load.memoryTokens = Math.max(load.memoryTokens, report.memoryTokens);
+        load.queuedRuns = report.queuedRuns;
+      }
+    }
+    return loads;
+  }
+
+  /** Memory that all runs and copies are expected to need, over that of the engines that take work. */
+  private meanShare(endpoint: string, capacityTokens: number): number {
+    const loads = this.loads(performance.now());
+    const ready = this.follower.instances
+      .ofEndpoint(endpoint)
+      .filter(row => row.drainingAt === undefined);
+    const tokens = ready.reduce(
+      (sum, row) => sum + (loads.get(row.record.id)?.memoryTokens ?? 0),
+      0,
+    );
+    return tokens / Math.max(1, ready.length) / capacityTokens;
+  }
+
   /** Looks whether waiting generations can start. */
   step(): void {
     if (this.queue.length === 0) {
@@ -156,7 +188,7 @@
   private tryPlace(context: callContext.CallContext): Grant | undefined {
     const {call} = context;
     const now = performance.now();
-    const loads = this.runs.totalLoads(now);
+    const loads = this.loads(now);
     const engine = call.endpoint?.engine;
     const expected = expectedTokens(context, this.predictor);
     const choice = placement.placeGeneration(
@@ -204,6 +236,7 @@
         prompt_tokens: run.promptTokens,
         waiting: this.queue.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
+        queued_there: loads.get(instance.record.id)?.queuedRuns,
         instances_position: this.follower.instancesPosition,
         reporting_peers: this.runs.peerCount,
       },
--- a/src/gateway/node/peer_exchange.ts
+++ b/src/gateway/node/peer_exchange.ts
@@ -6,6 +6,7 @@
 import * as httpClient from '../../base/node/http_client';
 import * as jsonLog from '../../base/node/json_log';
 import * as crashTable from '../common/crash_table';
+import * as engineReports from '../common/engine_reports';
 import * as headStart from '../common/head_start';
 import * as instanceRegistry from '../common/instance_registry';
 import * as peerDigest from '../common/peer_digest';
@@ -61,6 +62,7 @@
     private readonly follower: stateFollower.StateFollower,
     private readonly runs: runTable.RunTable,
     private readonly crashes: crashTable.CrashTable,
+    private readonly reports: engineReports.EngineReports,
     private readonly log: jsonLog.JsonLog,
   ) {}
 
@@ -143,6 +145,7 @@
     const now = performance.now();
     const {follower} = this;
     const sourceAge = follower.sourceAge(now);
+    const reports = this.reports.toRelay(now);
     return {
       name: this.settings.name,
       stateAddress: this.settings.stateAddress,
@@ -153,6 +156,7 @@
         sourceAge === undefined ? undefined : Math.round(sourceAge),
       loads: this.runs.ownLoads(),
       crashes: this.crashes.recent(),
+      reports: reports.length > 0 ? reports : undefined,
       peers: this.peers.heard(now),
       endsInMilliseconds:
         this.endsAt === undefined ? undefined : Math.round(this.endsAt - now),
@@ -169,6 +173,7 @@
     const {digest, change} = message;
     this.peers.note(ip, digest, now);
     this.runs.notePeer(digest.name, digest.loads, now);
+    this.reports.notePeer(digest.reports ?? [], now);
     digest.crashes.forEach(crash => this.crashes.note(crash, now));
     if (change !== undefined && !this.follower.isWatching) {
       this.follower.takeRelayed(change, digest.name);
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -15,6 +15,7 @@
 export class RunCopies {
   private copy: instanceClient.RunTarget | undefined;
   private hasBackup = false;
+  private source: instanceTable.Instance | undefined;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -49,6 +50,7 @@
   /** Forgets the copies of the leg before; gives the instance that keeps a running copy of the next one. */
   begin(source: instanceTable.Instance): instanceTable.Instance | undefined {
     this.note(undefined);
+    this.source = source;
     this.run.copyInstanceId = undefined;
     const backup = this.chooseBackup(source);
     if (backup === undefined) {
@@ -67,6 +69,21 @@
     return backup;
   }
 
+  /** Frees a copy that nobody goes on from; it would hold memory for seconds. */
+  dropUnused(): void {
+    const {copy, source} = this;
+    this.copy = undefined;
+    const handle = copy?.continuation?.handle;
+    // An engine frees running copies itself when their run has ended.
+    if (handle === undefined || source === undefined || this.hasBackup) {
+      return;
+    }
+    const {client, follower} = this.context.services;
+    const isSourceThere = follower.instances.get(source.record.id) === source;
+    // The source frees both ends; without it, the target frees its own.
+    client.dropCopy(isSourceThere ? source : copy!.instance, handle);
+  }
+
   /** Takes the copy to go on from, unless its instance is gone or takes no more work. */
   take(now: number): instanceClient.RunTarget | undefined {
     const {copy} = this;
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -117,6 +117,11 @@
     ]);
   }
 
+  /** Reads the configuration now; gives whether the source answered. */
+  readNow(): Promise<boolean> {
+    return this.readConfiguration();
+  }
+
   /** Lists the instances again, after this process stood still. */
   async refreshInstances(): Promise<void> {
     await this.listInstances();
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -101,6 +101,7 @@
   private release(): void {
     const {services} = this.context;
     clearTimeout(this.deadlineTimer);
+    this.copies.dropUnused();
     services.evacuator.remove(this);
     services.runs.remove(this.run);
     services.scheduler.step();
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -86,6 +86,8 @@
     return {
       eventsByRun: decodeRuns(answer.body.runs),
       queuedRuns: Number(answer.body.queued ?? 0),
+      // Without the cached parts of prompts, which yield to runs.
+      memoryTokens: Number(answer.body.kvInUse ?? 0),
     };
   }
 
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -27,6 +27,8 @@
 export class ReplicaStandin {
   readonly requests: SeenRequest[] = [];
   readonly copies: CopyOrder[] = [];
+  /** Handles of copies that were freed. */
+  readonly dropped: string[] = [];
   /** Runs of the report: id, tokens, events, priority. */
   runs: unknown[] = [];
   private readonly waiting: (() => void)[] = [];
@@ -75,6 +77,10 @@
       this.sendJson(response, {kvHandle: `h${this.copies.length}`, created: 0});
       return this.wake();
     }
+    if (method === 'DELETE' && url.startsWith('/kv-handle/')) {
+      this.dropped.push(url.slice('/kv-handle/'.length));
+      return this.sendJson(response, {});
+    }
     const seen = {method, url, headers, body};
     this.requests.push(seen);
     this.behaviour(seen, response);
--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -164,3 +164,18 @@
   }
   t.true(Math.max(...counts.values()) <= 220 / 4);
 });
+
+test('placement: a generation avoids the engine whose own report says that runs wait', t => {
+  const loads = new Map([
+    ['i-0', {runs: 4, memoryTokens: 15_000, prefillTokens: 0, queuedRuns: 2}],
+    ['i-2', {runs: 5, memoryTokens: 19_000, prefillTokens: 0, queuedRuns: 0}],
+  ]);
+  const [first, , third] = rows(3);
+  const choice = placement.placeGeneration(
+    [first, third],
+    loads,
+    generation(),
+    1_000,
+  );
+  t.is(choice!.instance, third);
+});
--- /dev/null
+++ b/test/gateway/state_follower.test.ts
@@ -0,0 +1,140 @@
+/** What is in force at a gateway, whatever store and peers say in whatever order. */
+import * as ava from 'ava';
+import * as fastCheck from 'fast-check';
+import * as neverthrow from 'neverthrow';
+import * as jsonLog from '../../src/base/node/json_log';
+import * as configuration from '../../src/gateway/common/configuration';
+import * as instanceTable from '../../src/gateway/common/instance_table';
+import * as peerDigest from '../../src/gateway/common/peer_digest';
+import * as stateSource from '../../src/gateway/common/state_source';
+import * as watchDuty from '../../src/gateway/common/watch_duty';
+import * as stateFollower from '../../src/gateway/node/state_follower';
+
+const test = ava.default;
+const SEED = 20_261_204;
+
+/** Key 'key-n' is in force in version n alone. */
+function version(value: number): configuration.Configuration {
+  return {
+    version: value,
+    routes: [],
+    endpoints: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    customers: [{name: 'customer', keys: [`key-${value}`]}],
+  };
+}
+
+/** Answers reads with what the test puts in; watches never answer. */
+class ScriptedSource extends stateSource.StateSource {
+  next: neverthrow.Result<
+    stateSource.Snapshot<configuration.Configuration>,
+    stateSource.SourceError
+  > = neverthrow.err(stateSource.SourceError.Missing);
+
+  async readConfiguration() {
+    return this.next;
+  }
+
+  watchConfiguration(): stateSource.SourceResult<
+    stateSource.Snapshot<configuration.Configuration | undefined>
+  > {
+    return new Promise(() => undefined);
+  }
+
+  async listInstances(): stateSource.SourceResult<
+    stateSource.Snapshot<instanceTable.InstanceRecord[]>
+  > {
+    return neverthrow.err(stateSource.SourceError.Unreachable);
+  }
+
+  watchInstances(): stateSource.SourceResult<
+    stateSource.Snapshot<stateSource.InstanceChange[]>
+  > {
+    return new Promise(() => undefined);
+  }
+}
+
+function createFollower(source: ScriptedSource): stateFollower.StateFollower {
+  const peers = new peerDigest.PeerTable('10.0.0.1', []);
+  return new stateFollower.StateFollower(
+    source,
+    new watchDuty.WatchDuty('gateway-1', peers),
+    new jsonLog.JsonLog({}, '/dev/null'),
+  );
+}
+
+function peerState(
+  value: configuration.Configuration | undefined,
+): peerDigest.PeerState {
+  return {
+    configurationRevision: value?.version ?? 0,
+    configuration: value,
+    instancesPosition: 0,
+    instances: [],
+  };
+}
+
+test('follower: by any schedule of reads and peers the newest version seen is in force, and no key of another', async t => {
+  const step = fastCheck.record({
+    from: fastCheck.constantFrom('store', 'peer', 'empty-peer', 'store-error'),
+    version: fastCheck.integer({min: 1, max: 30}),
+    error: fastCheck.constantFrom(...Object.values(stateSource.SourceError)),
+  });
+  await fastCheck.assert(
+    fastCheck.asyncProperty(
+      fastCheck.array(step, {maxLength: 40}),
+      async steps => {
+        const source = new ScriptedSource();
+        const follower = createFollower(source);
+        let newest = 0;
+        for (const {from, version: offered, error} of steps) {
+          if (from === 'peer') {
+            follower.takePeerState(peerState(version(offered)), 'peer');
+          } else if (from === 'empty-peer') {
+            follower.takePeerState(peerState(undefined), 'peer');
+          } else {
+            source.next =
+              from === 'store'
+                ? neverthrow.ok({revision: offered, value: version(offered)})
+                : neverthrow.err(error);
+            await follower.readNow();
+          }
+          const isOffered = from === 'store' || from === 'peer';
+          newest = isOffered ? Math.max(newest, offered) : newest;
+          const isInForce = (key: number) =>
+            follower.routes?.findCustomer(`key-${key}`) !== undefined;
+          const inForce = Array.from({length: 31}, (_, key) => key).filter(
+            isInForce,
+          );
+          const expected = newest === 0 ? [] : [newest];
+          if (
+            follower.configurationVersion !== newest ||
+            inForce.join() !== expected.join()
+          ) {
+            return false;
+          }
+        }
+        return true;
+      },
+    ),
+    {seed: SEED, numRuns: 200},
+  );
+  t.pass();
+});
+
+test('follower: a peer confirms only the version that is in force here', async t => {
+  const source = new ScriptedSource();
+  const follower = createFollower(source);
+  source.next = neverthrow.ok({revision: 2, value: version(2)});
+  await follower.readNow();
+  const now = performance.now() + 10_000;
+  follower.confirmConfiguration(3, now - 100);
+  t.true(follower.configurationAge(now) > 9_000);
+  follower.confirmConfiguration(2, now - 100);
+  t.is(Math.round(follower.configurationAge(now)), 100);
+});
