Copies go to engines that surely live, and reports give notice while the store is away

Departures went unnoticed, too. Ruled out: memory (shares of 0.2 to 0.8), the link (no copies were under way).

--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -144,6 +144,8 @@
   readonly queuedRuns: number;
   /** Memory in use that cannot be freed, in tokens. */
   readonly memoryTokens: number;
+  /** Whether the instance is about to end. */
+  readonly isLeaving: boolean;
 }
 
 /** Speaks to instances. One client is shared by all of a gateway. */
--- a/src/gateway/common/instance_table.ts
+++ b/src/gateway/common/instance_table.ts
@@ -24,6 +24,9 @@
 /** Share of the failure rate that one outcome contributes. */
 const OUTCOME_WEIGHT = 0.15;
 
+/** Failure rate of an instance that accepts no connections. */
+const UNREACHABLE_RATE = 0.9;
+
 /** One instance with what this gateway saw of it. */
 export interface Instance {
   record: InstanceRecord;
@@ -37,6 +40,8 @@
   failureRate: number;
   /** Monotonic milliseconds of the last failure; 0 before the first. */
   lastFailureAt: number;
+  /** Monotonic milliseconds of the last whole answer; 0 before the first. */
+  lastSuccessAt: number;
 }
 
 /** What changed by one update of the table. */
@@ -112,9 +117,22 @@
   row.failureRate += OUTCOME_WEIGHT * ((isFailure ? 1 : 0) - row.failureRate);
   if (isFailure) {
     row.lastFailureAt = now;
+  } else {
+    row.lastSuccessAt = now;
   }
 }
 
+/** Learns that no connection could be made; one such failure says more than one request that failed. */
+export function noteUnreachable(row: Instance, now: number): void {
+  row.failureRate = Math.max(row.failureRate, UNREACHABLE_RATE);
+  row.lastFailureAt = now;
+}
+
+/** Whether the instance has answered nothing since it failed last. */
+export function isDoubtful(row: Instance): boolean {
+  return row.lastFailureAt > row.lastSuccessAt;
+}
+
 function isSameLife(
   known: Instance | undefined,
   record: InstanceRecord,
@@ -135,6 +153,7 @@
     openRequests: 0,
     failureRate: 0,
     lastFailureAt: 0,
+    lastSuccessAt: 0,
   };
 }
 
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -22,6 +22,8 @@
   readonly remoteCostMilliseconds: number;
   /** Gateways that place by the same reports. */
   readonly gatewayCount: number;
+  /** Whether a copy is placed, which only helps at an instance that surely lives. */
+  readonly isCopy: boolean;
 }
 
 /** Where a generation may go. */
@@ -142,7 +144,9 @@
       request.draw() * TIE_MILLISECONDS
     );
   };
-  const possible = candidates(instances, request.excluded, now);
+  const possible = candidates(instances, request.excluded, now).filter(
+    row => !request.isCopy || !instanceTable.isDoubtful(row),
+  );
   const instance = cheapest(sample(possible, request), cost);
   return instance && {instance, memoryShare: shareOf(instance)};
 }
--- a/src/gateway/node/evacuator.ts
+++ b/src/gateway/node/evacuator.ts
@@ -231,12 +231,12 @@
     call: MovableCall,
     fullTargets: ReadonlySet<string> = new Set(),
   ): instanceTable.Instance | undefined {
-    return this.scheduler.placeElsewhere(
-      call.run,
-      new Set([source.record.id, ...fullTargets]),
-      source.record.dataCentre,
-      call.engine.memoryTokens || Infinity,
-      REMOTE_COPY_COST_MILLISECONDS,
-    )?.instance;
+    return this.scheduler.placeElsewhere(call.run, {
+      excluded: new Set([source.record.id, ...fullTargets]),
+      dataCentre: source.record.dataCentre,
+      capacityTokens: call.engine.memoryTokens || Infinity,
+      remoteCostMilliseconds: REMOTE_COPY_COST_MILLISECONDS,
+      isCopy: true,
+    })?.instance;
   }
 }
--- a/src/gateway/node/generation_leg.ts
+++ b/src/gateway/node/generation_leg.ts
@@ -31,6 +31,8 @@
 export class GenerationLeg {
   /** Set when the leg ended with a failure. */
   failure: FailureAnswer | undefined;
+  /** Whether no connection could be made. */
+  isUnreachable = false;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -47,9 +49,8 @@
   async receive(): Promise<LegEnd> {
     const result = await this.exchange.answer;
     if (result.isErr()) {
-      return result.error === SendError.NeverSent
-        ? LegEnd.NotRun
-        : LegEnd.Broken;
+      this.isUnreachable = result.error === SendError.NeverSent;
+      return this.isUnreachable ? LegEnd.NotRun : LegEnd.Broken;
     }
     const answer = result.value;
     if (answer.isNotRun) {
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -29,6 +29,16 @@
   readonly run: runTable.Run;
 }
 
+/** Where a run or its copy may go; see `GenerationRequest`. */
+export type Destination = Pick<
+  placement.GenerationRequest,
+  | 'excluded'
+  | 'dataCentre'
+  | 'capacityTokens'
+  | 'remoteCostMilliseconds'
+  | 'isCopy'
+>;
+
 interface WaitingCall extends generationQueue.WaitingGeneration {
   readonly context: callContext.CallContext;
   readonly resolve: (grant: Grant | undefined) => void;
@@ -92,26 +102,20 @@
     });
   }
 
-  /** Best instance for a run other than the excluded ones, near the data centre. */
+  /** Best instance for a run, or for its copy, where the destination allows it. */
   placeElsewhere(
     run: runTable.Run,
-    excluded: ReadonlySet<string>,
-    dataCentre: string,
-    capacityTokens: number,
-    remoteCostMilliseconds: number,
+    destination: Destination,
   ): placement.GenerationChoice | undefined {
     const now = performance.now();
     return placement.placeGeneration(
       this.follower.instances.ofEndpoint(run.endpoint),
       this.loads(now),
       {
-        dataCentre,
-        excluded,
+        ...destination,
         draw: Math.random,
         promptTokens: run.promptTokens,
         expectedTokens: run.expectedTokens,
-        capacityTokens,
-        remoteCostMilliseconds,
         gatewayCount: this.peers.gatewayCount(),
       },
       now,
@@ -124,13 +128,13 @@
     source: instanceTable.Instance,
     capacityTokens: number,
   ): instanceTable.Instance | undefined {
-    const choice = this.placeElsewhere(
-      run,
-      new Set([source.record.id]),
-      source.record.dataCentre,
+    const choice = this.placeElsewhere(run, {
+      excluded: new Set([source.record.id]),
+      dataCentre: source.record.dataCentre,
       capacityTokens,
-      REMOTE_BACKUP_COST_MILLISECONDS,
-    );
+      remoteCostMilliseconds: REMOTE_BACKUP_COST_MILLISECONDS,
+      isCopy: true,
+    });
     const hasRoom =
       choice !== undefined &&
       choice.memoryShare <= MAX_BACKUP_SHARE &&
@@ -202,6 +206,7 @@
         capacityTokens: engine?.memoryTokens || Infinity,
         remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
         gatewayCount: this.peers.gatewayCount(),
+        isCopy: false,
       },
       now,
     );
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -133,7 +133,11 @@
       this.lastAnswer = outcome;
       return callContext.Repeat.MayHaveRun;
     }
-    instanceTable.noteOutcome(instance, true, now);
+    if (error === SendError.NeverSent) {
+      instanceTable.noteUnreachable(instance, now);
+    } else {
+      instanceTable.noteOutcome(instance, true, now);
+    }
     if (
       error === SendError.ConnectionLost &&
       instance.drainingAt === undefined
--- a/src/gateway/node/report_reader.ts
+++ b/src/gateway/node/report_reader.ts
@@ -1,4 +1,4 @@
-/** Reads the reports of crowded engines, on behalf of all gateways. */
+/** Reads the reports of engines: crowded ones on behalf of all gateways, and those with own runs while the store is away. */
 import * as disposable from '../../base/common/disposable';
 import * as engineReports from '../common/engine_reports';
 import * as instanceClient from '../common/instance_client';
@@ -10,13 +10,19 @@
 const STEP_MILLISECONDS = 100;
 /** Age from which on a report is read again, by whichever gateway comes first, in milliseconds. */
 const RENEW_MILLISECONDS = 1_000;
+/**
+ * The same for engines with own runs while the store is away, in milliseconds:
+ * only their reports tell then that an instance leaves, a second or two before.
+ */
+const RENEW_WITHOUT_STORE_MILLISECONDS = 300;
 /** Expected share of an engine's memory from which on its reports are read; each is priced as a probe. */
 const CROWDED_SHARE = 0.6;
 
-/** Asks one engine at a time, while this gateway watches the source of state. */
+/** Asks engines one by one. */
 export class ReportReader implements disposable.Disposable {
   private readonly timer: disposable.Disposable;
-  private isReading = false;
+  private readonly reading = new Set<instanceTable.Instance>();
+  private readonly readAt = new WeakMap<instanceTable.Instance, number>();
 
   constructor(
     private readonly follower: stateFollower.StateFollower,
@@ -24,49 +30,73 @@
     private readonly runs: runTable.RunTable,
     private readonly reports: engineReports.EngineReports,
   ) {
-    this.timer = disposable.every(STEP_MILLISECONDS, () => void this.step());
+    this.timer = disposable.every(STEP_MILLISECONDS, () => this.step());
   }
 
   dispose(): void {
     this.timer.dispose();
   }
 
-  private async step(): Promise<void> {
-    if (this.isReading || !this.follower.isWatching) {
-      return;
-    }
-    const due = this.dueEngines(performance.now());
-    if (due.length === 0) {
+  private step(): void {
+    const now = performance.now();
+    const {isSourceAway, isWatching} = this.follower;
+    if (isSourceAway && isWatching) {
+      this.enginesWithOwnRuns(now).forEach(row => void this.read(row));
       return;
     }
+    const due = isWatching ? this.crowdedEngines(now) : [];
     // Gateways with the same view ask different engines.
     const engine = due[Math.floor(Math.random() * due.length)];
-    this.isReading = true;
+    if (engine !== undefined && this.reading.size === 0) {
+      void this.read(engine);
+    }
+  }
+
+  private async read(engine: instanceTable.Instance): Promise<void> {
+    this.reading.add(engine);
+    this.readAt.set(engine, performance.now());
     const report = await this.client.readReport(engine);
-    this.isReading = false;
-    if (report !== undefined) {
-      const {queuedRuns, memoryTokens} = report;
-      const at = performance.now();
-      const {id} = engine.record;
-      this.reports.noteOwn(id, {queuedRuns, memoryTokens, at});
+    this.reading.delete(engine);
+    if (report === undefined) {
+      return;
+    }
+    const {queuedRuns, memoryTokens, isLeaving} = report;
+    const at = performance.now();
+    this.reports.noteOwn(engine.record.id, {queuedRuns, memoryTokens, at});
+    if (isLeaving) {
+      this.follower.noteLeaving(engine);
     }
   }
 
-  private dueEngines(now: number): instanceTable.Instance[] {
+  private enginesWithOwnRuns(now: number): instanceTable.Instance[] {
+    return this.engines().filter(row => {
+      const readAt = this.readAt.get(row) ?? -Infinity;
+      const isDue = now - readAt >= RENEW_WITHOUT_STORE_MILLISECONDS;
+      const hasRuns = this.runs.at(row.record.id).length > 0;
+      return isDue && hasRuns && !this.reading.has(row);
+    });
+  }
+
+  private crowdedEngines(now: number): instanceTable.Instance[] {
     const loads = this.runs.totalLoads(now);
-    return [...this.follower.instances.all()].filter(row => {
+    return this.engines().filter(row => {
       const {id, endpoint} = row.record;
       const engine = this.follower.routes?.findEndpoint(endpoint)?.engine;
       const report = this.reports.of(id, now);
       const isDue =
         report === undefined || now - report.at >= RENEW_MILLISECONDS;
       const memoryTokens = loads.get(id)?.memoryTokens ?? 0;
-      return (
-        engine !== undefined &&
-        row.drainingAt === undefined &&
-        isDue &&
-        memoryTokens >= engine.memoryTokens * CROWDED_SHARE
-      );
+      const share = memoryTokens / (engine?.memoryTokens || Infinity);
+      return isDue && share >= CROWDED_SHARE;
     });
   }
+
+  private engines(): instanceTable.Instance[] {
+    return [...this.follower.instances.all()].filter(
+      row =>
+        row.drainingAt === undefined &&
+        this.follower.routes?.findEndpoint(row.record.endpoint)?.engine !==
+          undefined,
+    );
+  }
 }
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -117,6 +117,20 @@
     ]);
   }
 
+  /** Takes an instance's own word that it is about to end. */
+  noteLeaving(instance: instanceTable.Instance): void {
+    if (instance.drainingAt !== undefined) {
+      return;
+    }
+    instance.drainingAt = performance.now();
+    this.log.write('instance-leaving', {
+      instance: instance.record.id,
+      origin: 'its own report',
+      store_away: this.isSourceAway,
+    });
+    this.onDidDrain.next(instance);
+  }
+
   /** Reads the configuration now; gives whether the source answered. */
   readNow(): Promise<boolean> {
     return this.readConfiguration();
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -168,7 +168,11 @@
     const now = performance.now();
     services.metrics.sends.inc({outcome: end});
     const isFailure = end !== LegEnd.Whole && instance.drainingAt === undefined;
-    instanceTable.noteOutcome(instance, isFailure, now);
+    if (this.leg!.isUnreachable) {
+      instanceTable.noteUnreachable(instance, now);
+    } else {
+      instanceTable.noteOutcome(instance, isFailure, now);
+    }
     if (end === LegEnd.Whole) {
       services.crashes.clear(call.fingerprint, now);
       const tokens = run.eventsDelivered * run.tokensPerEvent;
@@ -293,13 +297,13 @@
   ): Promise<instanceClient.RunTarget | undefined> {
     const {context, run} = this;
     context.excluded.add(leg.instance.record.id);
-    const choice = context.services.scheduler.placeElsewhere(
-      run,
-      context.excluded,
-      context.services.dataCentre,
-      this.engine.memoryTokens || Infinity,
-      0,
-    );
+    const choice = context.services.scheduler.placeElsewhere(run, {
+      excluded: context.excluded,
+      dataCentre: context.services.dataCentre,
+      capacityTokens: this.engine.memoryTokens || Infinity,
+      remoteCostMilliseconds: 0,
+      isCopy: false,
+    });
     if (choice === undefined) {
       const message = 'no other instance takes work';
       const code = resultCode.ResultCode.NoEndpoint;
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -88,6 +88,9 @@
       queuedRuns: Number(answer.body.queued ?? 0),
       // Without the cached parts of prompts, which yield to runs.
       memoryTokens: Number(answer.body.kvInUse ?? 0),
+      isLeaving:
+        answer.body.state === 'draining' ||
+        typeof answer.body.leaves_ms === 'number',
     };
   }
 
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -31,6 +31,8 @@
   readonly dropped: string[] = [];
   /** Runs of the report: id, tokens, events, priority. */
   runs: unknown[] = [];
+  /** State of the report. */
+  state = 'ready';
   private readonly waiting: (() => void)[] = [];
   private readonly server = http.createServer(
     (request, response) => void this.answer(request, response),
@@ -69,7 +71,11 @@
     const body = Buffer.concat(chunks).toString();
     const {method = 'GET', url = '/', headers} = request;
     if (url === '/report') {
-      return this.sendJson(response, {queued: 0, runs: this.runs});
+      return this.sendJson(response, {
+        queued: 0,
+        state: this.state,
+        runs: this.runs,
+      });
     }
     if (url === '/kv-move') {
       const order = JSON.parse(body) as CopyOrder;
--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -33,6 +33,7 @@
     capacityTokens: CAPACITY,
     remoteCostMilliseconds: 5,
     gatewayCount: 4,
+    isCopy: false,
   };
 }
 
@@ -178,3 +179,23 @@
   );
   t.is(choice!.instance, third);
 });
+
+test('placement: an instance that refused a connection is avoided at once, and gets no copies until it answers', t => {
+  const instances = rows(3);
+  instanceTable.noteUnreachable(instances[0], 1_000);
+  const choose = (isCopy: boolean, now: number) =>
+    placement.placeGeneration(
+      instances,
+      new Map([
+        ['i-1', {runs: 5, memoryTokens: 20_000, prefillTokens: 0}],
+        ['i-2', {runs: 5, memoryTokens: 20_000, prefillTokens: 0}],
+      ]),
+      {...generation(), isCopy},
+      now,
+    )!.instance;
+  t.not(choose(false, 1_100), instances[0]);
+  // Later a run may try it again; nothing is lost by that. A copy might be.
+  t.not(choose(true, 60_000), instances[0]);
+  instanceTable.noteOutcome(instances[0], false, 61_000);
+  t.is(choose(true, 62_000), instances[0]);
+});
--- a/test/gateway/common/stall_policy.test.ts
+++ b/test/gateway/common/stall_policy.test.ts
@@ -11,7 +11,12 @@
   queuedRuns = 0,
 ): instanceClient.InstanceReport {
   const runs = made === undefined ? [] : [['run', made] as const];
-  return {eventsByRun: new Map(runs), queuedRuns, memoryTokens: 0};
+  return {
+    eventsByRun: new Map(runs),
+    queuedRuns,
+    memoryTokens: 0,
+    isLeaving: false,
+  };
 }
 
 interface Case {
