Correct a test of placement that never passed

It now checks that a run may go there when nothing else is left, a copy may not, and a copy may after an answer, which is as strict about the doubt and says nothing about cost.

--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -183,19 +183,22 @@
 test('placement: an instance that refused a connection is avoided at once, and gets no copies until it answers', t => {
   const instances = rows(3);
   instanceTable.noteUnreachable(instances[0], 1_000);
-  const choose = (isCopy: boolean, now: number) =>
+  const choose = (isCopy: boolean, now: number, excluded: string[] = []) =>
     placement.placeGeneration(
       instances,
       new Map([
         ['i-1', {runs: 5, memoryTokens: 20_000, prefillTokens: 0}],
         ['i-2', {runs: 5, memoryTokens: 20_000, prefillTokens: 0}],
       ]),
-      {...generation(), isCopy},
+      {...generation(new Set(excluded)), isCopy},
       now,
-    )!.instance;
+    )?.instance;
   t.not(choose(false, 1_100), instances[0]);
-  // Later a run may try it again; nothing is lost by that. A copy might be.
   t.not(choose(true, 60_000), instances[0]);
+  // Where nothing else is left, a run may try it; a copy there might be of no use.
+  const others = ['i-1', 'i-2'];
+  t.is(choose(false, 60_000, others), instances[0]);
+  t.is(choose(true, 60_000, others), undefined);
   instanceTable.noteOutcome(instances[0], false, 61_000);
-  t.is(choose(true, 62_000), instances[0]);
+  t.is(choose(true, 62_000, others), instances[0]);
 });
