--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -1,7 +1,7 @@
 /** Everything that the soak runs: a store, replicas and gateways. */
 import * as dgram from 'node:dgram';
 import * as storeStandin from '../standins/store_standin';
-import * as engineFleet from './engine_fleet';
+import * as replicas from './replica';
 import * as gatewayChild from './gateway_child';
 import * as ledger from './ledger';
 
@@ -36,7 +36,7 @@
 export class Deployment {
   readonly store = new storeStandin.StoreStandin();
   readonly gateways: gatewayChild.GatewayChild[] = [];
-  readonly replicas: engineFleet.Replica[] = [];
+  readonly replicas: replicas.Replica[] = [];
   /** Keys in force. */
   readonly keys = new Set(['key-0', 'key-1', 'key-2', 'key-3']);
   private readonly copies = new Map();
@@ -77,8 +77,8 @@
     }
   }
 
-  async addReplica(service: string): Promise<engineFleet.Replica> {
-    const replica = new engineFleet.Replica(
+  async addReplica(service: string): Promise<replicas.Replica> {
+    const replica = new replicas.Replica(
       `replica-${++this.replicaCount}`,
       service,
       this.book,
@@ -91,7 +91,7 @@
   }
 
   /** Writes what the replica says of itself. */
-  register(replica: engineFleet.Replica, state: string): void {
+  register(replica: replicas.Replica, state: string): void {
     this.store.put('servers', replica.id, {
       service: replica.service,
       address: replica.address,
@@ -105,7 +105,7 @@
   }
 
   /** Ends the replica and its registration. */
-  removeReplica(replica: engineFleet.Replica): void {
+  removeReplica(replica: replicas.Replica): void {
     this.replicas.splice(this.replicas.indexOf(replica), 1);
     replica.crash();
     this.store.remove('servers', replica.id);
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -3,7 +3,7 @@
 import * as storeStandin from '../standins/store_standin';
 import * as tcpRelay from '../standins/tcp_relay';
 import * as deployment from './deployment';
-import * as engineFleet from './engine_fleet';
+import * as replicas from './replica';
 import * as gatewayChild from './gateway_child';
 import * as ledger from './ledger';
 import * as probe from './probe';
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -214,6 +214,7 @@
         failures += isCurrent ? 0 : 1;
       } else if (!this.isOnDuty()) {
         await deadline.delay(DUTY_CHECK_MILLISECONDS);
+        // Back on duty, the state is read once more before it is watched.
         isCurrent = !this.isOnDuty();
         continue;
       } else {
