--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -11,7 +11,7 @@
 
 const {RelayMode} = tcpRelay;
 const {StoreFault} = storeStandin;
-const {ReplicaMode} = engineFleet;
+const {ReplicaMode} = replicas;
 
 const MIN_GAP_MILLISECONDS = 200;
 const MAX_GAP_MILLISECONDS = 1_500;
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -21,7 +21,7 @@
 
 /** Time between looks whether this gateway has to watch the source, in milliseconds. */
 const DUTY_CHECK_MILLISECONDS = 200;
-/** Origin of what was read here, in logs. */
+/** Origin of what was read here. */
 const SOURCE_ORIGIN = 'store';
 
 /** Follows the newest state. */
@@ -131,11 +131,6 @@
     this.onDidDrain.next(instance);
   }
 
-  /** Reads the configuration now; gives whether the source answered. */
-  readNow(): Promise<boolean> {
-    return this.readConfiguration();
-  }
-
   /** Lists the instances again, after this process stood still. */
   async refreshInstances(): Promise<void> {
     await this.listInstances();
@@ -214,7 +209,7 @@
         failures += isCurrent ? 0 : 1;
       } else if (!this.isOnDuty()) {
         await deadline.delay(DUTY_CHECK_MILLISECONDS);
-        // Back on duty, the state is read once more before it is watched.
+        // Back on duty, the state is read before it is watched.
         isCurrent = !this.isOnDuty();
         continue;
       } else {
@@ -246,7 +241,8 @@
     );
   }
 
-  private async readConfiguration(): Promise<boolean> {
+  /** Reads the configuration now; false when the source did not answer. */
+  async readConfiguration(): Promise<boolean> {
     const read = await this.source.readConfiguration();
     if (read.isErr()) {
       return this.noteFailure('configuration', read.error);
--- a/test/gateway/state_follower.test.ts
+++ b/test/gateway/state_follower.test.ts
@@ -102,7 +102,7 @@
               from === 'store'
                 ? neverthrow.ok({revision: offered, value: version(offered)})
                 : neverthrow.err(error);
-            await follower.readNow();
+            await follower.readConfiguration();
           }
           const isOffered = from === 'store' || from === 'peer';
           newest = isOffered ? Math.max(newest, offered) : newest;
@@ -131,7 +131,7 @@
   const source = new ScriptedSource();
   const follower = createFollower(source);
   source.next = neverthrow.ok({revision: 2, value: version(2)});
-  await follower.readNow();
+  await follower.readConfiguration();
   const now = performance.now() + 10_000;
   follower.confirmConfiguration(3, now - 100);
   t.true(follower.configurationAge(now) > 9_000);
