Hold against an instance only what it did; free copies that come after their run

Found in reading the change again. Now the client tells its own withdrawal from a refused connection (both still prove that nothing was sent), and the ends of streams are judged by one table. A copy whose answer came after the run had ended was never freed. Tests fail with the mends off.

--- a/bench/naive/naive_gateway.ts
+++ b/bench/naive/naive_gateway.ts
@@ -95,8 +95,7 @@
 ): Promise<void> {
   const sent = await exchange.answer;
   if (sent.isErr() || sent.value.isNotRun) {
-    const isProved =
-      sent.isOk() || sent.error === instanceClient.SendError.NeverSent;
+    const isProved = sent.isOk() || instanceClient.wasNeverSent(sent.error);
     return answer(response, isProved ? 503 : 502);
   }
   const {status, passedHeaders, body} = sent.value;
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -54,8 +54,10 @@
 
 /** Why no answer came. */
 export enum SendError {
-  /** The request surely never left this process. */
+  /** No connection could be made, so the request surely never left this process. */
   NeverSent = 'never-sent',
+  /** Surely never sent for a reason of this process: cancelled before a connection was made, or not writable. */
+  Withdrawn = 'withdrawn',
   /** The connection ended or spoke nonsense; the request may have run. */
   ConnectionLost = 'connection-lost',
   /** The bytes that came answer another request or are spoiled; the request may have run. */
@@ -66,6 +68,11 @@
   Cancelled = 'cancelled',
 }
 
+/** Whether the error proves that the instance did not get the request. */
+export function wasNeverSent(error: SendError | undefined): boolean {
+  return error === SendError.NeverSent || error === SendError.Withdrawn;
+}
+
 /** The beginning of an instance's answer, with its body still to come. */
 export interface InstanceAnswer {
   readonly status: number;
--- a/src/gateway/node/generation_leg.ts
+++ b/src/gateway/node/generation_leg.ts
@@ -4,8 +4,6 @@
 import * as callContext from './call_context';
 import * as eventDelivery from './event_delivery';
 
-const {SendError} = instanceClient;
-
 /** Largest failure answer that is collected, in bytes. */
 const MAX_FAILURE_BYTES = 65_536;
 
@@ -31,8 +29,8 @@
 export class GenerationLeg {
   /** Set when the leg ended with a failure. */
   failure: FailureAnswer | undefined;
-  /** Whether no connection could be made. */
-  isUnreachable = false;
+  /** Why no answer came; undefined when one did. */
+  error: instanceClient.SendError | undefined;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -49,8 +47,10 @@
   async receive(): Promise<LegEnd> {
     const result = await this.exchange.answer;
     if (result.isErr()) {
-      this.isUnreachable = result.error === SendError.NeverSent;
-      return this.isUnreachable ? LegEnd.NotRun : LegEnd.Broken;
+      this.error = result.error;
+      return instanceClient.wasNeverSent(result.error)
+        ? LegEnd.NotRun
+        : LegEnd.Broken;
     }
     const answer = result.value;
     if (answer.isNotRun) {
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -135,7 +135,7 @@
     }
     if (error === SendError.NeverSent) {
       instanceTable.noteUnreachable(instance, now);
-    } else {
+    } else if (error !== SendError.Withdrawn) {
       instanceTable.noteOutcome(instance, true, now);
     }
     if (
@@ -144,7 +144,7 @@
     ) {
       this.context.noteCrash(instance);
     }
-    if (answer !== undefined || error === SendError.NeverSent) {
+    if (answer !== undefined || instanceClient.wasNeverSent(error)) {
       return callContext.Repeat.NotRun;
     }
     const isOver = this.context.remainingMilliseconds <= 0;
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -4,6 +4,7 @@
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
+import * as legOutcome from '../common/leg_outcome';
 import * as runTable from '../common/run_table';
 import * as stallPolicy from '../common/stall_policy';
 import * as callContext from './call_context';
@@ -27,6 +28,7 @@
   private copies!: runCopies.RunCopies;
   private watch: stallWatch.StallWatch | undefined;
   private legCount = 0;
+  private hasExpired = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly context: callContext.CallContext) {
@@ -59,6 +61,9 @@
 
   noteCopy(target: instanceClient.RunTarget): void {
     this.copies.note(target);
+    if (this.isOver) {
+      this.copies.dropUnused();
+    }
   }
 
   async start(): Promise<void> {
@@ -167,12 +172,15 @@
     const {services, call} = context;
     const now = performance.now();
     services.metrics.sends.inc({outcome: end});
-    const isFailure = end !== LegEnd.Whole && instance.drainingAt === undefined;
-    if (this.leg!.isUnreachable) {
-      instanceTable.noteUnreachable(instance, now);
-    } else {
-      instanceTable.noteOutcome(instance, isFailure, now);
-    }
+    legOutcome.learnFromLeg(
+      instance,
+      {
+        isWhole: end === LegEnd.Whole,
+        error: this.leg!.error,
+        isCallerGone: context.isOver && !this.hasExpired,
+      },
+      now,
+    );
     if (end === LegEnd.Whole) {
       services.crashes.clear(call.fingerprint, now);
       const tokens = run.eventsDelivered * run.tokensPerEvent;
@@ -181,7 +189,8 @@
       const {streamMilliseconds} = this.delivery;
       services.pace.note(call.endpointName, streamMilliseconds, tokens);
     }
-    if (end === LegEnd.Broken && isFailure && !context.isOver) {
+    const isLoss = end === LegEnd.Broken && instance.drainingAt === undefined;
+    if (isLoss && !context.isOver) {
       context.noteCrash(instance);
     }
     if (end !== LegEnd.Whole || this.legCount > 1) {
@@ -342,6 +351,7 @@
     if (context.isOver) {
       return;
     }
+    this.hasExpired = true;
     const message =
       'the answer was not complete within the time that the caller waits';
     if (this.delivery.hasBegun) {
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -40,8 +40,8 @@
     try {
       this.request = http.request(options);
     } catch {
-      // node:http refuses targets and headers that it cannot write; nothing was sent.
-      this.settle(neverthrow.err(SendError.NeverSent));
+      // node:http refuses targets and headers that it cannot write.
+      this.settle(neverthrow.err(SendError.Withdrawn));
       return;
     }
     const {request} = this;
@@ -98,7 +98,11 @@
 
   private fail(): void {
     if (!this.isConnected) {
-      return this.settle(neverthrow.err(SendError.NeverSent));
+      return this.settle(
+        neverthrow.err(
+          this.isCancelled ? SendError.Withdrawn : SendError.NeverSent,
+        ),
+      );
     }
     this.settle(
       neverthrow.err(
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -27,6 +27,8 @@
 export class ReplicaStandin {
   readonly requests: SeenRequest[] = [];
   readonly copies: CopyOrder[] = [];
+  /** Runs before a copy is answered; a test may keep it waiting. */
+  beforeCopied: Promise<void> = Promise.resolve();
   /** Handles of copies that were freed. */
   readonly dropped: string[] = [];
   /** Runs of the report: id, tokens, events, priority. */
@@ -80,6 +82,7 @@
     if (url === '/kv-move') {
       const order = JSON.parse(body) as CopyOrder;
       this.copies.push(order);
+      await this.beforeCopied;
       this.sendJson(response, {kvHandle: `h${this.copies.length}`, created: 0});
       return this.wake();
     }
--- a/test/gateway/copies.test.ts
+++ b/test/gateway/copies.test.ts
@@ -1,4 +1,4 @@
-/** Copies of running generations that nobody goes on from. */
+/** Copies of running generations on notice, and those that nobody goes on from. */
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
 import * as storeStandin from '../../standins/store_standin';
@@ -8,7 +8,15 @@
 const {TestGateway} = testGateway;
 const {events, stamped} = replicaStandin;
 
-test('copies: one that was made on notice is freed when the run ends at its source', async t => {
+/** A draft that runs at one of two replicas until it is told to end. */
+interface RunningDraft {
+  readonly gateway: testGateway.TestGateway;
+  readonly source: replicaStandin.ReplicaStandin;
+  readonly answered: Promise<testGateway.CallerAnswer>;
+  readonly finish: () => void;
+}
+
+async function startDraft(t: ava.ExecutionContext): Promise<RunningDraft> {
   let finish = () => undefined as void;
   let source = '';
   const behaviour: replicaStandin.ReplicaBehaviour = (request, response) => {
@@ -24,40 +32,40 @@
   await gateway.until(() => gateway.process.state.instances.size === 2);
   const answered = gateway.call('/draft/a', {method: 'POST', body: 'p'});
   await gateway.until(() => source !== '');
-  const replica = gateway.replicas.get(source)!;
-  gateway.register(source, 'writers', 'draining');
-  await gateway.until(() => replica.copies.length > 0);
-  // The copy counts once its answer has arrived, which the next call shows.
-  await gateway.until(() => replica.copies.length > 1);
+  return {gateway, source: gateway.replicas.get(source)!, answered, finish};
+}
+
+test('copies: one that was made on notice is freed when the run ends at its source', async t => {
+  const {gateway, source, answered, finish} = await startDraft(t);
+  gateway.register(source.id, 'writers', 'draining');
+  // The first copy counts once its answer has arrived, which the next one shows.
+  await gateway.until(() => source.copies.length > 1);
+  finish();
+  t.true((await answered).isWhole);
+  await gateway.until(() => source.dropped.length > 0);
+  t.regex(source.dropped[0], /^h\d+$/);
+});
+
+test('copies: one that is done after its run has ended is freed', async t => {
+  const {gateway, source, answered, finish} = await startDraft(t);
+  let answerCopy = () => undefined as void;
+  source.beforeCopied = new Promise(resolve => (answerCopy = resolve));
+  gateway.register(source.id, 'writers', 'draining');
+  await gateway.until(() => source.copies.length > 0);
   finish();
-  const answer = await answered;
-  t.true(answer.isWhole);
-  await gateway.until(() => replica.dropped.length > 0);
-  t.regex(replica.dropped[0], /^h\d+$/);
+  t.true((await answered).isWhole);
+  answerCopy();
+  await gateway.until(() => source.dropped.length > 0);
+  t.deepEqual(source.dropped, ['h1']);
 });
 
 test('copies: while the store is down, an engine that reports to be leaving is evacuated', async t => {
-  let finish = () => undefined as void;
-  let source = '';
-  const behaviour: replicaStandin.ReplicaBehaviour = (request, response) => {
-    source = request.headers['x-rhubarbvane-expect-replica'] as string;
-    response.writeHead(200, stamped(request));
-    response.write(events(1, 3));
-    finish = () => void response.end(events(4, 5));
-  };
-  const gateway = await TestGateway.start(t, {
-    'i-1': ['writers', behaviour],
-    'i-2': ['writers', behaviour],
-  });
-  await gateway.until(() => gateway.process.state.instances.size === 2);
-  const answered = gateway.call('/draft/a', {method: 'POST', body: 'p'});
-  await gateway.until(() => source !== '');
+  const {gateway, source, answered, finish} = await startDraft(t);
   gateway.store.fault = storeStandin.StoreFault.Reset;
   // The watches that wait are cut, so that the gateway notices.
   gateway.store.compact();
-  const replica = gateway.replicas.get(source)!;
-  replica.state = 'draining';
-  await gateway.until(() => replica.copies.length > 0);
+  source.state = 'draining';
+  await gateway.until(() => source.copies.length > 0);
   finish();
   t.true((await answered).isWhole);
 });
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -141,7 +141,8 @@
   await new Promise(resolve => request.once('response', resolve));
   request.destroy();
   await gateway.until(() => isDropped);
-  t.pass();
+  const [instance] = [...gateway.process.state.instances.all()];
+  t.is(instance.failureRate, 0, 'the instance did nothing wrong');
 });
 
 test('stream: a generation that finds no room in time is refused as not run', async t => {
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -191,6 +191,24 @@
   t.deepEqual(outcome, {error: SendError.NeverSent});
 });
 
+test('replica: what this process withdraws was never sent, and says nothing of the instance', async t => {
+  const server = http.createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const {port} = server.address() as net.AddressInfo;
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  const cancelled = client.send(instanceAt(port), request());
+  cancelled.cancel();
+  t.deepEqual(await receive(cancelled), {error: SendError.Withdrawn});
+  const sent = request();
+  const unwritable = client.send(instanceAt(port), {
+    ...sent,
+    caller: {...sent.caller, passedHeaders: ['X-One', 'line\nbreak']},
+  });
+  t.deepEqual(await receive(unwritable), {error: SendError.Withdrawn});
+});
+
 test('replica: a second answer on a kept connection is not taken for the next one', async t => {
   const whole = text([...SUCCESS, 'Content-Length: 3'], 'one');
   const instance = await listen(t, (socket, count) => {
