--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -1,5 +1,6 @@
 /** Everything that the soak runs: a store, replicas and gateways. */
-import * as dgram from 'node:dgram';
+import * as freePorts from '../standins/free_ports';
+import * as platformObjects from '../standins/platform_objects';
 import * as storeStandin from '../standins/store_standin';
 import * as replicas from './replica';
 import * as gatewayChild from './gateway_child';
@@ -7,24 +8,6 @@
 
 export const HOST = 'soak.example';
 
-const LIMITS = {
-  maxHeaderBytes: 4_096,
-  maxBodyBytes: 100_000,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
-const ENGINE = {
-  slots: 24,
-  kvCap: 34_000,
-  kvBytes: 1,
-  linkMbps: 1_000,
-  moves: true,
-  backups: false,
-  stride: 1,
-  handleTtlS: 5,
-};
-
 /** Sizes of a deployment. */
 export interface DeploymentSize {
   readonly gateways: number;
@@ -58,7 +41,7 @@
       await this.addReplica('ledger');
     }
     this.configure();
-    const digestPort = await freeDatagramPort();
+    const digestPort = await freePorts.freeDatagramPort();
     const seeds = ['127.0.0.1:1', '127.0.0.2:1', '127.0.0.3:1'];
     for (let index = 1; index <= size.gateways; index++) {
       const gateway = new gatewayChild.GatewayChild(
@@ -92,16 +75,12 @@
 
   /** Writes what the replica says of itself. */
   register(replica: replicas.Replica, state: string): void {
-    this.store.put('servers', replica.id, {
-      service: replica.service,
-      address: replica.address,
-      zone: 'a',
-      slots: 24,
-      state,
-      warmLeftMs: 0,
-      born: 1,
-      seq: 1,
-    });
+    const {service, address} = replica;
+    this.store.put(
+      'servers',
+      replica.id,
+      platformObjects.registrationSpec(service, address, state),
+    );
   }
 
   /** Ends the replica and its registration. */
@@ -116,24 +95,19 @@
     this.store.put('config', 'main', {
       version: ++this.version,
       routes: [
-        route('/read/', 'idempotent', 'ledger', 2),
-        route('/file/', 'non_idempotent', 'ledger', 1),
-        route('/draft/', 'streaming', 'writers', 1, {affinity: true}),
-        route('/tag/', 'streaming', 'writers', 2, {
+        route('/read/', 'idempotent', 'ledger', {}),
+        route('/file/', 'non_idempotent', 'ledger', {attempts: 1}),
+        route('/draft/', 'streaming', 'writers', {affinity: true, attempts: 1}),
+        route('/tag/', 'streaming', 'writers', {
           affinity: true,
           resumable: true,
         }),
       ],
       services: [
-        {name: 'ledger', healthPath: '/healthz', maxConns: 200},
-        {
-          name: 'writers',
-          healthPath: '/healthz',
-          maxConns: 200,
-          runtime: ENGINE,
-        },
+        platformObjects.serviceSpec('ledger'),
+        platformObjects.serviceSpec('writers', platformObjects.engineSpec()),
       ],
-      limits: LIMITS,
+      limits: platformObjects.LIMITS,
       tenants: [...this.keys].map(key => ({
         name: `customer of ${key}`,
         apiKeys: [key],
@@ -160,29 +134,11 @@
   pathPrefix: string,
   type: string,
   service: string,
-  attempts: number,
-  more: object = {},
+  more: object,
 ): object {
-  return {
-    name: `route${pathPrefix}`,
-    hostname: HOST,
-    pathPrefix,
-    type,
-    service,
+  return platformObjects.routeSpec(HOST, pathPrefix, type, service, {
     timeoutMs: type === 'streaming' ? 20_000 : 2_000,
     sloMs: type === 'streaming' ? 1_500 : 150,
-    priority: 1,
-    attempts,
-    public: false,
     ...more,
-  };
-}
-
-/** All gateways use one port for digests, so it cannot be chosen when the first binds it. */
-async function freeDatagramPort(): Promise<number> {
-  const socket = dgram.createSocket('udp4');
-  await new Promise<void>(resolve => socket.bind(0, '127.0.0.1', resolve));
-  const {port} = socket.address();
-  await new Promise<void>(resolve => socket.close(resolve));
-  return port;
+  });
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,4 +1,4 @@
-/** Faults from outside, in overlapping series that depend on the seed alone. */
+/** Faults from outside, in overlapping series drawn from the seed. */
 import * as timers from 'node:timers/promises';
 import * as storeStandin from '../standins/store_standin';
 import * as tcpRelay from '../standins/tcp_relay';
--- a/soak/gateway_child.ts
+++ b/soak/gateway_child.ts
@@ -1,9 +1,9 @@
 /** A gateway as a process of its own, with its ways to store and callers behind relays. */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as freePorts from '../standins/free_ports';
 import * as tcpRelay from '../standins/tcp_relay';
 
 const PROGRAM = path.join(__dirname, '..', 'src', 'daemon', 'gateway_main.js');
@@ -53,9 +53,9 @@
   async open(): Promise<void> {
     const {ip} = this.place;
     this.ports = {
-      callers: await freePort(ip),
-      readiness: await freePort(ip),
-      peers: await freePort(ip),
+      callers: await freePorts.freeStreamPort(ip),
+      readiness: await freePorts.freeStreamPort(ip),
+      peers: await freePorts.freeStreamPort(ip),
     };
     this.callerRelay = new tcpRelay.TcpRelay(this.ports.callers, ip);
     this.address = await this.callerRelay.listen();
@@ -143,12 +143,3 @@
     ].join('\n');
   }
 }
-
-/** Peers and callers are told a port before the process binds it. */
-async function freePort(ip: string): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, ip, resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -204,7 +204,7 @@
     const {status, stamp, isWhole} = answer;
     const promisesNotRun =
       NOT_RUN_STATUSES.has(status) && stamp === undefined && isWhole;
-    if (promisesNotRun && runs.length > 0 && kind !== RequestKind.Read) {
+    if (promisesNotRun && runs.length > 0) {
       const detail = `answered ${status}, but ran at ${runs[0].replica}`;
       return [{promise: 'not-run', attempt, detail}];
     }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -9,7 +9,7 @@
   static override paths = [clipanion.Command.Default];
 
   seed = clipanion.Option.String('--seed', '1', {
-    description: 'First seed; faults and callers follow from it',
+    description: 'First seed; faults and callers are drawn from it',
   });
   seeds = clipanion.Option.String('--seeds', '1', {
     description: 'Number of seeds, one after the other',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -199,8 +199,7 @@
     log.write('leaving', {open: this.server.openRequestCount}, true);
     const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
     this.handler.endAt(endsAt);
-    this.exchange.endsAt = endsAt;
-    this.exchange.announce();
+    this.exchange.endAt(endsAt);
     const mayEndAt = Math.min(startedAt + BALANCER_MILLISECONDS, endsAt);
     for (;;) {
       await deadline.delay(LEAVE_CHECK_MILLISECONDS);
--- a/src/gateway/node/peer_exchange.ts
+++ b/src/gateway/node/peer_exchange.ts
@@ -54,7 +54,7 @@
   private readonly subscriptions: rxjs.Subscription[] = [];
   private isFetching = false;
   /** Monotonic milliseconds at which this process ends; undefined unless it is about to end. */
-  endsAt: number | undefined;
+  private endsAt: number | undefined;
 
   constructor(
     private readonly settings: PeerSettings,
@@ -99,8 +99,9 @@
     this.server.closeAllConnections();
   }
 
-  /** Tells the peers at once, without waiting for the next digest. */
-  announce(): void {
+  /** Tells the peers at once when this process ends. */
+  endAt(endsAt: number): void {
+    this.endsAt = endsAt;
     this.sendMessage();
   }
 
--- /dev/null
+++ b/src/gateway/node/source_health.ts
@@ -0,0 +1,39 @@
+/** Whether the source of state answers, with a line in the log when that changes. */
+import * as jsonLog from '../../base/node/json_log';
+import * as stateSource from '../common/state_source';
+
+/** What is read from the source. */
+export enum SourceKind {
+  Configuration = 'configuration',
+  Instances = 'instances',
+}
+
+/** Holds the outcome of the last call of each kind. */
+export class SourceHealth {
+  private readonly away = new Set<SourceKind>();
+
+  constructor(private readonly log: jsonLog.JsonLog) {}
+
+  /** Whether the last call of either kind failed. */
+  get isAway(): boolean {
+    return this.away.size > 0;
+  }
+
+  /** Notes a failed call. A lost history is an answer, after which everything is read again. */
+  noteFailure(kind: SourceKind, error: stateSource.SourceError): void {
+    if (error === stateSource.SourceError.HistoryLost) {
+      this.log.write('store-history-lost', {kind});
+      return;
+    }
+    if (!this.away.has(kind)) {
+      this.away.add(kind);
+      this.log.write('store-lost', {kind, error}, true);
+    }
+  }
+
+  noteSuccess(kind: SourceKind): void {
+    if (this.away.delete(kind)) {
+      this.log.write('store-regained', {kind}, true);
+    }
+  }
+}
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -10,6 +10,9 @@
 import * as routeIndex from '../common/route_index';
 import * as stateSource from '../common/state_source';
 import * as watchDuty from '../common/watch_duty';
+import * as sourceHealth from './source_health';
+
+const {SourceKind} = sourceHealth;
 
 /** First pause after a failed call, in milliseconds; doubled at each further one. */
 const MIN_BACKOFF_MILLISECONDS = 100;
@@ -41,7 +44,7 @@
   private instancesReadAt = -Infinity;
   private isWatchingSource = true;
   private isDisposed = false;
-  private readonly isAway = new Map<string, boolean>();
+  private readonly health: sourceHealth.SourceHealth;
   private extraRead: Promise<void> | undefined;
   private extraReadAt = -Infinity;
 
@@ -49,7 +52,9 @@
     private readonly source: stateSource.StateSource,
     private readonly duty: watchDuty.WatchDuty,
     private readonly log: jsonLog.JsonLog,
-  ) {}
+  ) {
+    this.health = new sourceHealth.SourceHealth(log);
+  }
 
   /** Routes in force; undefined before the first configuration. */
   get routes(): routeIndex.RouteIndex | undefined {
@@ -78,7 +83,7 @@
 
   /** Whether the last call of either kind failed. */
   get isSourceAway(): boolean {
-    return [...this.isAway.values()].some(isAway => isAway);
+    return this.health.isAway;
   }
 
   /** Milliseconds since the configuration was last confirmed by the store. */
@@ -161,11 +166,15 @@
     }
   }
 
-  /** Takes changes that a peer read; false when others before them are missing here. */
-  takeRelayed(change: instanceRegistry.RegistryChange, peer: string): boolean {
-    const isWhole = this.registry.takeRelayed(change);
+  /** Takes changes that a peer read, unless others before them are missing here; those are fetched by position. */
+  takeRelayed(change: instanceRegistry.RegistryChange, peer: string): void {
+    if (!this.registry.takeRelayed(change)) {
+      const {from, to} = change;
+      const position = this.instancesPosition;
+      this.log.write('relayed-change-ahead', {peer, from, to, position});
+      return;
+    }
     this.applyInstances(peer);
-    return isWhole;
   }
 
   /** Takes a peer's word for the version that the source had lately. */
@@ -245,9 +254,10 @@
   async readConfiguration(): Promise<boolean> {
     const read = await this.source.readConfiguration();
     if (read.isErr()) {
-      return this.noteFailure('configuration', read.error);
+      this.health.noteFailure(SourceKind.Configuration, read.error);
+      return false;
     }
-    this.noteSuccess('configuration');
+    this.health.noteSuccess(SourceKind.Configuration);
     this.confirmedAt = performance.now();
     this.takeConfiguration(read.value, SOURCE_ORIGIN);
     return true;
@@ -258,9 +268,10 @@
       this.configurationRevision,
     );
     if (watched.isErr()) {
-      return this.noteFailure('configuration', watched.error);
+      this.health.noteFailure(SourceKind.Configuration, watched.error);
+      return false;
     }
-    this.noteSuccess('configuration');
+    this.health.noteSuccess(SourceKind.Configuration);
     this.confirmedAt = performance.now();
     const {revision, value} = watched.value;
     if (value === undefined) {
@@ -308,9 +319,9 @@
   private async listInstances(): Promise<boolean> {
     const listed = await this.source.listInstances();
     if (listed.isErr()) {
-      return this.noteFailure('instances', listed.error);
+      return this.noteInstancesFailure(listed.error);
     }
-    this.noteSuccess('instances');
+    this.health.noteSuccess(SourceKind.Instances);
     this.instancesReadAt = performance.now();
     this.registry.takeList(listed.value, this.instancesReadAt);
     this.applyInstances(SOURCE_ORIGIN);
@@ -320,9 +331,9 @@
   private async watchInstances(): Promise<boolean> {
     const watched = await this.source.watchInstances(this.registry.revision);
     if (watched.isErr()) {
-      return this.noteFailure('instances', watched.error);
+      return this.noteInstancesFailure(watched.error);
     }
-    this.noteSuccess('instances');
+    this.health.noteSuccess(SourceKind.Instances);
     this.instancesReadAt = performance.now();
     this.registry.takeChanges(watched.value, this.instancesReadAt);
     this.applyInstances(SOURCE_ORIGIN);
@@ -372,25 +383,11 @@
     ).unref();
   }
 
-  private noteFailure(kind: string, error: stateSource.SourceError): boolean {
-    if (error === stateSource.SourceError.HistoryLost) {
-      this.log.write('store-history-lost', {kind});
-      return false;
-    }
-    if (kind === 'instances') {
+  private noteInstancesFailure(error: stateSource.SourceError): boolean {
+    this.health.noteFailure(SourceKind.Instances, error);
+    if (error !== stateSource.SourceError.HistoryLost) {
       this.registry.noteSourceAway();
     }
-    if (this.isAway.get(kind) !== true) {
-      this.isAway.set(kind, true);
-      this.log.write('store-lost', {kind, error}, true);
-    }
     return false;
   }
-
-  private noteSuccess(kind: string): void {
-    if (this.isAway.get(kind) === true) {
-      this.log.write('store-regained', {kind}, true);
-    }
-    this.isAway.set(kind, false);
-  }
 }
--- /dev/null
+++ b/standins/platform_objects.ts
@@ -0,0 +1,69 @@
+/** Objects in the platform's form, for stores of stand-ins. */
+
+export const LIMITS = {
+  maxHeaderBytes: 2_048,
+  maxBodyBytes: 10_000,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Engines whose runs can be copied on order, with one event for each token unless told otherwise. */
+export function engineSpec(more: object = {}): object {
+  return {
+    slots: 24,
+    kvCap: 34_000,
+    kvBytes: 1,
+    linkMbps: 1_000,
+    moves: true,
+    backups: false,
+    stride: 1,
+    handleTtlS: 5,
+    ...more,
+  };
+}
+
+/** A service; model engines stand behind it when an engine is given. */
+export function serviceSpec(name: string, engine?: object): object {
+  return {name, healthPath: '/healthz', maxConns: 200, runtime: engine};
+}
+
+/** A route of the host to one service. */
+export function routeSpec(
+  hostname: string,
+  pathPrefix: string,
+  type: string,
+  service: string,
+  more: object = {},
+): object {
+  return {
+    name: `route${pathPrefix}`,
+    hostname,
+    pathPrefix,
+    type,
+    service,
+    timeoutMs: 5_000,
+    sloMs: 1_000,
+    priority: 1,
+    attempts: 2,
+    public: false,
+    ...more,
+  };
+}
+
+/** What a replica writes of itself. */
+export function registrationSpec(
+  service: string,
+  address: string,
+  state = 'ready',
+): object {
+  return {
+    service,
+    address,
+    zone: 'a',
+    slots: 24,
+    state,
+    warmLeftMs: 0,
+    born: 1,
+    seq: 1,
+  };
+}
--- a/test/entry/link_manager.test.ts
+++ b/test/entry/link_manager.test.ts
@@ -1,4 +1,3 @@
-import * as net from 'node:net';
 import * as ava from 'ava';
 import * as neverthrow from 'neverthrow';
 import * as rxjs from 'rxjs';
@@ -7,19 +6,11 @@
 import * as linkManager from '../../src/entry/node/link_manager';
 import * as membership from '../../src/entry/node/membership';
 import * as trafficMetrics from '../../src/protocol/node/traffic_metrics';
+import * as freePorts from '../../standins/free_ports';
 import * as instanceList from '../../src/storage/common/instance_list';
 
 const test = ava.default;
 
-/** An address of loopback that refuses connections. */
-async function refusingAddress(): Promise<string> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return `127.0.0.1:${port}`;
-}
-
 function side(instance: string, address: string): instanceList.InstanceRecord {
   return {
     instance,
@@ -42,7 +33,7 @@
 }
 
 test('links opened after the start do not unsettle an entry that was ready', async t => {
-  const address = await refusingAddress();
+  const address = `127.0.0.1:${await freePorts.freeStreamPort()}`;
   const first = side('side-0', address);
   const registry = new metrics.MetricsRegistry({});
   const members = new membership.Membership(new FixedList([first]));
--- a/test/gateway/common/instance_registry.test.ts
+++ b/test/gateway/common/instance_registry.test.ts
@@ -4,6 +4,7 @@
 import * as instanceRegistry from '../../../src/gateway/common/instance_registry';
 import * as instanceTable from '../../../src/gateway/common/instance_table';
 import * as stateSource from '../../../src/gateway/common/state_source';
+import * as gatewayRecords from '../../support/gateway_records';
 
 const test = ava.default;
 const GRACE = instanceRegistry.RETURN_GRACE_MILLISECONDS;
@@ -12,16 +13,7 @@
   id: string,
   state = instanceTable.InstanceState.Ready,
 ): instanceTable.InstanceRecord {
-  return {
-    id,
-    endpoint: 'e',
-    address: '10.0.0.1:1',
-    dataCentre: 'a',
-    state,
-    slots: 1,
-    warmUpMilliseconds: 0,
-    startedAt: 1,
-  };
+  return gatewayRecords.instanceRecord({id, state});
 }
 
 function ids(registry: instanceRegistry.InstanceRegistry): string[] {
--- a/test/gateway/common/instance_table.test.ts
+++ b/test/gateway/common/instance_table.test.ts
@@ -1,24 +1,10 @@
 /** Rows of instances over lives, drains and failures. */
 import * as ava from 'ava';
 import * as instanceTable from '../../../src/gateway/common/instance_table';
+import * as gatewayRecords from '../../support/gateway_records';
 
 const test = ava.default;
-
-function record(
-  more: Partial<instanceTable.InstanceRecord> = {},
-): instanceTable.InstanceRecord {
-  return {
-    id: 'i',
-    endpoint: 'e',
-    address: '10.0.0.1:1',
-    dataCentre: 'a',
-    state: instanceTable.InstanceState.Ready,
-    slots: 1,
-    warmUpMilliseconds: 0,
-    startedAt: 1,
-    ...more,
-  };
-}
+const record = gatewayRecords.instanceRecord;
 
 test('instances: draining is told once, with the time at which it was seen', t => {
   const table = new instanceTable.InstanceTable();
--- a/test/gateway/common/leg_outcome.test.ts
+++ b/test/gateway/common/leg_outcome.test.ts
@@ -3,6 +3,7 @@
 import * as instanceClient from '../../../src/gateway/common/instance_client';
 import * as instanceTable from '../../../src/gateway/common/instance_table';
 import * as legOutcome from '../../../src/gateway/common/leg_outcome';
+import * as gatewayRecords from '../../support/gateway_records';
 
 const test = ava.default;
 const {SendError} = instanceClient;
@@ -52,16 +53,7 @@
 
 for (const {title, outcome, isDraining, isDoubtful} of CASES) {
   test(`leg: ${title} ${isDoubtful ? 'counts' : 'does not count'} against the instance`, t => {
-    const record = {
-      id: 'i',
-      endpoint: 'e',
-      address: '10.0.0.1:1',
-      dataCentre: 'a',
-      state: instanceTable.InstanceState.Ready,
-      slots: 1,
-      warmUpMilliseconds: 0,
-      startedAt: 1,
-    };
+    const record = gatewayRecords.instanceRecord();
     const [row] = new instanceTable.InstanceTable().replace([record], 0).added;
     row.drainingAt = isDraining ? 1 : undefined;
     legOutcome.learnFromLeg(
--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -3,21 +3,19 @@
 import * as instanceTable from '../../../src/gateway/common/instance_table';
 import * as placement from '../../../src/gateway/common/placement';
 import * as runTable from '../../../src/gateway/common/run_table';
+import * as gatewayRecords from '../../support/gateway_records';
 
 const test = ava.default;
 const CAPACITY = 34_000;
 
 function rows(count: number): instanceTable.Instance[] {
-  const records = Array.from({length: count}, (_, index) => ({
-    id: `i-${index}`,
-    endpoint: 'e',
-    address: `10.0.0.${index}:1`,
-    dataCentre: index % 2 === 0 ? 'a' : 'b',
-    state: instanceTable.InstanceState.Ready,
-    slots: 24,
-    warmUpMilliseconds: 0,
-    startedAt: 1,
-  }));
+  const records = Array.from({length: count}, (_, index) =>
+    gatewayRecords.instanceRecord({
+      id: `i-${index}`,
+      address: `10.0.0.${index}:1`,
+      dataCentre: index % 2 === 0 ? 'a' : 'b',
+    }),
+  );
   return [...new instanceTable.InstanceTable().replace(records, 0).added];
 }
 
@@ -37,6 +35,20 @@
   };
 }
 
+/** Id of the engine chosen of two in the gateway's own data centre. */
+function chooseNear(
+  loads: ReadonlyMap<string, runTable.InstanceLoad>,
+): string | undefined {
+  const [first, , third] = rows(3);
+  const choice = placement.placeGeneration(
+    [first, third],
+    loads,
+    generation(),
+    1_000,
+  );
+  return choice?.instance.record.id;
+}
+
 /** Places generations one after the other, each staying where it was put. */
 function placeMany(
   instances: readonly instanceTable.Instance[],
@@ -72,14 +84,7 @@
     ['i-0', {runs: 1, memoryTokens: 3_900, prefillTokens: 12_000}],
     ['i-2', {runs: 2, memoryTokens: 7_800, prefillTokens: 0}],
   ]);
-  const [first, , third] = rows(3);
-  const choice = placement.placeGeneration(
-    [first, third],
-    loads,
-    generation(),
-    1_000,
-  );
-  t.is(choice!.instance, third);
+  t.is(chooseNear(loads), 'i-2');
 });
 
 test('placement: no work goes to draining or excluded instances', t => {
@@ -170,14 +175,7 @@
     ['i-0', {runs: 4, memoryTokens: 15_000, prefillTokens: 0, queuedRuns: 2}],
     ['i-2', {runs: 5, memoryTokens: 19_000, prefillTokens: 0, queuedRuns: 0}],
   ]);
-  const [first, , third] = rows(3);
-  const choice = placement.placeGeneration(
-    [first, third],
-    loads,
-    generation(),
-    1_000,
-  );
-  t.is(choice!.instance, third);
+  t.is(chooseNear(loads), 'i-2');
 });
 
 test('placement: an instance that refused a connection is avoided at once, and gets no copies until it answers', t => {
--- a/test/gateway/common/retired_names.test.ts
+++ b/test/gateway/common/retired_names.test.ts
@@ -1,40 +1,15 @@
 /** Names that later versions took away. */
 import * as ava from 'ava';
-import * as configuration from '../../../src/gateway/common/configuration';
 import * as retiredNames from '../../../src/gateway/common/retired_names';
+import * as gatewayRecords from '../../support/gateway_records';
 
 const test = ava.default;
 
-function version(
-  keys: readonly string[],
-  prefixes: readonly string[],
-): configuration.Configuration {
-  return {
-    version: 1,
-    routes: prefixes.map(pathPrefix => ({
-      name: pathPrefix,
-      host: 'h.example',
-      pathPrefix,
-      kind: configuration.RequestKind.Idempotent,
-      timeoutMilliseconds: 1,
-      objectiveMilliseconds: 1,
-      maxPauseMilliseconds: 0,
-      priority: 0,
-      endpoints: [],
-      attempts: 1,
-      isPublic: false,
-      isGeneration: false,
-      isResumable: false,
-    })),
-    endpoints: [],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
-    },
+function version(keys: readonly string[], prefixes: readonly string[]) {
+  return gatewayRecords.configurationOf({
+    routes: prefixes.map(prefix => gatewayRecords.route(prefix)),
     customers: [{name: 'customer', keys}],
-  };
+  });
 }
 
 test('retired: a key is retired when a version drops it, and no more when one brings it back', t => {
--- a/test/gateway/state_follower.test.ts
+++ b/test/gateway/state_follower.test.ts
@@ -9,24 +9,17 @@
 import * as stateSource from '../../src/gateway/common/state_source';
 import * as watchDuty from '../../src/gateway/common/watch_duty';
 import * as stateFollower from '../../src/gateway/node/state_follower';
+import * as gatewayRecords from '../support/gateway_records';
 
 const test = ava.default;
 const SEED = 20_261_204;
 
 /** Key 'key-n' is in force in version n alone. */
 function version(value: number): configuration.Configuration {
-  return {
+  return gatewayRecords.configurationOf({
     version: value,
-    routes: [],
-    endpoints: [],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
-    },
     customers: [{name: 'customer', keys: [`key-${value}`]}],
-  };
+  });
 }
 
 /** Answers reads with what the test puts in; watches never answer. */
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -5,6 +5,8 @@
 import * as instanceClient from '../../src/gateway/common/instance_client';
 import * as instanceTable from '../../src/gateway/common/instance_table';
 import * as instanceHttpClient from '../../src/platform/instance_http_client';
+import * as freePorts from '../../standins/free_ports';
+import * as gatewayRecords from '../support/gateway_records';
 
 const test = ava.default;
 const ATTEMPT = '00000000000000a1';
@@ -37,16 +39,10 @@
 
 function instanceAt(port: number): instanceTable.Instance {
   const table = new instanceTable.InstanceTable();
-  const record = {
+  const record = gatewayRecords.instanceRecord({
     id: 'i-1',
-    endpoint: 'ledger',
     address: `127.0.0.1:${port}`,
-    dataCentre: 'a',
-    state: instanceTable.InstanceState.Ready,
-    slots: 1,
-    warmUpMilliseconds: 0,
-    startedAt: 0,
-  };
+  });
   return table.replace([record], 0).added[0];
 }
 
@@ -181,10 +177,7 @@
 }
 
 test('replica: a refused connection proves that nothing was sent', async t => {
-  const server = http.createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
+  const port = await freePorts.freeStreamPort();
   const client = new instanceHttpClient.InstanceHttpClient();
   t.teardown(() => client.dispose());
   const outcome = await receive(client.send(instanceAt(port), request()));
--- a/test/soak/ledger.test.ts
+++ b/test/soak/ledger.test.ts
@@ -57,6 +57,13 @@
     answer: answer(503, ''),
     promise: 'not-run',
   },
+  {
+    title: 'a refusal of a read that ran',
+    kind: RequestKind.Read,
+    runs: [['r1', 1, false]],
+    answer: answer(503, ''),
+    promise: 'not-run',
+  },
   {
     title: 'an unknown outcome of what ran is allowed',
     kind: RequestKind.File,
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -1,6 +1,4 @@
 /** Several gateways of one deployment on addresses of the loopback, with one store. */
-import * as dgram from 'node:dgram';
-import * as net from 'node:net';
 import * as http from 'node:http';
 import * as ava from 'ava';
 import * as jsonLog from '../../src/base/node/json_log';
@@ -8,6 +6,8 @@
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
 import * as platformAdapter from '../../src/platform/platform_adapter';
+import * as freePorts from '../../standins/free_ports';
+import * as platformObjects from '../../standins/platform_objects';
 import * as storeStandin from '../../standins/store_standin';
 import * as tcpRelay from '../../standins/tcp_relay';
 import * as testGateway from './test_gateway';
@@ -36,7 +36,8 @@
     t.teardown(() => fleet.store.close());
     fleet.store.put('config', 'main', testGateway.configurationSpec(1));
     fleet.register('i-1');
-    const digestPort = await freeDatagramPort();
+    // All gateways use one port, so it cannot be chosen when the first binds it.
+    const digestPort = await freePorts.freeDatagramPort();
     for (let index = 1; index <= count; index++) {
       const gateway = await startGateway(index, store, digestPort);
       fleet.gateways.push(gateway);
@@ -49,16 +50,11 @@
 
   /** Writes the registration of a replica that no test sends to. */
   register(id: string, state = 'ready'): void {
-    this.store.put('servers', id, {
-      service: 'ledger',
-      address: '127.0.0.1:9',
-      zone: 'a',
-      slots: 6,
-      state,
-      warmLeftMs: 0,
-      born: 1,
-      seq: 1,
-    });
+    this.store.put(
+      'servers',
+      id,
+      platformObjects.registrationSpec('ledger', '127.0.0.1:9', state),
+    );
   }
 
   /** Gateways that watch the store. */
@@ -117,7 +113,7 @@
   const ip = `127.0.0.${index}`;
   const relay = new tcpRelay.TcpRelay(Number(store.split(':')[1]));
   const registry = new metrics.MetricsRegistry({});
-  const statePort = await freeStreamPort(ip);
+  const statePort = await freePorts.freeStreamPort(ip);
   const process = new gatewayProcess.GatewayProcess({
     settings: {
       instance: {name: `gateway-${index}`, data_centre: 'a', ip},
@@ -145,21 +141,3 @@
   await process.start();
   return {process, relay, ip};
 }
-
-/** All gateways use one port for digests, so it cannot be chosen when the first binds it. */
-async function freeDatagramPort(): Promise<number> {
-  const socket = dgram.createSocket('udp4');
-  await new Promise<void>(resolve => socket.bind(0, '127.0.0.1', resolve));
-  const {port} = socket.address();
-  await new Promise<void>(resolve => socket.close(resolve));
-  return port;
-}
-
-/** Peers are told the port before it is bound. */
-async function freeStreamPort(ip: string): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, ip, resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
--- /dev/null
+++ b/test/support/gateway_records.ts
@@ -0,0 +1,61 @@
+/** Routes, configurations and instances as a gateway holds them, with values that most tests do not look at. */
+import * as configuration from '../../src/gateway/common/configuration';
+import * as instanceTable from '../../src/gateway/common/instance_table';
+
+/** An idempotent route of the host `h.example`. */
+export function route(
+  pathPrefix: string,
+  more: Partial<configuration.Route> = {},
+): configuration.Route {
+  return {
+    name: pathPrefix,
+    host: 'h.example',
+    pathPrefix,
+    kind: configuration.RequestKind.Idempotent,
+    timeoutMilliseconds: 1,
+    objectiveMilliseconds: 1,
+    maxPauseMilliseconds: 0,
+    priority: 0,
+    endpoints: [],
+    attempts: 1,
+    isPublic: false,
+    isGeneration: false,
+    isResumable: false,
+    ...more,
+  };
+}
+
+/** A configuration without routes and keys. */
+export function configurationOf(
+  more: Partial<configuration.Configuration> = {},
+): configuration.Configuration {
+  return {
+    version: 1,
+    routes: [],
+    endpoints: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    ...more,
+  };
+}
+
+/** What a ready instance of the endpoint `e` registered. */
+export function instanceRecord(
+  more: Partial<instanceTable.InstanceRecord> = {},
+): instanceTable.InstanceRecord {
+  return {
+    id: 'i',
+    endpoint: 'e',
+    address: '10.0.0.1:1',
+    dataCentre: 'a',
+    state: instanceTable.InstanceState.Ready,
+    slots: 1,
+    warmUpMilliseconds: 0,
+    startedAt: 1,
+    ...more,
+  };
+}
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -6,50 +6,21 @@
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
 import * as platformAdapter from '../../src/platform/platform_adapter';
+import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
 import * as storeStandin from '../../standins/store_standin';
 
 export const HOST = 'h.example';
 export const KEY = 'key-one';
 
-const LIMITS = {
-  maxHeaderBytes: 2_048,
-  maxBodyBytes: 10_000,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
-const RUNTIME = {
-  slots: 24,
-  kvCap: 34_000,
-  kvBytes: 1,
-  linkMbps: 1_000,
-  moves: true,
-  backups: false,
-  stride: 4,
-  handleTtlS: 5,
-};
-
-/** A route in the platform's form. */
+/** A route of the tests' host. */
 export function route(
   pathPrefix: string,
   type: string,
   service: string,
   more: object = {},
 ): object {
-  return {
-    name: `route${pathPrefix}`,
-    hostname: HOST,
-    pathPrefix,
-    type,
-    service,
-    timeoutMs: 5_000,
-    sloMs: 1_000,
-    priority: 1,
-    attempts: 2,
-    public: false,
-    ...more,
-  };
+  return platformObjects.routeSpec(HOST, pathPrefix, type, service, more);
 }
 
 /** A configuration in the platform's form. */
@@ -64,15 +35,13 @@
       route('/open/', 'idempotent', 'ledger', {public: true}),
     ],
     services: [
-      {name: 'ledger', healthPath: '/healthz', maxConns: 100},
-      {
-        name: 'writers',
-        healthPath: '/healthz',
-        maxConns: 100,
-        runtime: RUNTIME,
-      },
+      platformObjects.serviceSpec('ledger'),
+      platformObjects.serviceSpec(
+        'writers',
+        platformObjects.engineSpec({stride: 4}),
+      ),
     ],
-    limits: LIMITS,
+    limits: platformObjects.LIMITS,
     tenants: [{name: 'customer-one', apiKeys: [KEY]}],
     ...more,
   };
@@ -173,16 +142,12 @@
 
   /** Writes the registration of a replica. */
   register(id: string, service: string, state: string): void {
-    this.store.put('servers', id, {
-      service,
-      address: this.addresses.get(id),
-      zone: 'a',
-      slots: 6,
-      state,
-      warmLeftMs: 0,
-      born: 1,
-      seq: 1,
-    });
+    const address = this.addresses.get(id)!;
+    this.store.put(
+      'servers',
+      id,
+      platformObjects.registrationSpec(service, address, state),
+    );
   }
 
   /** Waits until the condition holds; the test's own time-out bounds it. */
