Engine stand-in: hands out earlier tokens before it crashes

Cause, traced beside load: the stand-in catches up several steps in one turn of the event loop and ended itself in the same turn, so that tokens written there never left the process (traced: two steps in the turn, 172 bytes pending). With none delivered the stream was rightly run again, which cost the second engine: codes 80, 69, 69 instead of 80, 80, 69. A fault of the test's means, not of the product. Change: the stand-in waits until what it wrote was handed to its connections.

--- a/standins/engine_standin.ts
+++ b/standins/engine_standin.ts
@@ -74,6 +74,7 @@
   private timer: NodeJS.Timeout | undefined;
   private nextStepAt = performance.now();
   private isFrozen = false;
+  private isCrashing = false;
 
   constructor(private readonly options: EngineOptions) {
     this.model = new engineModel.EngineModel(options.parameters);
@@ -132,7 +133,10 @@
     );
     do {
       this.nextStepAt += this.runStep() / this.options.speed;
-    } while (this.nextStepAt <= now);
+    } while (this.nextStepAt <= now && !this.isCrashing);
+    if (this.isCrashing) {
+      return;
+    }
     this.sampleLoad();
     this.schedule(Math.max(0, this.nextStepAt - performance.now()));
   }
@@ -152,12 +156,25 @@
   private publishToken(run: Run): void {
     const index = run.sequence.generated - 1;
     if (index >= run.crashAt) {
-      this.options.crash();
+      return void this.crash();
     }
     const event = tokenEvent(run, index);
     run.listeners.forEach(listener => listener.write(event));
   }
 
+  /** Crashes once all bytes of earlier tokens were handed to their connections; no further step runs. */
+  private async crash(): Promise<void> {
+    if (this.isCrashing) {
+      return;
+    }
+    this.isCrashing = true;
+    const listeners = [...this.runs.values()].flatMap(run => [
+      ...run.listeners,
+    ]);
+    await Promise.all(listeners.map(untilFlushed));
+    this.options.crash();
+  }
+
   private publishEnd(run: Run): void {
     run.isFinished = true;
     run.listeners.forEach(listener => listener.end(endEvent(run)));
@@ -334,6 +351,13 @@
   }
 }
 
+/** Resolves when everything written so far was handed to the connection, or the connection is closed. */
+async function untilFlushed(response: http.ServerResponse): Promise<void> {
+  while (response.writableLength > 0 && !response.destroyed) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 function tokenEvent(run: Run, index: number): string {
   const choice = {
     index: 0,
