--- a/src/decision/common/attempt_table.ts
+++ b/src/decision/common/attempt_table.ts
@@ -34,6 +34,8 @@
   link: string;
   /** Whether output is held back because the caller reads slowly. */
   isPaused: boolean;
+  /** Whether the complete output was handed to the caller's connection. */
+  isDelivered: boolean;
   /** Index of the next token to send on the link. */
   nextToSend: number;
   /** Monotonic milliseconds since which no entry has been attached. */
@@ -92,6 +94,7 @@
       failure: undefined,
       link,
       isPaused: false,
+      isDelivered: false,
       nextToSend: 0,
       detachedAt: now,
       endedAt: 0,
--- a/src/decision/common/detachment_system.ts
+++ b/src/decision/common/detachment_system.ts
@@ -7,6 +7,8 @@
   readonly reattachGraceMilliseconds: number;
   /** Time for which the output of an ended attempt is kept for a disconnected caller, in milliseconds. */
   readonly retentionMilliseconds: number;
+  /** Time for which the output of an ended stream is kept after it was handed to the caller's connection, in milliseconds. */
+  readonly deliveredMilliseconds: number;
   /** Time for which tombstones are kept, in milliseconds. */
   readonly tombstoneMilliseconds: number;
 }
@@ -23,7 +25,7 @@
     table.removeTombstones(now - this.policy.tombstoneMilliseconds);
     const expired: attemptTable.Attempt[] = [];
     for (const attempt of table.all()) {
-      const isDetached = attempt.link === '' || isDelivered(attempt);
+      const isDetached = attempt.link === '' || isSent(attempt);
       if (
         isDetached &&
         now - this.detachedSince(attempt) >
@@ -40,15 +42,17 @@
   }
 
   private maxDetachedMilliseconds(attempt: attemptTable.Attempt): number {
-    const isOpen = attemptTable.isOpen(attempt);
-    return isOpen
-      ? this.policy.reattachGraceMilliseconds
+    if (attemptTable.isOpen(attempt)) {
+      return this.policy.reattachGraceMilliseconds;
+    }
+    return attempt.isDelivered
+      ? this.policy.deliveredMilliseconds
       : this.policy.retentionMilliseconds;
   }
 }
 
 /** Whether the complete output was sent on a link, so that the attempt only has to be released. */
-function isDelivered(attempt: attemptTable.Attempt): boolean {
-  const isSent = attempt.nextToSend === attempt.tokens.length;
-  return !attemptTable.isOpen(attempt) && !attempt.isPaused && isSent;
+function isSent(attempt: attemptTable.Attempt): boolean {
+  const hasSentAll = attempt.nextToSend === attempt.tokens.length;
+  return !attemptTable.isOpen(attempt) && !attempt.isPaused && hasSentAll;
 }
--- a/src/entry/node/attempt_client.ts
+++ b/src/entry/node/attempt_client.ts
@@ -84,6 +84,17 @@
     );
   }
 
+  /** Lets the output be kept for the short time in which the caller may miss its end and reconnect. */
+  releaseDelivered(target: generationMachine.AttemptTarget): void {
+    void this.call(target, client =>
+      client.calls.detach.mutate({
+        ...target,
+        isPause: false,
+        isDelivered: true,
+      }),
+    );
+  }
+
   private async call<T>(
     target: generationMachine.AttemptTarget,
     action: (
--- a/src/entry/node/completion_handler.ts
+++ b/src/entry/node/completion_handler.ts
@@ -198,7 +198,9 @@
           response,
           request.model,
           request.promptTokens,
-          this.listener,
+          this.listener(target =>
+            this.dependencies.generations.release(target),
+          ),
         );
     const generation = this.dependencies.generations.start(
       request,
@@ -278,13 +280,17 @@
       model,
       requestClass,
       this.dependencies.metrics,
-      this.listener,
+      this.listener(target =>
+        this.dependencies.generations.releaseDelivered(target),
+      ),
     );
   }
 
-  private get listener(): completionSinks.SinkListener {
+  private listener(
+    onDidComplete: completionSinks.SinkListener['onDidComplete'],
+  ): completionSinks.SinkListener {
     return {
-      onDidComplete: target => this.dependencies.generations.release(target),
+      onDidComplete,
       onDidAnswer: (code, work) =>
         this.dependencies.metrics.answers.inc({code: String(code), work}),
     };
--- a/src/entry/node/generation_service.ts
+++ b/src/entry/node/generation_service.ts
@@ -377,10 +377,15 @@
     generation.sink.finish(target, finishReason, length);
   }
 
-  /** Releases an attempt whose caller has its answer. */
+  /** Releases an attempt whose caller has its complete answer and cannot resume it. */
   release(target: generationMachine.AttemptTarget): void {
     this.client.release(target, false);
   }
+
+  /** Releases an attempt whose stream was handed to the caller's connection, which may still lose its end. */
+  releaseDelivered(target: generationMachine.AttemptTarget): void {
+    this.client.releaseDelivered(target);
+  }
 }
 
 function poisonRefusal(): failure.Failure {
--- a/src/protocol/common/side_calls.ts
+++ b/src/protocol/common/side_calls.ts
@@ -27,6 +27,8 @@
   incarnation: zod.z.string(),
   /** The caller is still connected but reads slowly: the run continues without a time limit. */
   isPause: zod.z.boolean(),
+  /** The complete output was handed to the caller's connection; absent in messages of older builds. */
+  isDelivered: zod.z.boolean().optional(),
 });
 export type Detach = zod.z.infer<typeof detachSchema>;
 
--- a/src/side/node/generation_host.ts
+++ b/src/side/node/generation_host.ts
@@ -124,6 +124,7 @@
     }
     attempt.link = input.link;
     attempt.isPaused = false;
+    attempt.isDelivered = false;
     attempt.nextToSend = Math.min(input.fromIndex, attempt.tokens.length);
     this.links().markPending(attempt);
     this.loop.request();
@@ -139,6 +140,7 @@
       attempt.isPaused = true;
       return;
     }
+    attempt.isDelivered = input.isDelivered === true;
     this.markDetached(attempt);
   }
 
--- a/src/side/node/side_process.ts
+++ b/src/side/node/side_process.ts
@@ -32,6 +32,8 @@
 
 const EXIT_POLL_MILLISECONDS = 50;
 const TOMBSTONE_MILLISECONDS = 600_000;
+/** Time in which a caller whose connection lost the end of a stream can come back for it, in milliseconds. */
+const DELIVERED_RETENTION_MILLISECONDS = 5_000;
 
 /** Settings and dependencies of a side process. */
 export interface SideProcessOptions {
@@ -269,6 +271,7 @@
       detachment: {
         reattachGraceMilliseconds: attempts.reattach_grace_milliseconds,
         retentionMilliseconds: attempts.retention_milliseconds,
+        deliveredMilliseconds: DELIVERED_RETENTION_MILLISECONDS,
         tombstoneMilliseconds: TOMBSTONE_MILLISECONDS,
       },
       capacityTokens: endpoint.capacity_tokens,
--- a/test/decision/detachment_system.test.ts
+++ b/test/decision/detachment_system.test.ts
@@ -7,6 +7,7 @@
 const test = ava.default;
 const GRACE = 1_000;
 const RETENTION = 5_000;
+const DELIVERED = 2_000;
 const {AttemptState} = attemptTable;
 
 interface Case {
@@ -42,6 +43,15 @@
     isEnded: true,
     after: RETENTION,
   },
+  {
+    title: 'ended and handed to the connection of its caller',
+    change: row => {
+      row.link = '';
+      row.isDelivered = true;
+    },
+    isEnded: true,
+    after: DELIVERED,
+  },
   {
     title: 'ended and not sent yet',
     change: () => undefined,
@@ -74,6 +84,7 @@
     const system = new detachmentSystem.DetachmentSystem({
       reattachGraceMilliseconds: GRACE,
       retentionMilliseconds: RETENTION,
+      deliveredMilliseconds: DELIVERED,
       tombstoneMilliseconds: 60_000,
     });
     const at = after ?? 1_000_000;
--- a/test/processes/exactly_once.test.ts
+++ b/test/processes/exactly_once.test.ts
@@ -46,11 +46,34 @@
       reader.lastEventId,
     );
     await rest.ended;
-    t.true(rest.reader.isDone);
+    t.true(rest.reader.isDone, rest.reader.body);
     t.true(callers.isOneRun([...reader.texts, ...rest.reader.texts], LENGTH));
   });
 }
 
+for (const received of [LENGTH - 1, LENGTH]) {
+  test(`a caller that read ${received} tokens of a stream sent to its end receives the rest through another entry`, async t => {
+    const [first, second] = t.context.entries;
+    const request = callers.generation(LENGTH, 'lost end');
+    const {reader, ended} = await callers.openStream(first.url, request);
+    await ended;
+    t.true(reader.isDone);
+    const rest = await callers.openStream(
+      second.url,
+      request,
+      reader.eventIds[received - 1],
+    );
+    await rest.ended;
+    t.true(rest.reader.isDone, rest.reader.body);
+    t.true(
+      callers.isOneRun(
+        [...reader.texts.slice(0, received), ...rest.reader.texts],
+        LENGTH,
+      ),
+    );
+  });
+}
+
 test('a caller that reconnects to the same entry receives every token once and in order', async t => {
   const url = t.context.entries[0].url;
   const request = callers.generation(LENGTH, 'come back');
