--- a/src/entry/node/completion_handler.ts
+++ b/src/entry/node/completion_handler.ts
@@ -198,9 +198,7 @@
           response,
           request.model,
           request.promptTokens,
-          this.listener(target =>
-            this.dependencies.generations.release(target),
-          ),
+          this.listener(false),
         );
     const generation = this.dependencies.generations.start(
       request,
@@ -280,17 +278,14 @@
       model,
       requestClass,
       this.dependencies.metrics,
-      this.listener(target =>
-        this.dependencies.generations.releaseDelivered(target),
-      ),
+      this.listener(true),
     );
   }
 
-  private listener(
-    onDidComplete: completionSinks.SinkListener['onDidComplete'],
-  ): completionSinks.SinkListener {
+  private listener(isResumable: boolean): completionSinks.SinkListener {
     return {
-      onDidComplete,
+      onDidComplete: target =>
+        this.dependencies.generations.release(target, isResumable),
       onDidAnswer: (code, work) =>
         this.dependencies.metrics.answers.inc({code: String(code), work}),
     };
--- a/src/entry/node/generation_service.ts
+++ b/src/entry/node/generation_service.ts
@@ -377,14 +377,11 @@
     generation.sink.finish(target, finishReason, length);
   }
 
-  /** Releases an attempt whose caller has its complete answer and cannot resume it. */
-  release(target: generationMachine.AttemptTarget): void {
-    this.client.release(target, false);
-  }
-
-  /** Releases an attempt whose stream was handed to the caller's connection, which may still lose its end. */
-  releaseDelivered(target: generationMachine.AttemptTarget): void {
-    this.client.releaseDelivered(target);
+  /** Releases an attempt whose answer was handed to the caller's connection, which may still lose the end of a resumable one. */
+  release(target: generationMachine.AttemptTarget, isResumable: boolean): void {
+    return isResumable
+      ? this.client.releaseDelivered(target)
+      : this.client.release(target, false);
   }
 }
 
