--- a/src/entry/node/attempt_client.ts
+++ b/src/entry/node/attempt_client.ts
@@ -84,8 +84,14 @@
     );
   }
 
-  /** Lets the output be kept for the short time in which the caller may miss its end and reconnect. */
-  releaseDelivered(target: generationMachine.AttemptTarget): void {
+  /** Releases an attempt whose answer was sent. A resumable one is kept for the short time in which the caller may miss its end and reconnect. */
+  releaseDelivered(
+    target: generationMachine.AttemptTarget,
+    isResumable: boolean,
+  ): void {
+    if (!isResumable) {
+      return this.release(target, false);
+    }
     void this.call(target, client =>
       client.calls.detach.mutate({
         ...target,
--- a/src/entry/node/generation_service.ts
+++ b/src/entry/node/generation_service.ts
@@ -379,9 +379,7 @@
 
   /** Releases an attempt whose answer was handed to the caller's connection, which may still lose the end of a resumable one. */
   release(target: generationMachine.AttemptTarget, isResumable: boolean): void {
-    return isResumable
-      ? this.client.releaseDelivered(target)
-      : this.client.release(target, false);
+    this.client.releaseDelivered(target, isResumable);
   }
 }
 
