Fleet: membership and dissemination whose cost does not grow with the fleet

A digest over 8,000 bytes was not sent at all. Change: a subsystem under gateway/common/fleet (members, failure detection, rumors, pages, loads, election; pure, stepped) and gateway/node/fleet (datagrams, state over HTTP). Probes of one member an interval, with indirect ones, decide who is live; changes travel as rumors that each gateway passes on once to four members; pages repair. Only loads still go to all, when they change. Loads of peers are summed as reports arrive, not at each placement. The watch duty goes to wide instances first, and the others take over in the order of their ranks.

--- a/bench/naive/naive_gateway.ts
+++ b/bench/naive/naive_gateway.ts
@@ -8,9 +8,9 @@
 import * as httpServer from '../../src/base/node/http_server';
 import * as instanceClient from '../../src/gateway/common/instance_client';
 import * as instanceTable from '../../src/gateway/common/instance_table';
-import * as peerDigest from '../../src/gateway/common/peer_digest';
+import * as memberTable from '../../src/gateway/common/fleet/member_table';
 import * as routeIndex from '../../src/gateway/common/route_index';
-import * as watcherElection from '../../src/gateway/common/watcher_election';
+import * as watcherElection from '../../src/gateway/common/fleet/watcher_election';
 import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
 import * as stateFollower from '../../src/gateway/node/state_follower';
 import * as platformAdapter from '../../src/platform/platform_adapter';
@@ -23,10 +23,11 @@
   .readGatewaySettings(platformAdapter.settingsPath())
   ._unsafeUnwrap();
 const log = new jsonLog.JsonLog({gateway: settings.instance.name});
-const peers = new peerDigest.PeerTable(settings.instance.ip, []);
+const {ip, name} = settings.instance;
+const members = new memberTable.MemberTable({ip, name, isWide: true}, []);
 const follower = new stateFollower.StateFollower(
   platformAdapter.createStateSource(settings.platform.store, () => undefined),
-  new watcherElection.WatcherElection(settings.instance.name, peers),
+  new watcherElection.WatcherElection(members),
   log,
 );
 const client = platformAdapter.createInstanceClient(() => undefined);
--- a/src/gateway/common/crash_table.ts
+++ b/src/gateway/common/crash_table.ts
@@ -27,6 +27,12 @@
 export class CrashTable {
   private readonly crashes = new Map<string, Map<string, SeenCrash>>();
   private readonly clearedAt = new Map<string, number>();
+  private additions = 0;
+
+  /** Number of crashes added so far. */
+  get additionCount(): number {
+    return this.additions;
+  }
 
   /** Adds a crash seen by this gateway or by a peer; the crash of one instance counts once. */
   add(crash: Crash, now: number): void {
@@ -40,6 +46,7 @@
       return;
     }
     seen.set(crash.life, {crash, at: now});
+    this.additions++;
     this.crashes.delete(crash.fingerprint);
     this.crashes.set(crash.fingerprint, seen);
     if (this.crashes.size > MAX_FINGERPRINTS) {
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -119,7 +119,7 @@
  */
 export function placeGeneration(
   instances: readonly instanceTable.Instance[],
-  loads: ReadonlyMap<string, runTable.InstanceLoad>,
+  loads: runTable.LoadView,
   request: GenerationRequest,
   now: number,
 ): GenerationChoice | undefined {
--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -39,8 +39,11 @@
   readonly at: number;
 }
 
-/** Age after which the loads of a peer are ignored, in milliseconds. */
-const PEER_LOAD_LIFETIME_MILLISECONDS = 3_000;
+/** Loads of all engines as known at one moment. */
+export interface LoadView {
+  /** Load of the instance, or undefined if it has none. */
+  get(instanceId: string): InstanceLoad | undefined;
+}
 
 /** Memory that the run is expected to need at its end, in tokens. */
 export function expectedFinalMemory(run: Run): number {
@@ -52,10 +55,16 @@
   return run.promptTokens + expected;
 }
 
-/** Holds the runs of this gateway and the loads reported by its peers. */
+/**
+ * Holds the runs of this gateway and the loads reported by its peers. The sum
+ * over the peers is kept up to date with each report, so that a placement costs
+ * the same whatever their number.
+ */
 export class RunTable {
   private readonly runs = new Set<Run>();
+  /** Reports by peer, the oldest first. */
   private readonly peers = new Map<string, PeerLoads>();
+  private readonly peerTotals = new Map<string, InstanceLoad>();
 
   get size(): number {
     return this.runs.size;
@@ -78,8 +87,27 @@
     return [...this.runs].filter(run => run.instanceId === instanceId);
   }
 
+  /** Replaces the loads of a peer. */
   setPeerLoads(peer: string, loads: LoadsByInstance, now: number): void {
+    this.removePeer(peer);
     this.peers.set(peer, {loads, at: now});
+    this.addToTotals(loads, 1);
+  }
+
+  /** Removes the loads of peers that were last reported before the time. */
+  removeReportsBefore(time: number): void {
+    for (const [peer, report] of this.peers) {
+      if (report.at >= time) {
+        return;
+      }
+      this.removePeer(peer);
+    }
+  }
+
+  /** Age of the oldest and number of all reports included in the sums, for the log. */
+  oldestReportAge(now: number): number | undefined {
+    const first = this.peers.values().next();
+    return first.done === true ? undefined : now - first.value.at;
   }
 
   /** Load caused by the runs of this gateway alone, to be sent to peers. */
@@ -100,30 +128,44 @@
     return loads;
   }
 
-  /** Load of every instance from the runs of this gateway and recent reports of its peers. */
-  totalLoads(now: number): Map<string, InstanceLoad> {
-    const totals = new Map<string, InstanceLoad>();
-    merge(totals, this.ownLoads());
-    for (const [peer, report] of this.peers) {
-      if (now - report.at > PEER_LOAD_LIFETIME_MILLISECONDS) {
-        this.peers.delete(peer);
-        continue;
-      }
-      merge(totals, report.loads);
+  /** Loads of all instances from the runs of this gateway and the reports of its peers. */
+  view(): LoadView {
+    const own = this.ownLoads();
+    return {
+      get: instanceId => {
+        const ownLoad = own[instanceId];
+        const peerLoad = this.peerTotals.get(instanceId);
+        if (ownLoad === undefined || peerLoad === undefined) {
+          const load = ownLoad ?? peerLoad;
+          return load && {...load};
+        }
+        return {
+          runs: ownLoad.runs + peerLoad.runs,
+          memoryTokens: ownLoad.memoryTokens + peerLoad.memoryTokens,
+          prefillTokens: ownLoad.prefillTokens + peerLoad.prefillTokens,
+        };
+      },
+    };
+  }
+
+  private removePeer(peer: string): void {
+    const report = this.peers.get(peer);
+    if (report !== undefined) {
+      this.peers.delete(peer);
+      this.addToTotals(report.loads, -1);
     }
-    return totals;
   }
-}
 
-function merge(
-  totals: Map<string, InstanceLoad>,
-  loads: LoadsByInstance,
-): void {
-  for (const [instanceId, load] of Object.entries(loads)) {
-    const total = totals.get(instanceId) ?? {...IDLE};
-    total.runs += load.runs;
-    total.memoryTokens += load.memoryTokens;
-    total.prefillTokens += load.prefillTokens;
-    totals.set(instanceId, total);
+  private addToTotals(loads: LoadsByInstance, sign: 1 | -1): void {
+    for (const [instanceId, load] of Object.entries(loads)) {
+      const total = this.peerTotals.get(instanceId) ?? {...IDLE};
+      total.runs += sign * load.runs;
+      total.memoryTokens += sign * load.memoryTokens;
+      total.prefillTokens += sign * load.prefillTokens;
+      this.peerTotals.set(instanceId, total);
+      if (total.runs <= 0) {
+        this.peerTotals.delete(instanceId);
+      }
+    }
   }
 }
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -117,7 +117,7 @@
       !this.isOver &&
       this.services.retries.tryAcquire(
         this.call.endpointName,
-        this.services.peers.gatewayCount(),
+        this.services.members.gatewayCount(),
         now,
       )
     );
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -1,70 +1,75 @@
-/** Exchanges digests and changes with other gateways over UDP, and fetches complete state over HTTP if a peer has newer state. */
+/** Sends and receives the datagrams between gateways, and applies what they say. */
 import * as dgram from 'node:dgram';
-import * as http from 'node:http';
 import * as rxjs from 'rxjs';
-import * as disposable from '../../base/common/disposable';
-import * as httpClient from '../../base/node/http_client';
-import * as jsonLog from '../../base/node/json_log';
-import * as crashTable from '../common/crash_table';
-import * as engineReports from '../common/engine_reports';
-import * as fetchDelay from '../common/fetch_delay';
-import * as instanceRegistry from '../common/instance_registry';
-import * as peerDigest from '../common/peer_digest';
-import * as runTable from '../common/run_table';
-import * as stateFollower from './state_follower';
-
-/** Interval between digests if there are few peers, in milliseconds. */
-const MIN_INTERVAL_MILLISECONDS = 200;
-/** Maximum number of digests that one gateway sends per second. */
-const MAX_DIGESTS_PER_SECOND = 100;
-/** Time allowed for a configuration that a peer already has to arrive from the store, in milliseconds. */
-const STORE_READ_WAIT_MILLISECONDS = 150;
-/** Time allowed for instances that a peer already has to arrive in a datagram, in milliseconds. */
-const RELAY_WAIT_MILLISECONDS = 20;
-const FETCH_TIMEOUT_MILLISECONDS = 800;
-/** Maximum size of a message, in bytes; always fits one datagram. */
-const MAX_MESSAGE_BYTES = 8_000;
-const STATE_PATH = '/v1/state';
-
-/** Content of one datagram. */
-interface PeerMessage {
-  readonly digest: peerDigest.PeerDigest;
-  /** Instance changes that the sender read from the source. */
-  readonly change?: instanceRegistry.RegistryChange;
-}
-
-/** Name and addresses by which peers know this gateway. */
+import * as disposable from '../../../base/common/disposable';
+import * as jsonLog from '../../../base/node/json_log';
+import * as crashTable from '../../common/crash_table';
+import * as engineReports from '../../common/engine_reports';
+import * as fleetMessage from '../../common/fleet/fleet_message';
+import * as gossip from '../../common/fleet/gossip';
+import * as loadBroadcast from '../../common/fleet/load_broadcast';
+import * as memberTable from '../../common/fleet/member_table';
+import * as peerDigest from '../../common/fleet/peer_digest';
+import * as watcherElection from '../../common/fleet/watcher_election';
+import * as instanceRegistry from '../../common/instance_registry';
+import * as runTable from '../../common/run_table';
+import * as gatewayMetrics from '../gateway_metrics';
+import * as stateFollower from '../state_follower';
+import * as stateTransfer from './state_transfer';
+
+/** Interval of checks what is to be sent, in milliseconds. */
+const CHECK_INTERVAL_MILLISECONDS = 100;
+/** Interval at which a gateway that cannot reach the source it watches says so, in milliseconds. */
+const AWAY_INTERVAL_MILLISECONDS = 2_000;
+/** Tokens to which memory is rounded when loads are compared, so that each event of a stream is not a change. */
+const MEMORY_GRAIN_TOKENS = 256;
+
+/** Addresses at which peers reach this gateway. */
 export interface PeerSettings {
-  readonly name: string;
-  readonly ip: string;
   /** IP and port at which state is served; empty to serve none. */
   readonly stateAddress: string;
+  /** UDP port of all gateways. */
   readonly digestPort: number;
 }
 
+/** What the exchange reads and updates. */
+export interface ExchangeTables {
+  readonly members: memberTable.MemberTable;
+  readonly runs: runTable.RunTable;
+  readonly crashes: crashTable.CrashTable;
+  readonly reports: engineReports.EngineReports;
+}
+
 /** Exchanges state with the other gateways. */
-export class PeerExchange implements disposable.Disposable {
+export class FleetExchange implements disposable.Disposable {
   private readonly socket = dgram.createSocket('udp4');
-  private readonly server = http.createServer((request, response) =>
-    this.serveState(request, response),
-  );
-  private timer: NodeJS.Timeout | undefined;
-  private readonly configurationFetchDelay = new fetchDelay.FetchDelay();
-  private readonly instancesFetchDelay = new fetchDelay.FetchDelay();
+  private readonly gossip: gossip.Gossip;
+  private readonly transfer: stateTransfer.StateTransfer;
+  private readonly loads = new loadBroadcast.LoadBroadcast();
+  private readonly disposables = new disposable.DisposableStore();
   private readonly subscriptions: rxjs.Subscription[] = [];
-  private isFetching = false;
+  private pagedAt = -Infinity;
+  private beaconAt = -Infinity;
+  private wasSourceAway = false;
+  /** Number of crashes added so far that peers told of or were told of. */
+  private knownCrashes = 0;
   /** Monotonic time at which this process ends, in milliseconds; undefined unless it is shutting down. */
   private endsAt: number | undefined;
 
   constructor(
     private readonly settings: PeerSettings,
-    private readonly peers: peerDigest.PeerTable,
+    private readonly tables: ExchangeTables,
     private readonly follower: stateFollower.StateFollower,
-    private readonly runs: runTable.RunTable,
-    private readonly crashes: crashTable.CrashTable,
-    private readonly reports: engineReports.EngineReports,
+    private readonly metrics: gatewayMetrics.GatewayMetrics,
     private readonly log: jsonLog.JsonLog,
-  ) {}
+  ) {
+    this.gossip = new gossip.Gossip(
+      tables.members,
+      now => this.digest(now),
+      process.pid + Math.floor(Math.random() * 2 ** 31),
+    );
+    this.transfer = new stateTransfer.StateTransfer(follower, log);
+  }
 
   start(): void {
     this.socket.on('message', (bytes, sender) =>
@@ -73,109 +78,149 @@
     this.socket.on('error', error =>
       this.log.write('peer-socket-failed', {error: error.message}, true),
     );
-    this.socket.bind(this.settings.digestPort, this.settings.ip);
-    const separator = this.settings.stateAddress.lastIndexOf(':');
-    if (separator > 0) {
-      this.server.on('error', error =>
-        this.log.write('peer-server-failed', {error: error.message}, true),
-      );
-      this.server.listen(
-        Number(this.settings.stateAddress.slice(separator + 1)),
-        this.settings.stateAddress.slice(0, separator),
-      );
-    }
+    this.socket.bind(this.settings.digestPort, this.tables.members.own.ip);
+    this.transfer.listen(this.settings.stateAddress);
     this.subscriptions.push(
       this.follower.onDidReadChange.subscribe(change => this.relay(change)),
       this.follower.onDidChangeConfiguration.subscribe(() => this.relay()),
     );
-    this.schedule();
+    this.disposables.add(
+      disposable.every(CHECK_INTERVAL_MILLISECONDS, () => this.check()),
+    );
   }
 
   dispose(): void {
     this.subscriptions.forEach(each => each.unsubscribe());
-    clearTimeout(this.timer);
+    this.disposables.dispose();
     this.socket.close();
-    this.server.close();
-    this.server.closeAllConnections();
+    this.transfer.dispose();
   }
 
   /** Immediately announces to the peers when this process will end. */
   announceShutdown(endsAt: number): void {
     this.endsAt = endsAt;
-    this.sendMessage();
+    this.send(this.gossip.spread(performance.now(), true), 'rumor');
   }
 
   /** Relays what was read from the source, if this gateway watches it. */
   private relay(change?: instanceRegistry.RegistryChange): void {
     if (this.follower.isWatching) {
-      this.sendMessage(change);
+      this.beaconAt = performance.now();
+      this.send(this.gossip.spread(this.beaconAt, true, change), 'rumor');
     }
   }
 
-  private schedule(): void {
-    const count = this.peers.addresses().length;
-    const interval = Math.max(
-      MIN_INTERVAL_MILLISECONDS,
-      (count * 1000) / MAX_DIGESTS_PER_SECOND,
-    );
-    this.timer = setTimeout(() => {
-      this.sendMessage();
-      this.schedule();
-    }, interval);
-    this.timer.unref();
-  }
-
-  private sendMessage(change?: instanceRegistry.RegistryChange): void {
-    const message: PeerMessage = {digest: this.digest(), change};
-    let bytes = Buffer.from(JSON.stringify(message));
-    if (bytes.length > MAX_MESSAGE_BYTES && change !== undefined) {
-      // Peers detect missing changes by the position in the digest and fetch them.
-      bytes = Buffer.from(JSON.stringify({digest: message.digest}));
+  private check(): void {
+    const now = performance.now();
+    const {members, runs, crashes} = this.tables;
+    const liveCount = members.live().length;
+    this.metrics.fleetMembers.set(liveCount);
+    runs.removeReportsBefore(now - loadBroadcast.loadLifetime(liveCount));
+    if (now - this.pagedAt >= gossip.GOSSIP_INTERVAL_MILLISECONDS) {
+      this.pagedAt = now;
+      this.send(this.gossip.step(now), 'page');
     }
-    if (bytes.length > MAX_MESSAGE_BYTES) {
-      this.log.write('peer-digest-too-large', {bytes: bytes.length});
-      return;
+    const hasNewCrashes = crashes.additionCount > this.knownCrashes;
+    if (this.isBeaconDue(now) || hasNewCrashes) {
+      this.beaconAt = now;
+      this.knownCrashes = crashes.additionCount;
+      this.send(this.gossip.spread(now, hasNewCrashes), 'rumor');
     }
-    for (const ip of this.peers.addresses()) {
-      // The next digest makes up for a lost message.
-      this.socket.send(bytes, this.settings.digestPort, ip, () => undefined);
+    if (this.loads.isDue(this.loadSignature(), liveCount, now)) {
+      this.send(this.gossip.broadcast(now), 'loads');
     }
   }
 
-  private digest(): peerDigest.PeerDigest {
-    const now = performance.now();
-    const {follower} = this;
+  /** Whether peers are to be told that this gateway watches the source, or that it cannot reach it. */
+  private isBeaconDue(now: number): boolean {
+    const {isWatching, isSourceUnavailable} = this.follower;
+    const hasChanged = isSourceUnavailable !== this.wasSourceAway;
+    this.wasSourceAway = isSourceUnavailable;
+    const interval = isSourceUnavailable
+      ? AWAY_INTERVAL_MILLISECONDS
+      : watcherElection.BEACON_INTERVAL_MILLISECONDS;
+    return isWatching && (hasChanged || now - this.beaconAt >= interval);
+  }
+
+  /** Identifies the loads of the runs of this gateway up to small differences. */
+  private loadSignature(): string {
+    return Object.entries(this.tables.runs.ownLoads())
+      .map(([id, load]) => {
+        const memory = Math.round(load.memoryTokens / MEMORY_GRAIN_TOKENS);
+        return `${id}/${load.runs}/${memory}/${load.prefillTokens}`;
+      })
+      .join();
+  }
+
+  private send(outgoing: readonly gossip.Outgoing[], kind: string): void {
+    for (const {message, ips} of outgoing) {
+      if (ips.length === 0) {
+        continue;
+      }
+      const {bytes, omitted} = fleetMessage.encode(message);
+      if (omitted.length > 0) {
+        this.log.write('fleet-message-reduced', {kind, omitted});
+      }
+      this.metrics.fleetMessages.inc({direction: 'sent', kind}, ips.length);
+      this.metrics.fleetBytes.inc(
+        {direction: 'sent', kind},
+        ips.length * bytes.length,
+      );
+      for (const ip of ips) {
+        // Later messages make up for a lost one.
+        this.socket.send(bytes, this.settings.digestPort, ip, () => undefined);
+      }
+    }
+  }
+
+  private digest(now: number): peerDigest.PeerDigest {
+    const {follower, tables} = this;
+    const {own} = tables.members;
     const sourceAge = follower.sourceAge(now);
-    const reports = this.reports.toRelay(now);
+    const reports = tables.reports.toRelay(now);
     return {
-      name: this.settings.name,
+      name: own.name,
       stateAddress: this.settings.stateAddress,
       configurationVersion: follower.configurationVersion,
       instancesPosition: follower.instancesPosition,
       isSourceAway: follower.isSourceUnavailable,
       sourceAgeMilliseconds:
         sourceAge === undefined ? undefined : Math.round(sourceAge),
-      loads: this.runs.ownLoads(),
-      crashes: this.crashes.recent(),
+      loads: tables.runs.ownLoads(),
+      crashes: tables.crashes.recent(),
       reports: reports.length > 0 ? reports : undefined,
-      peers: this.peers.recentIps(now),
+      peers: [],
       endsInMilliseconds:
         this.endsAt === undefined ? undefined : Math.round(this.endsAt - now),
+      isWide: own.isWide,
     };
   }
 
   private receive(bytes: Buffer, ip: string): void {
     const now = performance.now();
-    const message = parseMessage(bytes);
+    const message = fleetMessage.parse(bytes);
+    const kind = message === undefined ? 'unreadable' : kindOf(message);
+    this.metrics.fleetMessages.inc({direction: 'received', kind});
+    this.metrics.fleetBytes.inc({direction: 'received', kind}, bytes.length);
     if (message === undefined) {
       this.log.write('peer-digest-unreadable', {ip, bytes: bytes.length});
       return;
     }
+    const received = this.gossip.receive(message, ip, now);
+    this.send(received.outgoing, kind);
+    if (received.isNew) {
+      this.apply(message, now);
+    }
+  }
+
+  private apply(message: fleetMessage.FleetMessage, now: number): void {
     const {digest, change} = message;
-    this.peers.addDigest(ip, digest, now);
-    this.runs.setPeerLoads(digest.name, digest.loads, now);
-    this.reports.addRelayed(digest.reports ?? [], now);
-    digest.crashes.forEach(crash => this.crashes.add(crash, now));
+    const {runs, reports, crashes} = this.tables;
+    runs.setPeerLoads(digest.name, digest.loads, now);
+    reports.addRelayed(digest.reports ?? [], now);
+    const crashesBefore = crashes.additionCount;
+    digest.crashes.forEach(crash => crashes.add(crash, now));
+    this.knownCrashes += crashes.additionCount - crashesBefore;
     if (change !== undefined && !this.follower.isWatching) {
       this.follower.applyRelayedChange(change, digest.name);
     }
@@ -185,95 +230,17 @@
         now - digest.sourceAgeMilliseconds,
       );
     }
-    this.fetchNewerState(digest, now);
-  }
-
-  /** Fetches newer state that a peer has: from the store, and from the peer if the store does not deliver it. */
-  private fetchNewerState(digest: peerDigest.PeerDigest, now: number): void {
-    const {follower} = this;
-    const hasNewerConfiguration =
-      digest.configurationVersion > follower.configurationVersion;
-    if (hasNewerConfiguration && !follower.isWatching) {
-      void follower.refreshConfiguration(0);
-    }
-    const isConfigurationDue =
-      hasNewerConfiguration &&
-      this.configurationFetchDelay.hasElapsed(
-        digest.configurationVersion,
-        follower.configurationVersion,
-        now,
-        follower.isSourceUnavailable ? 0 : STORE_READ_WAIT_MILLISECONDS,
-      );
-    const mayFetchInstances =
-      follower.isSourceUnavailable ||
-      (!follower.isWatching && digest.sourceAgeMilliseconds !== undefined);
-    const areInstancesDue =
-      mayFetchInstances &&
-      digest.instancesPosition > follower.instancesPosition &&
-      this.instancesFetchDelay.hasElapsed(
-        digest.instancesPosition,
-        follower.instancesPosition,
-        now,
-        follower.isSourceUnavailable ? 0 : RELAY_WAIT_MILLISECONDS,
-      );
-    const isDue = isConfigurationDue || areInstancesDue;
-    if (isDue && digest.stateAddress !== '' && !this.isFetching) {
-      void this.fetchState(digest);
-    }
-  }
-
-  private async fetchState(digest: peerDigest.PeerDigest): Promise<void> {
-    this.isFetching = true;
-    try {
-      const answer = await httpClient.callHttp({
-        method: 'GET',
-        url: `http://${digest.stateAddress}${STATE_PATH}`,
-        timeoutMilliseconds: FETCH_TIMEOUT_MILLISECONDS,
-      });
-      const state = JSON.parse(
-        answer.body.toString('utf8'),
-      ) as peerDigest.PeerState;
-      this.follower.applyPeerState(state, digest.name);
-    } catch (error) {
-      this.log.write('peer-state-unavailable', {
-        peer: digest.name,
-        error: String(error),
-      });
-    } finally {
-      this.isFetching = false;
-    }
-  }
-
-  private serveState(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): void {
-    if (request.url !== STATE_PATH) {
-      response.writeHead(404).end();
-      return;
-    }
-    const body = JSON.stringify(this.follower.peerState());
-    response
-      .writeHead(200, {
-        'Content-Type': 'application/json',
-        'Content-Length': Buffer.byteLength(body),
-      })
-      .end(body);
+    this.transfer.fetchNewerState(digest, now);
   }
 }
 
-function parseMessage(bytes: Buffer): PeerMessage | undefined {
-  try {
-    const message = JSON.parse(bytes.toString('utf8')) as PeerMessage;
-    const {digest, change} = message;
-    const isDigest =
-      typeof digest.name === 'string' &&
-      Array.isArray(digest.crashes) &&
-      Array.isArray(digest.peers);
-    const isChange = change === undefined || Array.isArray(change.changes);
-    return isDigest && isChange ? message : undefined;
-  } catch {
-    // `receive` logs unreadable datagrams.
-    return undefined;
+/** Name of a received message in metrics. */
+function kindOf({fleet}: fleetMessage.FleetMessage): string {
+  if (fleet === undefined) {
+    return 'legacy';
+  }
+  if (fleet.rumor !== undefined) {
+    return 'rumor';
   }
+  return fleet.members === undefined ? 'loads' : 'page';
 }
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -18,6 +18,9 @@
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
   readonly copies: promClient.Counter<'outcome'>;
+  readonly fleetMembers: promClient.Gauge;
+  readonly fleetMessages: promClient.Counter<'direction' | 'kind'>;
+  readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
   readonly openRequests: promClient.Gauge;
   readonly waiting: promClient.Gauge;
 
@@ -57,6 +60,20 @@
       'Copies of running generations by outcome',
       ['outcome'],
     );
+    this.fleetMembers = registry.gauge(
+      'rhubarbvane_gateway_fleet_members',
+      'Other gateways with a recent sign of life',
+    );
+    this.fleetMessages = registry.counter(
+      'rhubarbvane_gateway_fleet_messages_total',
+      'Datagrams between gateways',
+      ['direction', 'kind'],
+    );
+    this.fleetBytes = registry.counter(
+      'rhubarbvane_gateway_fleet_bytes_total',
+      'Bytes of datagrams between gateways, without headers',
+      ['direction', 'kind'],
+    );
     this.openRequests = registry.gauge(
       'rhubarbvane_gateway_open_requests',
       'Requests of callers without a whole answer',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -7,21 +7,21 @@
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as crashTable from '../common/crash_table';
 import * as engineReports from '../common/engine_reports';
+import * as memberTable from '../common/fleet/member_table';
+import * as watcherElection from '../common/fleet/watcher_election';
 import * as instanceClient from '../common/instance_client';
-import * as peerDigest from '../common/peer_digest';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
 import * as tokenPace from '../common/token_pace';
-import * as watcherElection from '../common/watcher_election';
 import * as callerServer from './caller_server';
 import * as evacuationManager from './evacuation_manager';
+import * as fleetExchange from './fleet/fleet_exchange';
 import * as gatewayMetrics from './gateway_metrics';
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as generationScheduler from './generation_scheduler';
 import * as observabilityServer from './observability_server';
-import * as peerExchange from './peer_exchange';
 import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
 import * as stateFollower from './state_follower';
@@ -31,6 +31,8 @@
 /** Time before the end of the grace period at which the process exits even if requests are still running, in milliseconds. */
 const GRACE_MARGIN_MILLISECONDS = 300;
 const SHUTDOWN_CHECK_MILLISECONDS = 50;
+/** Link width from which a gateway watches the store for others first, in Mbit/s. */
+const WIDE_LINK_MEGABITS = 100;
 /** Interval of checks whether the process was suspended, in milliseconds. */
 const SUSPENSION_CHECK_MILLISECONDS = 200;
 /** Suspension after which all state is read again, in milliseconds. */
@@ -53,7 +55,7 @@
   private readonly services: gatewayServices.GatewayServices;
   private readonly handler: requestHandler.RequestHandler;
   private readonly server: callerServer.CallerServer;
-  private readonly exchange: peerExchange.PeerExchange;
+  private readonly exchange: fleetExchange.FleetExchange;
   private isShuttingDown = false;
   private lastCheckAt = performance.now();
   private lastUptime = os.uptime() * 1000;
@@ -64,13 +66,14 @@
     const crashes = new crashTable.CrashTable();
     const reports = new engineReports.EngineReports();
     const predictor = new lengthPredictor.LengthPredictor();
-    const peers = new peerDigest.PeerTable(
-      settings.instance.ip,
+    const {ip, name, link_megabits: linkMegabits} = settings.instance;
+    const members = new memberTable.MemberTable(
+      {ip, name, isWide: linkMegabits >= WIDE_LINK_MEGABITS},
       seedIps(settings),
     );
     const follower = new stateFollower.StateFollower(
       options.source,
-      new watcherElection.WatcherElection(settings.instance.name, peers),
+      new watcherElection.WatcherElection(members),
       log,
     );
     const scheduler = new generationScheduler.GenerationScheduler(
@@ -78,7 +81,7 @@
       runs,
       predictor,
       settings.instance.data_centre,
-      peers,
+      members,
       reports,
     );
     this.services = {
@@ -90,7 +93,7 @@
       runs,
       crashes,
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
-      peers,
+      members,
       predictor,
       pace: new tokenPace.TokenPace(),
       scheduler,
@@ -111,18 +114,14 @@
       (request, response) => this.handler.handle(request, response),
       log,
     );
-    this.exchange = new peerExchange.PeerExchange(
+    this.exchange = new fleetExchange.FleetExchange(
       {
-        name: settings.instance.name,
-        ip: settings.instance.ip,
         stateAddress: settings.listen.peers,
         digestPort: settings.peers.digest_port,
       },
-      peers,
+      {members, runs, crashes, reports},
       follower,
-      runs,
-      crashes,
-      reports,
+      options.metrics,
       log,
     );
     this.disposables.add(
@@ -218,8 +217,8 @@
 
   /** Applies the settings that can change at run time: peer seeds and the retry budget. */
   reload(settings: gatewaySettings.GatewaySettings): void {
-    const {peers, retries} = this.services;
-    seedIps(settings).forEach(ip => peers.addIp(ip));
+    const {members, retries} = this.services;
+    seedIps(settings).forEach(ip => members.addIp(ip));
     retries.setPolicy(retryPolicy(settings));
     const hasOnlyReloadableChanges =
       JSON.stringify({...settings, peers: {}, retries: {}}) ===
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -2,8 +2,8 @@
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as jsonLog from '../../base/node/json_log';
 import * as crashTable from '../common/crash_table';
+import * as memberTable from '../common/fleet/member_table';
 import * as instanceClient from '../common/instance_client';
-import * as peerDigest from '../common/peer_digest';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as tokenPace from '../common/token_pace';
@@ -22,7 +22,7 @@
   readonly runs: runTable.RunTable;
   readonly crashes: crashTable.CrashTable;
   readonly retries: retryLimiter.RetryLimiter;
-  readonly peers: peerDigest.PeerTable;
+  readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
   readonly pace: tokenPace.TokenPace;
   readonly scheduler: generationScheduler.GenerationScheduler;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -4,7 +4,7 @@
 import * as engineReports from '../common/engine_reports';
 import * as generationQueue from '../common/generation_queue';
 import * as instanceTable from '../common/instance_table';
-import * as peerDigest from '../common/peer_digest';
+import * as memberTable from '../common/fleet/member_table';
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
@@ -67,7 +67,7 @@
     private readonly runs: runTable.RunTable,
     private readonly predictor: lengthPredictor.LengthPredictor,
     private readonly dataCentre: string,
-    private readonly peers: peerDigest.PeerTable,
+    private readonly members: memberTable.MemberTable,
     private readonly reports: engineReports.EngineReports,
   ) {
     this.timer = setInterval(
@@ -120,7 +120,7 @@
         draw: Math.random,
         promptTokens: run.promptTokens,
         expectedTokens: run.expectedTokens,
-        gatewayCount: this.peers.gatewayCount(),
+        gatewayCount: this.members.gatewayCount(),
       },
       now,
     );
@@ -148,16 +148,19 @@
   }
 
   /** Loads as accounted for by the gateways, with memory raised to at least what engines report. */
-  private loads(now: number): Map<string, runTable.InstanceLoad> {
-    const loads = this.runs.totalLoads(now);
-    for (const [id, load] of loads) {
-      const report = this.reports.get(id, now);
-      if (report !== undefined) {
-        load.memoryTokens = Math.max(load.memoryTokens, report.memoryTokens);
-        load.queuedRuns = report.queuedRuns;
-      }
-    }
-    return loads;
+  private loads(now: number): runTable.LoadView {
+    const view = this.runs.view();
+    return {
+      get: id => {
+        const load = view.get(id);
+        const report = load && this.reports.get(id, now);
+        if (load !== undefined && report !== undefined) {
+          load.memoryTokens = Math.max(load.memoryTokens, report.memoryTokens);
+          load.queuedRuns = report.queuedRuns;
+        }
+        return load;
+      },
+    };
   }
 
   /** Memory that all runs and copies are expected to need, as a share of the memory of the engines that accept work. */
@@ -211,7 +214,7 @@
         expectedTokens: expected,
         capacityTokens: engine?.memoryTokens || Infinity,
         remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
-        gatewayCount: this.peers.gatewayCount(),
+        gatewayCount: this.members.gatewayCount(),
         isCopy: false,
       },
       now,
--- a/src/gateway/node/report_reader.ts
+++ b/src/gateway/node/report_reader.ts
@@ -81,7 +81,7 @@
   }
 
   private enginesNearCapacity(now: number): instanceTable.Instance[] {
-    const loads = this.runs.totalLoads(now);
+    const loads = this.runs.view();
     return this.engines().filter(instance => {
       const {id, endpoint} = instance.record;
       const engine = this.follower.routes?.findEndpoint(endpoint)?.engine;
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -161,7 +161,7 @@
   private refuseBeforeShutdown(context: callContext.CallContext): void {
     const now = performance.now();
     const left = this.endsAt! - now;
-    const availability = this.services.peers.availability(now);
+    const availability = this.services.members.availability(now);
     context.log('refused-before-end', {
       ends_in_ms: Math.round(left),
       staying_peers: availability.stayingCount,
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -5,11 +5,11 @@
 import * as jsonLog from '../../base/node/json_log';
 import * as instanceRegistry from '../common/instance_registry';
 import * as instanceTable from '../common/instance_table';
-import * as peerDigest from '../common/peer_digest';
+import * as peerDigest from '../common/fleet/peer_digest';
 import * as retiredNames from '../common/retired_names';
 import * as routeIndex from '../common/route_index';
 import * as stateSource from '../common/state_source';
-import * as watcherElection from '../common/watcher_election';
+import * as watcherElection from '../common/fleet/watcher_election';
 import * as sourceHealth from './source_health';
 
 const {SourceKind} = sourceHealth;
--- a/standins/tcp_relay.ts
+++ b/standins/tcp_relay.ts
@@ -57,6 +57,11 @@
     return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
   }
 
+  /** Whether bytes are forwarded without interference. */
+  get isPassing(): boolean {
+    return this.mode === RelayMode.Pass;
+  }
+
   setMode(mode: RelayMode): void {
     this.mode = mode;
     for (const connection of this.connections) {
