Fleet: configurations come from the peer that announced them; fewer store reads before rejections

Change: a gateway that does not watch fetches a new configuration from the peer and reads the store only if that fails; a rejection by a configuration confirmed within 1.2 s needs no read (before: 0.25 s), since changes arrive within a second.

--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -7,8 +7,8 @@
 import * as peerDigest from '../../common/fleet/peer_digest';
 import * as stateFollower from '../state_follower';
 
-/** Time allowed for a configuration that a peer already has to arrive from the store, in milliseconds. */
-const STORE_READ_WAIT_MILLISECONDS = 150;
+/** Time allowed for a configuration that a peer already has to arrive by the own watch, in milliseconds. */
+const WATCH_WAIT_MILLISECONDS = 150;
 /** Time allowed for instances that a peer already has to arrive in a datagram, in milliseconds. */
 const RELAY_WAIT_MILLISECONDS = 20;
 const FETCH_TIMEOUT_MILLISECONDS = 800;
@@ -22,6 +22,8 @@
   private readonly configurationFetchDelay = new fetchDelay.FetchDelay();
   private readonly instancesFetchDelay = new fetchDelay.FetchDelay();
   private isFetching = false;
+  /** Last digest with newer state that arrived during a fetch. */
+  private next: peerDigest.PeerDigest | undefined;
 
   constructor(
     private readonly follower: stateFollower.StateFollower,
@@ -48,38 +50,57 @@
     this.server.closeAllConnections();
   }
 
-  /** Fetches newer state that a peer has: from the store, and from the peer if the store does not deliver it. */
+  /**
+   * Fetches newer state that a peer has. Gateways that do not watch take a
+   * configuration from the peer at once, so that the calls to the store do not
+   * grow with the fleet, and read the store if that fails; those that watch
+   * give their own watch time first.
+   */
   fetchNewerState(digest: peerDigest.PeerDigest, now: number): void {
-    const {follower} = this;
-    const hasNewerConfiguration =
-      digest.configurationVersion > follower.configurationVersion;
-    if (hasNewerConfiguration && !follower.isWatching) {
-      void follower.refreshConfiguration(0);
+    const isDue =
+      this.isConfigurationDue(digest, now) || this.areInstancesDue(digest, now);
+    if (!isDue || digest.stateAddress === '') {
+      return;
+    }
+    if (this.isFetching) {
+      this.next = digest;
+      return;
     }
-    const isConfigurationDue =
-      hasNewerConfiguration &&
+    void this.fetchState(digest);
+  }
+
+  private isConfigurationDue(
+    digest: peerDigest.PeerDigest,
+    now: number,
+  ): boolean {
+    const {follower} = this;
+    const mayWait = follower.isWatching && !follower.isSourceUnavailable;
+    return (
+      digest.configurationVersion > follower.configurationVersion &&
       this.configurationFetchDelay.hasElapsed(
         digest.configurationVersion,
         follower.configurationVersion,
         now,
-        follower.isSourceUnavailable ? 0 : STORE_READ_WAIT_MILLISECONDS,
-      );
-    const mayFetchInstances =
+        mayWait ? WATCH_WAIT_MILLISECONDS : 0,
+      )
+    );
+  }
+
+  private areInstancesDue(digest: peerDigest.PeerDigest, now: number): boolean {
+    const {follower} = this;
+    const mayFetch =
       follower.isSourceUnavailable ||
       (!follower.isWatching && digest.sourceAgeMilliseconds !== undefined);
-    const areInstancesDue =
-      mayFetchInstances &&
+    return (
+      mayFetch &&
       digest.instancesPosition > follower.instancesPosition &&
       this.instancesFetchDelay.hasElapsed(
         digest.instancesPosition,
         follower.instancesPosition,
         now,
         follower.isSourceUnavailable ? 0 : RELAY_WAIT_MILLISECONDS,
-      );
-    const isDue = isConfigurationDue || areInstancesDue;
-    if (isDue && digest.stateAddress !== '' && !this.isFetching) {
-      void this.fetchState(digest);
-    }
+      )
+    );
   }
 
   private async fetchState(digest: peerDigest.PeerDigest): Promise<void> {
@@ -99,9 +120,17 @@
         peer: digest.name,
         error: String(error),
       });
+      if (digest.configurationVersion > this.follower.configurationVersion) {
+        void this.follower.refreshConfiguration(0);
+      }
     } finally {
       this.isFetching = false;
     }
+    const {next} = this;
+    this.next = undefined;
+    if (next !== undefined) {
+      this.fetchNewerState(next, performance.now());
+    }
   }
 
   private serveState(
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -17,8 +17,12 @@
 
 const {ResultCode} = resultCode;
 
-/** Maximum age of a configuration by which an unknown route or key is rejected, in milliseconds. */
-const REJECTION_MAX_AGE_MILLISECONDS = 250;
+/**
+ * Maximum age of a configuration by which an unknown route or key is rejected,
+ * in milliseconds. Changes arrive by watches and peers within a second; the
+ * age of a confirmed configuration rises to 2 s between two answers of a watch.
+ */
+const REJECTION_MAX_AGE_MILLISECONDS = 1_200;
 /** The same for routes and keys that this gateway has seen removed; a watch confirms the configuration at least as often while the store answers. */
 const RETIRED_MAX_AGE_MILLISECONDS = 2_500;
 /** Retry delay while there is no configuration, in seconds. */
