--- /dev/null
+++ b/test/gateway/common/fleet/fleet_message.test.ts
@@ -0,0 +1,99 @@
+/** Messages between gateways: bounds, other builds and bad input. */
+import * as ava from 'ava';
+import * as fastCheck from 'fast-check';
+import * as fleetMessage from '../../../../src/gateway/common/fleet/fleet_message';
+import * as memberTable from '../../../../src/gateway/common/fleet/member_table';
+import * as runTable from '../../../../src/gateway/common/run_table';
+
+const test = ava.default;
+const SEED = 20_261_204;
+
+function message(
+  loads: runTable.LoadsByInstance = {},
+): fleetMessage.FleetMessage {
+  return {
+    digest: {
+      name: 'gateway-1',
+      stateAddress: '10.0.0.1:8748',
+      configurationVersion: 7,
+      instancesPosition: 12.5,
+      isSourceAway: false,
+      loads,
+      crashes: [],
+      peers: [],
+    },
+    fleet: {
+      incarnation: 3,
+      members: [
+        ['10.0.0.2', 'gateway-2', 1, memberTable.MemberState.Live, -1, 0],
+      ],
+    },
+  };
+}
+
+test('fleet messages: loads of 1,400 engines are sent, reduced to the heaviest', t => {
+  const loads = Object.fromEntries(
+    Array.from({length: 1_400}, (_, index) => [
+      `i-${index}`,
+      {runs: 1, memoryTokens: index, prefillTokens: 0},
+    ]),
+  );
+  const {bytes, omitted} = fleetMessage.encode(message(loads));
+  t.true(bytes.length <= fleetMessage.MAX_MESSAGE_BYTES);
+  t.true(omitted.includes('loads'));
+  const read = fleetMessage.parse(bytes);
+  t.is(read?.digest.configurationVersion, 7);
+  const kept = Object.values(read?.digest.loads ?? {});
+  t.true(kept.length > 0);
+  t.true(kept.every(load => load.memoryTokens >= 1_400 - kept.length));
+});
+
+test('fleet messages: one that fits is read as it was written', t => {
+  const written = message({i: {runs: 1, memoryTokens: 2, prefillTokens: 3}});
+  const {bytes, omitted} = fleetMessage.encode(written);
+  t.deepEqual(omitted, []);
+  t.deepEqual(fleetMessage.parse(bytes), written);
+});
+
+test('fleet messages: a digest of the build before is read, and its reader finds the fields it requires', t => {
+  const {digest} = message();
+  const old = {digest: {...digest, peers: ['10.0.0.9']}};
+  t.deepEqual(fleetMessage.parse(Buffer.from(JSON.stringify(old))), old);
+  const read = JSON.parse(fleetMessage.encode(message()).bytes.toString());
+  t.is(typeof read.digest.name, 'string');
+  t.true(Array.isArray(read.digest.crashes));
+  t.true(Array.isArray(read.digest.peers));
+});
+
+test('fleet messages: any bytes, and any message with a part replaced, are read or rejected without an error', t => {
+  const parts: (keyof fleetMessage.FleetMessage['digest'])[] = [
+    'name',
+    'loads',
+    'crashes',
+    'peers',
+    'configurationVersion',
+    'instancesPosition',
+  ];
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.uint8Array({maxLength: 300}),
+      fastCheck.constantFrom(...parts),
+      fastCheck.jsonValue(),
+      (bytes, part, value) => {
+        fleetMessage.parse(bytes);
+        const {digest, fleet} = message();
+        const changed = {digest: {...digest, [part]: value}, fleet};
+        const read = fleetMessage.parse(Buffer.from(JSON.stringify(changed)));
+        return read === undefined || Array.isArray(read.digest.crashes);
+      },
+    ),
+    {seed: SEED, numRuns: 500},
+  );
+  const number = JSON.stringify(message()).replace('12.5', '1e999');
+  t.is(fleetMessage.parse(Buffer.from(number)), undefined);
+});
+
+test('fleet messages: one over the bound is rejected', t => {
+  const large = JSON.stringify({...message(), padding: 'x'.repeat(8_000)});
+  t.is(fleetMessage.parse(Buffer.from(large)), undefined);
+});
--- /dev/null
+++ b/test/gateway/state_transfer.test.ts
@@ -0,0 +1,135 @@
+/** Where a gateway that hears of a newer configuration gets it from. */
+import * as ava from 'ava';
+import * as neverthrow from 'neverthrow';
+import * as jsonLog from '../../src/base/node/json_log';
+import * as memberTable from '../../src/gateway/common/fleet/member_table';
+import * as peerDigest from '../../src/gateway/common/fleet/peer_digest';
+import * as watcherElection from '../../src/gateway/common/fleet/watcher_election';
+import * as stateSource from '../../src/gateway/common/state_source';
+import * as stateTransfer from '../../src/gateway/node/fleet/state_transfer';
+import * as stateFollower from '../../src/gateway/node/state_follower';
+import * as freePorts from '../../standins/free_ports';
+import * as gatewayRecords from '../support/gateway_records';
+
+const test = ava.default;
+const IP = '127.0.0.1';
+const OTHERS = 8;
+/** Keeps digests recent for the whole test, however long it takes. */
+const FAR_AHEAD_MILLISECONDS = 3_600_000;
+
+/** Offers one version; counts reads; watches never answer. */
+class CountingSource extends stateSource.StateSource {
+  reads = 0;
+
+  constructor(public version: number) {
+    super();
+  }
+
+  async readConfiguration() {
+    this.reads++;
+    const value = gatewayRecords.configurationOf({version: this.version});
+    return neverthrow.ok({revision: this.version, value});
+  }
+
+  watchConfiguration(): ReturnType<
+    stateSource.StateSource['watchConfiguration']
+  > {
+    return new Promise(() => undefined);
+  }
+
+  async listInstances(): ReturnType<stateSource.StateSource['listInstances']> {
+    return neverthrow.ok({revision: 1, value: []});
+  }
+
+  watchInstances(): ReturnType<stateSource.StateSource['watchInstances']> {
+    return new Promise(() => undefined);
+  }
+}
+
+function digestOf(
+  index: number,
+  configurationVersion: number,
+  stateAddress: string,
+): peerDigest.PeerDigest {
+  return {
+    name: `gateway-${index}`,
+    stateAddress,
+    configurationVersion,
+    instancesPosition: 0,
+    isSourceAway: false,
+    sourceAgeMilliseconds: 0,
+    loads: {},
+    crashes: [],
+    peers: [],
+    isWide: true,
+  };
+}
+
+/** A gateway among others that watch for it. */
+function createFollower(source: CountingSource): stateFollower.StateFollower {
+  const own = {ip: '10.0.0.1', name: 'gateway-0', isWide: false};
+  const members = new memberTable.MemberTable(own, []);
+  for (let index = 1; index <= OTHERS; index++) {
+    const receivedAt = performance.now() + FAR_AHEAD_MILLISECONDS;
+    const digest = digestOf(index, 1, '');
+    members.addDigest(`10.0.1.${index}`, digest, 0, receivedAt);
+  }
+  return new stateFollower.StateFollower(
+    source,
+    new watcherElection.WatcherElection(members),
+    new jsonLog.JsonLog({}, '/dev/null'),
+  );
+}
+
+function createTransfer(
+  t: ava.ExecutionContext,
+  follower: stateFollower.StateFollower,
+): stateTransfer.StateTransfer {
+  const transfer = new stateTransfer.StateTransfer(
+    follower,
+    new jsonLog.JsonLog({}, '/dev/null'),
+  );
+  t.teardown(() => transfer.dispose());
+  t.teardown(() => follower.dispose());
+  return transfer;
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+}
+
+/** A follower that has version 1 and lets others watch. */
+async function startedFollower(source: CountingSource) {
+  const follower = createFollower(source);
+  follower.start();
+  await until(() => follower.configurationVersion === 1);
+  await until(() => !follower.isWatching);
+  return follower;
+}
+
+test('state transfer: a gateway that does not watch takes a newer configuration from the peer, without a call to the store', async t => {
+  const ahead = createFollower(new CountingSource(2));
+  await ahead.readConfiguration();
+  const address = `${IP}:${await freePorts.freeStreamPort(IP)}`;
+  createTransfer(t, ahead).listen(address);
+  const source = new CountingSource(1);
+  const follower = await startedFollower(source);
+  const transfer = createTransfer(t, follower);
+  const readsBefore = source.reads;
+  transfer.fetchNewerState(digestOf(1, 2, address), performance.now());
+  await until(() => follower.configurationVersion === 2);
+  t.is(source.reads, readsBefore);
+});
+
+test('state transfer: a gateway whose peer does not answer reads the newer configuration from the store', async t => {
+  const source = new CountingSource(1);
+  const follower = await startedFollower(source);
+  const transfer = createTransfer(t, follower);
+  const refusing = `${IP}:${await freePorts.freeStreamPort(IP)}`;
+  source.version = 2;
+  transfer.fetchNewerState(digestOf(1, 2, refusing), performance.now());
+  await until(() => follower.configurationVersion === 2);
+  t.is(follower.configurationVersion, 2);
+});
