--- a/src/gateway/common/fleet/member_table.ts
+++ b/src/gateway/common/fleet/member_table.ts
@@ -138,7 +138,9 @@
     member.isWide = digest.isWide === true;
     // A restarted gateway learns its former incarnation only when it is suspected.
     member.incarnation =
-      incarnation && Math.max(incarnation, member.incarnation ?? 0);
+      incarnation === undefined
+        ? undefined
+        : Math.max(incarnation, member.incarnation ?? 0);
     member.entry = {digest, receivedAt: now};
     member.lastHeardAt = now;
     this.update(
--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -104,7 +104,7 @@
     }
   }
 
-  /** Age of the oldest and number of all reports included in the sums, for the log. */
+  /** Age of the oldest peer report included in the sums, in milliseconds; undefined without any. */
   oldestReportAge(now: number): number | undefined {
     const first = this.peers.values().next();
     return first.done === true ? undefined : now - first.value.at;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -251,6 +251,7 @@
         queued_there: loads.get(instance.record.id)?.queuedRuns,
         instances_position: this.follower.instancesPosition,
         reporting_peers: this.runs.peerCount,
+        oldest_report_ms: roundedAge(this.runs.oldestReportAge(now)),
       },
       instance,
     );
@@ -265,6 +266,10 @@
   return Math.max(0, Math.min(9, Math.round(priority)));
 }
 
+function roundedAge(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/test/gateway/common/fleet/member_table.test.ts
+++ b/test/gateway/common/fleet/member_table.test.ts
@@ -84,6 +84,13 @@
   t.is(members.gatewayCount(), 2);
 });
 
+test('members: a restarted gateway, which knows no former incarnation, keeps it at its peers', t => {
+  const members = table();
+  members.addDigest('10.0.0.9', digest(), 5, 0);
+  members.addDigest('10.0.0.9', digest(), 0, 10);
+  t.is(members.get('10.0.0.9')?.incarnation, 5);
+});
+
 test('members: a gateway that is suspected, or hears of an earlier process at its address, raises its incarnation above it', t => {
   const members = table();
   members.addRelayed(['10.0.0.1', 'gateway-1', 57, MemberState.Live, -1, 0], 0);
