--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -1,5 +1,4 @@
 /** The gateway process: serves callers, follows the platform's state, and lets running requests finish within the grace period when it shuts down. */
-import * as os from 'node:os';
 import * as deadline from '../../base/common/deadline';
 import * as disposable from '../../base/common/disposable';
 import * as jsonLog from '../../base/node/json_log';
@@ -13,6 +12,7 @@
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
+import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
 import * as callerServer from './caller_server';
 import * as evacuationManager from './evacuation_manager';
@@ -35,8 +35,6 @@
 const WIDE_LINK_MEGABITS = 100;
 /** Interval of checks whether the process was suspended, in milliseconds. */
 const SUSPENSION_CHECK_MILLISECONDS = 200;
-/** Suspension after which all state is read again, in milliseconds. */
-const MIN_SUSPENSION_MILLISECONDS = 1_500;
 
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions {
@@ -57,8 +55,10 @@
   private readonly server: callerServer.CallerServer;
   private readonly exchange: fleetExchange.FleetExchange;
   private isShuttingDown = false;
-  private lastCheckAt = performance.now();
-  private lastUptime = os.uptime() * 1000;
+  private readonly suspensions = new suspensionDetector.SuspensionDetector(
+    performance.now(),
+    Date.now(),
+  );
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, log, client} = options;
@@ -234,19 +234,11 @@
     this.disposables.dispose();
   }
 
-  /**
-   * Reads all state again if the process was suspended, since it is then
-   * outdated. The monotonic clock does not count time for which the machine was
-   * suspended; the system uptime does.
-   */
+  /** Reads all state again if the process was suspended, since it is then outdated. */
   private checkForSuspension(): void {
-    const now = performance.now();
-    const uptime = os.uptime() * 1000;
     this.options.metrics.waiting.set(this.services.scheduler.waitingCount);
-    const gap = Math.max(now - this.lastCheckAt, uptime - this.lastUptime);
-    this.lastCheckAt = now;
-    this.lastUptime = uptime;
-    if (gap < MIN_SUSPENSION_MILLISECONDS) {
+    const gap = this.suspensions.check(performance.now(), Date.now());
+    if (gap === undefined) {
       return;
     }
     this.options.log.write('stood-still', {gap_ms: Math.round(gap)}, true);
