--- a/src/side/node/side_process.ts
+++ b/src/side/node/side_process.ts
@@ -32,7 +32,7 @@
 
 const EXIT_POLL_MILLISECONDS = 50;
 const TOMBSTONE_MILLISECONDS = 600_000;
-/** Time in which a caller whose connection lost the end of a stream can come back for it, in milliseconds. */
+/** Retention of a stream after its delivery, in milliseconds: time for a caller whose connection lost the end to reconnect. */
 const DELIVERED_RETENTION_MILLISECONDS = 5_000;
 
 /** Settings and dependencies of a side process. */
