--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -31,6 +31,11 @@
     return this.isHeadWritten;
   }
 
+  /** Number of bytes received of an event that is not complete. */
+  get pendingBytes(): number {
+    return this.splitter.pendingBytes;
+  }
+
   /** Id of the last event that the caller has received; undefined before the first. */
   get lastEventId(): string | undefined {
     return this.lastId;
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -194,8 +194,13 @@
     if (isLoss && !context.isOver) {
       context.recordCrash(instance);
     }
-    if (end !== SegmentEnd.Completed || this.segmentCount > 1) {
-      this.log('stream-leg-ended', {end, instance: instance.record.id});
+    if (this.segmentCount > 1 || !this.segment!.hasMarkedEnd) {
+      const fields = this.segment!.describeEnd();
+      this.log('stream-leg-ended', {
+        end,
+        instance: instance.record.id,
+        ...fields,
+      });
     }
   }
 
@@ -281,7 +286,7 @@
       return this.placeOnOtherInstance(previous);
     }
     if (end === SegmentEnd.Failed) {
-      this.deliverFailure();
+      this.segment!.deliverFailure();
       return undefined;
     }
     if (end === SegmentEnd.NotRun && context.sendsThatMayHaveRun === 0) {
@@ -334,19 +339,6 @@
     return {instance: choice.instance, continuation: undefined};
   }
 
-  private deliverFailure(): void {
-    const {context} = this;
-    const {answer, body} = this.segment!.failure!;
-    context.log('instance-failure-delivered', {status: answer.status});
-    context.finish('instance-failure');
-    context.response.writeHead(answer.status, [
-      ...answer.passedHeaders,
-      'Content-Length',
-      String(body.length),
-    ]);
-    context.response.end(body);
-  }
-
   private expire(): void {
     const {context} = this;
     if (context.isOver) {
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -25,10 +25,20 @@
   readonly body: Buffer;
 }
 
+/** How the body of an event stream ended. */
+interface BodyEnd {
+  /** Whether the end of the body was marked, by a length or by chunks. */
+  readonly isDelimited: boolean;
+  /** Number of bytes received of an event that is not complete. */
+  readonly pendingBytes: number;
+  /** Why the body is known to be truncated; undefined if its framing is intact. */
+  readonly truncation: string | undefined;
+}
+
 /** Receives the answer of one instance and delivers its events. */
 export class StreamSegment {
-  /** Set if the segment ended with a failure. */
-  failure: FailureAnswer | undefined;
+  private failure: FailureAnswer | undefined;
+  private bodyEnd: BodyEnd | undefined;
   /** Why no answer was received; undefined if one was. */
   error: instanceClient.SendError | undefined;
 
@@ -43,6 +53,41 @@
     this.exchange.cancel();
   }
 
+  /** Whether the framing of the answer proves that its event stream is complete. */
+  get hasMarkedEnd(): boolean {
+    const {bodyEnd} = this;
+    return (
+      bodyEnd !== undefined &&
+      bodyEnd.isDelimited &&
+      bodyEnd.pendingBytes === 0 &&
+      bodyEnd.truncation === undefined
+    );
+  }
+
+  /** Fields of the log line about the end of the segment. */
+  describeEnd(): Readonly<Record<string, unknown>> {
+    return {
+      error: this.error,
+      delimited: this.bodyEnd?.isDelimited,
+      pending_bytes: this.bodyEnd?.pendingBytes,
+      truncation: this.bodyEnd?.truncation,
+    };
+  }
+
+  /** Delivers the failure that the instance answered with. */
+  deliverFailure(): void {
+    const {context} = this;
+    const {answer, body} = this.failure!;
+    context.log('instance-failure-delivered', {status: answer.status});
+    context.finish('instance-failure');
+    context.response.writeHead(answer.status, [
+      ...answer.passedHeaders,
+      'Content-Length',
+      String(body.length),
+    ]);
+    context.response.end(body);
+  }
+
   /** Resolves when the segment has ended. */
   async receive(): Promise<SegmentEnd> {
     const result = await this.exchange.response;
@@ -78,16 +123,31 @@
           }
         },
         onDidEnd: () => {
+          this.recordBodyEnd(answer);
           if (!isAbandoned && !this.context.isOver) {
             this.delivery.finish(answer);
           }
           resolve(SegmentEnd.Completed);
         },
-        onDidFail: () => resolve(SegmentEnd.Broken),
+        onDidFail: reason => {
+          this.recordBodyEnd(answer, reason);
+          resolve(SegmentEnd.Broken);
+        },
       });
     });
   }
 
+  private recordBodyEnd(
+    answer: instanceClient.InstanceResponse,
+    truncation?: string,
+  ): void {
+    this.bodyEnd = {
+      isDelimited: answer.body.isDelimited,
+      pendingBytes: this.delivery.pendingBytes,
+      truncation,
+    };
+  }
+
   private collectFailure(
     answer: instanceClient.InstanceResponse,
   ): Promise<SegmentEnd> {
