--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -26,10 +26,18 @@
 const finish = streamUntil(LAST, response => response.end());
 
 /** Breaks off the first stream; later requests finish it. */
-function breakFirst(): replicaStandin.ReplicaHandler {
+function breakFirst(first = breakOff): replicaStandin.ReplicaHandler {
   let count = 0;
   return (request, response) =>
-    (count++ === 0 ? breakOff : finish)(request, response);
+    (count++ === 0 ? first : finish)(request, response);
+}
+
+/** Ends in order inside event 4, by the end of the connection or by a last chunk. */
+function endInsideEvent(isChunked: boolean): replicaStandin.ReplicaHandler {
+  return (request, response) => {
+    response.useChunkedEncodingByDefault = isChunked;
+    streamUntil(3, ended => ended.end('id: 4\nda'))(request, response);
+  };
 }
 
 test('stream: a whole stream is delivered unchanged', async t => {
@@ -164,3 +172,44 @@
   t.is(answer.headers['rhubarbvane-work'], 'not-run');
   t.is(gateway.requestCount, 1);
 });
+
+for (const isChunked of [false, true]) {
+  const framing = isChunked ? 'in chunks' : 'without length or chunks';
+
+  test(`stream: a stream ${framing} that ends inside an event does not reach its caller as complete`, async t => {
+    const behaviour = breakFirst(endInsideEvent(isChunked));
+    const gateway = await TestGateway.start(t, {
+      'i-1': ['writers', behaviour],
+      'i-2': ['writers', behaviour],
+    });
+    const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+    t.false(answer.isComplete);
+    t.is(answer.body, events(1, 3));
+  });
+
+  test(`stream: a resumable stream ${framing} that ends inside an event continues at another replica`, async t => {
+    const behaviour = breakFirst(endInsideEvent(isChunked));
+    const gateway = await TestGateway.start(t, {
+      'i-1': ['writers', behaviour],
+      'i-2': ['writers', behaviour],
+    });
+    const answer = await gateway.call('/tag/a', {method: 'POST', body: 'p'});
+    t.true(answer.isComplete);
+    t.is(answer.body, events(1, LAST));
+  });
+}
+
+test('stream: a whole stream without length or chunks is delivered as complete', async t => {
+  const gateway = await TestGateway.start(t, {
+    'i-1': [
+      'writers',
+      (request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        finish(request, response);
+      },
+    ],
+  });
+  const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.true(answer.isComplete);
+  t.is(answer.body, events(1, LAST));
+});
