Gateway: a stream that ends inside an event is broken off, not complete

Callers saw answers framed as complete whose last piece was missing, when the engine crashed in the middle of an event of an answer without length or chunks. Cause: the end of the transport was taken for the end of the stream. For an answer without length or chunks any orderly close counts as its end, and the delivery even passed on the bytes of the incomplete event. Ruled out: a switch to a copy or a stalled stream, each of which writes a line; a reset with the last bytes, which a test covers. Change: an incomplete event at the end makes the segment broken, whatever its framing, so the stream goes on from its copy, resumes by event id, or is broken off for its caller. Incomplete events are never delivered; takeRemainder is gone, and its test now checks that the bytes are held back and completed.

--- a/src/gateway/common/event_splitter.ts
+++ b/src/gateway/common/event_splitter.ts
@@ -39,13 +39,6 @@
     );
     return {bytes: bytes.subarray(0, end), ids, ends};
   }
-
-  /** Returns the bytes of the incomplete event and clears the buffer. */
-  takeRemainder(): Buffer {
-    const remainder = this.remainder;
-    this.remainder = Buffer.alloc(0);
-    return remainder;
-  }
 }
 
 /** Returns the offset after each empty line. */
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -1,6 +1,6 @@
 /**
  * Delivers the events of a generation to its caller, whichever instances they
- * come from. An incomplete event is held back unless it ends a complete stream.
+ * come from. An incomplete event is never delivered.
  * Events with numeric ids are neither repeated nor skipped when the stream
  * continues at another instance; events without ids cannot be compared.
  */
@@ -75,7 +75,7 @@
   finish(answer: instanceClient.InstanceResponse): void {
     this.writeHead(answer);
     this.context.finish('served');
-    this.context.response.end(this.splitter.takeRemainder());
+    this.context.response.end();
   }
 
   /** Adds the longest pause of the stream to the metrics. */
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -124,6 +124,9 @@
         },
         onDidEnd: () => {
           this.recordBodyEnd(answer);
+          if (this.delivery.pendingBytes > 0) {
+            return resolve(SegmentEnd.Broken);
+          }
           if (!isAbandoned && !this.context.isOver) {
             this.delivery.finish(answer);
           }
--- a/test/gateway/common/event_splitter.test.ts
+++ b/test/gateway/common/event_splitter.test.ts
@@ -45,10 +45,14 @@
   );
 });
 
-test('events: the bytes of an incomplete event are kept separately', t => {
+test('events: the bytes of an incomplete event are held back and counted until it is complete', t => {
   const splitter = new eventSplitter.EventSplitter();
   const events = splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))!;
   t.deepEqual(events.ids, ['1']);
-  t.is(splitter.takeRemainder().toString(), 'id: 2\nda');
+  t.is(events.bytes.toString(), 'id: 1\ndata: a\n\n');
+  t.is(splitter.pendingBytes, 'id: 2\nda'.length);
+  const completed = splitter.push(Buffer.from('ta: b\n\n'))!;
+  t.deepEqual(completed.ids, ['2']);
+  t.is(completed.bytes.toString(), 'id: 2\ndata: b\n\n');
   t.is(splitter.pendingBytes, 0);
 });
