Gateway: an answer without length or chunks that ends before its first event is broken off

The end of a connection is now taken for the end of a stream only after a whole event of that segment; before, the request starts again where the route allows it, or ends with 502.

--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -13,6 +13,7 @@
 export class EventDelivery {
   private splitter = new eventSplitter.EventSplitter();
   private isHeadWritten = false;
+  private hasReceivedEvents = false;
   private lastId: string | undefined;
   private firstEventAt = 0;
   private lastEventAt = 0;
@@ -31,6 +32,11 @@
     return this.isHeadWritten;
   }
 
+  /** Whether the current segment has had a whole event. */
+  get hasSegmentEvents(): boolean {
+    return this.hasReceivedEvents;
+  }
+
   /** Number of bytes received of an event that is not complete. */
   get pendingBytes(): number {
     return this.splitter.pendingBytes;
@@ -49,6 +55,7 @@
   /** Discards the incomplete event of the previous segment. */
   startSegment(): void {
     this.splitter = new eventSplitter.EventSplitter();
+    this.hasReceivedEvents = false;
   }
 
   /** Delivers the events that the chunk completes, without those already delivered; false if an event between them is missing. */
@@ -57,6 +64,7 @@
     if (events === undefined) {
       return true;
     }
+    this.hasReceivedEvents = true;
     const skipped = this.countDelivered(events.ids);
     if (skipped === undefined) {
       this.context.log('event-ids-not-contiguous', {
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -124,7 +124,7 @@
         },
         onDidEnd: () => {
           this.recordBodyEnd(answer);
-          if (this.delivery.pendingBytes > 0) {
+          if (!this.isWhole(answer)) {
             return resolve(SegmentEnd.Broken);
           }
           if (!isAbandoned && !this.context.isOver) {
@@ -140,6 +140,14 @@
     });
   }
 
+  /** Whether the end of the body is the end of the stream. */
+  private isWhole(answer: instanceClient.InstanceResponse): boolean {
+    const {hasSegmentEvents, pendingBytes} = this.delivery;
+    // Without a length or chunks the end of a connection alone is no sign of a complete stream.
+    const isEndCredible = answer.body.isDelimited || hasSegmentEvents;
+    return isEndCredible && pendingBytes === 0;
+  }
+
   private recordBodyEnd(
     answer: instanceClient.InstanceResponse,
     truncation?: string,
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -40,6 +40,15 @@
   };
 }
 
+/** Closes the connection in order after the headers of an answer without length or chunks. */
+const closeBeforeEvents: replicaStandin.ReplicaHandler = (
+  request,
+  response,
+) => {
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(200, answerHeaders(request)).end();
+};
+
 test('stream: a whole stream is delivered unchanged', async t => {
   const gateway = await TestGateway.start(t, {'i-1': ['writers', finish]});
   const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
@@ -213,3 +222,25 @@
   t.true(answer.isComplete);
   t.is(answer.body, events(1, LAST));
 });
+
+test('stream: an end without length or chunks before the first event is not taken for a complete empty stream', async t => {
+  const behaviour = breakFirst(closeBeforeEvents);
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', behaviour],
+    'i-2': ['writers', behaviour],
+  });
+  const lost = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.is(lost.status, 502);
+  t.is(lost.headers['rhubarbvane-work'], 'unknown');
+});
+
+test('stream: a resumable stream whose connection ends before the first event starts again elsewhere', async t => {
+  const behaviour = breakFirst(closeBeforeEvents);
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', behaviour],
+    'i-2': ['writers', behaviour],
+  });
+  const answer = await gateway.call('/tag/a', {method: 'POST', body: 'p'});
+  t.true(answer.isComplete);
+  t.is(answer.body, events(1, LAST));
+});
