--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -144,6 +144,12 @@
   return !isEncoded && (!isSuccess || answer.hasServerStamp);
 }
 
+/** Whether chunks are the last transfer coding; after any other the body ends with its connection (RFC 9112, section 6.3). */
+function isChunked(response: http.IncomingMessage): boolean {
+  const codings = response.headers['transfer-encoding'] ?? '';
+  return /(?:^|,)\s*chunked\s*$/i.test(codings);
+}
+
 class HttpBody implements instanceClient.ResponseBody {
   readonly isDelimited: boolean;
   /** Why the body ended, also if it is complete; undefined before. */
@@ -155,8 +161,7 @@
     private readonly hasSocketFailed: () => boolean,
   ) {
     this.isDelimited =
-      response.headers['content-length'] !== undefined ||
-      response.headers['transfer-encoding'] !== undefined;
+      response.headers['content-length'] !== undefined || isChunked(response);
     response.once('error', error => this.fail(String(error.message)));
     response.once('close', () => this.fail('closed'));
   }
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -121,6 +121,15 @@
     },
     expected: {status: 200, failure: 'ended early'},
   },
+  {
+    title:
+      'an answer in a transfer coding other than chunks whose reset arrives with its bytes',
+    answer: socket => {
+      socket.write(text([...SUCCESS, 'Transfer-Encoding: identity'], 'par'));
+      socket.resetAndDestroy();
+    },
+    expected: {status: 200, failure: 'ended early'},
+  },
   {
     title: 'an answer that ends before its length',
     answer: socket =>
