--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -86,17 +86,17 @@
       '',
       CONTROL_TIMEOUT_MILLISECONDS,
     );
-    if (answer?.status !== 200) {
+    const fields = answer?.fields;
+    if (answer?.status !== 200 || fields === undefined) {
       return undefined;
     }
     return {
-      eventsByRun: decodeRuns(answer.body.runs),
-      queuedRuns: Number(answer.body.queued ?? 0),
+      eventsByRun: decodeRuns(fields.runs),
+      queuedRuns: Number(fields.queued ?? 0),
       // Excludes cached parts of prompts, which are evicted to make room for runs.
-      memoryTokens: Number(answer.body.kvInUse ?? 0),
+      memoryTokens: Number(fields.kvInUse ?? 0),
       isLeaving:
-        answer.body.state === 'draining' ||
-        typeof answer.body.leaves_ms === 'number',
+        fields.state === 'draining' || typeof fields.leaves_ms === 'number',
     };
   }
 
@@ -130,7 +130,7 @@
           response.once('end', () =>
             resolve({
               status: response.statusCode ?? 0,
-              body: parseFields(Buffer.concat(chunks)),
+              fields: parseFields(Buffer.concat(chunks)),
             }),
           );
         },
@@ -148,18 +148,21 @@
 
 interface JsonAnswer {
   readonly status: number;
-  readonly body: Readonly<Record<string, unknown>>;
+  /** Undefined if the body is not a whole JSON object. */
+  readonly fields: Fields | undefined;
 }
 
-function parseFields(bytes: Buffer): Readonly<Record<string, unknown>> {
+type Fields = Readonly<Record<string, unknown>>;
+
+function parseFields(bytes: Buffer): Fields | undefined {
   try {
     const value = JSON.parse(bytes.toString('utf8')) as unknown;
     return typeof value === 'object' && value !== null
-      ? (value as Record<string, unknown>)
-      : {};
+      ? (value as Fields)
+      : undefined;
   } catch {
-    // Treated as an answer without fields; its status decides.
-    return {};
+    // The caller decides by the status what a missing body means.
+    return undefined;
   }
 }
 
@@ -176,15 +179,14 @@
 function decodeCopy(
   answer: JsonAnswer | undefined,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
+  const fields = answer?.fields;
   const handle =
-    answer?.body.kvHandle === undefined
-      ? undefined
-      : String(answer.body.kvHandle);
+    fields?.kvHandle === undefined ? undefined : String(fields.kvHandle);
   if (answer?.status === 200 && handle !== undefined) {
     return neverthrow.ok({
       handle,
       // Number of events generated so far, not a time of creation.
-      eventCount: Number(answer.body.created ?? 0),
+      eventCount: Number(fields?.created ?? 0),
     });
   }
   return neverthrow.err({error: copyErrorOf(answer?.status), handle});
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -246,3 +246,18 @@
     body: 'two',
   });
 });
+
+for (const [title, body] of [
+  ['cut in order, without a length', '{"queued":3,"kvInUse":12'],
+  ['empty', ''],
+  ['that is no object', '7'],
+] as const) {
+  test(`replica: a report ${title} is no report`, async t => {
+    const instance = await listen(t, socket =>
+      socket.end(text(['HTTP/1.1 200 OK'], body)),
+    );
+    const client = new instanceHttpClient.InstanceHttpClient();
+    t.teardown(() => client.dispose());
+    t.is(await client.readReport(instance), undefined);
+  });
+}
