--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -186,7 +186,7 @@
     }
     this.log('stream-broken-off', {reason});
     this.finish('broken-off');
-    this.response.destroy();
+    callerAnswer.abortAnswer(this.response);
   }
 
   /** Records the outcome; only the first one counts. */
--- a/src/gateway/node/caller_answer.ts
+++ b/src/gateway/node/caller_answer.ts
@@ -34,8 +34,7 @@
   status = statusOf(cause),
 ): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy();
-    return;
+    return abortAnswer(response);
   }
   const body = JSON.stringify(httpServer.failureBody(cause));
   const headers: http.OutgoingHttpHeaders = {
@@ -50,6 +49,15 @@
   response.writeHead(status, headers).end(body);
 }
 
+/** Ends a started answer so that its caller sees that it is incomplete. */
+export function abortAnswer(response: http.ServerResponse): void {
+  // Without chunks an orderly close would mark the end of the answer.
+  if (response.headersSent && !response.chunkedEncoding) {
+    response.socket?.resetAndDestroy();
+  }
+  response.destroy();
+}
+
 function statusOf(cause: failure.Failure): number {
   const {httpStatus} = resultCode.describeResult(cause.code);
   const promisesNotRun = [408, 421, 429, 503].includes(httpStatus);
--- a/src/gateway/node/caller_server.ts
+++ b/src/gateway/node/caller_server.ts
@@ -4,6 +4,7 @@
 import * as disposable from '../../base/common/disposable';
 import * as jsonLog from '../../base/node/json_log';
 import * as configuration from '../common/configuration';
+import * as callerAnswer from './caller_answer';
 
 /** Maximum size of headers that are parsed, in bytes. The configured limit is lower; a request over it gets a complete answer. */
 const MAX_PARSED_HEADER_BYTES = 65_536;
@@ -40,7 +41,7 @@
       response.once('close', () => this.openRequests--);
       handle(request, response).catch(error => {
         this.log.write('handler-failed', {error: String(error?.stack)}, true);
-        response.destroy();
+        callerAnswer.abortAnswer(response);
       });
     });
     this.server.on('clientError', (error, socket) =>
--- a/test/gateway/streams.test.ts
+++ b/test/gateway/streams.test.ts
@@ -1,4 +1,5 @@
 /** Streams to callers while replicas leave, disconnect or stop. */
+import * as net from 'node:net';
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
 import * as testGateway from '../support/test_gateway';
@@ -244,3 +245,30 @@
   t.true(answer.isComplete);
   t.is(answer.body, events(1, LAST));
 });
+
+test('stream: a stream broken off for a caller that cannot read chunks ends with a reset', async t => {
+  let breakReplica = () => undefined as void;
+  const gateway = await TestGateway.start(t, {
+    'i-1': [
+      'writers',
+      streamUntil(3, response => {
+        breakReplica = () => response.socket!.resetAndDestroy();
+      }),
+    ],
+  });
+  const socket = net.connect(gateway.process.port, '127.0.0.1');
+  let received = '';
+  socket.on('data', chunk => (received += chunk.toString()));
+  const ended = new Promise<string>(resolve => {
+    socket.once('error', error => resolve(String(error)));
+    socket.once('end', () => resolve('an orderly end'));
+  });
+  socket.write(
+    `POST /draft/a HTTP/1.0\r\nHost: ${testGateway.HOST}\r\nAuthorization: Bearer ${testGateway.KEY}\r\nX-Rhubarbvane-Attempt-Id: 00000000000000ab\r\nX-Rhubarbvane-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n`,
+  );
+  // A reset that arrives together with data is reported as an orderly end.
+  await gateway.until(() => received.includes('piece 3'));
+  breakReplica();
+  t.regex(await ended, /ECONNRESET/);
+  t.notRegex(received, /transfer-encoding/i);
+});
