Gateway: the close of a stream whose run this gateway stopped is not its end

Without a length or chunks that close looked like a complete stream, and the caller got a short answer framed as complete. Such a close is now a break; and as the stream may break before the move is answered, the call waits for the move, to go on from the copy instead of losing it. The test failed before (three of five events, complete).

--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -27,6 +27,8 @@
   private delivery!: eventDelivery.EventDelivery;
   private copies!: runCopies.RunCopies;
   private watch: stallWatch.StallWatch | undefined;
+  /** Ends when a run that was stopped has been moved; its stream may break before that. */
+  private pendingMove: Promise<void> | undefined;
   private segmentCount = 0;
   private hasExpired = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
@@ -221,12 +223,18 @@
   ): Promise<void> {
     const {segment} = this;
     if (decision === stallPolicy.StallDecision.Move) {
-      const {evacuations} = this.context.services;
-      this.copies.setCopy(await evacuations.moveStalledRun(this, instance));
+      segment?.expectStop();
+      this.pendingMove = this.moveRun(instance);
+      await this.pendingMove;
     }
     segment?.cancel();
   }
 
+  private async moveRun(source: instanceTable.Instance): Promise<void> {
+    const {evacuations} = this.context.services;
+    this.copies.setCopy(await evacuations.moveStalledRun(this, source));
+  }
+
   /** Returns where the stream continues; undefined if the call has ended. */
   private async chooseNextTarget(
     previous: instanceClient.RunTarget,
@@ -236,6 +244,7 @@
       return undefined;
     }
     if (end === SegmentEnd.Broken) {
+      await this.pendingMove;
       const copied = this.copies.take(performance.now());
       if (copied !== undefined) {
         return copied;
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -39,6 +39,7 @@
 export class StreamSegment {
   private failure: FailureAnswer | undefined;
   private bodyEnd: BodyEnd | undefined;
+  private isStopExpected = false;
   /** Why no answer was received; undefined if one was. */
   error: instanceClient.SendError | undefined;
 
@@ -48,6 +49,11 @@
     private readonly exchange: instanceClient.Exchange,
   ) {}
 
+  /** Announces that the instance is told to stop the run, upon which it closes the stream without its end. */
+  expectStop(): void {
+    this.isStopExpected = true;
+  }
+
   /** Closes the connection, which ends the segment. */
   cancel(): void {
     this.exchange.cancel();
@@ -144,7 +150,8 @@
   private isWhole(answer: instanceClient.InstanceResponse): boolean {
     const {hasSegmentEvents, pendingBytes} = this.delivery;
     // Without a length or chunks the end of a connection alone is no sign of a complete stream.
-    const isEndCredible = answer.body.isDelimited || hasSegmentEvents;
+    const isEndCredible =
+      answer.body.isDelimited || (hasSegmentEvents && !this.isStopExpected);
     return isEndCredible && pendingBytes === 0;
   }
 
--- a/test/gateway/copies.test.ts
+++ b/test/gateway/copies.test.ts
@@ -71,3 +71,47 @@
   finish();
   t.true((await answered).isComplete);
 });
+
+test('copies: the close of a stream whose run was stopped to be moved is not its end', async t => {
+  let source = '';
+  let closeSource = () => undefined as void;
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', stream],
+    'i-2': ['writers', stream],
+  });
+  function stream(
+    request: replicaStandin.ReceivedRequest,
+    response: Parameters<replicaStandin.ReplicaHandler>[1],
+  ): void {
+    if (request.headers['kv-from'] !== undefined) {
+      response.writeHead(200, answerHeaders(request));
+      response.end(events(4, 5));
+      return;
+    }
+    source = request.headers['x-rhubarbvane-expect-replica'] as string;
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, answerHeaders(request));
+    response.write(events(1, 3));
+    closeSource = () => void response.end();
+  }
+  await gateway.until(() => gateway.process.state.instances.size === 2);
+  const answered = gateway.call('/draft/a', {
+    method: 'POST',
+    body: 'p',
+    headers: {'X-Rhubarbvane-Attempt-Id': '00000000000000f2'},
+  });
+  await gateway.until(() => source !== '');
+  const replica = gateway.replicas.get(source)!;
+  let answerCopy = () => undefined as void;
+  replica.beforeCopyAnswer = new Promise(resolve => (answerCopy = resolve));
+  // The replica made more events than arrived, so the gateway stops the run and moves it.
+  replica.runs = [['00000000000000f2', 900, 20, 5]];
+  await gateway.until(() => replica.copies.some(copy => copy.last === true));
+  closeSource();
+  const instance = gateway.process.state.instances.get(source)!;
+  await gateway.until(() => instance.openRequests === 0);
+  answerCopy();
+  const answer = await answered;
+  t.true(answer.isComplete);
+  t.is(answer.body, events(1, 5));
+});
