Gateway: the log says which shared parts a prompt has

The log could not show what the crashing requests have in common. The shared parts of a prompt are decoded with bounds, and generation-placed has them. No decision changes.

--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -246,6 +246,7 @@
         memory_share: round(memoryShare),
         expected_tokens: Math.round(expected),
         prompt_tokens: run.promptTokens,
+        prompt_parts: call.caller.sharedParts,
         waiting: this.queue.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
         queued_there: loads.get(instance.record.id)?.queuedRuns,
--- a/src/platform/caller_codec.ts
+++ b/src/platform/caller_codec.ts
@@ -16,6 +16,20 @@
     : undefined;
 }
 
+/** Number of parts of a prompt that are decoded; the first ones are shared by the most requests. */
+const MAX_SHARED_PARTS = 16;
+const PART_ID = /^[0-9a-f]{1,32}$/;
+
+/** Ids from a list of ID:TOKENS entries without the last, which belongs to the request or its session. Entries without a valid id are left out. */
+function sharedParts(value: string | undefined): readonly string[] {
+  return (value ?? '')
+    .split(',')
+    .slice(0, -1)
+    .map(entry => entry.split(':', 1)[0].trim().toLowerCase())
+    .filter(id => PART_ID.test(id))
+    .slice(0, MAX_SHARED_PARTS);
+}
+
 function bearerKey(value: string | undefined): string | undefined {
   return /^Bearer +(\S+) *$/i.exec(value ?? '')?.[1];
 }
@@ -83,6 +97,7 @@
     key: bearerKey(headers.authorization),
     promptTokens: nonNegativeNumber(promptTokens) ?? 0,
     maxTokens: nonNegativeNumber(maxTokens) ?? 0,
+    sharedParts: sharedParts(headerText(headers[Headers.promptParts])),
     lengthHint: nonNegativeNumber(headerText(headers[Headers.lengthHint])),
     lastEventId: headerText(headers[Headers.lastEventId]),
     passedHeaders: forwardableHeaders(request, wireNames.SYSTEM_HEADERS),
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -58,6 +58,7 @@
       key: undefined,
       promptTokens: 0,
       maxTokens: 0,
+      sharedParts: [],
       lengthHint: undefined,
       lastEventId: undefined,
       passedHeaders: ['Host', 'h.example', 'X-Rhubarbvane-Attempt-Id', ATTEMPT],
