--- /dev/null
+++ b/test/gateway/prompt_parts.test.ts
@@ -0,0 +1,95 @@
+/** Parts of prompts that crash each engine which begins to write an answer on them. */
+import * as ava from 'ava';
+import * as replicaStandin from '../../standins/replica_standin';
+import * as testGateway from '../support/test_gateway';
+
+const test = ava.default;
+const {TestGateway} = testGateway;
+const {events, answerHeaders} = replicaStandin;
+const DEADLY = 'dead01';
+const ENGINES = 9;
+
+/** Gateway whose engines crash for good when they begin to write on the deadly part. */
+async function startGateway(
+  t: ava.ExecutionContext,
+): Promise<testGateway.TestGateway> {
+  const behaviour: replicaStandin.ReplicaHandler = (request, response) => {
+    const parts = String(request.headers['x-rhubarbvane-prompt-prefix']);
+    response.writeHead(200, answerHeaders(request));
+    if (!parts.includes(DEADLY)) {
+      response.end(events(1, 3));
+      return;
+    }
+    const id = String(request.headers['x-rhubarbvane-expect-replica']);
+    response.flushHeaders();
+    gateway.store.remove('servers', id);
+    setImmediate(() => response.socket!.resetAndDestroy());
+  };
+  const engines = Array.from({length: ENGINES}, (_, index) => `i-${index}`);
+  const gateway = await TestGateway.start(
+    t,
+    Object.fromEntries(engines.map(id => [id, ['writers', behaviour]])),
+  );
+  await gateway.until(() => gateway.process.state.instances.size === ENGINES);
+  return gateway;
+}
+
+let requestCount = 0;
+
+/** Sends a draft whose body and last part no other has. */
+function draft(
+  gateway: testGateway.TestGateway,
+  parts: readonly string[],
+  path = '/draft/a',
+): Promise<testGateway.CallerAnswer> {
+  const own = `f${(++requestCount).toString(16)}`;
+  const list = [...parts, own].map(id => `${id}:100`).join();
+  return gateway.call(path, {
+    method: 'POST',
+    body: own,
+    headers: {'X-Rhubarbvane-Prompt-Prefix': list},
+  });
+}
+
+/** Number of engines that got a request with the deadly part. */
+function crashCount(gateway: testGateway.TestGateway): number {
+  return [...gateway.replicas.values()].filter(replica =>
+    replica.requests.some(request =>
+      String(request.headers['x-rhubarbvane-prompt-prefix']).includes(DEADLY),
+    ),
+  ).length;
+}
+
+for (const position of [0, 1, 2]) {
+  test(`prompt parts: unlike requests with one deadly part at position ${position} stop reaching engines, and sound ones with their other parts go on`, async t => {
+    const gateway = await startGateway(t);
+    const sound = ['aa01', 'bb02'];
+    const deadly = [
+      ...sound.slice(0, position),
+      DEADLY,
+      ...sound.slice(position),
+    ];
+    t.true((await draft(gateway, sound)).isComplete);
+    const answers = [];
+    for (let count = 0; count < 7; count++) {
+      answers.push(await draft(gateway, deadly));
+    }
+    t.true(crashCount(gateway) <= 3, `${crashCount(gateway)} engines`);
+    const last = answers[answers.length - 1];
+    t.is(last.status, 503);
+    t.is(last.headers['rhubarbvane-work'], 'not-run');
+    const after = await draft(gateway, sound);
+    t.is(after.status, 200);
+    t.is(after.body, events(1, 3));
+  });
+}
+
+test('prompt parts: a request that may be repeated does not take its deadly part to further engines once it is known', async t => {
+  const gateway = await startGateway(t);
+  t.true((await draft(gateway, ['aa01'], '/tag/a')).isComplete);
+  for (let count = 0; count < 4; count++) {
+    await draft(gateway, ['aa01', DEADLY], '/tag/a');
+  }
+  t.true(crashCount(gateway) <= 5, `${crashCount(gateway)} engines`);
+  t.is((await draft(gateway, ['aa01'], '/tag/a')).status, 200);
+});
