Soak: streams without length or chunks that end inside an event

A replica may send streams without length or chunks and close them in order inside an event, alone or as it crashes.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -196,11 +196,13 @@
       ReplicaMode.LosingAnswers,
       ReplicaMode.Shedding,
       ReplicaMode.DuplicatingAnswers,
+      ReplicaMode.Unframed,
     ]);
     const event = {fault: `replica ${mode}`, replica: replica.id, time};
     return this.inject(replica, replica.id, event, async () => {
       replica.mode = mode;
       await timers.setTimeout(time);
+      replica.breakUnframedStreams();
       replica.mode = ReplicaMode.Normal;
     });
   }
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -22,6 +22,8 @@
   Shedding = 'shedding',
   /** Sends a second answer after each plain answer. */
   DuplicatingAnswers = 'doubling',
+  /** Sends streams without length or chunks. */
+  Unframed = 'unframed',
 }
 
 interface StreamRun {
@@ -29,6 +31,7 @@
   sentPieces: number;
   timer: NodeJS.Timeout | undefined;
   response: http.ServerResponse;
+  readonly isUnframed: boolean;
 }
 
 /** Progress of copied runs by handle, shared by all replicas. */
@@ -61,8 +64,23 @@
     this.address = `127.0.0.1:${port}`;
   }
 
+  /** Closes the connections of streams without length or chunks in order, inside an event. */
+  breakUnframedStreams(): void {
+    for (const run of [...this.streams.values()]) {
+      if (run.isUnframed) {
+        const event = requestHistory.pieceEvent(
+          run.attempt,
+          run.sentPieces + 1,
+        );
+        this.endStream(run);
+        run.response.end(event.slice(0, -1));
+      }
+    }
+  }
+
   /** Closes all connections at once, as a crash does. */
   crash(): void {
+    this.breakUnframedStreams();
     this.streams.forEach(run => clearInterval(run.timer));
     this.streams.clear();
     this.server.close();
@@ -182,6 +200,8 @@
       performance.now(),
       sentPieces > 0 || from !== undefined,
     );
+    const isUnframed = this.mode === ReplicaMode.Unframed;
+    response.useChunkedEncodingByDefault = !isUnframed;
     response.writeHead(200, {
       ...answerHeaders(attempt, this.id),
       'Content-Type': 'text/event-stream',
@@ -192,6 +212,7 @@
       sentPieces,
       timer: undefined,
       response,
+      isUnframed,
     };
     this.streams.set(attempt, run);
     run.timer = setInterval(
