Fleet: crashes that gateways repeat to each other expire

A request whose instances crashed three times stayed refused (in the test after 121 s and longer; its lifetime is two minutes), and crashes of many hours could add up. Crashes are told with their age now; gateways of older builds ignore it. Ages in messages may not be negative. The test failed before.

--- a/src/gateway/common/crash_table.ts
+++ b/src/gateway/common/crash_table.ts
@@ -18,6 +18,12 @@
   readonly life: string;
 }
 
+/** A crash as peers are told of it. */
+export interface RelayedCrash extends Crash {
+  /** Time since it was seen; absent from older builds. */
+  readonly ageMilliseconds?: number;
+}
+
 interface SeenCrash {
   readonly crash: Crash;
   readonly at: number;
@@ -35,7 +41,11 @@
   }
 
   /** Adds a crash seen by this gateway or by a peer; the crash of one instance counts once. */
-  add(crash: Crash, now: number): void {
+  add(crash: RelayedCrash, now: number): void {
+    const at = now - (crash.ageMilliseconds ?? 0);
+    if (isExpired(at, now)) {
+      return;
+    }
     const clearedAt = this.clearedAt.get(crash.fingerprint) ?? -Infinity;
     if (now - clearedAt < IGNORED_AFTER_SUCCESS_MILLISECONDS) {
       return;
@@ -45,7 +55,8 @@
     if (seen.has(crash.life)) {
       return;
     }
-    seen.set(crash.life, {crash, at: now});
+    const {fingerprint, life} = crash;
+    seen.set(life, {crash: {fingerprint, life}, at});
     this.additions++;
     this.crashes.delete(crash.fingerprint);
     this.crashes.set(crash.fingerprint, seen);
@@ -66,7 +77,7 @@
       return 0;
     }
     for (const [life, each] of seen) {
-      if (now - each.at > CRASH_LIFETIME_MILLISECONDS) {
+      if (isExpired(each.at, now)) {
         seen.delete(life);
       }
     }
@@ -85,10 +96,19 @@
   }
 
   /** Returns the latest crashes, to be sent to peers. */
-  recent(): Crash[] {
+  recent(now: number): RelayedCrash[] {
     return [...this.crashes.values()]
       .slice(-MAX_CRASHES_PER_DIGEST)
-      .flatMap(seen => [...seen.values()].map(each => each.crash))
-      .slice(-MAX_CRASHES_PER_DIGEST);
+      .flatMap(seen => [...seen.values()])
+      .filter(({at}) => !isExpired(at, now))
+      .slice(-MAX_CRASHES_PER_DIGEST)
+      .map(({crash, at}) => ({
+        ...crash,
+        ageMilliseconds: Math.round(now - at),
+      }));
   }
 }
+
+function isExpired(at: number, now: number): boolean {
+  return now - at > CRASH_LIFETIME_MILLISECONDS;
+}
--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -61,6 +61,8 @@
 const MAX_CRASHES_PER_SUSPECT = 16;
 
 const finite = zod.z.number().refine(Number.isFinite);
+/** Time since something, in milliseconds. */
+const age = zod.z.number().min(0).refine(Number.isFinite);
 const loadSchema = zod.z.object({
   runs: finite,
   memoryTokens: finite,
@@ -77,13 +79,13 @@
 const suspectSchema = zod.z.tuple([
   zod.z.string().min(1).max(MAX_PART_ID_LENGTH),
   finite,
-  finite.nullable(),
+  age.nullable(),
   zod.z
     .array(
       zod.z.tuple([
         zod.z.string().max(MAX_CRASH_ID_LENGTH),
         zod.z.string().max(MAX_CRASH_ID_LENGTH),
-        finite,
+        age,
       ]),
     )
     .max(MAX_CRASHES_PER_SUSPECT),
@@ -98,7 +100,11 @@
     sourceAgeMilliseconds: finite.optional(),
     loads: zod.z.record(zod.z.string(), loadSchema),
     crashes: zod.z.array(
-      zod.z.object({fingerprint: zod.z.string(), life: zod.z.string()}),
+      zod.z.object({
+        fingerprint: zod.z.string(),
+        life: zod.z.string(),
+        ageMilliseconds: age.optional(),
+      }),
     ),
     promptParts: zod.z.array(suspectSchema).max(MAX_SUSPECTS).optional(),
     reports: zod.z
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -19,7 +19,7 @@
   /** Age of the source's last answer, in milliseconds; undefined unless the gateway watches the source. */
   readonly sourceAgeMilliseconds?: number;
   readonly loads: runTable.LoadsByInstance;
-  readonly crashes: readonly crashTable.Crash[];
+  readonly crashes: readonly crashTable.RelayedCrash[];
   /** Parts of prompts with crashes; absent when there are none, and from older builds. */
   readonly promptParts?: readonly promptPartTable.RelayedSuspect[];
   /** Engine reports that the gateway read itself; absent when there are none. */
--- a/src/gateway/common/prompt_part_table.ts
+++ b/src/gateway/common/prompt_part_table.ts
@@ -41,7 +41,7 @@
 
 /**
  * What a gateway knows of a part: its id, its position in the prompt, the time
- * since an answer began on it in milliseconds (undefined if none is known), and
+ * since an answer began on it in milliseconds (null if none is known), and its
  * crashes.
  */
 export type RelayedSuspect = readonly [
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -195,7 +195,7 @@
       sourceAgeMilliseconds:
         sourceAge === undefined ? undefined : Math.round(sourceAge),
       loads: tables.runs.ownLoads(),
-      crashes: tables.crashes.recent(),
+      crashes: tables.crashes.recent(now),
       promptParts: promptParts.length > 0 ? promptParts : undefined,
       reports: reports.length > 0 ? reports : undefined,
       peers: [],
--- a/test/gateway/common/crash_table.test.ts
+++ b/test/gateway/common/crash_table.test.ts
@@ -29,7 +29,9 @@
     table.add({fingerprint: 'f', life: `i-${index}`}, 0),
   );
   const [first, ...others] = tables;
-  others.flatMap(table => table.recent()).forEach(crash => first.add(crash, 1));
+  others
+    .flatMap(table => table.recent(0))
+    .forEach(crash => first.add(crash, 1));
   t.true(first.isBlocked('f', 2));
 });
 
@@ -38,3 +40,16 @@
   ['a', 'b', 'c'].forEach(life => table.add({fingerprint: 'f', life}, 0));
   t.false(table.isBlocked('f', 10 * 60_000));
 });
+
+test('crashes: crashes that gateways repeat to each other expire, whichever of them asks', t => {
+  const [asked, other] = [
+    new crashTable.CrashTable(),
+    new crashTable.CrashTable(),
+  ];
+  ['a', 'b', 'c'].forEach(life => asked.add({fingerprint: 'f', life}, 0));
+  for (let now = 0; now <= 10 * 60_000; now += 500) {
+    asked.recent(now).forEach(crash => other.add(crash, now));
+    other.recent(now).forEach(crash => asked.add(crash, now));
+    t.is(asked.isBlocked('f', now), now <= 120_000, `after ${now} ms`);
+  }
+});
