Gateway: requests that wait at engines are withdrawn when a part of their prompts is blocked

A call without any event is now ended as soon as a part of its prompt is blocked, and its engine drops it with the connection. The test failed before (the request waited for its deadline).

--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -101,16 +101,29 @@
       () => this.expire(),
       Math.max(0, context.remainingMilliseconds),
     );
+    const subscription = context.services.promptParts.onDidBlock.subscribe(() =>
+      this.endIfPoisoned(),
+    );
     try {
       await this.runSegments({
         instance: placed.instance,
         continuation: undefined,
       });
     } finally {
+      subscription.unsubscribe();
       this.release();
     }
   }
 
+  /** Ends a call without any event yet whose prompt is known to crash engines; its engine drops it before it begins. */
+  private endIfPoisoned(): boolean {
+    const hasEnded = !this.delivery.hasBegun && this.context.endIfPoisoned();
+    if (hasEnded) {
+      this.segment?.cancel();
+    }
+    return hasEnded;
+  }
+
   private release(): void {
     const {services} = this.context;
     clearTimeout(this.deadlineTimer);
@@ -124,8 +137,8 @@
   private async runSegments(first: instanceClient.RunTarget): Promise<void> {
     let target: instanceClient.RunTarget | undefined = first;
     while (target !== undefined && !this.context.isOver) {
-      // An engine waited for, or chosen before others crashed.
-      if (!this.delivery.hasBegun && this.context.endIfPoisoned()) {
+      // Others may have crashed while this call waited for an engine.
+      if (this.endIfPoisoned()) {
         return;
       }
       const end: streamSegment.SegmentEnd = await this.runSegment(target);
--- a/test/gateway/prompt_parts.test.ts
+++ b/test/gateway/prompt_parts.test.ts
@@ -167,3 +167,49 @@
     await nextMoment();
   }
 });
+
+test('prompt parts: requests that wait at engines are withdrawn when a part of their prompts is blocked', async t => {
+  const dropped = new Set<string>();
+  let isCrashing = false;
+  const behaviour: replicaStandin.ReplicaHandler = (request, response) => {
+    const parts = String(request.headers['x-rhubarbvane-prompt-prefix']);
+    const id = String(request.headers['x-rhubarbvane-expect-replica']);
+    if (isCrashing) {
+      setImmediate(() => gateway.replicas.get(id)!.close());
+    } else {
+      response.once('close', () => dropped.add(parts));
+    }
+  };
+  const engines = Array.from({length: ENGINES}, (_, index) => `i-${index}`);
+  const gateway = await TestGateway.start(
+    t,
+    Object.fromEntries(engines.map(id => [id, ['writers', behaviour]])),
+  );
+  await gateway.until(() => gateway.process.state.instances.size === ENGINES);
+  const waiting = draft(gateway, ['aa01', DEADLY]);
+  gateway.send('/draft/a', {
+    method: 'POST',
+    body: 'sound',
+    headers: {'X-Rhubarbvane-Prompt-Prefix': 'aa01:9,bb02:9,f0:9'},
+  });
+  await gateway.until(() => gateway.requestCount === 2);
+  const busy = engines.filter(
+    id => gateway.replicas.get(id)!.requests.length > 0,
+  );
+  busy.forEach(id => gateway.register(id, 'writers', 'draining'));
+  await gateway.until(() =>
+    busy.every(
+      id => gateway.process.state.instances.get(id)!.drainingAt !== undefined,
+    ),
+  );
+  isCrashing = true;
+  for (let count = 0; count < 3; count++) {
+    await draft(gateway, ['aa01', DEADLY]);
+    await nextMoment();
+  }
+  const answer = await waiting;
+  t.is(answer.status, 502);
+  t.is(answer.headers['rhubarbvane-work'], 'unknown');
+  await gateway.until(() => dropped.size > 0);
+  t.true([...dropped].every(parts => parts.includes(DEADLY)));
+});
