--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -252,7 +252,7 @@
     if (decision === stallPolicy.StallDecision.Move) {
       segment?.expectStop();
       this.pendingMove = this.moveRun(instance);
-      await Promise.all([this.pendingMove, this.judgement]);
+      await this.pendingMove;
     }
     segment?.cancel();
   }
