--- a/test/gateway/state_follower.test.ts
+++ b/test/gateway/state_follower.test.ts
@@ -135,3 +135,8 @@
   follower.confirmConfiguration(2, now - 100);
   t.is(Math.round(follower.configurationAge(now)), 100);
 });
+
+test('follower: before the first answer of the source there is no age to tell peers', t => {
+  const follower = createFollower(new ScriptedSource());
+  t.is(follower.sourceAge(5_000), undefined);
+});
