--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -1,6 +1,7 @@
 /** Calls that a gateway makes to endpoint instances. */
 import * as neverthrow from 'neverthrow';
 import * as instanceTable from './instance_table';
+import * as instanceLimits from './limits/instance_limits';
 
 /** A decoded request of a caller. */
 export interface CallerRequest {
@@ -80,8 +81,12 @@
   readonly status: number;
   /** Whether the instance states that it did not execute the request. */
   readonly isNotExecuted: boolean;
+  /** Whether another instance has the address and answered that it did not execute the request. */
+  readonly isFromOtherInstance: boolean;
   /** Whether the response carries the server stamp that a success requires. */
   readonly hasServerStamp: boolean;
+  /** Limit that the instance names; undefined if it names none. */
+  readonly limit: instanceLimits.AnswerLimit | undefined;
   /** Headers to forward to the caller: name, value, name, value. */
   readonly passedHeaders: readonly string[];
   readonly body: ResponseBody;
--- a/src/gateway/common/instance_table.ts
+++ b/src/gateway/common/instance_table.ts
@@ -21,6 +21,11 @@
   readonly startedAt: number;
 }
 
+/** Identifies one incarnation of an instance. */
+export function lifeOf({id, startedAt}: InstanceRecord): string {
+  return `${id}/${startedAt}`;
+}
+
 /** Weight of one outcome in the moving average of the failure rate. */
 const OUTCOME_WEIGHT = 0.15;
 
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -28,6 +28,12 @@
   readonly configurationVersion: number;
 }
 
+/** What differs between the sends of one call. */
+export type SendOptions = Pick<
+  instanceClient.InstanceRequest,
+  'urgency' | 'lastEventId' | 'continuation' | 'backupAddress'
+>;
+
 /** Why a call may be sent again. */
 export enum RetryReason {
   /** The instance certainly did not run the request. */
@@ -39,6 +45,7 @@
 /** State and operations shared by calls of all kinds. */
 export class CallContext {
   readonly excluded = new Set<string>();
+  private sends = 0;
   private possibleRuns = 0;
   private rejectedSends = 0;
   private isFinished = false;
@@ -101,6 +108,53 @@
     this.possibleRuns++;
   }
 
+  /** Sends the request to the instance, and records what its answer says of the limit of the instance. */
+  send(
+    instance: instanceTable.Instance,
+    options: SendOptions,
+  ): instanceClient.Exchange {
+    const {services, call} = this;
+    const life = instanceTable.lifeOf(instance.record);
+    const sentAt = performance.now();
+    if (services.limits.get(life) !== undefined) {
+      services.limitUsage.recordSend(life, this.sends > 0);
+    }
+    this.sends++;
+    const exchange = services.client.send(instance, {
+      caller: call.caller,
+      body: call.body,
+      remainingMilliseconds: this.remainingMilliseconds,
+      customer: call.customer?.name,
+      ...options,
+    });
+    void exchange.response.then(result => {
+      if (result.isOk()) {
+        this.recordLimit(instance, result.value, sentAt);
+      }
+    });
+    return exchange;
+  }
+
+  private recordLimit(
+    instance: instanceTable.Instance,
+    answer: instanceClient.InstanceResponse,
+    sentAt: number,
+  ): void {
+    const {limit, status, isNotExecuted} = answer;
+    if (answer.isFromOtherInstance) {
+      return;
+    }
+    if (limit !== undefined && limit.requestsPerSecond === undefined) {
+      this.log('instance-limit-unreadable', {value: limit.text}, instance);
+    }
+    const isSuccess = !isNotExecuted && status < 500;
+    this.services.limits.recordAnswer(
+      instanceTable.lifeOf(instance.record),
+      {limit, isSuccess, sentAt},
+      performance.now(),
+    );
+  }
+
   /** Accounts for a failed send. Returns whether the call may be sent to another instance; if so, charges the shared retry budget. */
   tryAcquireRetry(reason: RetryReason): boolean {
     if (reason === RetryReason.NotRun) {
@@ -125,9 +179,9 @@
 
   /** Records the loss of an instance as caused by the request; not to be called for an instance that was about to leave. */
   recordCrash(instance: instanceTable.Instance): void {
-    const {id, startedAt} = instance.record;
+    const life = instanceTable.lifeOf(instance.record);
     this.services.crashes.add(
-      {fingerprint: this.call.fingerprint, life: `${id}/${startedAt}`},
+      {fingerprint: this.call.fingerprint, life},
       performance.now(),
     );
   }
--- a/src/gateway/node/crash_evidence.ts
+++ b/src/gateway/node/crash_evidence.ts
@@ -48,11 +48,10 @@
     if (report !== undefined) {
       return;
     }
-    const {id, startedAt} = this.instance.record;
     services.promptParts.recordCrash(
       call.caller.sharedParts,
       {
-        life: `${id}/${startedAt}`,
+        life: instanceTable.lifeOf(this.instance.record),
         request: hash.hashOf(call.fingerprint).toString(36),
       },
       lostAt,
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -9,6 +9,8 @@
 import * as memberTable from '../common/fleet/member_table';
 import * as watcherElection from '../common/fleet/watcher_election';
 import * as instanceClient from '../common/instance_client';
+import * as instanceLimits from '../common/limits/instance_limits';
+import * as limitUsage from '../common/limits/limit_usage';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
@@ -22,6 +24,7 @@
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as generationScheduler from './generation_scheduler';
+import * as limitLog from './limits/limit_log';
 import * as observabilityServer from './observability_server';
 import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
@@ -95,6 +98,8 @@
       runs,
       crashes,
       promptParts,
+      limits: new instanceLimits.InstanceLimits(),
+      limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       members,
       predictor,
@@ -185,6 +190,13 @@
         true,
       ),
     );
+    this.disposables.add(
+      new limitLog.LimitLog(
+        this.services.limits,
+        this.services.limitUsage,
+        log,
+      ),
+    );
     promptParts.onDidUnblock.subscribe(part =>
       log.write('prompt-part-unblocked', {part}, true),
     );
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -4,6 +4,8 @@
 import * as crashTable from '../common/crash_table';
 import * as memberTable from '../common/fleet/member_table';
 import * as instanceClient from '../common/instance_client';
+import * as instanceLimits from '../common/limits/instance_limits';
+import * as limitUsage from '../common/limits/limit_usage';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
@@ -23,6 +25,9 @@
   readonly runs: runTable.RunTable;
   readonly crashes: crashTable.CrashTable;
   readonly promptParts: promptPartTable.PromptPartTable;
+  /** Limits that instances name, and the requests sent to such instances. */
+  readonly limits: instanceLimits.InstanceLimits;
+  readonly limitUsage: limitUsage.LimitUsage;
   readonly retries: retryLimiter.RetryLimiter;
   readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -84,14 +84,9 @@
 
   private async sendTo(instance: instanceTable.Instance): Promise<SendOutcome> {
     const {context} = this;
-    const {call} = context;
     context.recordSend();
     instance.openRequests++;
-    const exchange = context.services.client.send(instance, {
-      caller: call.caller,
-      body: call.body,
-      remainingMilliseconds: context.remainingMilliseconds,
-      customer: call.customer?.name,
+    const exchange = context.send(instance, {
       urgency: undefined,
       lastEventId: undefined,
       continuation: undefined,
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -153,7 +153,7 @@
     target: instanceClient.RunTarget,
   ): Promise<streamSegment.SegmentEnd> {
     const {context, run} = this;
-    const {services, call} = context;
+    const {services} = context;
     run.instanceId = target.instance.record.id;
     const backup = this.copies.startSegment(target.instance);
     this.delivery.startSegment();
@@ -161,11 +161,7 @@
     if (target.continuation === undefined) {
       context.recordSend();
     }
-    const exchange = services.client.send(target.instance, {
-      caller: call.caller,
-      body: call.body,
-      remainingMilliseconds: context.remainingMilliseconds,
-      customer: call.customer?.name,
+    const exchange = context.send(target.instance, {
       urgency: generationScheduler.urgencyOf(context),
       lastEventId: this.delivery.lastEventId,
       continuation: target.continuation,
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -4,6 +4,7 @@
 import * as neverthrow from 'neverthrow';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as callerCodec from './caller_codec';
+import * as limitCodec from './limit_codec';
 import * as socketReset from './socket_reset';
 import * as wireNames from './wire_names';
 
@@ -117,11 +118,14 @@
   hasSocketFailed: () => boolean,
 ): instanceClient.InstanceResponse {
   const status = response.statusCode ?? 0;
+  const isFromOtherInstance = status === 421;
   return {
     status,
     isNotExecuted:
-      response.headers[Headers.notRun] !== undefined || status === 421,
+      response.headers[Headers.notRun] !== undefined || isFromOtherInstance,
+    isFromOtherInstance,
     hasServerStamp: response.headers[Headers.stamp] !== undefined,
+    limit: limitCodec.decodeLimit(response.headers[Headers.requestLimit]),
     passedHeaders: callerCodec.forwardableHeaders(response, NO_HEADERS),
     body: new HttpBody(response, hasSocketFailed),
   };
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -13,6 +13,8 @@
   expectedInstance: 'x-rhubarbvane-expect-replica',
   notRun: 'x-rhubarbvane-not-executed',
   instanceId: 'x-rhubarbvane-replica-id',
+  /** Requests a second that a replica in need takes from all callers together. */
+  requestLimit: 'server-limit',
   model: 'x-rhubarbvane-model',
   /** Prompt tokens and the limit of output tokens, not a count. */
   tokenLimits: 'x-rhubarbvane-token-count',
