Gateways share the limits that instances name

Class of fault: a bound on all gateways together that none of them knows.

Calls choose another instance without waiting; if all instances are limited, callers are refused at once with the time of the next permit. Copies are kept at instances without limit. Limits are told by rumor when they begin or end and in digests, 16 at the most; they end by an answer to a request sent after the last naming. Values that are no decimal number change nothing.

--- /dev/null
+++ b/src/gateway/common/fleet/direct_message.ts
@@ -0,0 +1,79 @@
+/**
+ * Short datagrams from one gateway to another that concern one instance.
+ * Only gateways that tell a version of messages from which they are known get
+ * them; other messages go by `fleet_message`.
+ */
+import * as zod from 'zod';
+import * as instancePermits from '../limits/instance_permits';
+
+/** Largest message, in bytes. */
+const MAX_BYTES = 1_000;
+/** Longest identifier of an instance's incarnation, in characters. */
+const MAX_LIFE_LENGTH = 256;
+/** First bytes of every message, by which it is told from other messages. */
+const PREFIX = '{"direct":';
+
+/** Content of a message; exactly one part is set. */
+export interface DirectMessage {
+  readonly permitRequest?: instancePermits.PermitRequest;
+  readonly permitGrant?: instancePermits.PermitGrant;
+}
+
+const count = zod.z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+const life = zod.z.string().min(1).max(MAX_LIFE_LENGTH);
+const rate = zod.z.number().min(0).refine(Number.isFinite);
+/** Time since something, in milliseconds. */
+const age = zod.z.number().min(0).refine(Number.isFinite);
+
+/** A limit as gateways tell each other. */
+const toldLimitSchema = zod.z.tuple([rate.nullable(), age]);
+/** A limit with the incarnation of its instance. */
+export const relayedLimitSchema = zod.z.tuple([life, rate.nullable(), age]);
+
+const messageSchema = zod.z.object({
+  direct: zod.z.object({
+    permitRequest: zod.z
+      .object({
+        sequence: count,
+        life,
+        wanted: count.max(instancePermits.MAX_WANTED),
+        limit: toldLimitSchema,
+      })
+      .optional(),
+    permitGrant: zod.z
+      .object({
+        sequence: count,
+        life,
+        granted: count.max(instancePermits.MAX_WANTED),
+        retryMilliseconds: age,
+        limit: toldLimitSchema.optional(),
+      })
+      .optional(),
+  }),
+});
+
+/** Whether the bytes claim to be a message of this kind. */
+export function isDirect(bytes: Uint8Array): boolean {
+  const start = Buffer.from(bytes.subarray(0, PREFIX.length));
+  return start.toString('latin1') === PREFIX;
+}
+
+/** Returns the message in the bytes, or undefined if they hold none. */
+export function parse(bytes: Uint8Array): DirectMessage | undefined {
+  if (bytes.length > MAX_BYTES) {
+    return undefined;
+  }
+  try {
+    const json: unknown = JSON.parse(Buffer.from(bytes).toString('utf8'));
+    const parsed = messageSchema.safeParse(json);
+    return parsed.success ? parsed.data.direct : undefined;
+  } catch {
+    // The receiver counts and logs unreadable messages.
+    return undefined;
+  }
+}
+
+/** Encodes a message. */
+export function encode(message: DirectMessage): Buffer {
+  return Buffer.from(JSON.stringify({direct: message}));
+}
--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -6,6 +6,7 @@
 import * as zod from 'zod';
 import * as instanceRegistry from '../instance_registry';
 import * as runTable from '../run_table';
+import * as directMessage from './direct_message';
 import * as memberTable from './member_table';
 import * as peerDigest from './peer_digest';
 
@@ -59,6 +60,7 @@
 const MAX_CRASH_ID_LENGTH = 256;
 const MAX_SUSPECTS = 64;
 const MAX_CRASHES_PER_SUSPECT = 16;
+const MAX_LIMITS = 64;
 
 const finite = zod.z.number().refine(Number.isFinite);
 /** Time since something, in milliseconds. */
@@ -107,6 +109,11 @@
       }),
     ),
     promptParts: zod.z.array(suspectSchema).max(MAX_SUSPECTS).optional(),
+    limits: zod.z
+      .array(directMessage.relayedLimitSchema)
+      .max(MAX_LIMITS)
+      .optional(),
+    messageVersion: finite.optional(),
     reports: zod.z
       .array(zod.z.tuple([zod.z.string(), finite, finite, finite]))
       .optional(),
@@ -219,6 +226,10 @@
       digest: {...message.digest, promptParts: undefined},
     }),
   ],
+  [
+    'limits',
+    message => ({...message, digest: {...message.digest, limits: undefined}}),
+  ],
   [
     'crashes',
     message => ({...message, digest: {...message.digest, crashes: []}}),
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -3,9 +3,15 @@
 import * as crashTable from '../crash_table';
 import * as engineReports from '../engine_reports';
 import * as instanceTable from '../instance_table';
+import * as instanceLimits from '../limits/instance_limits';
 import * as promptPartTable from '../prompt_part_table';
 import * as runTable from '../run_table';
 
+/** Version of the messages between gateways that this build sends and reads. */
+export const MESSAGE_VERSION = 1;
+/** Version from which gateways ask each other for permits. */
+export const PERMITS_VERSION = 1;
+
 /** Status summary of one gateway. */
 export interface PeerDigest {
   readonly name: string;
@@ -22,12 +28,16 @@
   readonly crashes: readonly crashTable.RelayedCrash[];
   /** Parts of prompts with crashes; absent when there are none, and from older builds. */
   readonly promptParts?: readonly promptPartTable.RelayedSuspect[];
+  /** Limits that instances name; absent when there are none, and from older builds. */
+  readonly limits?: readonly instanceLimits.RelayedLimit[];
   /** Engine reports that the gateway read itself; absent when there are none. */
   readonly reports?: readonly engineReports.RelayedReport[];
   /** IPs of other gateways; filled by the build before the fleet part, whose readers require the field. */
   readonly peers: readonly string[];
   /** Whether the gateway has a wide link; absent from older builds. */
   readonly isWide?: boolean;
+  /** Version of its messages; absent from builds before version 1. */
+  readonly messageVersion?: number;
   /** Time until the gateway exits, in milliseconds; undefined unless it is shutting down. */
   readonly endsInMilliseconds?: number;
 }
--- a/src/gateway/common/limits/instance_limits.ts
+++ b/src/gateway/common/limits/instance_limits.ts
@@ -28,6 +28,12 @@
   readonly previous: number | undefined;
 }
 
+/** A limit as gateways tell each other: requests a second (null if it has ended), age in milliseconds. */
+export type ToldLimit = readonly [number | null, number];
+
+/** A limit with the incarnation of the instance that names it. */
+export type RelayedLimit = readonly [string, ...ToldLimit];
+
 /** The latest that is known of one incarnation. */
 interface Statement {
   readonly requestsPerSecond: number | undefined;
@@ -37,11 +43,22 @@
 
 /** Incarnations of which something is known; those heard of the longest ago are forgotten first. */
 const MAX_STATEMENTS = 4_096;
+/** Limits in a digest to a peer, those heard of last; gateways learn of others by their own requests. */
+const MAX_RELAYED = 16;
+/** Age from which a limit is no longer relayed, in milliseconds. Its end is remembered for longer, so that it doesn't come back. */
+const RELAY_MILLISECONDS = 30_000;
 
 /** Limits by incarnation of an instance. */
 export class InstanceLimits {
   readonly onDidChange = new rxjs.Subject<LimitChange>();
+  /** Statements by incarnation, the one heard of last at the end. */
   private readonly statements = new Map<string, Statement>();
+  private ownChanges = 0;
+
+  /** Number of limits whose beginning or end this gateway noticed itself. */
+  get ownChangeCount(): number {
+    return this.ownChanges;
+  }
 
   /** Requests a second that the instance takes from all gateways; undefined if it names no limit. */
   get(life: string): number | undefined {
@@ -54,16 +71,53 @@
     if (limit !== undefined) {
       if (limit.requestsPerSecond !== undefined) {
         const {requestsPerSecond} = limit;
+        this.ownChanges += this.get(life) === undefined ? 1 : 0;
         this.set(life, {requestsPerSecond, at: now});
       }
       return;
     }
     // An answer may have been written before another one that named the limit.
-    if (isSuccess && this.statements.has(life)) {
+    if (isSuccess && this.get(life) !== undefined) {
       this.set(life, {requestsPerSecond: undefined, at: sentAt});
+      this.ownChanges += this.get(life) === undefined ? 1 : 0;
+    }
+  }
+
+  /** Adds what peers know, where it is newer. */
+  merge(relayed: readonly RelayedLimit[], now: number): void {
+    for (const [life, ...limit] of relayed) {
+      this.hear(life, limit, now);
     }
   }
 
+  /** Records what a peer knows of one incarnation, if it is newer. */
+  hear(life: string, [rate, age]: ToldLimit, now: number): void {
+    const requestsPerSecond = rate ?? undefined;
+    if (requestsPerSecond !== undefined || this.statements.has(life)) {
+      this.set(life, {requestsPerSecond, at: now - age});
+    }
+  }
+
+  /** What peers are told of one incarnation; undefined if it never named a limit. */
+  toTell(life: string, now: number): ToldLimit | undefined {
+    const statement = this.statements.get(life);
+    return (
+      statement && [
+        statement.requestsPerSecond ?? null,
+        // Never told as later than it was, so that a limit is not ended by an older answer.
+        Math.ceil(now - statement.at),
+      ]
+    );
+  }
+
+  /** Returns what was heard of last, to be sent to peers. */
+  toRelay(now: number): RelayedLimit[] {
+    return [...this.statements]
+      .filter(([, {at}]) => now - at <= RELAY_MILLISECONDS)
+      .slice(-MAX_RELAYED)
+      .map(([life]) => [life, ...this.toTell(life, now)!]);
+  }
+
   /** Replaces the statement unless it is older than the known one. */
   private set(life: string, statement: Statement): void {
     const known = this.statements.get(life);
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -11,6 +11,9 @@
 /** Maximum number of sends of one attempt that instances reject or never receive. */
 const MAX_REJECTED_SENDS = 4;
 
+/** Minimum retry delay if the instances take no more requests, in seconds. */
+const MIN_LIMIT_RETRY_SECONDS = 0.25;
+
 /** A request with everything that is resolved before it is sent. */
 export interface AcceptedCall {
   readonly caller: instanceClient.CallerRequest;
@@ -246,6 +249,16 @@
     this.fail(failure.notRun(code, message, seconds), 503);
   }
 
+  /** Refuses the call because all instances take no more requests until the monotonic time. */
+  refuseForLimits(retryAt: number): void {
+    const waitMilliseconds = retryAt - performance.now();
+    this.refuse(
+      resultCode.ResultCode.Overloaded,
+      'the instances take no more requests than they get',
+      Math.max(MIN_LIMIT_RETRY_SECONDS, waitMilliseconds / 1000),
+    );
+  }
+
   /** Answers with a failure of this gateway. */
   fail(cause: failure.Failure, status?: number): void {
     if (this.isOver) {
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -5,6 +5,7 @@
 import * as jsonLog from '../../../base/node/json_log';
 import * as crashTable from '../../common/crash_table';
 import * as engineReports from '../../common/engine_reports';
+import * as directMessage from '../../common/fleet/direct_message';
 import * as fleetMessage from '../../common/fleet/fleet_message';
 import * as gossip from '../../common/fleet/gossip';
 import * as loadBroadcast from '../../common/fleet/load_broadcast';
@@ -12,6 +13,7 @@
 import * as peerDigest from '../../common/fleet/peer_digest';
 import * as watcherElection from '../../common/fleet/watcher_election';
 import * as instanceRegistry from '../../common/instance_registry';
+import * as instanceLimits from '../../common/limits/instance_limits';
 import * as promptPartTable from '../../common/prompt_part_table';
 import * as runTable from '../../common/run_table';
 import * as gatewayMetrics from '../gateway_metrics';
@@ -40,10 +42,18 @@
   readonly crashes: crashTable.CrashTable;
   readonly promptParts: promptPartTable.PromptPartTable;
   readonly reports: engineReports.EngineReports;
+  readonly limits: instanceLimits.InstanceLimits;
+}
+
+/** A message that another gateway sent to this one alone. */
+export interface ReceivedMessage {
+  readonly ip: string;
+  readonly message: directMessage.DirectMessage;
 }
 
 /** Exchanges state with the other gateways. */
 export class FleetExchange implements disposable.Disposable {
+  readonly onDidReceiveDirect = new rxjs.Subject<ReceivedMessage>();
   private readonly socket = dgram.createSocket('udp4');
   private readonly gossip: gossip.Gossip;
   private readonly transfer: stateTransfer.StateTransfer;
@@ -57,6 +67,8 @@
   private knownCrashes = 0;
   /** Number of crashes recorded against parts of prompts that peers were told of. */
   private toldPartCrashes = 0;
+  /** Number of limits that peers were told of. */
+  private toldLimits = 0;
   /** Monotonic time at which this process ends, in milliseconds; undefined unless it is shutting down. */
   private endsAt: number | undefined;
 
@@ -106,6 +118,13 @@
     this.send(this.gossip.spread(performance.now(), true), 'rumor');
   }
 
+  /** Sends a message to one other gateway; it may be lost. */
+  sendDirect(ip: string, message: directMessage.DirectMessage): void {
+    const bytes = directMessage.encode(message);
+    this.countSent('direct', 1, bytes);
+    this.socket.send(bytes, this.settings.digestPort, ip, () => undefined);
+  }
+
   /** Relays what was read from the source, if this gateway watches it. */
   private relay(change?: instanceRegistry.RegistryChange): void {
     if (this.follower.isWatching) {
@@ -116,7 +135,7 @@
 
   private check(): void {
     const now = performance.now();
-    const {members, runs, crashes, promptParts} = this.tables;
+    const {members, runs, crashes, promptParts, limits} = this.tables;
     const liveCount = members.live().length;
     this.metrics.fleetMembers.set(liveCount);
     runs.removeReportsBefore(now - loadBroadcast.loadLifetime(liveCount));
@@ -124,14 +143,16 @@
       this.pagedAt = now;
       this.send(this.gossip.step(now), 'page');
     }
-    const hasNewCrashes =
+    const hasNews =
       crashes.additionCount > this.knownCrashes ||
-      promptParts.recordedCount > this.toldPartCrashes;
-    if (this.isBeaconDue(now) || hasNewCrashes) {
+      promptParts.recordedCount > this.toldPartCrashes ||
+      limits.ownChangeCount > this.toldLimits;
+    if (this.isBeaconDue(now) || hasNews) {
       this.beaconAt = now;
       this.knownCrashes = crashes.additionCount;
       this.toldPartCrashes = promptParts.recordedCount;
-      this.send(this.gossip.spread(now, hasNewCrashes), 'rumor');
+      this.toldLimits = limits.ownChangeCount;
+      this.send(this.gossip.spread(now, hasNews), 'rumor');
     }
     if (this.loads.isDue(this.loadSignature(), liveCount, now)) {
       this.send(this.gossip.broadcast(now), 'loads');
@@ -168,11 +189,7 @@
       if (omitted.length > 0) {
         this.log.write('fleet-message-reduced', {kind, omitted});
       }
-      this.metrics.fleetMessages.inc({direction: 'sent', kind}, ips.length);
-      this.metrics.fleetBytes.inc(
-        {direction: 'sent', kind},
-        ips.length * bytes.length,
-      );
+      this.countSent(kind, ips.length, bytes);
       for (const ip of ips) {
         // Later messages make up for a lost one.
         this.socket.send(bytes, this.settings.digestPort, ip, () => undefined);
@@ -180,12 +197,19 @@
     }
   }
 
+  private countSent(kind: string, count: number, bytes: Buffer): void {
+    const {fleetMessages, fleetBytes} = this.metrics;
+    fleetMessages.inc({direction: 'sent', kind}, count);
+    fleetBytes.inc({direction: 'sent', kind}, count * bytes.length);
+  }
+
   private digest(now: number): peerDigest.PeerDigest {
     const {follower, tables} = this;
     const {own} = tables.members;
     const sourceAge = follower.sourceAge(now);
     const reports = tables.reports.toRelay(now);
     const promptParts = tables.promptParts.toRelay(now);
+    const limits = tables.limits.toRelay(now);
     return {
       name: own.name,
       stateAddress: this.settings.stateAddress,
@@ -197,7 +221,9 @@
       loads: tables.runs.ownLoads(),
       crashes: tables.crashes.recent(now),
       promptParts: promptParts.length > 0 ? promptParts : undefined,
+      limits: limits.length > 0 ? limits : undefined,
       reports: reports.length > 0 ? reports : undefined,
+      messageVersion: peerDigest.MESSAGE_VERSION,
       peers: [],
       endsInMilliseconds:
         this.endsAt === undefined ? undefined : Math.round(this.endsAt - now),
@@ -207,13 +233,15 @@
 
   private receive(bytes: Buffer, ip: string): void {
     const now = performance.now();
+    if (directMessage.isDirect(bytes)) {
+      return this.receiveDirect(bytes, ip);
+    }
     const message = fleetMessage.parse(bytes);
     const kind = message === undefined ? 'unreadable' : kindOf(message);
     this.metrics.fleetMessages.inc({direction: 'received', kind});
     this.metrics.fleetBytes.inc({direction: 'received', kind}, bytes.length);
     if (message === undefined) {
-      this.log.write('peer-digest-unreadable', {ip, bytes: bytes.length});
-      return;
+      return this.logUnreadable(bytes, ip);
     }
     const received = this.gossip.receive(message, ip, now);
     this.send(received.outgoing, kind);
@@ -222,15 +250,31 @@
     }
   }
 
+  private receiveDirect(bytes: Buffer, ip: string): void {
+    const message = directMessage.parse(bytes);
+    const kind = message === undefined ? 'unreadable' : 'direct';
+    this.metrics.fleetMessages.inc({direction: 'received', kind});
+    this.metrics.fleetBytes.inc({direction: 'received', kind}, bytes.length);
+    if (message === undefined) {
+      return this.logUnreadable(bytes, ip);
+    }
+    this.onDidReceiveDirect.next({ip, message});
+  }
+
+  private logUnreadable(bytes: Buffer, ip: string): void {
+    this.log.write('peer-digest-unreadable', {ip, bytes: bytes.length});
+  }
+
   private apply(message: fleetMessage.FleetMessage, now: number): void {
     const {digest, change} = message;
-    const {runs, reports, crashes, promptParts} = this.tables;
+    const {runs, reports, crashes, promptParts, limits} = this.tables;
     runs.setPeerLoads(digest.name, digest.loads, now);
     reports.addRelayed(digest.reports ?? [], now);
     const crashesBefore = crashes.additionCount;
     digest.crashes.forEach(crash => crashes.add(crash, now));
     this.knownCrashes += crashes.additionCount - crashesBefore;
     promptParts.merge(digest.promptParts ?? [], now);
+    limits.merge(digest.limits ?? [], now);
     if (change !== undefined && !this.follower.isWatching) {
       this.follower.applyRelayedChange(change, digest.name);
     }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -25,6 +25,7 @@
 import * as gatewaySettings from './gateway_settings';
 import * as generationScheduler from './generation_scheduler';
 import * as limitLog from './limits/limit_log';
+import * as permitService from './limits/permit_service';
 import * as observabilityServer from './observability_server';
 import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
@@ -70,6 +71,7 @@
     const crashes = new crashTable.CrashTable();
     const promptParts = new promptPartTable.PromptPartTable();
     const reports = new engineReports.EngineReports();
+    const limits = new instanceLimits.InstanceLimits();
     const predictor = new lengthPredictor.LengthPredictor();
     const {ip, name, link_megabits: linkMegabits} = settings.instance;
     const members = new memberTable.MemberTable(
@@ -81,6 +83,21 @@
       new watcherElection.WatcherElection(members),
       log,
     );
+    this.exchange = new fleetExchange.FleetExchange(
+      {
+        stateAddress: settings.listen.peers,
+        digestPort: settings.peers.digest_port,
+      },
+      {members, runs, crashes, promptParts, reports, limits},
+      follower,
+      options.metrics,
+      log,
+    );
+    const permits = new permitService.PermitService(
+      members,
+      limits,
+      this.exchange,
+    );
     const scheduler = new generationScheduler.GenerationScheduler(
       follower,
       runs,
@@ -88,6 +105,7 @@
       settings.instance.data_centre,
       members,
       reports,
+      permits,
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -98,7 +116,8 @@
       runs,
       crashes,
       promptParts,
-      limits: new instanceLimits.InstanceLimits(),
+      limits,
+      permits,
       limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       members,
@@ -122,16 +141,6 @@
       (request, response) => this.handler.handle(request, response),
       log,
     );
-    this.exchange = new fleetExchange.FleetExchange(
-      {
-        stateAddress: settings.listen.peers,
-        digestPort: settings.peers.digest_port,
-      },
-      {members, runs, crashes, promptParts, reports},
-      follower,
-      options.metrics,
-      log,
-    );
     this.disposables.add(
       new reportReader.ReportReader(follower, client, runs, reports),
     );
@@ -165,7 +174,8 @@
   /** Binds all addresses and starts to follow the platform's state. Rejects if the callers' address is in use. */
   async start(): Promise<void> {
     const {settings, log, registry} = this.options;
-    const {follower, scheduler, evacuations, promptParts} = this.services;
+    const {follower, scheduler, evacuations, promptParts, permits} =
+      this.services;
     const observability = new observabilityServer.ObservabilityServer(
       () => this.isReady,
       registry,
@@ -183,6 +193,7 @@
       this.server.setLimits(index.configuration.limits),
     );
     follower.onDidChangeInstances.subscribe(() => scheduler.processQueue());
+    permits.onDidSettle.subscribe(() => scheduler.processQueue());
     promptParts.onDidBlock.subscribe(({id, crashes}) =>
       log.write(
         'prompt-part-blocked',
@@ -205,6 +216,7 @@
       follower,
       scheduler,
       evacuations,
+      permits,
       this.server,
       this.exchange,
     ].forEach(each => this.disposables.add(each));
@@ -228,6 +240,7 @@
     log.write('leaving', {open: this.server.openRequestCount}, true);
     const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
     this.handler.prepareShutdown(endsAt);
+    this.services.permits.withdraw();
     this.exchange.announceShutdown(endsAt);
     const earliestEndAt = Math.min(
       startedAt + BALANCER_DELAY_MILLISECONDS,
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -13,6 +13,7 @@
 import * as evacuationManager from './evacuation_manager';
 import * as gatewayMetrics from './gateway_metrics';
 import * as generationScheduler from './generation_scheduler';
+import * as permitService from './limits/permit_service';
 import * as stateFollower from './state_follower';
 
 /** Tables, clients and subsystems of one gateway. */
@@ -27,6 +28,7 @@
   readonly promptParts: promptPartTable.PromptPartTable;
   /** Limits that instances name, and the requests sent to such instances. */
   readonly limits: instanceLimits.InstanceLimits;
+  readonly permits: permitService.PermitService;
   readonly limitUsage: limitUsage.LimitUsage;
   readonly retries: retryLimiter.RetryLimiter;
   readonly members: memberTable.MemberTable;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -8,6 +8,7 @@
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
+import * as permitService from './limits/permit_service';
 import * as stateFollower from './state_follower';
 
 /** Interval between checks of the queue while generations wait, in milliseconds. */
@@ -29,6 +30,15 @@
   readonly run: runTable.Run;
 }
 
+/** Where a generation was placed, or why it was not. */
+export interface PlacementResult {
+  readonly placed: PlacedRun | undefined;
+  /** Monotonic milliseconds from which instances may take the generation; undefined unless all of them take no more requests now. */
+  readonly retryAt?: number;
+}
+
+const NOT_PLACED: PlacementResult = {placed: undefined};
+
 /** Constraints on the instance for a run or its copy; see `GenerationRequest`. */
 export type PlacementConstraints = Pick<
   placement.GenerationRequest,
@@ -41,7 +51,7 @@
 
 interface WaitingCall extends generationQueue.WaitingGeneration {
   readonly context: callContext.CallContext;
-  readonly resolve: (placed: PlacedRun | undefined) => void;
+  readonly resolve: (result: PlacementResult) => void;
 }
 
 /** Expected output length in tokens: the average of the caller's estimate, which is right at the median, and the learned length, which is right at the mean. */
@@ -69,6 +79,7 @@
     private readonly dataCentre: string,
     private readonly members: memberTable.MemberTable,
     private readonly reports: engineReports.EngineReports,
+    private readonly permits: permitService.PermitService,
   ) {
     this.timer = setInterval(
       () => this.processQueue(),
@@ -85,8 +96,8 @@
     clearInterval(this.timer);
   }
 
-  /** Resolves with the placed run, after waiting for memory if necessary; undefined if no instance is available in time or the queue is full. */
-  place(context: callContext.CallContext): Promise<PlacedRun | undefined> {
+  /** Resolves with the placed run, after waiting for memory if necessary; without one if no instance is available in time or the queue is full. */
+  place(context: callContext.CallContext): Promise<PlacementResult> {
     return new Promise(resolve => {
       const {arrivedAt, route} = context.call;
       const waiting: WaitingCall = {
@@ -100,16 +111,34 @@
         ),
       };
       if (!this.queue.add(waiting)) {
-        return resolve(undefined);
+        return resolve(NOT_PLACED);
       }
       this.processQueue();
     });
   }
 
-  /** Best instance for a run or its copy that meets the constraints. */
+  /** Best instance for a run or its copy that meets the constraints; copies are kept at instances without a limit if there are any. */
   chooseInstance(
     run: runTable.Run,
     constraints: PlacementConstraints,
+  ): placement.GenerationChoice | undefined {
+    if (!constraints.isCopy) {
+      return this.chooseAmong(run, constraints);
+    }
+    const limited = this.follower.instances
+      .forEndpoint(run.endpoint)
+      .filter(instance => this.permits.isLimited(instance))
+      .map(instance => instance.record.id);
+    const excluded = new Set([...constraints.excluded, ...limited]);
+    return (
+      this.chooseAmong(run, {...constraints, excluded}) ??
+      this.chooseAmong(run, constraints)
+    );
+  }
+
+  private chooseAmong(
+    run: runTable.Run,
+    constraints: PlacementConstraints,
   ): placement.GenerationChoice | undefined {
     const now = performance.now();
     return placement.placeGeneration(
@@ -182,51 +211,80 @@
     if (this.queue.length === 0) {
       return;
     }
-    const placedRuns = new Map<WaitingCall, PlacedRun>();
+    const results = new Map<WaitingCall, PlacementResult>();
     const {started, refused} = this.queue.step(performance.now(), waiting => {
       if (waiting.context.isOver) {
         return true;
       }
-      const placed = this.tryPlace(waiting.context);
-      if (placed !== undefined) {
-        placedRuns.set(waiting, placed);
+      const result = this.tryPlace(waiting.context);
+      if (result !== undefined) {
+        results.set(waiting, result);
       }
-      return placed !== undefined;
+      return result !== undefined;
     });
-    started.forEach(waiting => waiting.resolve(placedRuns.get(waiting)));
-    refused.forEach(waiting => waiting.resolve(undefined));
+    started.forEach(waiting =>
+      waiting.resolve(results.get(waiting) ?? NOT_PLACED),
+    );
+    refused.forEach(waiting => waiting.resolve(NOT_PLACED));
   }
 
-  private tryPlace(context: callContext.CallContext): PlacedRun | undefined {
+  /** Places the generation; undefined if it has to wait. */
+  private tryPlace(
+    context: callContext.CallContext,
+  ): PlacementResult | undefined {
     const {call} = context;
     const now = performance.now();
     const loads = this.loads(now);
-    const engine = call.endpoint?.engine;
     const expected = expectedTokens(context, this.predictor);
-    const choice = placement.placeGeneration(
+    let isFull = false;
+    const {choice, shortage} = this.permits.select(context.excluded, barred => {
+      const found = this.findFirstInstance(call, loads, expected, barred, now);
+      isFull = found !== undefined && !hasRoom(found, loads);
+      return isFull ? undefined : found;
+    });
+    if (choice === undefined) {
+      const isRefused = shortage !== undefined && !shortage.isPending;
+      return isRefused && !isFull
+        ? {placed: undefined, retryAt: shortage.retryAt}
+        : undefined;
+    }
+    return {placed: this.addRun(context, choice, loads, expected)};
+  }
+
+  /** Best instance for a generation that has not run anywhere. */
+  private findFirstInstance(
+    call: callContext.AcceptedCall,
+    loads: runTable.LoadView,
+    expected: number,
+    excluded: ReadonlySet<string>,
+    now: number,
+  ): placement.GenerationChoice | undefined {
+    return placement.placeGeneration(
       this.follower.instances.forEndpoint(call.endpointName),
       loads,
       {
         dataCentre: this.dataCentre,
-        excluded: context.excluded,
+        excluded,
         draw: Math.random,
         promptTokens: call.caller.promptTokens,
         expectedTokens: expected,
-        capacityTokens: engine?.memoryTokens || Infinity,
+        capacityTokens: call.endpoint?.engine?.memoryTokens || Infinity,
         remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
         gatewayCount: this.members.gatewayCount(),
         isCopy: false,
       },
       now,
     );
-    if (choice === undefined) {
-      return undefined;
-    }
-    const {instance, memoryShare} = choice;
-    const isIdle = (loads.get(instance.record.id)?.runs ?? 0) === 0;
-    if (memoryShare > generationQueue.MAX_MEMORY_SHARE && !isIdle) {
-      return undefined;
-    }
+  }
+
+  private addRun(
+    context: callContext.CallContext,
+    {instance, memoryShare}: placement.GenerationChoice,
+    loads: runTable.LoadView,
+    expected: number,
+  ): PlacedRun {
+    const {call} = context;
+    const now = performance.now();
     const run: runTable.Run = {
       attemptId: call.caller.attemptId ?? '',
       instanceId: instance.record.id,
@@ -235,7 +293,7 @@
       promptTokens: call.caller.promptTokens,
       maxTokens: call.caller.maxTokens,
       expectedTokens: expected,
-      tokensPerEvent: engine?.tokensPerEvent ?? 1,
+      tokensPerEvent: call.endpoint?.engine?.tokensPerEvent ?? 1,
       eventsDelivered: 0,
       hasStarted: false,
     };
@@ -260,6 +318,15 @@
   }
 }
 
+/** Whether the memory of the instance is expected to suffice; an idle instance takes a generation of any size. */
+function hasRoom(
+  {instance, memoryShare}: placement.GenerationChoice,
+  loads: runTable.LoadView,
+): boolean {
+  const isIdle = (loads.get(instance.record.id)?.runs ?? 0) === 0;
+  return memoryShare <= generationQueue.MAX_MEMORY_SHARE || isIdle;
+}
+
 /** Urgency at the engine: the customer's priority takes precedence over the route's. */
 export function urgencyOf(context: callContext.CallContext): number {
   const {customer, route} = context.call;
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -3,6 +3,7 @@
 import * as resultCode from '../../base/common/result_code';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
+import * as instancePermits from '../common/limits/instance_permits';
 import * as placement from '../common/placement';
 import * as callContext from './call_context';
 
@@ -38,13 +39,14 @@
     const {context} = this;
     let isFirst = true;
     for (;;) {
-      const instance = this.place();
-      if (instance === undefined) {
-        return this.giveUp(
-          resultCode.ResultCode.NoEndpoint,
-          'no instance of the endpoint accepts work',
-        );
+      const {choice, shortage} = await this.place();
+      if (context.isOver) {
+        return;
       }
+      if (choice === undefined) {
+        return this.giveUpWithoutInstance(shortage);
+      }
+      const {instance} = choice;
       const outcome = await this.sendTo(instance);
       if (context.isOver) {
         return;
@@ -68,17 +70,35 @@
     }
   }
 
-  private place(): instanceTable.Instance | undefined {
+  private place(): Promise<
+    instancePermits.Selection<instancePermits.InstanceChoice>
+  > {
     const {services, call, excluded} = this.context;
-    const now = performance.now();
-    return placement.placeCall(
-      services.follower.instances.forEndpoint(call.endpointName),
-      {
-        dataCentre: services.dataCentre,
-        excluded,
-        draw: Math.random,
-      },
-      now,
+    const pick = (barred: ReadonlySet<string>) => {
+      const instance = placement.placeCall(
+        services.follower.instances.forEndpoint(call.endpointName),
+        {
+          dataCentre: services.dataCentre,
+          excluded: barred,
+          draw: Math.random,
+        },
+        performance.now(),
+      );
+      return instance && {instance};
+    };
+    return services.permits.selectWithin(excluded, pick, 0);
+  }
+
+  private giveUpWithoutInstance(
+    shortage: instancePermits.Shortage | undefined,
+  ): void {
+    const isUntouched = this.lastAnswer === undefined && !this.mayHaveRun;
+    if (shortage !== undefined && isUntouched) {
+      return this.context.refuseForLimits(shortage.retryAt);
+    }
+    this.giveUp(
+      resultCode.ResultCode.NoEndpoint,
+      'no instance of the endpoint accepts work',
     );
   }
 
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -15,6 +15,7 @@
 import * as generationScheduler from './generation_scheduler';
 import * as runCopies from './run_copies';
 import * as stallWatch from './stall_watch';
+import * as streamContinuations from './stream_continuations';
 import * as watchedSegment from './watched_segment';
 
 const {SegmentEnd} = streamSegment;
@@ -28,6 +29,7 @@
   private segment: streamSegment.StreamSegment | undefined;
   private delivery!: eventDelivery.EventDelivery;
   private copies!: runCopies.RunCopies;
+  private readonly continuations: streamContinuations.StreamContinuations;
   private watch: stallWatch.StallWatch | undefined;
   private evidence: crashEvidence.CrashEvidence | undefined;
   /** Ends when it is known whether a lost instance counts against the prompt. */
@@ -40,6 +42,7 @@
 
   constructor(private readonly context: callContext.CallContext) {
     super();
+    this.continuations = new streamContinuations.StreamContinuations(context);
   }
 
   get isOver(): boolean {
@@ -75,13 +78,16 @@
 
   async start(): Promise<void> {
     const {context} = this;
-    const placed = await context.services.scheduler.place(context);
+    const {placed, retryAt} = await context.services.scheduler.place(context);
     if (context.isOver) {
       if (placed !== undefined) {
         context.services.runs.remove(placed.run);
       }
       return;
     }
+    if (placed === undefined && retryAt !== undefined) {
+      return context.refuseForLimits(retryAt);
+    }
     if (placed === undefined) {
       return context.refuse(
         resultCode.ResultCode.Overloaded,
@@ -268,7 +274,7 @@
     }
     if (end === SegmentEnd.Broken) {
       await Promise.all([this.pendingMove, this.judgement]);
-      const copied = this.copies.take(performance.now());
+      const copied = await this.continuations.takeCopy(this.copies);
       if (copied !== undefined) {
         return copied;
       }
@@ -344,13 +350,14 @@
   ): Promise<instanceClient.RunTarget | undefined> {
     const {context, run} = this;
     context.excluded.add(previous.instance.record.id);
-    const choice = context.services.scheduler.chooseInstance(run, {
-      excluded: context.excluded,
-      dataCentre: context.services.dataCentre,
-      capacityTokens: this.engine.memoryTokens || Infinity,
-      remoteCostMilliseconds: 0,
-      isCopy: false,
-    });
+    const {choice, shortage} = await this.continuations.chooseInstance(
+      run,
+      this.engine,
+      this.delivery.hasBegun,
+    );
+    if (context.isOver) {
+      return undefined;
+    }
     if (choice === undefined) {
       const message = 'no other instance accepts work';
       const code = resultCode.ResultCode.NoEndpoint;
@@ -358,6 +365,8 @@
         context.abortStream(message);
       } else if (context.sendsThatMayHaveRun > 0) {
         context.fail(failure.unknownOutcome(code, message), 502);
+      } else if (shortage !== undefined) {
+        context.refuseForLimits(shortage.retryAt);
       } else {
         context.refuse(code, message, OVERLOAD_RETRY_SECONDS);
       }
--- /dev/null
+++ b/test/gateway/common/fleet/direct_message.test.ts
@@ -0,0 +1,57 @@
+/** Messages between two gateways, and bytes that are none. */
+import * as ava from 'ava';
+import * as fastCheck from 'fast-check';
+import * as directMessage from '../../../../src/gateway/common/fleet/direct_message';
+import * as fleetMessage from '../../../../src/gateway/common/fleet/fleet_message';
+
+const test = ava.default;
+const REQUEST: directMessage.DirectMessage = {
+  permitRequest: {sequence: 7, life: 'i-1/5', wanted: 3, limit: [1.7, 20]},
+};
+
+test('direct message: a message is read as it was written', t => {
+  const grant: directMessage.DirectMessage = {
+    permitGrant: {
+      sequence: 7,
+      life: 'i-1/5',
+      granted: 0,
+      retryMilliseconds: 250,
+      limit: [null, 3],
+    },
+  };
+  for (const message of [REQUEST, grant]) {
+    const bytes = directMessage.encode(message);
+    t.true(directMessage.isDirect(bytes));
+    t.deepEqual(directMessage.parse(bytes), message);
+  }
+});
+
+test('direct message: it is none to the reader of other messages', t => {
+  t.is(fleetMessage.parse(directMessage.encode(REQUEST)), undefined);
+});
+
+for (const [name, value] of [
+  ['infinity', '1e400'],
+  ['a negative number', '-1'],
+  ['a fraction', '0.5'],
+  ['too large', '257'],
+  ['text', '"3"'],
+] as const) {
+  test(`direct message: a number of permits that is ${name} is rejected`, t => {
+    const text = directMessage.encode(REQUEST).toString();
+    const changed = text.replace('"wanted":3', `"wanted":${value}`);
+    t.is(directMessage.parse(Buffer.from(changed)), undefined);
+  });
+}
+
+test('direct message: no bytes make the reader throw', t => {
+  fastCheck.assert(
+    fastCheck.property(fastCheck.uint8Array({maxLength: 64}), bytes => {
+      directMessage.isDirect(bytes);
+      directMessage.parse(bytes);
+      directMessage.parse(Buffer.concat([Buffer.from('{"direct":'), bytes]));
+    }),
+    {seed: 20_261_204},
+  );
+  t.pass();
+});
--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -7,6 +7,7 @@
 
 const test = ava.default;
 const {GatewayFleet} = gatewayFleet;
+const {TestGateway} = testGateway;
 const GATEWAYS = 3;
 /** Requests of callers a second, at all gateways together. */
 const LOAD_PER_SECOND = 60;
@@ -96,3 +97,109 @@
     );
   });
 }
+
+/** Answers like the other replica, and names the limit. */
+function naming(
+  limit: string,
+  handler: replicaStandin.ReplicaHandler,
+): replicaStandin.ReplicaHandler {
+  return (request, response) => {
+    response.setHeader('Server-Limit', limit);
+    handler(request, response);
+  };
+}
+
+/** Calls until a permit has accrued. */
+async function untilServed(gateway: testGateway.TestGateway): Promise<void> {
+  while ((await gateway.call('/read/a')).status !== 200) {
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+}
+
+test('limits: callers beyond the limit of all instances are refused at once, with a time to come back', async t => {
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['ledger', naming('0.01', replicaStandin.succeed('record'))],
+  });
+  t.is((await gateway.call('/read/a')).status, 200);
+  const answers = await Promise.all(
+    [1, 2, 3].map(() => gateway.call('/read/a')),
+  );
+  for (const answer of answers) {
+    t.is(answer.status, 503);
+    t.is(answer.headers['rhubarbvane-work'], 'not-run');
+    t.true(Number(answer.headers['retry-after']) > 0);
+  }
+  t.is(gateway.requestCount, 1);
+});
+
+test('limits: generations beyond the limit of all engines are refused, with a time to come back', async t => {
+  const finish: replicaStandin.ReplicaHandler = (request, response) => {
+    response.writeHead(200, replicaStandin.answerHeaders(request));
+    response.end(replicaStandin.events(1, 2));
+  };
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', naming('0.01', finish)],
+  });
+  const send = () => gateway.call('/draft/a', {method: 'POST', body: 'p'});
+  t.is((await send()).status, 200);
+  const refused = await send();
+  t.is(refused.status, 503);
+  t.true(Number(refused.headers['retry-after']) > 0);
+  t.is(gateway.requestCount, 1);
+});
+
+test('limits: a stream that has begun goes on at an instance that names a limit', async t => {
+  const limited: replicaStandin.ReplicaHandler = (request, response) => {
+    const from = Number(request.headers['last-event-id'] ?? 0) + 1;
+    response.writeHead(200, replicaStandin.answerHeaders(request));
+    response.end(replicaStandin.events(from, 6));
+  };
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['writers', naming('10', limited)],
+  });
+  await gateway.call('/tag/a', {method: 'POST', body: 'p'});
+  await gateway.addReplica('i-2', 'writers', (request, response) => {
+    response.writeHead(200, replicaStandin.answerHeaders(request));
+    response.write(replicaStandin.events(1, 3), () =>
+      response.socket!.resetAndDestroy(),
+    );
+  });
+  await gateway.until(() => gateway.process.state.instances.size === 2);
+  const answer = await gateway.call('/tag/a', {method: 'POST', body: 'p'});
+  t.true(answer.isComplete);
+  t.is(answer.body, replicaStandin.events(1, 6));
+  t.is(gateway.replicas.get('i-1')!.requests.length, 2);
+});
+
+for (const value of ['-1', 'NaN', '1e400', '', 'some', '9'.repeat(2_000)]) {
+  test(`limits: the value "${value.slice(0, 8)}" neither limits an instance nor ends its limit`, async t => {
+    const replica = naming(value, replicaStandin.succeed('record'));
+    const gateway = await TestGateway.start(t, {'i-1': ['ledger', replica]});
+    for (let count = 0; count < 5; count++) {
+      t.is((await gateway.call('/read/a')).status, 200);
+    }
+    const standin = gateway.replicas.get('i-1')!;
+    standin.handler = naming('0.4', replicaStandin.succeed('record'));
+    t.is((await gateway.call('/read/a')).status, 200);
+    standin.handler = replica;
+    const next = await gateway.call('/read/a');
+    t.is(next.status, 503);
+    await untilServed(gateway);
+    t.is((await gateway.call('/read/a')).status, 503);
+  });
+}
+
+test('limits: an instance that names its limit no longer gets all requests again', async t => {
+  const gateway = await TestGateway.start(t, {
+    'i-1': ['ledger', naming('2', replicaStandin.succeed('record'))],
+  });
+  t.is((await gateway.call('/read/a')).status, 200);
+  t.is((await gateway.call('/read/a')).status, 503);
+  gateway.replicas.get('i-1')!.handler = replicaStandin.succeed('record');
+  await untilServed(gateway);
+  const answers = [];
+  for (let count = 0; count < 20; count++) {
+    answers.push((await gateway.call('/read/a')).status);
+  }
+  t.deepEqual([...new Set(answers)], [200]);
+});
--- a/test/support/simulated_fleet.ts
+++ b/test/support/simulated_fleet.ts
@@ -2,6 +2,7 @@
 import * as pureRand from 'pure-rand';
 import * as fleetMessage from '../../src/gateway/common/fleet/fleet_message';
 import * as gossip from '../../src/gateway/common/fleet/gossip';
+import * as instanceLimits from '../../src/gateway/common/limits/instance_limits';
 import * as memberTable from '../../src/gateway/common/fleet/member_table';
 import * as watcherElection from '../../src/gateway/common/fleet/watcher_election';
 import * as peerDigest from '../../src/gateway/common/fleet/peer_digest';
@@ -31,6 +32,8 @@
   sentBytes = 0;
   receivedBytes = 0;
   sentMessages = 0;
+  /** Limits that this gateway knows; undefined unless a test simulates them. */
+  limits: instanceLimits.InstanceLimits | undefined;
   private process = 1;
 
   constructor(
@@ -53,7 +56,7 @@
   }
 
   /** The digest of this gateway. */
-  digest(): peerDigest.PeerDigest {
+  digest(now: number): peerDigest.PeerDigest {
     return {
       name: `gateway-${this.index}`,
       stateAddress: `${this.ip}:8748`,
@@ -65,6 +68,8 @@
       crashes: [],
       peers: [],
       isWide: this.index % 5 === 0,
+      messageVersion: peerDigest.MESSAGE_VERSION,
+      limits: this.limits?.toRelay(now),
     };
   }
 
@@ -78,15 +83,16 @@
   }
 
   private createGossip(): gossip.Gossip {
-    return new gossip.Gossip(this.table, () => this.digest(), this.process);
+    return new gossip.Gossip(this.table, now => this.digest(now), this.process);
   }
 }
 
 interface Delivery {
   readonly from: SimulatedGateway;
   readonly to: SimulatedGateway;
-  readonly message: fleetMessage.FleetMessage;
   readonly bytes: number;
+  /** Lets the receiver handle the message. */
+  readonly receive: () => void;
 }
 
 /** The fleet, its network and its clock. */
@@ -98,6 +104,8 @@
   /** Returns whether datagrams from one gateway to the other are lost. */
   isCut: (from: SimulatedGateway, to: SimulatedGateway) => boolean = () =>
     false;
+  /** Runs at the end of each step of the clock. */
+  onStep: () => void = () => undefined;
   private readonly byIp = new Map<string, SimulatedGateway>();
   private readonly inFlight = new Map<number, Delivery[]>();
   private isCounting = false;
@@ -153,7 +161,7 @@
   introduceAll(): void {
     for (const each of this.gateways) {
       for (const other of this.gateways) {
-        each.table.addDigest(other.ip, other.digest(), 0, this.now);
+        each.table.addDigest(other.ip, other.digest(this.now), 0, this.now);
       }
     }
     this.gateways.forEach(each => each.table.forgetNews());
@@ -174,7 +182,19 @@
     }
   }
 
-  private random(): number {
+  /** Sends a message outside of gossip; `receive` runs at the receiver unless the message is lost. */
+  sendDirect(
+    from: SimulatedGateway,
+    ip: string,
+    bytes: number,
+    receive: (to: SimulatedGateway) => void,
+  ): void {
+    const to = this.byIp.get(ip)!;
+    this.post(from, to, bytes, () => receive(to));
+  }
+
+  /** A random number from 0 to 1. */
+  random(): number {
     return (
       pureRand.unsafeUniformIntDistribution(0, 0x7fffffff, this.generator) /
       0x80000000
@@ -191,6 +211,7 @@
         this.tick(each);
       }
     }
+    this.onStep();
   }
 
   /** Gateways have different phases, as after starts at different times. */
@@ -214,7 +235,12 @@
       const bytes = this.isCounting ? this.sizeOf(message) : 0;
       from.sentMessages += ips.length;
       from.sentBytes += bytes * ips.length;
-      ips.forEach(ip => this.post(from, this.byIp.get(ip), message, bytes));
+      for (const ip of ips) {
+        const to = this.byIp.get(ip);
+        if (to !== undefined) {
+          this.post(from, to, bytes, () => this.receive(from, to, message));
+        }
+      }
     }
   }
 
@@ -229,34 +255,39 @@
 
   private post(
     from: SimulatedGateway,
-    to: SimulatedGateway | undefined,
-    message: fleetMessage.FleetMessage,
+    to: SimulatedGateway,
     bytes: number,
+    receive: () => void,
   ): void {
     const isLost =
-      to === undefined ||
-      from.isMute ||
-      this.random() < this.loss ||
-      this.isCut(from, to);
+      from.isMute || this.random() < this.loss || this.isCut(from, to);
     if (isLost) {
       return;
     }
     const at = this.now + LATENCY_MILLISECONDS;
     const due = this.inFlight.get(at) ?? [];
-    due.push({from, to, message, bytes});
+    due.push({from, to, bytes, receive});
     this.inFlight.set(at, due);
   }
 
-  private deliver({from, to, message, bytes}: Delivery): void {
-    if (!to.isUp || to.isFrozen) {
-      return;
+  private deliver({to, bytes, receive}: Delivery): void {
+    if (to.isUp && !to.isFrozen) {
+      to.receivedBytes += bytes;
+      receive();
     }
-    to.receivedBytes += bytes;
+  }
+
+  private receive(
+    from: SimulatedGateway,
+    to: SimulatedGateway,
+    message: fleetMessage.FleetMessage,
+  ): void {
     const received = to.gossip.receive(message, from.ip, this.now);
     this.send(to, received.outgoing);
     if (received.isNew) {
       // Stands for reading the version from the store or the peer.
       to.version = Math.max(to.version, message.digest.configurationVersion);
+      to.limits?.merge(message.digest.limits ?? [], this.now);
     }
   }
 }
