--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -22,6 +22,8 @@
   /** The caller's own estimate of the output length in tokens. */
   readonly lengthHint: number | undefined;
   readonly lastEventId: string | undefined;
+  /** Id of the attempt that brought the first event of the stream that the caller takes up; undefined if it takes up none. */
+  readonly resumedAttemptId: string | undefined;
   /** Headers to forward: name, value, name, value. Excludes hop-by-hop headers and those that only the system sets. */
   readonly passedHeaders: readonly string[];
 }
--- a/src/gateway/common/instance_table.ts
+++ b/src/gateway/common/instance_table.ts
@@ -19,6 +19,12 @@
   readonly warmUpMilliseconds: number;
   /** Start of this incarnation in Unix milliseconds; 0 when not given. Distinguishes incarnations with the same id. */
   readonly startedAt: number;
+  /**
+   * Version of its software, which has no order; empty when not given. Not the
+   * version of the weights. Undefined if a gateway of an older build told of
+   * the instance.
+   */
+  readonly softwareVersion?: string;
 }
 
 /** Identifies one incarnation of an instance. */
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -230,6 +230,7 @@
       this.log('stream-leg-ended', {
         end,
         instance: instance.record.id,
+        software_version: instance.record.softwareVersion,
         ...fields,
       });
     }
--- a/src/platform/caller_codec.ts
+++ b/src/platform/caller_codec.ts
@@ -100,6 +100,7 @@
     sharedParts: sharedParts(headerText(headers[Headers.promptParts])),
     lengthHint: nonNegativeNumber(headerText(headers[Headers.lengthHint])),
     lastEventId: headerText(headers[Headers.lastEventId]),
+    resumedAttemptId: headerText(headers[Headers.resumes]),
     passedHeaders: forwardableHeaders(request, wireNames.SYSTEM_HEADERS),
   };
 }
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -84,6 +84,7 @@
     warmUpMilliseconds: number(spec.warmLeftMs),
     // Unix milliseconds of the start; only compared for equality.
     startedAt: number(spec.born),
+    softwareVersion: text(spec.version) ?? '',
   };
 }
 
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -7,6 +7,8 @@
   remainingMilliseconds: 'x-rhubarbvane-deadline-ms',
   promptParts: 'x-rhubarbvane-prompt-prefix',
   lastEventId: 'last-event-id',
+  /** Attempt id of the attempt that brought the first event of the stream that is taken up. */
+  resumes: 'resumes',
   /** Stamp by which a replica proves that the answer is its own. */
   stamp: 'x-rhubarbvane-server-stamp',
   customer: 'x-rhubarbvane-tenant',
--- a/standins/platform_objects.ts
+++ b/standins/platform_objects.ts
@@ -55,6 +55,7 @@
   service: string,
   address: string,
   state = 'ready',
+  version = 'v1',
 ): object {
   return {
     service,
@@ -62,6 +63,7 @@
     zone: 'a',
     slots: 24,
     state,
+    version,
     warmLeftMs: 0,
     born: 1,
     seq: 1,
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -61,6 +61,7 @@
       sharedParts: [],
       lengthHint: undefined,
       lastEventId: undefined,
+      resumedAttemptId: undefined,
       passedHeaders: ['Host', 'h.example', 'X-Rhubarbvane-Attempt-Id', ATTEMPT],
     },
     body: Buffer.alloc(0),
--- a/test/platform/object_codec.test.ts
+++ b/test/platform/object_codec.test.ts
@@ -12,6 +12,7 @@
   slots: 24,
   state: 'ready',
   warmLeftMs: 20,
+  version: 'v1.2',
   born: 1_700_000_000_000,
   seq: 3,
 };
@@ -34,6 +35,7 @@
     slots: 24,
     warmUpMilliseconds: 20,
     startedAt: 1_700_000_000_000,
+    softwareVersion: 'v1.2',
   });
 });
 
--- a/test/support/gateway_records.ts
+++ b/test/support/gateway_records.ts
@@ -56,6 +56,7 @@
     slots: 1,
     warmUpMilliseconds: 0,
     startedAt: 1,
+    softwareVersion: 'v1',
     ...overrides,
   };
 }
