--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -54,11 +54,12 @@
     state = 'ready',
     service = 'ledger',
     address = '127.0.0.1:9',
+    version = 'v1',
   ): void {
     this.store.put(
       'servers',
       id,
-      platformObjects.registrationSpec(service, address, state),
+      platformObjects.registrationSpec(service, address, state, version),
     );
   }
 
@@ -86,36 +87,42 @@
   }
 
   /** Sends a request with the key to the gateway and returns its status. */
-  requestStatus(
+  async requestStatus(
     gateway: FleetGateway,
     key: string,
     path = '/read/a',
     headers: http.OutgoingHttpHeaders = {},
   ): Promise<number> {
+    return (await this.call(gateway, key, path, {headers})).status;
+  }
+
+  /** Sends a request with the key to the gateway and returns the answer. */
+  call(
+    gateway: FleetGateway,
+    key: string,
+    path: string,
+    options: testGateway.CallerOptions,
+  ): Promise<testGateway.CallerAnswer> {
     return new Promise((resolve, reject) => {
       const request = http.request(
         {
           host: gateway.ip,
           port: gateway.process.port,
           path,
+          method: options.method ?? 'GET',
           agent: false,
           headers: {
             Host: testGateway.HOST,
             Authorization: `Bearer ${key}`,
             'X-Rhubarbvane-Attempt-Id': '00000000000000aa',
             'X-Rhubarbvane-Deadline-Ms': '3000',
-            ...headers,
+            ...options.headers,
           },
         },
-        response => {
-          response.resume();
-          // A broken-off answer is told by the test's replicas.
-          response.on('error', () => undefined);
-          response.once('close', () => resolve(response.statusCode ?? 0));
-        },
+        response => resolve(testGateway.readAnswer(response)),
       );
       request.once('error', reject);
-      request.end();
+      request.end(options.body);
     });
   }
 }
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -119,12 +119,15 @@
   /** Starts a gateway with a configuration and these replicas; resolves when the gateway is ready. */
   static async start(
     t: ava.ExecutionContext,
-    replicas: Readonly<Record<string, [string, replicaStandin.ReplicaHandler]>>,
+    replicas: Readonly<
+      Record<string, [string, replicaStandin.ReplicaHandler, string?]>
+    >,
     configuration = configurationSpec(1),
   ): Promise<TestGateway> {
     const test = await TestGateway.create(t);
-    for (const [id, [service, behaviour]] of Object.entries(replicas)) {
-      await test.addReplica(id, service, behaviour);
+    for (const [id, replica] of Object.entries(replicas)) {
+      const [service, behaviour, version] = replica;
+      await test.addReplica(id, service, behaviour, version);
     }
     test.store.put('config', 'main', configuration);
     await test.until(() => test.process.isReady);
@@ -139,24 +142,30 @@
     id: string,
     service: string,
     behaviour: replicaStandin.ReplicaHandler,
+    version = 'v1',
   ): Promise<void> {
     const replica = new replicaStandin.ReplicaStandin(id, behaviour);
     this.addresses.set(id, await replica.listen());
     this.t.teardown(() => replica.close());
     this.replicas.set(id, replica);
-    this.register(id, service, 'ready');
+    this.register(id, service, 'ready', version);
   }
 
   /** Writes the registration of a replica. */
-  register(id: string, service: string, state: string): void {
+  register(id: string, service: string, state: string, version = 'v1'): void {
     const address = this.addresses.get(id)!;
     this.store.put(
       'servers',
       id,
-      platformObjects.registrationSpec(service, address, state),
+      platformObjects.registrationSpec(service, address, state, version),
     );
   }
 
+  /** Address of a replica. */
+  addressOf(id: string): string | undefined {
+    return this.addresses.get(id);
+  }
+
   /** Waits until the condition holds; only the test's timeout limits the wait. */
   async until(condition: () => boolean): Promise<void> {
     while (!condition()) {
@@ -204,7 +213,10 @@
   }
 }
 
-function readAnswer(response: http.IncomingMessage): Promise<CallerAnswer> {
+/** Reads the whole answer to a caller's request. */
+export function readAnswer(
+  response: http.IncomingMessage,
+): Promise<CallerAnswer> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     response.on('data', (chunk: Buffer) => chunks.push(chunk));
