Gateway: a stream goes on only at the software version that began it

Cause: records had no version, so backups, copies, new runs by event id and streams that callers take up were placed at any instance. Class of fault: two things taken for interchangeable that are not.

Before that event a run may begin anywhere. Backups and copies lie at instances of the source's version. A stream that is taken up and not remembered goes on if only one version was registered in that time, and is refused otherwise, as is one whose version no instance has any more. The continuation of streams is a module of its own now.

--- a/src/gateway/common/instance_table.ts
+++ b/src/gateway/common/instance_table.ts
@@ -32,6 +32,11 @@
   return `${id}/${startedAt}`;
 }
 
+/** Version of the instance's software, to be compared with others; an unknown one equals none but its own. */
+export function versionOf({id, softwareVersion}: InstanceRecord): string {
+  return softwareVersion ?? `unknown at ${id}`;
+}
+
 /** Weight of one outcome in the moving average of the failure rate. */
 const OUTCOME_WEIGHT = 0.15;
 
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -22,6 +22,8 @@
   readonly remoteCostMilliseconds: number;
   /** Number of gateways that use the same reports. */
   readonly gatewayCount: number;
+  /** Version of the instance's software; undefined if any will do, as long as the stream has no event. */
+  readonly softwareVersion: string | undefined;
   /** Whether a copy is placed, which is only useful at an instance that is known to respond. */
   readonly isCopy: boolean;
 }
@@ -148,7 +150,14 @@
       request.draw() * TIE_BREAK_MILLISECONDS
     );
   };
-  const eligible = candidates(instances, request.excluded, now).filter(
+  const {softwareVersion} = request;
+  const compatible =
+    softwareVersion === undefined
+      ? instances
+      : instances.filter(
+          each => instanceTable.versionOf(each.record) === softwareVersion,
+        );
+  const eligible = candidates(compatible, request.excluded, now).filter(
     candidate => !request.isCopy || !instanceTable.isSuspect(candidate),
   );
   const instance = cheapest(sample(eligible, request), cost);
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -48,6 +48,8 @@
 /** State and operations shared by calls of all kinds. */
 export class CallContext {
   readonly excluded = new Set<string>();
+  /** Version of the software that began the stream; undefined before its first event. */
+  softwareVersion: string | undefined;
   private sends = 0;
   private possibleRuns = 0;
   private rejectedSends = 0;
--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -239,6 +239,7 @@
   ): instanceTable.Instance | undefined {
     return this.scheduler.chooseInstance(call.run, {
       excluded: new Set([source.record.id, ...fullTargets]),
+      softwareVersion: instanceTable.versionOf(source.record),
       dataCentre: source.record.dataCentre,
       capacityTokens: call.engine.memoryTokens || Infinity,
       remoteCostMilliseconds: REMOTE_COPY_COST_MILLISECONDS,
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -30,6 +30,7 @@
 import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
 import * as stateFollower from './state_follower';
+import * as streamOrigins from './versions/stream_origins';
 
 /** Time after the stop signal during which the load balancer still sends new connections, in milliseconds. */
 const BALANCER_DELAY_MILLISECONDS = 3_500;
@@ -118,6 +119,7 @@
       promptParts,
       limits,
       permits,
+      origins: new streamOrigins.StreamOrigins(follower),
       limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       members,
@@ -174,7 +176,7 @@
   /** Binds all addresses and starts to follow the platform's state. Rejects if the callers' address is in use. */
   async start(): Promise<void> {
     const {settings, log, registry} = this.options;
-    const {follower, scheduler, evacuations, promptParts, permits} =
+    const {follower, scheduler, evacuations, promptParts, permits, origins} =
       this.services;
     const observability = new observabilityServer.ObservabilityServer(
       () => this.isReady,
@@ -217,6 +219,7 @@
       scheduler,
       evacuations,
       permits,
+      origins,
       this.server,
       this.exchange,
     ].forEach(each => this.disposables.add(each));
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -15,6 +15,7 @@
 import * as generationScheduler from './generation_scheduler';
 import * as permitService from './limits/permit_service';
 import * as stateFollower from './state_follower';
+import * as streamOrigins from './versions/stream_origins';
 
 /** Tables, clients and subsystems of one gateway. */
 export interface GatewayServices {
@@ -30,6 +31,7 @@
   readonly limits: instanceLimits.InstanceLimits;
   readonly permits: permitService.PermitService;
   readonly limitUsage: limitUsage.LimitUsage;
+  readonly origins: streamOrigins.StreamOrigins;
   readonly retries: retryLimiter.RetryLimiter;
   readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -43,6 +43,7 @@
 export type PlacementConstraints = Pick<
   placement.GenerationRequest,
   | 'excluded'
+  | 'softwareVersion'
   | 'dataCentre'
   | 'capacityTokens'
   | 'remoteCostMilliseconds'
@@ -117,6 +118,20 @@
     });
   }
 
+  /** Whether an instance of the version accepts work; always true for any version, since calls may wait for an instance. */
+  hasInstance(endpoint: string, softwareVersion: string | undefined): boolean {
+    return (
+      softwareVersion === undefined ||
+      this.follower.instances
+        .forEndpoint(endpoint)
+        .some(
+          ({record, drainingAt}) =>
+            drainingAt === undefined &&
+            instanceTable.versionOf(record) === softwareVersion,
+        )
+    );
+  }
+
   /** Best instance for a run or its copy that meets the constraints; copies are kept at instances without a limit if there are any. */
   chooseInstance(
     run: runTable.Run,
@@ -163,6 +178,7 @@
   ): instanceTable.Instance | undefined {
     const choice = this.chooseInstance(run, {
       excluded: new Set([source.record.id]),
+      softwareVersion: instanceTable.versionOf(source.record),
       dataCentre: source.record.dataCentre,
       capacityTokens,
       remoteCostMilliseconds: REMOTE_BACKUP_COST_MILLISECONDS,
@@ -232,13 +248,18 @@
   private tryPlace(
     context: callContext.CallContext,
   ): PlacementResult | undefined {
-    const {call} = context;
     const now = performance.now();
     const loads = this.loads(now);
     const expected = expectedTokens(context, this.predictor);
     let isFull = false;
     const {choice, shortage} = this.permits.select(context.excluded, barred => {
-      const found = this.findFirstInstance(call, loads, expected, barred, now);
+      const found = this.findFirstInstance(
+        context,
+        loads,
+        expected,
+        barred,
+        now,
+      );
       isFull = found !== undefined && !hasRoom(found, loads);
       return isFull ? undefined : found;
     });
@@ -253,7 +274,7 @@
 
   /** Best instance for a generation that has not run anywhere. */
   private findFirstInstance(
-    call: callContext.AcceptedCall,
+    {call, softwareVersion}: callContext.CallContext,
     loads: runTable.LoadView,
     expected: number,
     excluded: ReadonlySet<string>,
@@ -265,6 +286,7 @@
       {
         dataCentre: this.dataCentre,
         excluded,
+        softwareVersion,
         draw: Math.random,
         promptTokens: call.caller.promptTokens,
         expectedTokens: expected,
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -20,29 +20,27 @@
 
 const {SegmentEnd} = streamSegment;
 
-/** Retry delay if engines are expected to be full, in seconds. */
-const OVERLOAD_RETRY_SECONDS = 1;
-
 /** Executes one streaming generation. */
 export class StreamCall extends evacuationManager.MovableCall {
   run!: runTable.Run;
   private segment: streamSegment.StreamSegment | undefined;
   private delivery!: eventDelivery.EventDelivery;
   private copies!: runCopies.RunCopies;
-  private readonly continuations: streamContinuations.StreamContinuations;
+  private continuations!: streamContinuations.StreamContinuations;
   private watch: stallWatch.StallWatch | undefined;
   private evidence: crashEvidence.CrashEvidence | undefined;
   /** Ends when it is known whether a lost instance counts against the prompt. */
   private judgement: Promise<void> | undefined;
   /** Ends when a run that was stopped has been moved; its stream may break before that. */
   private pendingMove: Promise<void> | undefined;
+  /** Instance of the current segment. */
+  private source: instanceTable.Instance | undefined;
   private segmentCount = 0;
   private hasExpired = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly context: callContext.CallContext) {
     super();
-    this.continuations = new streamContinuations.StreamContinuations(context);
   }
 
   get isOver(): boolean {
@@ -78,6 +76,9 @@
 
   async start(): Promise<void> {
     const {context} = this;
+    if (!this.takeUp()) {
+      return;
+    }
     const {placed, retryAt} = await context.services.scheduler.place(context);
     if (context.isOver) {
       if (placed !== undefined) {
@@ -92,15 +93,20 @@
       return context.refuse(
         resultCode.ResultCode.Overloaded,
         'no engine is expected to have enough free memory in time',
-        OVERLOAD_RETRY_SECONDS,
+        streamContinuations.OVERLOAD_RETRY_SECONDS,
       );
     }
     this.run = placed.run;
-    this.delivery = new eventDelivery.EventDelivery(context, placed.run, () => {
-      this.watch?.recordEvents();
-      this.evidence?.recordEvents(performance.now());
-    });
+    this.delivery = new eventDelivery.EventDelivery(context, placed.run, () =>
+      this.recordEvents(),
+    );
     this.copies = new runCopies.RunCopies(context, placed.run, this.engine);
+    this.continuations = new streamContinuations.StreamContinuations(
+      context,
+      placed.run,
+      this.engine,
+      this.delivery,
+    );
     context.setDisconnectHandler(() => this.segment?.cancel());
     context.services.evacuations.add(this);
     this.deadlineTimer = setTimeout(
@@ -121,6 +127,40 @@
     }
   }
 
+  /** Lets a stream that the caller takes up go on at the version that began it; false if the call was refused. */
+  private takeUp(): boolean {
+    const {context} = this;
+    const {services, call} = context;
+    const origin = services.origins.find(context);
+    context.softwareVersion = origin.softwareVersion;
+    const {Overloaded, NoEndpoint} = resultCode.ResultCode;
+    if (!origin.isKnown) {
+      const message = 'the software version that began the stream is not known';
+      context.refuse(NoEndpoint, message, Infinity);
+      return false;
+    }
+    const isServed = services.scheduler.hasInstance(
+      call.endpointName,
+      origin.softwareVersion,
+    );
+    if (!isServed) {
+      const message = `no instance with software version "${origin.softwareVersion}" accepts work`;
+      const {OVERLOAD_RETRY_SECONDS} = streamContinuations;
+      context.refuse(Overloaded, message, OVERLOAD_RETRY_SECONDS);
+    }
+    return isServed;
+  }
+
+  private recordEvents(): void {
+    const {context} = this;
+    this.watch?.recordEvents();
+    this.evidence?.recordEvents(performance.now());
+    if (context.softwareVersion === undefined) {
+      context.softwareVersion = instanceTable.versionOf(this.source!.record);
+      context.services.origins.recordBegun(context, context.softwareVersion);
+    }
+  }
+
   /** Ends a call without any event yet whose prompt is known to crash engines; its engine drops it before it begins. */
   private endIfPoisoned(): boolean {
     const hasEnded = !this.delivery.hasBegun && this.context.endIfPoisoned();
@@ -160,6 +200,7 @@
   ): Promise<streamSegment.SegmentEnd> {
     const {context, run} = this;
     const {services} = context;
+    this.source = target.instance;
     run.instanceId = target.instance.record.id;
     const backup = this.copies.startSegment(target.instance);
     this.delivery.startSegment();
@@ -280,105 +321,7 @@
         return copied;
       }
     }
-    if (previous.continuation !== undefined || this.delivery.hasBegun) {
-      return this.resume(previous, end);
-    }
-    return this.restart(previous, end);
-  }
-
-  /** Resumes by event id after events were delivered, if the route allows it. */
-  private async resume(
-    previous: instanceClient.RunTarget,
-    end: streamSegment.SegmentEnd,
-  ): Promise<instanceClient.RunTarget | undefined> {
-    const {context} = this;
-    const retryReason =
-      end === SegmentEnd.NotRun && previous.continuation === undefined
-        ? callContext.RetryReason.NotRun
-        : callContext.RetryReason.MayHaveRun;
-    const isAllowed =
-      context.call.route.isResumable && context.tryAcquireRetry(retryReason);
-    if (isAllowed) {
-      return this.placeOnOtherInstance(previous);
-    }
-    const message = `the stream of ${previous.instance.record.id} ended early`;
-    if (this.delivery.hasBegun) {
-      context.abortStream(message);
-    } else {
-      const {EndpointLost} = resultCode.ResultCode;
-      context.fail(failure.unknownOutcome(EndpointLost, message), 502);
-    }
-    return undefined;
-  }
-
-  /** Starts the generation again while the caller has received nothing. */
-  private async restart(
-    previous: instanceClient.RunTarget,
-    end: streamSegment.SegmentEnd,
-  ): Promise<instanceClient.RunTarget | undefined> {
-    const {context} = this;
-    const retryReason =
-      end === SegmentEnd.NotRun
-        ? callContext.RetryReason.NotRun
-        : callContext.RetryReason.MayHaveRun;
-    if (context.tryAcquireRetry(retryReason)) {
-      return this.placeOnOtherInstance(previous);
-    }
-    if (end === SegmentEnd.Failed) {
-      this.segment!.deliverFailure();
-      return undefined;
-    }
-    if (end === SegmentEnd.NotRun && context.sendsThatMayHaveRun === 0) {
-      context.refuse(
-        resultCode.ResultCode.Overloaded,
-        'the instances tried did not accept the request',
-        OVERLOAD_RETRY_SECONDS,
-      );
-      return undefined;
-    }
-    context.fail(
-      failure.unknownOutcome(
-        resultCode.ResultCode.EndpointLost,
-        `the connection to ${previous.instance.record.id} ended before its answer`,
-      ),
-      502,
-    );
-    return undefined;
-  }
-
-  private async placeOnOtherInstance(
-    previous: instanceClient.RunTarget,
-  ): Promise<instanceClient.RunTarget | undefined> {
-    const {context, run} = this;
-    context.excluded.add(previous.instance.record.id);
-    const {choice, shortage} = await this.continuations.chooseInstance(
-      run,
-      this.engine,
-      this.delivery.hasBegun,
-    );
-    if (context.isOver) {
-      return undefined;
-    }
-    if (choice === undefined) {
-      const message = 'no other instance accepts work';
-      const code = resultCode.ResultCode.NoEndpoint;
-      if (this.delivery.hasBegun) {
-        context.abortStream(message);
-      } else if (context.sendsThatMayHaveRun > 0) {
-        context.fail(failure.unknownOutcome(code, message), 502);
-      } else if (shortage !== undefined) {
-        context.refuseForLimits(shortage.retryAt);
-      } else {
-        context.refuse(code, message, OVERLOAD_RETRY_SECONDS);
-      }
-      return undefined;
-    }
-    context.log(
-      'generation-repeated',
-      {from: previous.instance.record.id},
-      choice.instance,
-    );
-    return {instance: choice.instance, continuation: undefined};
+    return this.continuations.runAgain(previous, end, this.segment!);
   }
 
   private expire(): void {
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -1,11 +1,20 @@
 /** Chooses where a stream goes on after its instance has stopped. */
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instancePermits from '../common/limits/instance_permits';
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
+import * as eventDelivery from './event_delivery';
 import * as runCopies from './run_copies';
+import * as streamSegment from './stream_segment';
+
+const {SegmentEnd} = streamSegment;
+
+/** Retry delay if engines are expected to be full, in seconds. */
+export const OVERLOAD_RETRY_SECONDS = 1;
 
 /** Time for which a stream that has begun waits until an instance takes a request, in milliseconds; callers abandon a stream after a pause of two seconds. */
 const PATIENCE_MILLISECONDS = 1_000;
@@ -13,7 +22,12 @@
 
 /** Continuations of one call. */
 export class StreamContinuations {
-  constructor(private readonly context: callContext.CallContext) {}
+  constructor(
+    private readonly context: callContext.CallContext,
+    private readonly run: runTable.Run,
+    private readonly engine: configuration.EngineProfile,
+    private readonly delivery: eventDelivery.EventDelivery,
+  ) {}
 
   /** Returns the copy to continue from, once its instance takes a request; undefined if there is none or that takes too long. */
   async takeCopy(
@@ -36,24 +50,126 @@
     return choice;
   }
 
-  /** Chooses an instance for a new run of the generation. */
-  chooseInstance(
-    run: runTable.Run,
-    engine: configuration.EngineProfile,
-    hasBegun: boolean,
-  ): Promise<instancePermits.Selection<placement.GenerationChoice>> {
-    const {services, excluded} = this.context;
+  /** Returns where the generation runs again without a copy; undefined if the call has ended. */
+  runAgain(
+    previous: instanceClient.RunTarget,
+    end: streamSegment.SegmentEnd,
+    segment: streamSegment.StreamSegment,
+  ): Promise<instanceClient.RunTarget | undefined> {
+    return previous.continuation !== undefined || this.delivery.hasBegun
+      ? this.resume(previous, end)
+      : this.restart(previous, end, segment);
+  }
+
+  /** Resumes by event id after events were delivered, if the route allows it. */
+  private async resume(
+    previous: instanceClient.RunTarget,
+    end: streamSegment.SegmentEnd,
+  ): Promise<instanceClient.RunTarget | undefined> {
+    const {context} = this;
+    const retryReason =
+      end === SegmentEnd.NotRun && previous.continuation === undefined
+        ? callContext.RetryReason.NotRun
+        : callContext.RetryReason.MayHaveRun;
+    const isAllowed =
+      context.call.route.isResumable && context.tryAcquireRetry(retryReason);
+    if (isAllowed) {
+      return this.placeOnOtherInstance(previous);
+    }
+    const message = `the stream of ${previous.instance.record.id} ended early`;
+    if (this.delivery.hasBegun) {
+      context.abortStream(message);
+    } else {
+      const {EndpointLost} = resultCode.ResultCode;
+      context.fail(failure.unknownOutcome(EndpointLost, message), 502);
+    }
+    return undefined;
+  }
+
+  /** Starts the generation again while the caller has received nothing. */
+  private async restart(
+    previous: instanceClient.RunTarget,
+    end: streamSegment.SegmentEnd,
+    segment: streamSegment.StreamSegment,
+  ): Promise<instanceClient.RunTarget | undefined> {
+    const {context} = this;
+    const retryReason =
+      end === SegmentEnd.NotRun
+        ? callContext.RetryReason.NotRun
+        : callContext.RetryReason.MayHaveRun;
+    if (context.tryAcquireRetry(retryReason)) {
+      return this.placeOnOtherInstance(previous);
+    }
+    if (end === SegmentEnd.Failed) {
+      segment.deliverFailure();
+      return undefined;
+    }
+    if (end === SegmentEnd.NotRun && context.sendsThatMayHaveRun === 0) {
+      context.refuse(
+        resultCode.ResultCode.Overloaded,
+        'the instances tried did not accept the request',
+        OVERLOAD_RETRY_SECONDS,
+      );
+      return undefined;
+    }
+    context.fail(
+      failure.unknownOutcome(
+        resultCode.ResultCode.EndpointLost,
+        `the connection to ${previous.instance.record.id} ended before its answer`,
+      ),
+      502,
+    );
+    return undefined;
+  }
+
+  private async placeOnOtherInstance(
+    previous: instanceClient.RunTarget,
+  ): Promise<instanceClient.RunTarget | undefined> {
+    const {context} = this;
+    context.excluded.add(previous.instance.record.id);
+    const {choice, shortage} = await this.chooseInstance();
+    if (context.isOver) {
+      return undefined;
+    }
+    if (choice === undefined) {
+      const message = 'no other instance accepts work';
+      const code = resultCode.ResultCode.NoEndpoint;
+      if (this.delivery.hasBegun) {
+        context.abortStream(message);
+      } else if (context.sendsThatMayHaveRun > 0) {
+        context.fail(failure.unknownOutcome(code, message), 502);
+      } else if (shortage !== undefined) {
+        context.refuseForLimits(shortage.retryAt);
+      } else {
+        context.refuse(code, message, OVERLOAD_RETRY_SECONDS);
+      }
+      return undefined;
+    }
+    context.log(
+      'generation-repeated',
+      {from: previous.instance.record.id},
+      choice.instance,
+    );
+    return {instance: choice.instance, continuation: undefined};
+  }
+
+  /** Chooses an instance for a new run of the generation, at the version that began its stream. */
+  private chooseInstance(): Promise<
+    instancePermits.Selection<placement.GenerationChoice>
+  > {
+    const {services, excluded, softwareVersion} = this.context;
     return services.permits.selectWithin(
       excluded,
       barred =>
-        services.scheduler.chooseInstance(run, {
+        services.scheduler.chooseInstance(this.run, {
           excluded: barred,
+          softwareVersion,
           dataCentre: services.dataCentre,
-          capacityTokens: engine.memoryTokens || Infinity,
+          capacityTokens: this.engine.memoryTokens || Infinity,
           remoteCostMilliseconds: 0,
           isCopy: false,
         }),
-      hasBegun ? PATIENCE_MILLISECONDS : 0,
+      this.delivery.hasBegun ? PATIENCE_MILLISECONDS : 0,
     );
   }
 }
--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -31,6 +31,7 @@
     capacityTokens: CAPACITY,
     remoteCostMilliseconds: 5,
     gatewayCount: 4,
+    softwareVersion: undefined,
     isCopy: false,
   };
 }
