--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -75,11 +75,11 @@
     return this.isWatchingSource;
   }
 
-  /** Age of the state last read from the source, in milliseconds; undefined unless this gateway watches it. */
+  /** Age of the state last read from the source, in milliseconds; undefined unless this gateway watches it and has read all of it. */
   sourceAge(now = performance.now()): number | undefined {
     const isWatched = this.isWatchingSource && !this.isSourceUnavailable;
     const readAt = Math.min(this.confirmedAt, this.instancesReadAt);
-    return isWatched ? now - readAt : undefined;
+    return isWatched && readAt > -Infinity ? now - readAt : undefined;
   }
 
   /** Whether the last read of the configuration or of the instances failed. */
