Soak: replicas that name limits and of two software versions, callers that take streams up

Promise limit: more requests in four seconds than one and a half times the limit and five, from gateways without a fault of their own for three seconds. Events tell the version of their replica; whole is broken by a stream, or one that is taken up at any gateway, with two of them.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,7 +3,6 @@
 import * as timers from 'node:timers/promises';
 import * as hdr from 'hdr-histogram-js';
 import * as deployment from './deployment';
-import * as gatewayChild from './gateway_child';
 import * as requestHistory from './request_history';
 import * as random from './random';
 
@@ -30,6 +29,8 @@
 const ABORT_SHARE = 0.03;
 /** Fraction of requests that may use a key that was revoked. */
 const REVOKED_KEY_SHARE = 0.05;
+/** Fraction of broken-off tags that their caller takes up. */
+const TAKE_UP_SHARE = 0.8;
 const PLAIN_WAIT_MILLISECONDS = 2_000;
 /** Longer than the 2.4 s that a stream of maximum length lasts. */
 const STREAM_WAIT_MILLISECONDS = 8_000;
@@ -59,8 +60,15 @@
   private async runOne(): Promise<void> {
     const agent = new http.Agent({keepAlive: true, maxSockets: 1});
     while (!this.isStopping) {
-      const gateway = this.random.pick(this.target.gateways);
-      await this.send(gateway, agent, this.random.pick(REQUEST_MIX));
+      const kind = this.random.pick(REQUEST_MIX);
+      const pieces = this.random.integer(
+        1,
+        kind === RequestKind.Tag ? 60 : 120,
+      );
+      let broken = await this.send(agent, kind, pieces, undefined);
+      while (broken !== undefined && this.random.chance(TAKE_UP_SHARE)) {
+        broken = await this.send(agent, kind, pieces, broken);
+      }
       await timers.setTimeout(this.random.integer(0, MAX_THINK_MILLISECONDS));
     }
     agent.destroy();
@@ -74,23 +82,24 @@
     return this.random.pick([...keys]);
   }
 
-  /** Sends one request and records its answer, if one begins. */
-  private send(
-    gateway: gatewayChild.GatewayChild,
+  /** Sends one request to any gateway and records its answer, if one begins. Returns the stream that the caller may take up. */
+  private async send(
     agent: http.Agent,
     kind: requestHistory.RequestKind,
-  ): Promise<void> {
+    pieces: number,
+    takenUp: requestHistory.TakenUpStream | undefined,
+  ): Promise<requestHistory.TakenUpStream | undefined> {
+    const gateway = this.random.pick(this.target.gateways);
     const attempt = (++this.attemptCount).toString(16).padStart(16, '0');
     const key = this.pickKey();
     const isStream = kind === RequestKind.Draft || kind === RequestKind.Tag;
     const wait = isStream ? STREAM_WAIT_MILLISECONDS : PLAIN_WAIT_MILLISECONDS;
-    const pieces = this.random.integer(1, kind === RequestKind.Tag ? 5 : 120);
     const abortsAfter = this.random.chance(ABORT_SHARE)
       ? this.random.integer(1, 300)
       : wait + 1_000;
-    this.history.recordSent(attempt, kind, key, gateway.name);
+    this.history.recordSent(attempt, kind, key, gateway.name, takenUp);
     const startedAt = performance.now();
-    return new Promise(resolve => {
+    await new Promise<void>(resolve => {
       const request = http.request(
         {
           host: gateway.address.split(':')[0],
@@ -104,6 +113,7 @@
             'X-Rhubarbvane-Attempt-Id': attempt,
             'X-Rhubarbvane-Deadline-Ms': String(wait),
             'X-Rhubarbvane-Token-Count': `100,${pieces}`,
+            ...takeUpHeaders(takenUp),
           },
         },
         response => this.receive(attempt, response, resolve, startedAt),
@@ -116,6 +126,9 @@
       });
       request.end(isStream ? String(pieces) : undefined);
     });
+    return kind === RequestKind.Tag
+      ? brokenStream(attempt, this.history.answerOf(attempt), takenUp)
+      : undefined;
   }
 
   private receive(
@@ -140,3 +153,28 @@
     });
   }
 }
+
+function takeUpHeaders(
+  takenUp: requestHistory.TakenUpStream | undefined,
+): Record<string, string> {
+  return takenUp === undefined
+    ? {}
+    : {'Last-Event-Id': String(takenUp.pieces), Resumes: takenUp.attempt};
+}
+
+/** What the caller has of a stream that was broken off; undefined if it has nothing or all of it. */
+function brokenStream(
+  attempt: string,
+  answer: requestHistory.ReceivedAnswer | undefined,
+  takenUp: requestHistory.TakenUpStream | undefined,
+): requestHistory.TakenUpStream | undefined {
+  if (answer === undefined || answer.isComplete || answer.status !== 200) {
+    return undefined;
+  }
+  const pieces =
+    (takenUp?.pieces ?? 0) + requestHistory.pieceCount(answer.body);
+  const version = takenUp?.version ?? requestHistory.versionOf(answer.body);
+  return pieces === 0 || version === undefined
+    ? undefined
+    : {attempt: takenUp?.attempt ?? attempt, version, pieces};
+}
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -8,6 +8,9 @@
 
 export const HOST = 'soak.example';
 
+/** Versions of the replicas' software, in turn. */
+const VERSIONS = ['v1', 'v1.2'];
+
 /** Number of gateways and replicas of a deployment. */
 export interface DeploymentSize {
   readonly gateways: number;
@@ -64,6 +67,7 @@
     const replica = new replicas.Replica(
       `replica-${++this.replicaCount}`,
       service,
+      VERSIONS[this.replicaCount % VERSIONS.length],
       this.history,
       this.copies,
     );
@@ -75,11 +79,11 @@
 
   /** Writes the registration of the replica. */
   register(replica: replicas.Replica, state: string): void {
-    const {service, address} = replica;
+    const {service, address, version} = replica;
     this.store.put(
       'servers',
       replica.id,
-      platformObjects.registrationSpec(service, address, state),
+      platformObjects.registrationSpec(service, address, state, version),
     );
   }
 
--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -20,6 +20,11 @@
 /** Time for which a draining replica still serves, in milliseconds. */
 const DRAIN_MILLISECONDS = 1_800;
 
+/** Shortest time for which a replica names a limit, in milliseconds. */
+const MIN_LIMIT_MILLISECONDS = 4_000;
+/** Largest limit, in tenths of a request a second. */
+const MAX_LIMIT_TENTHS = 80;
+
 const RELAY_MODES = [
   RelayMode.SilenceOpen,
   RelayMode.SilenceAll,
@@ -48,6 +53,7 @@
     store: time => this.storeFault(time),
     compact: () => this.compact(),
     replica: time => this.replicaFault(time),
+    limit: time => this.limit(time),
     crash: () => this.replaceReplica(0),
     drain: () => this.replaceReplica(DRAIN_MILLISECONDS),
     key: () => this.replaceKey(),
@@ -207,6 +213,20 @@
     });
   }
 
+  /** Lets a replica name a limit. */
+  private limit(time: number): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const limit = this.random.integer(0, MAX_LIMIT_TENTHS) / 10;
+    const event = {fault: 'limit', replica: replica.id, limit};
+    return this.inject(replica, replica.id, event, async () => {
+      const end = this.history.beginLimit(replica.id, limit, performance.now());
+      replica.limit = limit;
+      await timers.setTimeout(time + MIN_LIMIT_MILLISECONDS);
+      end(performance.now());
+      replica.limit = undefined;
+    });
+  }
+
   /** Replaces a replica that drains for the given time, or crashes at once when it is 0. */
   private replaceReplica(drainTime: number): Promise<void> {
     const replica = this.random.pick(this.target.replicas);
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -43,6 +43,8 @@
 /** Serves requests of gateways over HTTP. */
 export class Replica {
   mode = ReplicaMode.Normal;
+  /** Requests a second that the replica names as its limit; undefined to name none. */
+  limit: number | undefined;
   address = '';
   private readonly streams = new Map<string, StreamRun>();
   private readonly server = http.createServer((request, response) =>
@@ -52,6 +54,8 @@
   constructor(
     readonly id: string,
     readonly service: string,
+    /** Version of its software. */
+    readonly version: string,
     private readonly history: requestHistory.RequestHistory,
     private readonly copies: Copies,
   ) {}
@@ -71,6 +75,7 @@
         const event = requestHistory.pieceEvent(
           run.attempt,
           run.sentPieces + 1,
+          this.version,
         );
         this.endStream(run);
         run.response.end(event.slice(0, -1));
@@ -125,6 +130,9 @@
       this.copies.delete(url.slice('/kv-handle/'.length));
       return sendJson(response, 200, {});
     }
+    if (this.limit !== undefined) {
+      response.setHeader('Server-Limit', String(this.limit));
+    }
     this.serve(headers, response, body);
   }
 
@@ -228,11 +236,13 @@
     }
     if (run.sentPieces < pieces) {
       run.response.write(
-        requestHistory.pieceEvent(run.attempt, ++run.sentPieces),
+        requestHistory.pieceEvent(run.attempt, ++run.sentPieces, this.version),
       );
       return;
     }
-    run.response.end(requestHistory.endEvent(run.attempt, pieces));
+    run.response.end(
+      requestHistory.endEvent(run.attempt, pieces, this.version),
+    );
     this.endStream(run);
   }
 
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -34,7 +34,24 @@
   readonly detail: string;
 }
 
+/** A stream that its caller takes up in another request. */
+export interface TakenUpStream {
+  /** Attempt that brought the first event. */
+  readonly attempt: string;
+  readonly version: string;
+  /** Pieces that the caller has. */
+  readonly pieces: number;
+}
+
+/** Time in which a replica named a limit. */
+interface LimitedTime {
+  readonly replica: string;
+  readonly requestsPerSecond: number;
+  readonly range: TimeRange;
+}
+
 interface SentRequest {
+  readonly takenUp: TakenUpStream | undefined;
   readonly kind: RequestKind;
   readonly key: string;
   readonly gateway: string;
@@ -59,19 +76,43 @@
 /** Time without any fault after which a gateway counts as connected, in milliseconds. */
 const FAULT_FREE_MILLISECONDS = 4_000;
 
+/** Time after a replica first names a limit from which requests count, in milliseconds. */
+const LIMIT_SETTLING_MILLISECONDS = 1_000;
+const LIMIT_WINDOW_MILLISECONDS = 4_000;
+/** Time without a fault of its own after which a gateway is bound by a limit, in milliseconds. */
+const LIMIT_FAULT_FREE_MILLISECONDS = 3_000;
+
 /** Body of a complete plain answer. */
 export function plainBody(attempt: string, replica: string): string {
   return `${attempt} served by ${replica}`;
 }
 
-/** One piece of a stream. */
-export function pieceEvent(attempt: string, index: number): string {
-  return `id: ${index}\ndata: ${attempt} piece ${index}\n\n`;
+/** One piece of a stream, which tells the software version of its replica. */
+export function pieceEvent(
+  attempt: string,
+  index: number,
+  version = 'v1',
+): string {
+  return `id: ${index}\ndata: ${attempt} ${version} piece ${index}\n\n`;
 }
 
 /** Last event of a complete stream. */
-export function endEvent(attempt: string, pieces: number): string {
-  return `id: ${pieces + 1}\ndata: ${attempt} end\n\n`;
+export function endEvent(
+  attempt: string,
+  pieces: number,
+  version = 'v1',
+): string {
+  return `id: ${pieces + 1}\ndata: ${attempt} ${version} end\n\n`;
+}
+
+/** Version that the first event of a stream tells; undefined without an event. */
+export function versionOf(body: string): string | undefined {
+  return /^id: \d+\ndata: \S+ (\S+) (?:piece|end)/.exec(body)?.[1];
+}
+
+/** Number of whole pieces in the body of a stream. */
+export function pieceCount(body: string): number {
+  return [...body.matchAll(/ piece \d+\n\n/g)].length;
 }
 
 /** Holds what callers and replicas observed in one soak test. */
@@ -82,6 +123,7 @@
     [];
   private readonly revoked = new Map<string, number>();
   private readonly draining = new Map<string, number>();
+  private readonly limited: LimitedTime[] = [];
   private readonly recordedViolations: Violation[] = [];
 
   recordSent(
@@ -89,8 +131,13 @@
     kind: RequestKind,
     key: string,
     gateway: string,
+    takenUp?: TakenUpStream,
   ): void {
-    this.sent.set(attempt, {kind, key, gateway});
+    this.sent.set(attempt, {kind, key, gateway, takenUp});
+  }
+
+  answerOf(attempt: string): ReceivedAnswer | undefined {
+    return this.sent.get(attempt)?.answer;
   }
 
   recordAnswer(attempt: string, answer: ReceivedAnswer): void {
@@ -123,6 +170,17 @@
     this.draining.set(replica, at);
   }
 
+  /** Records that a replica names a limit; returns a function that records its end. */
+  beginLimit(
+    replica: string,
+    requestsPerSecond: number,
+    at: number,
+  ): (at: number) => void {
+    const range: TimeRange = {from: at, to: Infinity};
+    this.limited.push({replica, requestsPerSecond, range});
+    return endsAt => (range.to = endsAt);
+  }
+
   /** Records a violation that the soak test observed itself, such as the exit of a process. */
   recordViolation(promise: string, detail: string): void {
     this.recordedViolations.push({promise, attempt: '', detail});
@@ -148,6 +206,7 @@
         ...this.checkAnswer(attempt, request, runs),
       );
     }
+    violations.push(...this.limited.flatMap(each => this.checkLimit(each)));
     for (const attempt of this.runs.keys()) {
       if (!this.sent.has(attempt)) {
         violations.push({
@@ -188,6 +247,59 @@
     return violations;
   }
 
+  /** Checks the runs at a replica while it named a limit, without those of gateways that had a fault. */
+  private checkLimit({
+    replica,
+    requestsPerSecond,
+    range,
+  }: LimitedTime): Violation[] {
+    const times: number[] = [];
+    for (const [attempt, runs] of this.runs) {
+      const gateway = this.sent.get(attempt)?.gateway;
+      for (const run of runs) {
+        const isCounted =
+          run.replica === replica &&
+          run.at >= range.from + LIMIT_SETTLING_MILLISECONDS &&
+          run.at <= range.to &&
+          !this.hadFault(
+            gateway,
+            run.at - LIMIT_FAULT_FREE_MILLISECONDS,
+            run.at,
+          );
+        if (isCounted) {
+          times.push(run.at);
+        }
+      }
+    }
+    times.sort((left, right) => left - right);
+    const allowed =
+      1.5 * requestsPerSecond * (LIMIT_WINDOW_MILLISECONDS / 1000) + 5;
+    let first = 0;
+    let most = 0;
+    times.forEach((at, index) => {
+      while (times[first] <= at - LIMIT_WINDOW_MILLISECONDS) {
+        first++;
+      }
+      most = Math.max(most, index - first + 1);
+    });
+    const detail = `${replica} got ${most} requests at a limit of ${requestsPerSecond}, ${allowed} allowed`;
+    return most > allowed ? [{promise: 'limit', attempt: '', detail}] : [];
+  }
+
+  /** Whether the gateway itself had a fault in the time. */
+  private hadFault(
+    gateway: string | undefined,
+    from: number,
+    to: number,
+  ): boolean {
+    return this.faults.some(
+      fault =>
+        fault.gateway === gateway &&
+        fault.range.from <= to &&
+        fault.range.to >= from,
+    );
+  }
+
   /** Whether a run began after the time limit of a change although the gateway was connected long enough to receive the change. */
   private isLate(at: number, changedAt: number, gateway: string): boolean {
     const since = at - CHANGE_LIMIT_MILLISECONDS - FAULT_FREE_MILLISECONDS;
@@ -202,7 +314,7 @@
 
   private checkAnswer(
     attempt: string,
-    {kind, answer}: SentRequest,
+    {kind, answer, takenUp}: SentRequest,
     runs: readonly Run[],
   ): Violation[] {
     if (answer === undefined) {
@@ -220,7 +332,7 @@
     }
     const fault =
       kind === RequestKind.Draft || kind === RequestKind.Tag
-        ? checkStream(attempt, answer)
+        ? checkStream(attempt, answer, takenUp)
         : checkPlain(attempt, answer, runs);
     return fault === undefined
       ? []
@@ -252,20 +364,25 @@
 function checkStream(
   attempt: string,
   {body, isComplete}: ReceivedAnswer,
+  takenUp: TakenUpStream | undefined,
 ): string | undefined {
+  const version = versionOf(body) ?? takenUp?.version;
+  if (takenUp !== undefined && version !== takenUp.version) {
+    return `begun at ${takenUp.version} as ${takenUp.attempt}, goes on at ${version}`;
+  }
   let expected = '';
-  let pieces = 0;
-  while (body.startsWith(expected + pieceEvent(attempt, pieces + 1))) {
-    expected += pieceEvent(attempt, ++pieces);
+  let pieces = takenUp?.pieces ?? 0;
+  while (body.startsWith(expected + pieceEvent(attempt, pieces + 1, version))) {
+    expected += pieceEvent(attempt, ++pieces, version);
   }
   const rest = body.slice(expected.length);
-  if (rest === endEvent(attempt, pieces)) {
+  if (rest === endEvent(attempt, pieces, version)) {
     return undefined;
   }
   // A truncated answer may end within a piece or within the last event.
   const isTruncated =
-    pieceEvent(attempt, pieces + 1).startsWith(rest) ||
-    endEvent(attempt, pieces).startsWith(rest);
+    pieceEvent(attempt, pieces + 1, version).startsWith(rest) ||
+    endEvent(attempt, pieces, version).startsWith(rest);
   if (!isComplete && isTruncated) {
     return undefined;
   }
--- a/test/soak/request_history.test.ts
+++ b/test/soak/request_history.test.ts
@@ -162,3 +162,46 @@
   history.recordRun('stray', 'r1', 1, false);
   t.is(history.violations()[0].promise, 'asked');
 });
+
+for (const [title, requests, faultAt, expected] of [
+  ['more requests than its limit allows is a violation', 12, 0, ['limit']],
+  ['as many requests as its limit allows is allowed', 11, 0, []],
+  ['requests of a gateway that has a fault is allowed', 12, 9_000, []],
+] as const) {
+  test(`request history: a replica that gets ${title}`, t => {
+    const history = new requestHistory.RequestHistory();
+    const end = history.beginLimit('r1', 1, 10_000);
+    if (faultAt > 0) {
+      history.beginFault('g1', faultAt)(faultAt + 1_000);
+    }
+    for (let index = 0; index < requests; index++) {
+      history.recordSent(`a${index}`, RequestKind.Read, 'key', 'g1');
+      history.recordRun(`a${index}`, 'r1', 11_500 + index, false);
+    }
+    end(14_000);
+    t.deepEqual(
+      history.violations().map(found => found.promise),
+      [...expected],
+    );
+  });
+}
+
+for (const [version, expected] of [
+  ['v1', []],
+  ['v1.2', ['whole']],
+] as const) {
+  test(`request history: a stream of v1 that is taken up and goes on at ${version} is ${expected.length > 0 ? 'a violation' : 'allowed'}`, t => {
+    const history = new requestHistory.RequestHistory();
+    const takenUp = {attempt: 'a', version: 'v1', pieces: 2};
+    history.recordSent('b', RequestKind.Tag, 'key', 'g1', takenUp);
+    history.recordRun('b', 'r1', 1, true);
+    const body =
+      requestHistory.pieceEvent('b', 3, version) +
+      requestHistory.endEvent('b', 3, version);
+    history.recordAnswer('b', answer(200, body, {stamp: 'r1'}));
+    t.deepEqual(
+      history.violations().map(found => found.promise),
+      [...expected],
+    );
+  });
+}
