Gateway: accounts of limited instances are bounded; a wait for a coordinator's answer ends with it

An account of an instance that left while it named a limit was kept for good. A stream that goes on waited up to a second for an answer that could no longer come, instead of using its share after 300 ms. Found by reading.

--- a/src/gateway/common/limits/instance_permits.ts
+++ b/src/gateway/common/limits/instance_permits.ts
@@ -24,6 +24,9 @@
 /** Window over which the use of permits is measured, in milliseconds. */
 const USE_WINDOW_MILLISECONDS = 1_000;
 
+/** Incarnations with an account; the oldest are forgotten first, and begin again without permits. */
+const MAX_ACCOUNTS = 4_096;
+
 /** Result of asking for a permit. */
 export enum PermitState {
   /** The request may be sent. */
@@ -291,6 +294,9 @@
   private accountOf(life: string, now: number): Account {
     const account = this.accounts.get(life) ?? createAccount(now);
     this.accounts.set(life, account);
+    if (this.accounts.size > MAX_ACCOUNTS) {
+      this.accounts.delete(this.accounts.keys().next().value!);
+    }
     const age = now - account.windowStart;
     if (age >= USE_WINDOW_MILLISECONDS) {
       account.usedBefore = age < 2 * USE_WINDOW_MILLISECONDS ? account.used : 0;
--- a/src/gateway/node/limits/permit_service.ts
+++ b/src/gateway/node/limits/permit_service.ts
@@ -84,7 +84,7 @@
       const mayAwaitAnswer = shortage.isPending && now < answersUntil;
       const permitsUntil = startedAt + patience;
       if (mayAwaitAnswer) {
-        await this.settled(Math.max(answersUntil, permitsUntil) - now);
+        await this.settled(answersUntil - now);
       } else if (shortage.retryAt < permitsUntil && now < permitsUntil) {
         await this.settled(Math.max(1, shortage.retryAt - now));
       } else {
