Gateway: a stream taken up where one version serves waits at most 80 ms for other gateways

After a gateway was killed, a take-up asked it among others and waited 250 ms for its answer although only one version had been registered. Where others were silent, the caller is told to come back after half a second instead of as late as possible. Found by reading.

--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -13,6 +13,8 @@
 const STEP_MILLISECONDS = 20;
 /** Streams that other gateways are told of when an endpoint gets a second version; those begun before have mostly ended. */
 const MAX_SHARED_AT_ONCE = 2_048;
+/** Wait for other gateways to contradict the only version that was registered lately, in milliseconds. */
+const CONFIRMATION_MILLISECONDS = 80;
 /** Retry delay if other gateways may know the stream and did not answer, in seconds. */
 const UNANSWERED_RETRY_SECONDS = 0.5;
 
@@ -88,17 +90,19 @@
 
   /** Finds where the stream of a call has to go on. */
   async find(context: callContext.CallContext): Promise<StreamOrigin> {
-    const {caller} = context.call;
+    const {caller, endpointName} = context.call;
     if (!takesUp(caller.lastEventId)) {
       return NOT_BEGUN;
     }
     const attemptId = caller.resumedAttemptId ?? '';
-    const remembered = this.streams.find(attemptId, performance.now());
+    const now = performance.now();
+    const remembered = this.streams.find(attemptId, now);
+    const sole = this.versions.soleVersion(endpointName, now);
     const finding =
       remembered === undefined && attemptId !== ''
-        ? await this.ask(attemptId)
+        ? await this.ask(attemptId, sole)
         : {softwareVersion: remembered, asked: 0, answered: 0};
-    const origin = this.judge(context, finding);
+    const origin = this.judge(finding, sole);
     context.log('stream-taken-up', {
       resumes: attemptId,
       last_event_id: caller.lastEventId,
@@ -108,41 +112,37 @@
       answering_peers: finding.answered,
     });
     if (origin.softwareVersion !== undefined) {
-      const now = performance.now();
       this.streams.record(attemptId, origin.softwareVersion, now);
     }
     return origin;
   }
 
+  /** Decides by what other gateways know, and by the only version that was registered lately, if there is one. */
   private judge(
-    context: callContext.CallContext,
     {softwareVersion, asked, answered}: versionDirectory.Finding,
+    sole: string | undefined,
   ): StreamOrigin {
-    if (softwareVersion !== undefined) {
-      return {isKnown: true, softwareVersion, retrySeconds: 0};
-    }
-    const isUnanswered = asked > 0 && answered === 0;
     // With an outdated list of instances, a second version may serve unnoticed.
     const isListCurrent = !this.follower.isSourceUnavailable;
-    const sole =
-      isListCurrent || !isUnanswered
-        ? this.versions.soleVersion(
-            context.call.endpointName,
-            performance.now(),
-          )
-        : undefined;
+    const isConfirmed = isListCurrent || asked === 0 || answered > 0;
+    const version = softwareVersion ?? (isConfirmed ? sole : undefined);
     return {
-      isKnown: sole !== undefined,
-      softwareVersion: sole,
-      retrySeconds: isUnanswered ? UNANSWERED_RETRY_SECONDS : Infinity,
+      isKnown: version !== undefined,
+      softwareVersion: version,
+      retrySeconds: answered < asked ? UNANSWERED_RETRY_SECONDS : Infinity,
     };
   }
 
-  private async ask(attemptId: string): Promise<versionDirectory.Finding> {
+  private async ask(
+    attemptId: string,
+    sole: string | undefined,
+  ): Promise<versionDirectory.Finding> {
     const {sequence, found} = this.directory.ask(attemptId, performance.now());
     const timer = setTimeout(
       () => this.directory.giveUp(sequence),
-      versionDirectory.ANSWER_TIMEOUT_MILLISECONDS,
+      sole === undefined
+        ? versionDirectory.ANSWER_TIMEOUT_MILLISECONDS
+        : CONFIRMATION_MILLISECONDS,
     );
     const finding = await rxjs.firstValueFrom(found);
     clearTimeout(timer);
