Gateway: a starting gateway asks callers to come back soon for streams that it cannot ask about yet

A gateway that had just been restarted knew no other to ask, and told callers that took a stream up to come back as late as possible, as if nobody knew it. Now after half a second. The new test failed on the Retry-After; tests for peers that don't answer and for a restarted gateway come along.

--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -15,6 +15,8 @@
 const MAX_SHARED_AT_ONCE = 2_048;
 /** Wait for other gateways to contradict the only version that was registered lately, in milliseconds. */
 const CONFIRMATION_MILLISECONDS = 80;
+/** Time after the start in which other gateways become known, in milliseconds. */
+const STARTING_MILLISECONDS = 2_000;
 /** Retry delay if other gateways may know the stream and did not answer, in seconds. */
 const UNANSWERED_RETRY_SECONDS = 0.5;
 
@@ -41,6 +43,7 @@
   private readonly versions = new endpointVersions.EndpointVersions();
   private readonly directory: versionDirectory.VersionDirectory;
   private readonly subscriptions: rxjs.Subscription[];
+  private readonly startedAt = performance.now();
   private readonly timer: disposable.Disposable;
 
   constructor(
@@ -129,10 +132,18 @@
     return {
       isKnown: version !== undefined,
       softwareVersion: version,
-      retrySeconds: answered < asked ? UNANSWERED_RETRY_SECONDS : Infinity,
+      retrySeconds:
+        answered < asked || this.isStarting
+          ? UNANSWERED_RETRY_SECONDS
+          : Infinity,
     };
   }
 
+  /** Whether this gateway may not know all others yet. */
+  private get isStarting(): boolean {
+    return performance.now() - this.startedAt < STARTING_MILLISECONDS;
+  }
+
   private async ask(
     attemptId: string,
     sole: string | undefined,
--- a/test/gateway/software_versions.test.ts
+++ b/test/gateway/software_versions.test.ts
@@ -138,38 +138,78 @@
   }
 });
 
+/** Begins streams at a gateway; they break off. */
+async function beginStreams(
+  fleet: gatewayFleet.GatewayFleet,
+  gateway: gatewayFleet.FleetGateway,
+): Promise<{readonly attempt: string; readonly body: string}[]> {
+  const begun = [];
+  for (let count = 0; count < STREAMS; count++) {
+    const attempt = newAttempt();
+    const options = streamOptions(attempt);
+    const answer = await fleet.call(
+      gateway,
+      testGateway.KEY,
+      '/once/a',
+      options,
+    );
+    begun.push({attempt, body: answer.body});
+  }
+  return begun;
+}
+
+/** Takes a stream up at a gateway. */
+function takeUpAt(
+  fleet: gatewayFleet.GatewayFleet,
+  gateway: gatewayFleet.FleetGateway,
+  attempt: string,
+): Promise<testGateway.CallerAnswer> {
+  const options = streamOptions(newAttempt(), takeUp(attempt));
+  return fleet.call(gateway, testGateway.KEY, '/once/a', options);
+}
+
 for (const isKilled of [false, true]) {
   test(`versions: a stream that its caller takes up at another gateway goes on at the version that began it${isKilled ? ', after the first gateway was killed' : ''}`, async t => {
     const fleet = await startFleet(t, 3);
     const [first, ...others] = fleet.gateways;
-    const begun: {readonly attempt: string; readonly body: string}[] = [];
-    for (let count = 0; count < STREAMS; count++) {
-      const attempt = newAttempt();
-      const options = streamOptions(attempt);
-      const answer = await fleet.call(
-        first,
-        testGateway.KEY,
-        '/once/a',
-        options,
-      );
-      begun.push({attempt, body: answer.body});
-    }
+    const begun = await beginStreams(fleet, first);
     if (isKilled) {
       first.process.dispose();
     }
     for (const [index, {attempt, body}] of begun.entries()) {
-      const answer = await fleet.call(
-        others[index % others.length],
-        testGateway.KEY,
-        '/once/a',
-        streamOptions(newAttempt(), takeUp(attempt)),
-      );
+      const other = others[index % others.length];
+      const answer = await takeUpAt(fleet, other, attempt);
       t.is(versionedReplica.eventCount(body + answer.body), LAST);
       t.is(versionedReplica.versionsIn(body + answer.body).length, 1);
     }
   });
 }
 
+test('versions: a stream that its caller takes up at a gateway that was restarted goes on at the version that began it', async t => {
+  const fleet = await startFleet(t, 3);
+  const begun = await beginStreams(fleet, fleet.gateways[0]);
+  const restarted = await fleet.restart(fleet.gateways[0]);
+  for (const {attempt, body} of begun) {
+    let answer = await takeUpAt(fleet, restarted, attempt);
+    // It may not know the others yet, and then asks its callers to come back soon.
+    while (answer.status === 503) {
+      t.true(Number(answer.headers['retry-after']) < 1);
+      answer = await takeUpAt(fleet, restarted, attempt);
+    }
+    t.is(versionedReplica.eventCount(body + answer.body), LAST);
+    t.is(versionedReplica.versionsIn(body + answer.body).length, 1);
+  }
+});
+
+test('versions: a gateway whose peers do not answer refuses a stream that it does not know, and says when to come back', async t => {
+  const fleet = await startFleet(t, 3);
+  const [left, ...silent] = fleet.gateways;
+  silent.forEach(each => each.process.dispose());
+  const answer = await takeUpAt(fleet, left, newAttempt());
+  t.is(answer.status, 503);
+  t.true(Number(answer.headers['retry-after']) < 1);
+});
+
 test('versions: a stream that begun before the second version came is taken up at its version', async t => {
   const gateway = await startGateway(t, {'i-1': 'v1', 'i-2': 'v1'});
   const attempts = Array.from({length: STREAMS}, newAttempt);
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -26,6 +26,7 @@
 export class GatewayFleet {
   readonly store = new storeStandin.StoreStandin();
   readonly gateways: FleetGateway[] = [];
+  private startOne!: (index: number) => Promise<FleetGateway>;
 
   static async start(
     t: ava.ExecutionContext,
@@ -38,16 +39,29 @@
     fleet.register('i-1');
     // All gateways use the same port, so it must be known before the first binds it.
     const digestPort = await freePorts.freeDatagramPort();
-    for (let index = 1; index <= count; index++) {
+    fleet.startOne = async index => {
       const gateway = await startGateway(index, store, digestPort);
-      fleet.gateways.push(gateway);
       t.teardown(() => gateway.relay.dispose());
       t.teardown(() => gateway.process.dispose());
+      return gateway;
+    };
+    for (let index = 1; index <= count; index++) {
+      fleet.gateways.push(await fleet.startOne(index));
     }
     await fleet.until(() => fleet.gateways.every(each => each.process.isReady));
     return fleet;
   }
 
+  /** Ends a gateway and starts it again at its IP; it knows nothing of before. */
+  async restart(gateway: FleetGateway): Promise<FleetGateway> {
+    gateway.process.dispose();
+    const position = this.gateways.indexOf(gateway);
+    const restarted = await this.startOne(position + 1);
+    this.gateways[position] = restarted;
+    await this.until(() => restarted.process.isReady);
+    return restarted;
+  }
+
   /** Writes the registration of a replica; by default of one that no test sends requests to. */
   register(
     id: string,
