--- a/src/gateway/common/limits/instance_permits.ts
+++ b/src/gateway/common/limits/instance_permits.ts
@@ -9,7 +9,7 @@
 import * as coordinatorElection from './coordinator_election';
 import * as instanceLimits from './instance_limits';
 import * as limitPolicy from './limit_policy';
-import * as permitBucket from './permit_bucket';
+import * as rateBucket from '../rate_bucket';
 import * as permitIssuer from './permit_issuer';
 
 /** Time after which a request for permits counts as unanswered, in milliseconds; longer than a round trip between regions. */
@@ -85,7 +85,7 @@
   /** Monotonic milliseconds from which the coordinator may be asked. */
   askAt: number;
   /** Accrues the own share; undefined while the coordinator answers. */
-  share: permitBucket.PermitBucket | undefined;
+  share: rateBucket.RateBucket | undefined;
   /** Monotonic milliseconds at which the own share has the next permit; Infinity without a share. */
   shareAt: number;
   /** Permits used since the window began, and in the window before. */
@@ -274,7 +274,7 @@
   }
 
   private takeShare(account: Account, limit: number, now: number): PermitState {
-    account.share ??= new permitBucket.PermitBucket(now);
+    account.share ??= new rateBucket.RateBucket(now);
     const rate = limitPolicy.permitsPerSecond(limit) / this.election.shareCount;
     if (account.share.take(1, rate, 1, now) > 0) {
       account.used++;
@@ -317,7 +317,7 @@
     return;
   }
   account.pending = undefined;
-  account.share ??= new permitBucket.PermitBucket(now);
+  account.share ??= new rateBucket.RateBucket(now);
   const retry = MIN_SILENT_RETRY_MILLISECONDS * 2 ** account.unanswered++;
   account.askAt =
     pending.sentAt + Math.min(MAX_SILENT_RETRY_MILLISECONDS, retry);
--- a/src/gateway/common/limits/permit_issuer.ts
+++ b/src/gateway/common/limits/permit_issuer.ts
@@ -4,7 +4,7 @@
  * the more gateways ask, the less often each is asked to come back.
  */
 import * as limitPolicy from './limit_policy';
-import * as permitBucket from './permit_bucket';
+import * as rateBucket from '../rate_bucket';
 
 /** Requests that are denied in a second, as gateways are told when to come back; for all instances together. */
 const TARGET_REQUESTS_PER_SECOND = 35;
@@ -30,7 +30,7 @@
 
 /** Buckets by incarnation of an instance. */
 export class PermitIssuer {
-  private readonly buckets = new Map<string, permitBucket.PermitBucket>();
+  private readonly buckets = new Map<string, rateBucket.RateBucket>();
   /** Monotonic milliseconds until which a gateway counts as asking for an instance. */
   private readonly asking = new Map<string, number>();
   private sweptAt = -Infinity;
@@ -93,8 +93,8 @@
     }
   }
 
-  private bucketOf(life: string, now: number): permitBucket.PermitBucket {
-    const bucket = this.buckets.get(life) ?? new permitBucket.PermitBucket(now);
+  private bucketOf(life: string, now: number): rateBucket.RateBucket {
+    const bucket = this.buckets.get(life) ?? new rateBucket.RateBucket(now);
     this.buckets.delete(life);
     this.buckets.set(life, bucket);
     if (this.buckets.size > MAX_BUCKETS) {
--- a/src/gateway/common/versions/version_directory.ts
+++ b/src/gateway/common/versions/version_directory.ts
@@ -7,7 +7,7 @@
  */
 import * as rxjs from 'rxjs';
 import * as directMembers from '../fleet/direct_members';
-import * as permitBucket from '../limits/permit_bucket';
+import * as rateBucket from '../rate_bucket';
 import * as streamVersions from './stream_versions';
 
 /** Gateways that remember a stream besides the one that began it. */
@@ -72,8 +72,8 @@
   private readonly waiting = new Map<string, BegunStream[]>();
   private waitingCount = 0;
   private readonly pending = new Map<number, PendingQuery>();
-  private readonly tells: permitBucket.PermitBucket;
-  private readonly asks: permitBucket.PermitBucket;
+  private readonly tells: rateBucket.RateBucket;
+  private readonly asks: rateBucket.RateBucket;
   private lastSequence = 0;
 
   constructor(
@@ -82,8 +82,8 @@
     private readonly send: (ip: string, message: DirectoryMessage) => void,
     now: number,
   ) {
-    this.tells = new permitBucket.PermitBucket(now, TELLS_PER_SECOND);
-    this.asks = new permitBucket.PermitBucket(now, ASKS_PER_SECOND);
+    this.tells = new rateBucket.RateBucket(now, TELLS_PER_SECOND);
+    this.asks = new rateBucket.RateBucket(now, ASKS_PER_SECOND);
   }
 
   /** Has other gateways remember a stream; returns false if too many streams wait to be told. */
