Gateway: no timer runs while no stream waits to be told

A timer is set only while streams wait. Copies are placed once where no instance names a limit. Not measured yet.

--- a/src/gateway/common/versions/version_directory.ts
+++ b/src/gateway/common/versions/version_directory.ts
@@ -99,6 +99,11 @@
     return true;
   }
 
+  /** Whether streams wait to be told. */
+  get isWaiting(): boolean {
+    return this.waiting.size > 0 || this.unassigned.length > 0;
+  }
+
   /** Sends what waits, within the bound. */
   step(now: number): void {
     this.assign(now);
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -144,6 +144,9 @@
       .forEndpoint(run.endpoint)
       .filter(instance => this.permits.isLimited(instance))
       .map(instance => instance.record.id);
+    if (limited.length === 0) {
+      return this.chooseAmong(run, constraints);
+    }
     const excluded = new Set([...constraints.excluded, ...limited]);
     return (
       this.chooseAmong(run, {...constraints, excluded}) ??
--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -9,8 +9,8 @@
 import * as fleetExchange from '../fleet/fleet_exchange';
 import * as stateFollower from '../state_follower';
 
-/** Interval at which streams are told that exceeded the bound before, in milliseconds. */
-const STEP_MILLISECONDS = 20;
+/** Interval at which streams are told that exceeded the bound before, or had no gateway to be told to, in milliseconds. */
+const STEP_MILLISECONDS = 50;
 /** Streams that other gateways are told of when an endpoint gets a second version; those begun before have mostly ended. */
 const MAX_SHARED_AT_ONCE = 2_048;
 /** Wait for other gateways to contradict the only version that was registered lately, in milliseconds. */
@@ -44,7 +44,8 @@
   private readonly directory: versionDirectory.VersionDirectory;
   private readonly subscriptions: rxjs.Subscription[];
   private readonly startedAt = performance.now();
-  private readonly timer: disposable.Disposable;
+  /** Set while streams wait to be told. */
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly follower: stateFollower.StateFollower,
@@ -66,14 +67,11 @@
         this.directory.receive(ip, message, performance.now()),
       ),
     ];
-    this.timer = disposable.every(STEP_MILLISECONDS, () =>
-      this.directory.step(performance.now()),
-    );
   }
 
   dispose(): void {
     this.subscriptions.forEach(each => each.unsubscribe());
-    this.timer.dispose();
+    clearTimeout(this.timer);
   }
 
   /** Records that the stream of a call has its first event. */
@@ -89,6 +87,7 @@
     if (isMixed && !this.directory.tell([attemptId, softwareVersion], now)) {
       context.log('stream-version-not-told', {});
     }
+    this.scheduleStep();
   }
 
   /** Finds where the stream of a call has to go on. */
@@ -166,6 +165,20 @@
     this.streams
       .share(MAX_SHARED_AT_ONCE)
       .forEach(stream => this.directory.tell(stream, now));
+    this.scheduleStep();
+  }
+
+  /** Tells later what waits now; there is no timer while nothing does. */
+  private scheduleStep(): void {
+    if (this.timer !== undefined || !this.directory.isWaiting) {
+      return;
+    }
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.directory.step(performance.now());
+      this.scheduleStep();
+    }, STEP_MILLISECONDS);
+    this.timer.unref();
   }
 }
 
