Gateway: what one coordinator said doesn't hold back a gateway under another; callers hear when the own share has a permit

A gateway that became the coordinator of an instance itself kept the time until which the former one had denied it, up to 15 s. Without any coordinator callers were told to come back at once although the own share had no permit yet. The time to come back is now part of the answer to each request for a permit instead of state beside it.

--- a/src/gateway/common/limits/instance_permits.ts
+++ b/src/gateway/common/limits/instance_permits.ts
@@ -36,6 +36,13 @@
   Denied = 'denied',
 }
 
+/** Whether a request may be sent. */
+export interface Acquisition {
+  readonly state: PermitState;
+  /** Monotonic milliseconds from which a permit may be available. */
+  readonly retryAt: number;
+}
+
 /** A request to the coordinator of an instance. */
 export interface PermitRequest {
   readonly sequence: number;
@@ -62,7 +69,11 @@
   readonly retryAt: number;
 }
 
-/** A choice for which there is a permit, or why there is none; neither if nothing could be chosen at all. */
+/**
+ * Result of choosing an instance. With a choice, one of its permits has been
+ * taken. With a shortage, every instance that could be chosen lacks permits.
+ * With neither, there was no instance to choose.
+ */
 export interface Selection<T> {
   readonly choice: T | undefined;
   readonly shortage: Shortage | undefined;
@@ -77,7 +88,7 @@
   permits: number;
   /** Monotonic milliseconds until which the permits are valid. */
   validUntil: number;
-  /** IP of the coordinator that was asked last. */
+  /** IP of the coordinator as of the last request; undefined if there was none. */
   coordinator: string | undefined;
   /** Requests in a row that it did not answer. */
   unanswered: number;
@@ -86,8 +97,6 @@
   askAt: number;
   /** Accrues the own share; undefined while the coordinator answers. */
   share: rateBucket.RateBucket | undefined;
-  /** Monotonic milliseconds at which the own share has the next permit; Infinity without a share. */
-  shareAt: number;
   /** Permits used since the window began, and in the window before. */
   used: number;
   usedBefore: number;
@@ -131,7 +140,7 @@
       }
       const {record} = choice.instance;
       const life = instanceTable.lifeOf(record);
-      const state = this.tryAcquire(life, now);
+      const {state, retryAt} = this.tryAcquire(life, now);
       if (state === PermitState.Granted) {
         return {choice, shortage: undefined};
       }
@@ -139,34 +148,29 @@
       const isPending = state === PermitState.Pending;
       shortage = {
         isPending: isPending || shortage?.isPending === true,
-        retryAt: Math.min(
-          this.retryAt(life, now),
-          shortage?.retryAt ?? Infinity,
-        ),
+        retryAt: Math.min(retryAt, shortage?.retryAt ?? Infinity),
       };
     }
   }
 
   /** Takes a permit for one request. */
-  tryAcquire(life: string, now: number): PermitState {
+  tryAcquire(life: string, now: number): Acquisition {
     const limit = this.limits.get(life);
     if (limit === undefined) {
-      return PermitState.Granted;
+      return granted(now);
     }
     const account = this.accountOf(life, now);
     if (takeValid(account, now)) {
-      return PermitState.Granted;
+      return granted(now);
     }
     const coordinator = this.election.coordinatorOf(life, now);
-    if (coordinator.isOwn) {
-      dropShare(account);
-      account.pending = undefined;
-      return this.issueToSelf(life, account, limit, now);
-    }
+    changeCoordinator(account, coordinator.ip, now);
     if (coordinator.ip === undefined) {
       return this.takeShare(account, limit, now);
     }
-    return this.ask(coordinator.ip, life, account, limit, now);
+    return coordinator.isOwn
+      ? this.issueToSelf(life, account, limit, now)
+      : this.ask(coordinator.ip, life, account, limit, now);
   }
 
   /** Records the answer of a coordinator. */
@@ -180,7 +184,7 @@
       const {sentAt} = account.pending;
       account.pending = undefined;
       account.unanswered = 0;
-      dropShare(account);
+      account.share = undefined;
       account.askAt = now + grant.retryMilliseconds;
       account.permits = grant.granted;
       account.validUntil = sentAt + limitPolicy.PERMIT_LIFETIME_MILLISECONDS;
@@ -214,17 +218,18 @@
     account: Account,
     limit: number,
     now: number,
-  ): PermitState {
+  ): Acquisition {
+    account.share = undefined;
     if (now < account.askAt) {
-      return PermitState.Denied;
+      return denied(account.askAt);
     }
     const issue = this.issuer.issue(this.ownIp, life, 1, limit, now);
     if (issue.granted > 0) {
       account.used++;
-      return PermitState.Granted;
+      return granted(now);
     }
     account.askAt = now + issue.retryMilliseconds;
-    return PermitState.Denied;
+    return denied(account.askAt);
   }
 
   private ask(
@@ -233,26 +238,21 @@
     account: Account,
     limit: number,
     now: number,
-  ): PermitState {
-    if (account.coordinator !== ip) {
-      account.coordinator = ip;
-      account.pending = undefined;
-      account.unanswered = 0;
-      account.askAt = now;
-    }
+  ): Acquisition {
     giveUpUnanswered(account, now);
     if (account.pending === undefined && now >= account.askAt) {
       this.sendRequest(ip, life, account, now);
     }
-    const hasShare =
-      account.share !== undefined &&
-      this.takeShare(account, limit, now) === PermitState.Granted;
-    if (hasShare) {
-      return PermitState.Granted;
+    const fromShare =
+      account.share === undefined
+        ? denied(Infinity)
+        : this.takeShare(account, limit, now);
+    if (fromShare.state === PermitState.Granted) {
+      return fromShare;
     }
     return account.pending === undefined
-      ? PermitState.Denied
-      : PermitState.Pending;
+      ? denied(Math.min(account.askAt, fromShare.retryAt))
+      : {state: PermitState.Pending, retryAt: now};
   }
 
   private sendRequest(
@@ -273,22 +273,15 @@
     });
   }
 
-  private takeShare(account: Account, limit: number, now: number): PermitState {
+  /** Takes a permit from the share of the limit that this gateway may use alone. */
+  private takeShare(account: Account, limit: number, now: number): Acquisition {
     account.share ??= new rateBucket.RateBucket(now);
     const rate = limitPolicy.permitsPerSecond(limit) / this.election.shareCount;
     if (account.share.take(1, rate, 1, now) > 0) {
       account.used++;
-      return PermitState.Granted;
+      return granted(now);
     }
-    account.shareAt = now + account.share.millisecondsToNext(rate);
-    return PermitState.Denied;
-  }
-
-  private retryAt(life: string, now: number): number {
-    const account = this.accounts.get(life);
-    return account === undefined
-      ? now
-      : Math.max(now, Math.min(account.askAt, account.shareAt));
+    return denied(now + account.share.millisecondsToNext(rate));
   }
 
   private accountOf(life: string, now: number): Account {
@@ -323,9 +316,27 @@
     pending.sentAt + Math.min(MAX_SILENT_RETRY_MILLISECONDS, retry);
 }
 
-function dropShare(account: Account): void {
-  account.share = undefined;
-  account.shareAt = Infinity;
+/** Forgets what another coordinator said. */
+function changeCoordinator(
+  account: Account,
+  ip: string | undefined,
+  now: number,
+): void {
+  if (account.coordinator === ip) {
+    return;
+  }
+  account.coordinator = ip;
+  account.pending = undefined;
+  account.unanswered = 0;
+  account.askAt = now;
+}
+
+function granted(now: number): Acquisition {
+  return {state: PermitState.Granted, retryAt: now};
+}
+
+function denied(retryAt: number): Acquisition {
+  return {state: PermitState.Denied, retryAt};
 }
 
 function takeValid(account: Account, now: number): boolean {
@@ -346,7 +357,6 @@
     unanswered: 0,
     askAt: -Infinity,
     share: undefined,
-    shareAt: Infinity,
     used: 0,
     usedBefore: 0,
     windowStart: now,
--- a/test/support/simulated_limits.ts
+++ b/test/support/simulated_limits.ts
@@ -65,7 +65,7 @@
       this.fleet.random() < this.load * STEP_SECONDS ? [now] : [];
     let admitted = 0;
     this.waiting = [...this.waiting, ...arrivals].filter(arrivedAt => {
-      const state = this.permits.tryAcquire(LIFE, now);
+      const {state} = this.permits.tryAcquire(LIFE, now);
       admitted += state === instancePermits.PermitState.Granted ? 1 : 0;
       const isPending = state === instancePermits.PermitState.Pending;
       return isPending && now - arrivedAt < PATIENCE_MILLISECONDS;
