Gateway: streams that others are not told of are logged, and a lone gateway wakes rarely for them

When a second version appeared, streams beyond the bound counted as told without a line. A gateway that knows no other one tried every 50 ms to tell its streams; now every 500 ms.

--- a/src/gateway/common/versions/version_directory.ts
+++ b/src/gateway/common/versions/version_directory.ts
@@ -22,6 +22,10 @@
 const MAX_WAITING = 8_192;
 /** Streams that wait while no other gateway is known; the oldest beyond it are forgotten. */
 const MAX_UNASSIGNED = 1_024;
+/** Interval at which streams are sent that exceeded the bound before, in milliseconds. */
+const STEP_MILLISECONDS = 50;
+/** The same while no other gateway is known, which may last. */
+const UNASSIGNED_STEP_MILLISECONDS = 500;
 /** Streams asked for in a second; those beyond it count as not answered. */
 const ASKS_PER_SECOND = 50;
 /** Longest wait for answers, in milliseconds; longer than a round trip between regions. */
@@ -99,9 +103,14 @@
     return true;
   }
 
-  /** Whether streams wait to be told. */
-  get isWaiting(): boolean {
-    return this.waiting.size > 0 || this.unassigned.length > 0;
+  /** Time after which `step` is to be called, in milliseconds; undefined while no stream waits. */
+  get nextStepMilliseconds(): number | undefined {
+    if (this.waiting.size > 0) {
+      return STEP_MILLISECONDS;
+    }
+    return this.unassigned.length > 0
+      ? UNASSIGNED_STEP_MILLISECONDS
+      : undefined;
   }
 
   /** Sends what waits, within the bound. */
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -122,7 +122,12 @@
       promptParts,
       limits,
       permits,
-      origins: new streamOrigins.StreamOrigins(follower, peers, this.exchange),
+      origins: new streamOrigins.StreamOrigins(
+        follower,
+        peers,
+        this.exchange,
+        log,
+      ),
       limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       members,
--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -1,6 +1,7 @@
 /** Finds the software version at which a stream has to go on that its caller takes up. */
 import * as rxjs from 'rxjs';
 import * as disposable from '../../../base/common/disposable';
+import * as jsonLog from '../../../base/node/json_log';
 import * as directMembers from '../../common/fleet/direct_members';
 import * as endpointVersions from '../../common/versions/endpoint_versions';
 import * as streamVersions from '../../common/versions/stream_versions';
@@ -9,8 +10,6 @@
 import * as fleetExchange from '../fleet/fleet_exchange';
 import * as stateFollower from '../state_follower';
 
-/** Interval at which streams are told that exceeded the bound before, or had no gateway to be told to, in milliseconds. */
-const STEP_MILLISECONDS = 50;
 /** Streams that other gateways are told of when an endpoint gets a second version; those begun before have mostly ended. */
 const MAX_SHARED_AT_ONCE = 2_048;
 /** Wait for other gateways to contradict the only version that was registered lately, in milliseconds. */
@@ -51,6 +50,7 @@
     private readonly follower: stateFollower.StateFollower,
     members: directMembers.DirectMembers,
     exchange: fleetExchange.FleetExchange,
+    private readonly log: jsonLog.JsonLog,
   ) {
     this.directory = new versionDirectory.VersionDirectory(
       this.streams,
@@ -85,7 +85,7 @@
     const isMixed = this.versions.isMixed(call.endpointName, now);
     this.streams.record(attemptId, softwareVersion, now, isMixed);
     if (isMixed && !this.directory.tell([attemptId, softwareVersion], now)) {
-      context.log('stream-version-not-told', {});
+      context.log('stream-versions-not-told', {streams: 1});
     }
     this.scheduleStep();
   }
@@ -162,22 +162,26 @@
   /** Tells other gateways of the streams that began while there was one version. */
   private share(): void {
     const now = performance.now();
-    this.streams
+    const untold = this.streams
       .share(MAX_SHARED_AT_ONCE)
-      .forEach(stream => this.directory.tell(stream, now));
+      .filter(stream => !this.directory.tell(stream, now));
+    if (untold.length > 0) {
+      this.log.write('stream-versions-not-told', {streams: untold.length});
+    }
     this.scheduleStep();
   }
 
   /** Tells later what waits now; there is no timer while nothing does. */
   private scheduleStep(): void {
-    if (this.timer !== undefined || !this.directory.isWaiting) {
+    const milliseconds = this.directory.nextStepMilliseconds;
+    if (this.timer !== undefined || milliseconds === undefined) {
       return;
     }
     this.timer = setTimeout(() => {
       this.timer = undefined;
       this.directory.step(performance.now());
       this.scheduleStep();
-    }, STEP_MILLISECONDS);
+    }, milliseconds);
     this.timer.unref();
   }
 }
--- a/test/gateway/common/versions/version_directory.test.ts
+++ b/test/gateway/common/versions/version_directory.test.ts
@@ -148,6 +148,22 @@
   t.is(askOf(directories, 1, 'attempt-1').softwareVersion, 'v1');
 });
 
+test('version directory: it asks for steps only while streams wait, and rarely while no other gateway is known', t => {
+  const fleet = new simulatedFleet.SimulatedFleet(4, SEED);
+  const directories = new SimulatedDirectories(fleet);
+  const directory = directories.of(0);
+  t.is(directory.nextStepMilliseconds, undefined);
+  directory.tell(['attempt-1', 'v1'], fleet.now);
+  t.true(directory.nextStepMilliseconds! >= 500);
+  fleet.introduceAll();
+  fleet.run(1_000);
+  t.is(directory.nextStepMilliseconds, undefined);
+  for (let index = 0; index < 1_000; index++) {
+    directory.tell([`attempt-${index}`, 'v1'], fleet.now);
+  }
+  t.true(directory.nextStepMilliseconds! <= 100);
+});
+
 test('version directory: beyond the bound on messages streams share them', t => {
   const fleet = new simulatedFleet.SimulatedFleet(4, SEED);
   fleet.introduceAll();
