Gateway: ends of limits are forgotten after a minute

They stayed among the 4,096 statements that each digest looks through, for all instances that ever named a limit. Found by reading; new tests cover what is relayed, forgotten and bounded.

--- a/src/gateway/common/limits/instance_limits.ts
+++ b/src/gateway/common/limits/instance_limits.ts
@@ -45,8 +45,10 @@
 const MAX_STATEMENTS = 4_096;
 /** Limits in a digest to a peer, those heard of last; gateways learn of others by their own requests. */
 const MAX_RELAYED = 16;
-/** Age from which a limit is no longer relayed, in milliseconds. Its end is remembered for longer, so that it doesn't come back. */
+/** Maximum age of a limit, or of its end, that peers are told of, in milliseconds. */
 const RELAY_MILLISECONDS = 30_000;
+/** Time for which the end of a limit is remembered, in milliseconds. Longer than peers relay the limit, which would otherwise be taken for a new one. */
+const END_MILLISECONDS = 2 * RELAY_MILLISECONDS;
 
 /** Limits by incarnation of an instance. */
 export class InstanceLimits {
@@ -55,6 +57,11 @@
   private readonly statements = new Map<string, Statement>();
   private ownChanges = 0;
 
+  /** Number of incarnations of which something is known. */
+  get size(): number {
+    return this.statements.size;
+  }
+
   /** Number of limits whose beginning or end this gateway noticed itself. */
   get ownChangeCount(): number {
     return this.ownChanges;
@@ -110,8 +117,13 @@
     );
   }
 
-  /** Returns what was heard of last, to be sent to peers. */
+  /** Returns what was heard of last, to be sent to peers; forgets limits that ended long ago. */
   toRelay(now: number): RelayedLimit[] {
+    this.statements.forEach(({requestsPerSecond, at}, life) => {
+      if (requestsPerSecond === undefined && now - at > END_MILLISECONDS) {
+        this.statements.delete(life);
+      }
+    });
     return [...this.statements]
       .filter(([, {at}]) => now - at <= RELAY_MILLISECONDS)
       .slice(-MAX_RELAYED)
--- a/test/gateway/common/limits/instance_limits.test.ts
+++ b/test/gateway/common/limits/instance_limits.test.ts
@@ -67,3 +67,35 @@
     {life: LIFE, requestsPerSecond: undefined, previous: 2},
   ]);
 });
+
+test('instance limits: peers are told of the latest limits and ends, and a limit that has ended does not come back', t => {
+  const limits = new instanceLimits.InstanceLimits();
+  limits.recordAnswer(LIFE, answer(2, 0), 10);
+  t.deepEqual(limits.toRelay(15), [[LIFE, 2, 5]]);
+  limits.recordAnswer(LIFE, answerWithout(20), 25);
+  t.deepEqual(limits.toRelay(30), [[LIFE, null, 10]]);
+  limits.merge([[LIFE, 2, 25]], 30);
+  t.is(limits.get(LIFE), undefined);
+  limits.merge([[LIFE, 3, 5]], 30);
+  t.is(limits.get(LIFE), 3);
+});
+
+test('instance limits: ends are forgotten after a while, limits are not', t => {
+  const limits = new instanceLimits.InstanceLimits();
+  limits.recordAnswer('i-1/1', answer(2, 0), 10);
+  limits.recordAnswer('i-2/1', answer(2, 0), 10);
+  limits.recordAnswer('i-2/1', answerWithout(20), 25);
+  limits.toRelay(100_000);
+  t.is(limits.size, 1);
+  t.is(limits.get('i-1/1'), 2);
+  t.deepEqual(limits.toRelay(100_000), []);
+});
+
+test('instance limits: the table and what peers are told are bounded', t => {
+  const limits = new instanceLimits.InstanceLimits();
+  for (let index = 0; index < 10_000; index++) {
+    limits.recordAnswer(`i-${index}/1`, answer(2, 0), 10);
+  }
+  t.true(limits.size <= 4_096);
+  t.is(limits.toRelay(20).length, 16);
+});
