One copy of the time in which gateways get to know each other, of the users' rule on limits, and of direct messages in simulations

Found by reading: two constants for the time after a start, three counts of requests in a window, two of what is allowed, three sizes of headers.

--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -4,6 +4,8 @@
  * directly.
  */
 
+import * as requestLimit from '../standins/request_limit';
+
 /** Kinds of requests that the soak test sends. */
 export enum RequestKind {
   /** May run again. */
@@ -78,7 +80,6 @@
 
 /** Time after a replica first names a limit from which requests count, in milliseconds. */
 const LIMIT_SETTLING_MILLISECONDS = 1_000;
-const LIMIT_WINDOW_MILLISECONDS = 4_000;
 /** Time without a fault of its own after which a gateway is bound by a limit, in milliseconds. */
 const LIMIT_FAULT_FREE_MILLISECONDS = 3_000;
 
@@ -155,7 +156,7 @@
     this.runs.set(attempt, runs);
   }
 
-  /** Records a fault at one gateway, or at all gateways when `gateway` is undefined; returns a function that records its end. */
+  /** Records the start of a fault at one gateway, or at all of them when `gateway` is undefined. The returned function records the end of the fault. */
   beginFault(gateway: string | undefined, at: number): (at: number) => void {
     const range: TimeRange = {from: at, to: Infinity};
     this.faults.push({gateway, range});
@@ -272,16 +273,8 @@
       }
     }
     times.sort((left, right) => left - right);
-    const allowed =
-      1.5 * requestsPerSecond * (LIMIT_WINDOW_MILLISECONDS / 1000) + 5;
-    let first = 0;
-    let most = 0;
-    times.forEach((at, index) => {
-      while (times[first] <= at - LIMIT_WINDOW_MILLISECONDS) {
-        first++;
-      }
-      most = Math.max(most, index - first + 1);
-    });
+    const allowed = requestLimit.allowedRequests(requestsPerSecond);
+    const most = requestLimit.mostInWindow(times);
     const detail = `${replica} got ${most} requests at a limit of ${requestsPerSecond}, ${allowed} allowed`;
     return most > allowed ? [{promise: 'limit', attempt: '', detail}] : [];
   }
--- a/src/gateway/common/fleet/direct_members.ts
+++ b/src/gateway/common/fleet/direct_members.ts
@@ -5,13 +5,24 @@
 
 /** Interval at which the members are looked through, in milliseconds. */
 const REFRESH_MILLISECONDS = 100;
+/** Time after its start in which a gateway gets to know the others, and they it, in milliseconds. */
+const SETTLING_MILLISECONDS = 2_000;
 
 /** Other gateways of this build that are not about to exit. */
 export class DirectMembers {
   private known: readonly string[] = [];
   private refreshedAt = -Infinity;
 
-  constructor(private readonly members: memberTable.MemberTable) {}
+  constructor(
+    private readonly members: memberTable.MemberTable,
+    /** Monotonic milliseconds at which this gateway started. */
+    private readonly startedAt: number,
+  ) {}
+
+  /** Whether this gateway has just started, so that it and others may not know each other. */
+  isSettling(now: number): boolean {
+    return now - this.startedAt < SETTLING_MILLISECONDS;
+  }
 
   /** IPs of the gateways. */
   ips(now: number): readonly string[] {
--- a/src/gateway/common/limits/coordinator_election.ts
+++ b/src/gateway/common/limits/coordinator_election.ts
@@ -6,8 +6,6 @@
 import * as directMembers from '../fleet/direct_members';
 import * as memberTable from '../fleet/member_table';
 
-/** Time after its start for which a gateway issues nothing, in milliseconds: until then it may not know the others, nor they it. */
-const WARM_UP_MILLISECONDS = 2_000;
 /** Time without a message from any other gateway after which a gateway counts as cut off, in milliseconds. */
 const ISOLATION_MILLISECONDS = 1_500;
 /** Interval of checks whether this gateway may issue permits, in milliseconds. */
@@ -31,7 +29,6 @@
   constructor(
     private readonly members: memberTable.MemberTable,
     private readonly directMembers: directMembers.DirectMembers,
-    private readonly startedAt: number,
   ) {}
 
   /** Issues no more permits, since this gateway shuts down. */
@@ -61,8 +58,7 @@
       const isIsolated =
         this.members.gatewayCount() > 1 &&
         now - heardAt > ISOLATION_MILLISECONDS;
-      this.isOwnEligible =
-        !isIsolated && now - this.startedAt >= WARM_UP_MILLISECONDS;
+      this.isOwnEligible = !isIsolated && !this.directMembers.isSettling(now);
     }
     return this.isOwnEligible;
   }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -80,7 +80,7 @@
       {ip, name, isWide: linkMegabits >= WIDE_LINK_MEGABITS},
       seedIps(settings),
     );
-    const peers = new directMembers.DirectMembers(members);
+    const peers = new directMembers.DirectMembers(members, performance.now());
     const follower = new stateFollower.StateFollower(
       options.source,
       new watcherElection.WatcherElection(members),
--- a/src/gateway/node/limits/permit_service.ts
+++ b/src/gateway/node/limits/permit_service.ts
@@ -25,11 +25,7 @@
     private readonly limits: instanceLimits.InstanceLimits,
     private readonly exchange: fleetExchange.FleetExchange,
   ) {
-    this.election = new coordinatorElection.CoordinatorElection(
-      members,
-      peers,
-      performance.now(),
-    );
+    this.election = new coordinatorElection.CoordinatorElection(members, peers);
     this.permits = new instancePermits.InstancePermits(
       limits,
       this.election,
--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -14,8 +14,6 @@
 const MAX_SHARED_AT_ONCE = 2_048;
 /** Wait for other gateways to contradict the only version that was registered lately, in milliseconds. */
 const CONFIRMATION_MILLISECONDS = 80;
-/** Time after the start in which other gateways become known, in milliseconds. */
-const STARTING_MILLISECONDS = 2_000;
 /** Retry delay if other gateways may know the stream and did not answer, in seconds. */
 const UNANSWERED_RETRY_SECONDS = 0.5;
 
@@ -42,13 +40,12 @@
   private readonly versions = new endpointVersions.EndpointVersions();
   private readonly directory: versionDirectory.VersionDirectory;
   private readonly subscriptions: rxjs.Subscription[];
-  private readonly startedAt = performance.now();
   /** Set while streams wait to be told. */
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly follower: stateFollower.StateFollower,
-    members: directMembers.DirectMembers,
+    private readonly members: directMembers.DirectMembers,
     exchange: fleetExchange.FleetExchange,
     private readonly log: jsonLog.JsonLog,
   ) {
@@ -132,17 +129,12 @@
       isKnown: version !== undefined,
       softwareVersion: version,
       retrySeconds:
-        answered < asked || this.isStarting
+        answered < asked || this.members.isSettling(performance.now())
           ? UNANSWERED_RETRY_SECONDS
           : Infinity,
     };
   }
 
-  /** Whether this gateway may not know all others yet. */
-  private get isStarting(): boolean {
-    return performance.now() - this.startedAt < STARTING_MILLISECONDS;
-  }
-
   private async ask(
     attemptId: string,
     sole: string | undefined,
--- a/test/gateway/common/limits/instance_permits.test.ts
+++ b/test/gateway/common/limits/instance_permits.test.ts
@@ -46,8 +46,7 @@
   constructor(startedAt = 0) {
     this.election = new coordinatorElection.CoordinatorElection(
       this.members,
-      new directMembers.DirectMembers(this.members),
-      startedAt,
+      new directMembers.DirectMembers(this.members, startedAt),
     );
     this.permits = new instancePermits.InstancePermits(
       this.limits,
--- a/test/gateway/common/limits/permits.test.ts
+++ b/test/gateway/common/limits/permits.test.ts
@@ -1,8 +1,8 @@
 /** Limits that 4 to 330 gateways share while datagrams are lost and gateways are killed, cut off or join. */
 import * as ava from 'ava';
+import * as requestLimit from '../../../../standins/request_limit';
 import * as simulatedFleet from '../../../support/simulated_fleet';
 import * as simulatedLimits from '../../../support/simulated_limits';
-import * as limitedReplica from '../../../support/limited_replica';
 
 const test = ava.default;
 const SEED = 20_261_204;
@@ -44,18 +44,22 @@
   milliseconds: number,
 ): boolean {
   limits.fleet.run(milliseconds);
-  return limits.mostArrivals(since) <= limitedReplica.allowed(limits.limit!);
+  return (
+    limits.mostArrivals(since) <= requestLimit.allowedRequests(limits.limit!)
+  );
 }
 
 for (const count of SIZES) {
   test(`permits: ${count} gateways keep a limit together and use it up, at the cost of few datagrams`, t => {
     const limits = limitedFleet(count);
     const since = limits.fleet.now;
-    limits.gateways.forEach(each => (each.messages = each.bytes = 0));
+    limits.fleet.startCounting();
     const isKept = keepsLimit(limits, since, 12_000);
     const seconds = (limits.fleet.now - since) / 1000;
-    const messages = limits.gateways.map(each => each.messages / seconds);
-    const bytes = limits.gateways.map(each => each.bytes / seconds);
+    const messages = limits.fleet.gateways.map(
+      each => each.directMessages / seconds,
+    );
+    const bytes = limits.fleet.gateways.map(each => each.directBytes / seconds);
     t.log(
       `${limits.mostArrivals(since)} in 4 s, ${limits.rateSince(since)}/s; at most ${Math.max(...messages)} datagrams and ${Math.max(...bytes)} bytes/s`,
     );
--- a/test/gateway/common/versions/version_directory.test.ts
+++ b/test/gateway/common/versions/version_directory.test.ts
@@ -1,7 +1,6 @@
 /** What 4 to 330 gateways remember of each other's streams, while datagrams are lost and gateways are killed. */
 import * as ava from 'ava';
 import * as directMembers from '../../../../src/gateway/common/fleet/direct_members';
-import * as directMessage from '../../../../src/gateway/common/fleet/direct_message';
 import * as streamVersions from '../../../../src/gateway/common/versions/stream_versions';
 import * as versionDirectory from '../../../../src/gateway/common/versions/version_directory';
 import * as simulatedFleet from '../../../support/simulated_fleet';
@@ -9,7 +8,6 @@
 const test = ava.default;
 const SEED = 20_261_204;
 const SIZES = [4, 30, 330];
-const HEADER_BYTES = 28;
 const STREAMS = 400;
 /** Streams that may be resumed and begin at one gateway in a step: 20 a second, a quarter of all in the largest deployment aimed at. */
 const STREAMS_PER_STEP = 2;
@@ -32,14 +30,21 @@
     simulatedFleet.SimulatedGateway,
     streamVersions.StreamVersions
   >();
-  messages = 0;
-  bytes = 0;
 
   constructor(readonly fleet: simulatedFleet.SimulatedFleet) {
     fleet.gateways.forEach(each => this.start(each));
     fleet.onStep = () => this.directories.forEach(each => each.step(fleet.now));
   }
 
+  /** Messages that all gateways have sent, and their bytes. */
+  get cost(): {readonly messages: number; readonly bytes: number} {
+    const {gateways} = this.fleet;
+    return {
+      messages: gateways.reduce((sum, each) => sum + each.directMessages, 0),
+      bytes: gateways.reduce((sum, each) => sum + each.directBytes, 0),
+    };
+  }
+
   of(index: number): versionDirectory.VersionDirectory {
     return this.directories.get(this.fleet.gateways[index])!;
   }
@@ -49,17 +54,11 @@
     this.streams.set(gateway, streams);
     const directory = new versionDirectory.VersionDirectory(
       streams,
-      new directMembers.DirectMembers(gateway.table),
-      (ip, message) => {
-        const bytes = directMessage.encode(message);
-        this.messages++;
-        this.bytes += bytes.length + HEADER_BYTES;
-        this.fleet.sendDirect(gateway, ip, bytes.length, to =>
-          this.directories
-            .get(to)!
-            .receive(gateway.ip, directMessage.parse(bytes)!, this.fleet.now),
-        );
-      },
+      new directMembers.DirectMembers(gateway.table, -Infinity),
+      (ip, message) =>
+        this.fleet.sendDirect(gateway, ip, message, (to, read) =>
+          this.directories.get(to)!.receive(gateway.ip, read, this.fleet.now),
+        ),
       this.fleet.now,
     );
     this.directories.set(gateway, directory);
@@ -102,11 +101,10 @@
       }
     }
     const seconds = (fleet.now - startedAt) / 1000;
-    t.log(
-      `${directories.messages / seconds} datagrams and ${directories.bytes / seconds} bytes/s`,
-    );
-    t.true(directories.messages / seconds <= MESSAGES_GOAL);
-    t.true(directories.bytes / seconds <= BYTES_GOAL);
+    const {messages, bytes} = directories.cost;
+    t.log(`${messages / seconds} datagrams and ${bytes / seconds} bytes/s`);
+    t.true(messages / seconds <= MESSAGES_GOAL);
+    t.true(bytes / seconds <= BYTES_GOAL);
     fleet.gateways[0].isUp = false;
     const asked = 60;
     let known = 0;
@@ -174,6 +172,6 @@
     directories.of(0).tell([`attempt-${index}`, 'v1'], fleet.now);
   }
   fleet.run(5_000);
-  t.true(directories.messages <= MESSAGES_GOAL * 6);
+  t.true(directories.cost.messages <= MESSAGES_GOAL * 6);
   t.is(askOf(directories, 1, 'attempt-1999').softwareVersion, 'v1');
 });
--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -1,6 +1,7 @@
 /** Instances that name a limit on the requests that they take from all gateways together. */
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
+import * as requestLimit from '../../standins/request_limit';
 import * as gatewayFleet from '../support/gateway_fleet';
 import * as limitedReplica from '../support/limited_replica';
 import * as testGateway from '../support/test_gateway';
@@ -9,7 +10,7 @@
 const {GatewayFleet} = gatewayFleet;
 const {TestGateway} = testGateway;
 const GATEWAYS = 3;
-/** Requests of callers a second, at all gateways together. */
+/** Rate at which all callers together send requests, in requests per second. */
 const LOAD_PER_SECOND = 60;
 const LOAD_MILLISECONDS = 7_000;
 
@@ -89,7 +90,7 @@
     const statuses = await sendLoad(fleet, each.loadedGateways);
     const most = limited.mostArrivals();
     t.log(`${most} requests in 4 s of ${limited.arrivals.length}`);
-    t.true(most <= limitedReplica.allowed(each.requestsPerSecond));
+    t.true(most <= requestLimit.allowedRequests(each.requestsPerSecond));
     t.true(statuses.every(status => status === 200 || status === 503));
     t.is(
       each.hasSoundInstance && statuses.some(status => status !== 200),
--- a/test/support/simulated_fleet.ts
+++ b/test/support/simulated_fleet.ts
@@ -1,5 +1,6 @@
 /** Many gateways that exchange fleet messages over a lossy network on a simulated clock. */
 import * as pureRand from 'pure-rand';
+import * as directMessage from '../../src/gateway/common/fleet/direct_message';
 import * as fleetMessage from '../../src/gateway/common/fleet/fleet_message';
 import * as gossip from '../../src/gateway/common/fleet/gossip';
 import * as instanceLimits from '../../src/gateway/common/limits/instance_limits';
@@ -32,6 +33,9 @@
   sentBytes = 0;
   receivedBytes = 0;
   sentMessages = 0;
+  /** Direct messages sent, and their bytes with headers. */
+  directMessages = 0;
+  directBytes = 0;
   /** Limits that this gateway knows; undefined unless a test simulates them. */
   limits: instanceLimits.InstanceLimits | undefined;
   private process = 1;
@@ -179,18 +183,26 @@
     this.isCounting = true;
     for (const each of this.gateways) {
       each.sentBytes = each.receivedBytes = each.sentMessages = 0;
+      each.directMessages = each.directBytes = 0;
     }
   }
 
-  /** Sends a message outside of gossip; `receive` runs at the receiver unless the message is lost. */
+  /** Sends a message to one gateway; `receive` runs there unless the message is lost. */
   sendDirect(
     from: SimulatedGateway,
     ip: string,
-    bytes: number,
-    receive: (to: SimulatedGateway) => void,
+    message: directMessage.DirectMessage,
+    receive: (
+      to: SimulatedGateway,
+      message: directMessage.DirectMessage,
+    ) => void,
   ): void {
+    const bytes = directMessage.encode(message);
+    const size = bytes.length + HEADER_BYTES;
+    from.directMessages++;
+    from.directBytes += size;
     const to = this.byIp.get(ip)!;
-    this.post(from, to, bytes, () => receive(to));
+    this.post(from, to, size, () => receive(to, directMessage.parse(bytes)!));
   }
 
   /** A random number from 0 to 1. */
--- a/test/support/simulated_limits.ts
+++ b/test/support/simulated_limits.ts
@@ -1,4 +1,5 @@
 /** An instance that names a limit, and many gateways that send it requests, on a simulated clock. */
+import * as requestLimit from '../../standins/request_limit';
 import * as directMembers from '../../src/gateway/common/fleet/direct_members';
 import * as directMessage from '../../src/gateway/common/fleet/direct_message';
 import * as coordinatorElection from '../../src/gateway/common/limits/coordinator_election';
@@ -13,8 +14,6 @@
 /** Time for which a caller waits for the answer of a coordinator, in milliseconds. */
 const PATIENCE_MILLISECONDS = 300;
 const STEP_SECONDS = 0.004;
-const WINDOW_MILLISECONDS = 4_000;
-const HEADER_BYTES = 28;
 
 /** The permits of one gateway. */
 class LimitedGateway {
@@ -22,8 +21,6 @@
   permits!: instancePermits.InstancePermits;
   /** Times at which callers arrived that wait for a coordinator. */
   waiting: number[] = [];
-  messages = 0;
-  bytes = 0;
   /** Requests of callers a second. */
   load = 0;
 
@@ -49,8 +46,7 @@
       this.limits,
       new coordinatorElection.CoordinatorElection(
         this.gateway.table,
-        new directMembers.DirectMembers(this.gateway.table),
-        now,
+        new directMembers.DirectMembers(this.gateway.table, now),
       ),
       new permitIssuer.PermitIssuer(),
       (ip, permitRequest) => this.deliver(this, ip, {permitRequest}),
@@ -104,8 +100,7 @@
     const {table} = this.gateways[this.gateways.length - 1].gateway;
     const election = new coordinatorElection.CoordinatorElection(
       table,
-      new directMembers.DirectMembers(table),
-      -Infinity,
+      new directMembers.DirectMembers(table, -Infinity),
     );
     const {ip} = election.coordinatorOf(LIFE, this.fleet.now);
     return this.gateways.find(each => each.gateway.ip === ip)!;
@@ -113,14 +108,7 @@
 
   /** Most requests in any window since the time. */
   mostArrivals(since: number): number {
-    const counted = this.arrivals.filter(at => at >= since);
-    let first = 0;
-    return counted.reduce((most, at, index) => {
-      while (counted[first] <= at - WINDOW_MILLISECONDS) {
-        first++;
-      }
-      return Math.max(most, index - first + 1);
-    }, 0);
+    return requestLimit.mostInWindow(this.arrivals.filter(at => at >= since));
   }
 
   /** Requests a second since the time. */
@@ -167,23 +155,15 @@
     ip: string,
     message: directMessage.DirectMessage,
   ): void {
-    const bytes = directMessage.encode(message);
-    from.messages++;
-    from.bytes += bytes.length + HEADER_BYTES;
-    this.fleet.sendDirect(from.gateway, ip, bytes.length, to => {
-      const read = directMessage.parse(bytes)!;
+    this.fleet.sendDirect(from.gateway, ip, message, (to, read) => {
       const receiver = this.gateways.find(each => each.gateway === to)!;
       const {now} = this.fleet;
-      if (read.permitRequest !== undefined) {
-        const sender = from.gateway.ip;
-        const permitGrant = receiver.permits.answer(
-          sender,
-          read.permitRequest,
-          now,
-        );
-        if (permitGrant !== undefined) {
-          this.send(receiver, sender, {permitGrant});
-        }
+      const sender = from.gateway.ip;
+      const permitGrant =
+        read.permitRequest &&
+        receiver.permits.answer(sender, read.permitRequest, now);
+      if (permitGrant !== undefined) {
+        this.send(receiver, sender, {permitGrant});
       }
       if (read.permitGrant !== undefined) {
         receiver.permits.receiveGrant(read.permitGrant, now);
