--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -29,8 +29,8 @@
 const ABORT_SHARE = 0.03;
 /** Fraction of requests that may use a key that was revoked. */
 const REVOKED_KEY_SHARE = 0.05;
-/** Fraction of broken-off tags that their caller takes up. */
-const TAKE_UP_SHARE = 0.8;
+/** Fraction of broken-off tags that their caller resumes. */
+const RESUME_SHARE = 0.8;
 const PLAIN_WAIT_MILLISECONDS = 2_000;
 /** Longer than the 2.4 s that a stream of maximum length lasts. */
 const STREAM_WAIT_MILLISECONDS = 8_000;
@@ -66,7 +66,7 @@
         kind === RequestKind.Tag ? 60 : 120,
       );
       let broken = await this.send(agent, kind, pieces, undefined);
-      while (broken !== undefined && this.random.chance(TAKE_UP_SHARE)) {
+      while (broken !== undefined && this.random.chance(RESUME_SHARE)) {
         broken = await this.send(agent, kind, pieces, broken);
       }
       await timers.setTimeout(this.random.integer(0, MAX_THINK_MILLISECONDS));
@@ -82,13 +82,13 @@
     return this.random.pick([...keys]);
   }
 
-  /** Sends one request to any gateway and records its answer, if one begins. Returns the stream that the caller may take up. */
+  /** Sends one request to any gateway and records its answer, if one begins. Returns the stream that the caller may resume. */
   private async send(
     agent: http.Agent,
     kind: requestHistory.RequestKind,
     pieces: number,
-    takenUp: requestHistory.TakenUpStream | undefined,
-  ): Promise<requestHistory.TakenUpStream | undefined> {
+    resumed: requestHistory.ResumedStream | undefined,
+  ): Promise<requestHistory.ResumedStream | undefined> {
     const gateway = this.random.pick(this.target.gateways);
     const attempt = (++this.attemptCount).toString(16).padStart(16, '0');
     const key = this.pickKey();
@@ -97,7 +97,7 @@
     const abortsAfter = this.random.chance(ABORT_SHARE)
       ? this.random.integer(1, 300)
       : wait + 1_000;
-    this.history.recordSent(attempt, kind, key, gateway.name, takenUp);
+    this.history.recordSent(attempt, kind, key, gateway.name, resumed);
     const startedAt = performance.now();
     await new Promise<void>(resolve => {
       const request = http.request(
@@ -113,7 +113,7 @@
             'X-Rhubarbvane-Attempt-Id': attempt,
             'X-Rhubarbvane-Deadline-Ms': String(wait),
             'X-Rhubarbvane-Token-Count': `100,${pieces}`,
-            ...takeUpHeaders(takenUp),
+            ...resumeHeaders(resumed),
           },
         },
         response => this.receive(attempt, response, resolve, startedAt),
@@ -127,7 +127,7 @@
       request.end(isStream ? String(pieces) : undefined);
     });
     return kind === RequestKind.Tag
-      ? brokenStream(attempt, this.history.answerOf(attempt), takenUp)
+      ? brokenStream(attempt, this.history.answerOf(attempt), resumed)
       : undefined;
   }
 
@@ -154,27 +154,27 @@
   }
 }
 
-function takeUpHeaders(
-  takenUp: requestHistory.TakenUpStream | undefined,
+function resumeHeaders(
+  resumed: requestHistory.ResumedStream | undefined,
 ): Record<string, string> {
-  return takenUp === undefined
+  return resumed === undefined
     ? {}
-    : {'Last-Event-Id': String(takenUp.pieces), Resumes: takenUp.attempt};
+    : {'Last-Event-Id': String(resumed.pieces), Resumes: resumed.attempt};
 }
 
 /** What the caller has of a stream that was broken off; undefined if it has nothing or all of it. */
 function brokenStream(
   attempt: string,
   answer: requestHistory.ReceivedAnswer | undefined,
-  takenUp: requestHistory.TakenUpStream | undefined,
-): requestHistory.TakenUpStream | undefined {
+  resumed: requestHistory.ResumedStream | undefined,
+): requestHistory.ResumedStream | undefined {
   if (answer === undefined || answer.isComplete || answer.status !== 200) {
     return undefined;
   }
   const pieces =
-    (takenUp?.pieces ?? 0) + requestHistory.pieceCount(answer.body);
-  const version = takenUp?.version ?? requestHistory.versionOf(answer.body);
+    (resumed?.pieces ?? 0) + requestHistory.pieceCount(answer.body);
+  const version = resumed?.version ?? requestHistory.versionOf(answer.body);
   return pieces === 0 || version === undefined
     ? undefined
-    : {attempt: takenUp?.attempt ?? attempt, version, pieces};
+    : {attempt: resumed?.attempt ?? attempt, version, pieces};
 }
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -36,8 +36,8 @@
   readonly detail: string;
 }
 
-/** A stream that its caller takes up in another request. */
-export interface TakenUpStream {
+/** A stream that its caller resumes in another request. */
+export interface ResumedStream {
   /** Attempt that brought the first event. */
   readonly attempt: string;
   readonly version: string;
@@ -53,7 +53,7 @@
 }
 
 interface SentRequest {
-  readonly takenUp: TakenUpStream | undefined;
+  readonly resumed: ResumedStream | undefined;
   readonly kind: RequestKind;
   readonly key: string;
   readonly gateway: string;
@@ -132,9 +132,9 @@
     kind: RequestKind,
     key: string,
     gateway: string,
-    takenUp?: TakenUpStream,
+    resumed?: ResumedStream,
   ): void {
-    this.sent.set(attempt, {kind, key, gateway, takenUp});
+    this.sent.set(attempt, {kind, key, gateway, resumed});
   }
 
   answerOf(attempt: string): ReceivedAnswer | undefined {
@@ -307,7 +307,7 @@
 
   private checkAnswer(
     attempt: string,
-    {kind, answer, takenUp}: SentRequest,
+    {kind, answer, resumed}: SentRequest,
     runs: readonly Run[],
   ): Violation[] {
     if (answer === undefined) {
@@ -325,7 +325,7 @@
     }
     const fault =
       kind === RequestKind.Draft || kind === RequestKind.Tag
-        ? checkStream(attempt, answer, takenUp)
+        ? checkStream(attempt, answer, resumed)
         : checkPlain(attempt, answer, runs);
     return fault === undefined
       ? []
@@ -357,14 +357,14 @@
 function checkStream(
   attempt: string,
   {body, isComplete}: ReceivedAnswer,
-  takenUp: TakenUpStream | undefined,
+  resumed: ResumedStream | undefined,
 ): string | undefined {
-  const version = versionOf(body) ?? takenUp?.version;
-  if (takenUp !== undefined && version !== takenUp.version) {
-    return `begun at ${takenUp.version} as ${takenUp.attempt}, goes on at ${version}`;
+  const version = versionOf(body) ?? resumed?.version;
+  if (resumed !== undefined && version !== resumed.version) {
+    return `begun at ${resumed.version} as ${resumed.attempt}, goes on at ${version}`;
   }
   let expected = '';
-  let pieces = takenUp?.pieces ?? 0;
+  let pieces = resumed?.pieces ?? 0;
   while (body.startsWith(expected + pieceEvent(attempt, pieces + 1, version))) {
     expected += pieceEvent(attempt, ++pieces, version);
   }
--- a/src/gateway/common/fleet/direct_members.ts
+++ b/src/gateway/common/fleet/direct_members.ts
@@ -3,7 +3,7 @@
 import * as memberTable from './member_table';
 import * as peerDigest from './peer_digest';
 
-/** Interval at which the members are looked through, in milliseconds. */
+/** Interval at which the list is rebuilt, in milliseconds. */
 const REFRESH_MILLISECONDS = 100;
 /** Time after its start in which a gateway gets to know the others, and they it, in milliseconds. */
 const SETTLING_MILLISECONDS = 2_000;
@@ -37,7 +37,7 @@
   }
 }
 
-/** Those of the IPs that are responsible for a key, the first one most of all. All gateways with the same members agree, and keys are spread over them. */
+/** Rendezvous hashing: returns the `count` IPs that are responsible for a key, in order of precedence. Gateways that know the same members agree. */
 export function responsibleFor(
   key: string,
   ips: readonly string[],
@@ -55,7 +55,7 @@
   return best.map(({ip}) => ip);
 }
 
-/** Gateways of which only others have told count as of this build. */
+/** A gateway known only from relayed records is assumed to be of this build. */
 function readsDirectMessages(member: memberTable.Member): boolean {
   const {entry, incarnation, endsAt} = member;
   const version = entry?.digest.messageVersion ?? 0;
--- a/src/gateway/common/fleet/direct_message.ts
+++ b/src/gateway/common/fleet/direct_message.ts
@@ -1,7 +1,7 @@
 /**
- * Short datagrams from one gateway to another that concern one instance or a few streams.
- * Only gateways that tell a version of messages from which they are known get
- * them; other messages go by `fleet_message`.
+ * Short datagrams from one gateway to one other, about one instance or a few
+ * streams. They are sent only to gateways whose digests carry a message version
+ * that includes them; `fleet_message` has the messages to many.
  */
 import * as zod from 'zod';
 import * as instancePermits from '../limits/instance_permits';
@@ -12,7 +12,7 @@
 const MAX_BYTES = 2_500;
 /** Longest identifier of an instance's incarnation, in characters. */
 const MAX_LIFE_LENGTH = 256;
-/** First bytes of every message, by which it is told from other messages. */
+/** First bytes of every message, which distinguish it from a `FleetMessage`. */
 const PREFIX = '{"direct":';
 
 /** Content of a message; exactly one part is set. */
@@ -29,8 +29,8 @@
 /** Time since something, in milliseconds. */
 const age = zod.z.number().min(0).refine(Number.isFinite);
 
-/** A limit as gateways tell each other. */
-const toldLimitSchema = zod.z.tuple([rate.nullable(), age]);
+/** See `LimitUpdate`. */
+const limitUpdateSchema = zod.z.tuple([rate.nullable(), age]);
 /** A limit with the incarnation of its instance. */
 export const relayedLimitSchema = zod.z.tuple([life, rate.nullable(), age]);
 
@@ -41,7 +41,7 @@
         sequence: count,
         life,
         wanted: count.max(instancePermits.MAX_WANTED),
-        limit: toldLimitSchema,
+        limit: limitUpdateSchema,
       })
       .optional(),
     begunStreams: zod.z
@@ -61,7 +61,7 @@
         life,
         granted: count.max(instancePermits.MAX_WANTED),
         retryMilliseconds: age,
-        limit: toldLimitSchema.optional(),
+        limit: limitUpdateSchema.optional(),
       })
       .optional(),
   }),
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -22,7 +22,7 @@
   /** The caller's own estimate of the output length in tokens. */
   readonly lengthHint: number | undefined;
   readonly lastEventId: string | undefined;
-  /** Id of the attempt that brought the first event of the stream that the caller takes up; undefined if it takes up none. */
+  /** Id of the attempt that brought the first event of the stream that the caller resumes; undefined if it resumes none. */
   readonly resumedAttemptId: string | undefined;
   /** Headers to forward: name, value, name, value. Excludes hop-by-hop headers and those that only the system sets. */
   readonly passedHeaders: readonly string[];
@@ -176,7 +176,7 @@
   ): Promise<neverthrow.Result<RunCopy, CopyFailure>>;
   /** Releases a copy that will not be used. */
   abstract dropCopy(source: instanceTable.Instance, handle: string): void;
-  /** Reads the status report; undefined when none was received. Each read is charged as a health probe. */
+  /** Reads the status report; undefined when none was received. The platform bills each read like a health check. */
   abstract readReport(
     instance: instanceTable.Instance,
   ): Promise<InstanceReport | undefined>;
--- a/src/gateway/common/limits/instance_limits.ts
+++ b/src/gateway/common/limits/instance_limits.ts
@@ -28,11 +28,11 @@
   readonly previous: number | undefined;
 }
 
-/** A limit as gateways tell each other: requests a second (null if it has ended), age in milliseconds. */
-export type ToldLimit = readonly [number | null, number];
+/** A limit in a message between gateways: requests per second (null if it has ended), age in milliseconds. */
+export type LimitUpdate = readonly [number | null, number];
 
 /** A limit with the incarnation of the instance that names it. */
-export type RelayedLimit = readonly [string, ...ToldLimit];
+export type RelayedLimit = readonly [string, ...LimitUpdate];
 
 /** The latest that is known of one incarnation. */
 interface Statement {
@@ -41,13 +41,13 @@
   readonly at: number;
 }
 
-/** Incarnations of which something is known; those heard of the longest ago are forgotten first. */
+/** Maximum number of incarnations with a limit or its end; the least recently updated are dropped first. */
 const MAX_STATEMENTS = 4_096;
-/** Limits in a digest to a peer, those heard of last; gateways learn of others by their own requests. */
+/** Maximum number of limits in a digest, the most recently updated; gateways learn of others from answers. */
 const MAX_RELAYED = 16;
-/** Maximum age of a limit, or of its end, that peers are told of, in milliseconds. */
+/** Maximum age of a limit, or of its end, that is relayed to peers, in milliseconds. */
 const RELAY_MILLISECONDS = 30_000;
-/** Time for which the end of a limit is remembered, in milliseconds. Longer than peers relay the limit, which would otherwise be taken for a new one. */
+/** Time for which the end of a limit is kept, in milliseconds. Longer than peers relay the limit, which would otherwise be taken for a new one. */
 const END_MILLISECONDS = 2 * RELAY_MILLISECONDS;
 
 /** Limits by incarnation of an instance. */
@@ -93,25 +93,25 @@
   /** Adds what peers know, where it is newer. */
   merge(relayed: readonly RelayedLimit[], now: number): void {
     for (const [life, ...limit] of relayed) {
-      this.hear(life, limit, now);
+      this.applyUpdate(life, limit, now);
     }
   }
 
   /** Records what a peer knows of one incarnation, if it is newer. */
-  hear(life: string, [rate, age]: ToldLimit, now: number): void {
+  applyUpdate(life: string, [rate, age]: LimitUpdate, now: number): void {
     const requestsPerSecond = rate ?? undefined;
     if (requestsPerSecond !== undefined || this.statements.has(life)) {
       this.set(life, {requestsPerSecond, at: now - age});
     }
   }
 
-  /** What peers are told of one incarnation; undefined if it never named a limit. */
-  toTell(life: string, now: number): ToldLimit | undefined {
+  /** Update about one incarnation for peers; undefined without a known limit or end. */
+  updateFor(life: string, now: number): LimitUpdate | undefined {
     const statement = this.statements.get(life);
     return (
       statement && [
         statement.requestsPerSecond ?? null,
-        // Never told as later than it was, so that a limit is not ended by an older answer.
+        // Rounded up: an age that is too small could let an older answer end a limit.
         Math.ceil(now - statement.at),
       ]
     );
@@ -127,7 +127,7 @@
     return [...this.statements]
       .filter(([, {at}]) => now - at <= RELAY_MILLISECONDS)
       .slice(-MAX_RELAYED)
-      .map(([life]) => [life, ...this.toTell(life, now)!]);
+      .map(([life]) => [life, ...this.updateFor(life, now)!]);
   }
 
   /** Replaces the statement unless it is older than the known one. */
--- a/src/gateway/common/limits/instance_permits.ts
+++ b/src/gateway/common/limits/instance_permits.ts
@@ -14,10 +14,10 @@
 
 /** Time after which a request for permits counts as unanswered, in milliseconds; longer than a round trip between regions. */
 const ANSWER_TIMEOUT_MILLISECONDS = 250;
-/** Time until a coordinator that did not answer is asked again, in milliseconds; doubled with each further time. */
+/** Time between requests to a coordinator that does not answer, in milliseconds; doubled with each further request. */
 const MIN_SILENT_RETRY_MILLISECONDS = 1_000;
 const MAX_SILENT_RETRY_MILLISECONDS = 8_000;
-/** Time for which permits are asked for in advance, in seconds. */
+/** Period of use for which permits are requested in advance, in seconds. */
 const ADVANCE_SECONDS = 0.2;
 /** Most permits in one request. */
 export const MAX_WANTED = 256;
@@ -31,7 +31,7 @@
 export enum PermitState {
   /** The request may be sent. */
   Granted = 'granted',
-  /** The coordinator has been asked. */
+  /** A request to the coordinator is open. */
   Pending = 'pending',
   Denied = 'denied',
 }
@@ -48,7 +48,7 @@
   readonly sequence: number;
   readonly life: string;
   readonly wanted: number;
-  readonly limit: instanceLimits.ToldLimit;
+  readonly limit: instanceLimits.LimitUpdate;
 }
 
 /** The answer of a coordinator. */
@@ -58,7 +58,7 @@
   readonly granted: number;
   readonly retryMilliseconds: number;
   /** What the coordinator knows of the limit; absent if nothing. */
-  readonly limit?: instanceLimits.ToldLimit;
+  readonly limit?: instanceLimits.LimitUpdate;
 }
 
 /** Why an instance is not chosen. */
@@ -93,8 +93,8 @@
   /** Requests in a row that it did not answer. */
   unanswered: number;
   pending: {readonly sequence: number; readonly sentAt: number} | undefined;
-  /** Monotonic milliseconds from which the coordinator may be asked. */
-  askAt: number;
+  /** Monotonic milliseconds from which the coordinator may be sent a request. */
+  requestAt: number;
   /** Accrues the own share; undefined while the coordinator answers. */
   share: rateBucket.RateBucket | undefined;
   /** Permits used since the window began, and in the window before. */
@@ -170,14 +170,14 @@
     }
     return coordinator.isOwn
       ? this.issueToSelf(life, account, limit, now)
-      : this.ask(coordinator.ip, life, account, limit, now);
+      : this.requestPermit(coordinator.ip, life, account, limit, now);
   }
 
   /** Records the answer of a coordinator. */
   receiveGrant(grant: PermitGrant, now: number): void {
     const {life, sequence} = grant;
     if (grant.limit !== undefined) {
-      this.limits.hear(life, grant.limit, now);
+      this.limits.applyUpdate(life, grant.limit, now);
     }
     const account = this.accounts.get(life);
     if (account?.pending?.sequence === sequence) {
@@ -185,21 +185,21 @@
       account.pending = undefined;
       account.unanswered = 0;
       account.share = undefined;
-      account.askAt = now + grant.retryMilliseconds;
+      account.requestAt = now + grant.retryMilliseconds;
       account.permits = grant.granted;
       account.validUntil = sentAt + limitPolicy.PERMIT_LIFETIME_MILLISECONDS;
     }
     this.onDidSettle.next(life);
   }
 
-  /** Answers the request of another gateway; undefined if this gateway does not coordinate the instance, or too many ask. */
+  /** Answers the request of another gateway; undefined if this gateway does not coordinate the instance, or gets too many requests. */
   answer(
     gateway: string,
     request: PermitRequest,
     now: number,
   ): PermitGrant | undefined {
     const {life, sequence, wanted} = request;
-    this.limits.hear(life, request.limit, now);
+    this.limits.applyUpdate(life, request.limit, now);
     const isOwn = this.election.coordinatorOf(life, now).isOwn;
     if (!isOwn || !this.issuer.mayAnswer(now)) {
       return undefined;
@@ -210,7 +210,7 @@
       limit === undefined
         ? {granted: 0, retryMilliseconds: 0}
         : this.issuer.issue(gateway, life, wanted, limit, now);
-    return {sequence, life, ...issue, limit: this.limits.toTell(life, now)};
+    return {sequence, life, ...issue, limit: this.limits.updateFor(life, now)};
   }
 
   private issueToSelf(
@@ -220,19 +220,19 @@
     now: number,
   ): Acquisition {
     account.share = undefined;
-    if (now < account.askAt) {
-      return denied(account.askAt);
+    if (now < account.requestAt) {
+      return denied(account.requestAt);
     }
     const issue = this.issuer.issue(this.ownIp, life, 1, limit, now);
     if (issue.granted > 0) {
       account.used++;
       return granted(now);
     }
-    account.askAt = now + issue.retryMilliseconds;
-    return denied(account.askAt);
+    account.requestAt = now + issue.retryMilliseconds;
+    return denied(account.requestAt);
   }
 
-  private ask(
+  private requestPermit(
     ip: string,
     life: string,
     account: Account,
@@ -240,7 +240,7 @@
     now: number,
   ): Acquisition {
     giveUpUnanswered(account, now);
-    if (account.pending === undefined && now >= account.askAt) {
+    if (account.pending === undefined && now >= account.requestAt) {
       this.sendRequest(ip, life, account, now);
     }
     const fromShare =
@@ -251,7 +251,7 @@
       return fromShare;
     }
     return account.pending === undefined
-      ? denied(Math.min(account.askAt, fromShare.retryAt))
+      ? denied(Math.min(account.requestAt, fromShare.retryAt))
       : {state: PermitState.Pending, retryAt: now};
   }
 
@@ -269,7 +269,7 @@
       sequence,
       life,
       wanted: Math.max(1, Math.min(MAX_WANTED, wanted)),
-      limit: this.limits.toTell(life, now)!,
+      limit: this.limits.updateFor(life, now)!,
     });
   }
 
@@ -312,7 +312,7 @@
   account.pending = undefined;
   account.share ??= new rateBucket.RateBucket(now);
   const retry = MIN_SILENT_RETRY_MILLISECONDS * 2 ** account.unanswered++;
-  account.askAt =
+  account.requestAt =
     pending.sentAt + Math.min(MAX_SILENT_RETRY_MILLISECONDS, retry);
 }
 
@@ -328,7 +328,7 @@
   account.coordinator = ip;
   account.pending = undefined;
   account.unanswered = 0;
-  account.askAt = now;
+  account.requestAt = now;
 }
 
 function granted(now: number): Acquisition {
@@ -355,7 +355,7 @@
     pending: undefined,
     coordinator: undefined,
     unanswered: 0,
-    askAt: -Infinity,
+    requestAt: -Infinity,
     share: undefined,
     used: 0,
     usedBefore: 0,
--- a/src/gateway/common/limits/limit_policy.ts
+++ b/src/gateway/common/limits/limit_policy.ts
@@ -12,7 +12,7 @@
 const BASE_CAPACITY = 2;
 const CAPACITY_SECONDS = 0.4;
 
-/** Time for which a permit is valid after it was asked for, in milliseconds. */
+/** Time for which a permit is valid after its request, in milliseconds. */
 export const PERMIT_LIFETIME_MILLISECONDS = 500;
 
 /** Permits a second that are issued to all gateways together for a limit in requests a second. */
--- a/src/gateway/common/limits/permit_issuer.ts
+++ b/src/gateway/common/limits/permit_issuer.ts
@@ -1,38 +1,39 @@
 /**
- * Issues the permits for the limited instances that this gateway coordinates.
- * Meant for limits of up to tens of requests a second that many gateways share;
- * the more gateways ask, the less often each is asked to come back.
+ * Issues permits for the limited instances that this gateway coordinates. Meant
+ * for limits of up to tens of requests a second that many gateways share: the
+ * more gateways request permits, the longer a denied one has to wait before its
+ * next request.
  */
 import * as limitPolicy from './limit_policy';
 import * as rateBucket from '../rate_bucket';
 
-/** Requests that are denied in a second, as gateways are told when to come back; for all instances together. */
+/** Rate of denied permit requests that the retry delays aim at, in requests per second, over all instances. */
 const TARGET_REQUESTS_PER_SECOND = 35;
-/** Requests that are answered in a slot of time; those beyond it get no answer. Short slots, so that permits are not left over between them. */
+/** Maximum number of permit requests answered in one time slot; further ones get no answer. Slots are short so that permits do not expire unused between them. */
 const MAX_ANSWERS_PER_SLOT = 5;
 const SLOT_MILLISECONDS = 100;
-/** Time after which a gateway that could have asked again no longer counts as asking, in milliseconds. */
-const ASKING_MARGIN_MILLISECONDS = 1_000;
-/** Interval at which gateways that no longer ask are removed, in milliseconds. */
+/** Time after its retry delay for which a gateway still counts as requesting permits, in milliseconds. */
+const REQUESTER_MARGIN_MILLISECONDS = 1_000;
+/** Interval at which gateways that no longer request permits are removed, in milliseconds. */
 const SWEEP_MILLISECONDS = 250;
-/** Longest time after which a gateway may ask again, in milliseconds. */
+/** Maximum retry delay of a denied gateway, in milliseconds. */
 const MAX_RETRY_MILLISECONDS = 15_000;
-/** Gateways and instances remembered; further ones are not counted. */
-const MAX_ASKING = 4_096;
+/** Maximum number of pairs of gateway and instance counted; further ones are not counted. */
+const MAX_REQUESTERS = 4_096;
 const MAX_BUCKETS = 4_096;
 
 /** Permits issued to one gateway. */
 export interface Issue {
   readonly granted: number;
-  /** Time after which the gateway may ask again, in milliseconds. */
+  /** Time after which the gateway may request permits again, in milliseconds. */
   readonly retryMilliseconds: number;
 }
 
 /** Buckets by incarnation of an instance. */
 export class PermitIssuer {
   private readonly buckets = new Map<string, rateBucket.RateBucket>();
-  /** Monotonic milliseconds until which a gateway counts as asking for an instance. */
-  private readonly asking = new Map<string, number>();
+  /** Monotonic milliseconds until which each pair of gateway and instance counts. */
+  private readonly requesters = new Map<string, number>();
   private sweptAt = -Infinity;
   private slot = -Infinity;
   private answeredInSlot = 0;
@@ -61,34 +62,34 @@
     const granted = bucket.take(wanted, rate, capacity, now);
     const key = `${gateway} ${life}`;
     if (granted > 0) {
-      this.recordAsking(key, now, 0);
+      this.recordRequester(key, now, 0);
       return {granted, retryMilliseconds: 0};
     }
-    const count = this.asking.size + (this.asking.has(key) ? 0 : 1);
+    const count = this.requesters.size + (this.requesters.has(key) ? 0 : 1);
     const shared = (count * 1000) / TARGET_REQUESTS_PER_SECOND;
     const next = Math.max(shared, bucket.millisecondsToNext(rate));
     const retry = Math.ceil(Math.min(MAX_RETRY_MILLISECONDS, next));
-    this.recordAsking(key, now, retry);
+    this.recordRequester(key, now, retry);
     return {granted, retryMilliseconds: retry};
   }
 
-  private recordAsking(
+  private recordRequester(
     key: string,
     now: number,
     retryMilliseconds: number,
   ): void {
     if (now - this.sweptAt >= SWEEP_MILLISECONDS) {
       this.sweptAt = now;
-      this.asking.forEach((until, each) => {
+      this.requesters.forEach((until, each) => {
         if (until < now) {
-          this.asking.delete(each);
+          this.requesters.delete(each);
         }
       });
     }
-    if (this.asking.size < MAX_ASKING || this.asking.has(key)) {
-      this.asking.set(
+    if (this.requesters.size < MAX_REQUESTERS || this.requesters.has(key)) {
+      this.requesters.set(
         key,
-        now + retryMilliseconds + ASKING_MARGIN_MILLISECONDS,
+        now + retryMilliseconds + REQUESTER_MARGIN_MILLISECONDS,
       );
     }
   }
--- a/src/gateway/common/versions/endpoint_versions.ts
+++ b/src/gateway/common/versions/endpoint_versions.ts
@@ -1,4 +1,4 @@
-/** Tells which software versions of an endpoint may have begun a stream that is taken up now. */
+/** Tells which software versions of an endpoint may have begun a stream that is resumed now. */
 import * as rxjs from 'rxjs';
 import * as instanceTable from '../instance_table';
 import * as streamVersions from './stream_versions';
@@ -31,7 +31,7 @@
     }
   }
 
-  /** Whether streams of several versions may be taken up. */
+  /** Whether streams of several versions may be resumed. */
   isMixed(endpoint: string, now: number): boolean {
     return this.possibleVersions(endpoint, now).length > 1;
   }
--- a/src/gateway/common/versions/stream_versions.ts
+++ b/src/gateway/common/versions/stream_versions.ts
@@ -1,6 +1,6 @@
-/** Remembers which software version began a stream, for callers that take it up. */
+/** Remembers which software version began a stream, for callers that resume it. */
 
-/** Time for which a stream is remembered after it began or was last taken up, in milliseconds; longer than any stream lasts. */
+/** Time for which a stream is remembered after it began or was last resumed, in milliseconds; longer than any stream lasts. */
 export const STREAM_LIFETIME_MILLISECONDS = 120_000;
 /** Streams remembered; those heard of the longest ago are forgotten first. */
 const MAX_STREAMS = 16_384;
--- a/src/gateway/common/versions/version_directory.ts
+++ b/src/gateway/common/versions/version_directory.ts
@@ -1,33 +1,33 @@
 /**
- * Has two other gateways remember which software version began a stream, and
- * asks them when a caller takes up a stream that this gateway does not know.
- * They are chosen by the id of the attempt, so that a stream costs a few
- * datagrams whatever the number of gateways. Meant for streams that outlive the
- * gateway that began them, at up to tens of streams a second and gateway.
+ * Distributed directory of the software versions that began streams. A gateway
+ * announces each stream to two others, and looks up a stream that it does not
+ * know when a caller resumes it. The holders of an entry follow from the hash of
+ * the attempt id, so the cost of a stream does not depend on the number of
+ * gateways. Meant for up to tens of resumable streams a second and gateway.
  */
 import * as rxjs from 'rxjs';
 import * as directMembers from '../fleet/direct_members';
 import * as rateBucket from '../rate_bucket';
 import * as streamVersions from './stream_versions';
 
-/** Gateways that remember a stream besides the one that began it. */
-const TOLD_COUNT = 2;
-/** Gateways that are asked: one more, since the one that began the stream may have been lost. */
-const ASKED_COUNT = 3;
+/** Gateways that hold an entry besides the one that began the stream. */
+const HOLDER_COUNT = 2;
+/** Gateways that a lookup queries. One more than hold an entry, since the gateway that began the stream may still count as a member after its loss. */
+const QUERIED_COUNT = 3;
 /** Streams in one message. */
 export const MAX_STREAMS_PER_MESSAGE = 16;
-/** Messages about begun streams that are sent in a second; more streams share messages. */
-const TELLS_PER_SECOND = 80;
-/** Streams that wait to be told; the latest beyond it are not. */
+/** Maximum rate of announcements, in messages per second; beyond it, several streams share a message. */
+const ANNOUNCEMENTS_PER_SECOND = 80;
+/** Maximum number of queued announcements; further streams are not announced. */
 const MAX_WAITING = 8_192;
-/** Streams that wait while no other gateway is known; the oldest beyond it are forgotten. */
+/** Maximum number of streams queued while no other gateway is known; the oldest are dropped first. */
 const MAX_UNASSIGNED = 1_024;
-/** Interval at which streams are sent that exceeded the bound before, in milliseconds. */
+/** Interval between steps while announcements are queued, in milliseconds. */
 const STEP_MILLISECONDS = 50;
-/** The same while no other gateway is known, which may last. */
+/** Interval between steps while no other gateway is known, in milliseconds. */
 const UNASSIGNED_STEP_MILLISECONDS = 500;
-/** Streams asked for in a second; those beyond it count as not answered. */
-const ASKS_PER_SECOND = 50;
+/** Maximum rate of lookups, in streams per second; beyond it, a lookup ends without an answer. */
+const LOOKUPS_PER_SECOND = 50;
 /** Longest wait for answers, in milliseconds; longer than a round trip between regions. */
 export const ANSWER_TIMEOUT_MILLISECONDS = 250;
 
@@ -54,30 +54,30 @@
   readonly versionAnswer?: VersionAnswer;
 }
 
-/** What other gateways know of a stream. */
-export interface Finding {
+/** Result of looking up a stream at other gateways. */
+export interface LookupResult {
   /** Undefined if none of those that answered knows the stream. */
   readonly softwareVersion: string | undefined;
-  /** Gateways that were asked, and those among them that have answered. */
-  readonly asked: number;
+  /** Number of gateways queried, and of those that have answered. */
+  readonly queried: number;
   readonly answered: number;
 }
 
 interface PendingQuery {
   readonly awaited: Set<string>;
-  readonly asked: number;
-  readonly found: rxjs.Subject<Finding>;
+  readonly queried: number;
+  readonly found: rxjs.Subject<LookupResult>;
 }
 
 /** The part of the directory that one gateway holds. */
 export class VersionDirectory {
   private readonly unassigned: BegunStream[] = [];
-  /** Streams to be told, by the IP of the gateway. */
+  /** Queued announcements by the IP of the holder. */
   private readonly waiting = new Map<string, BegunStream[]>();
   private waitingCount = 0;
   private readonly pending = new Map<number, PendingQuery>();
-  private readonly tells: rateBucket.RateBucket;
-  private readonly asks: rateBucket.RateBucket;
+  private readonly announcements: rateBucket.RateBucket;
+  private readonly lookups: rateBucket.RateBucket;
   private lastSequence = 0;
 
   constructor(
@@ -86,12 +86,15 @@
     private readonly send: (ip: string, message: DirectoryMessage) => void,
     now: number,
   ) {
-    this.tells = new rateBucket.RateBucket(now, TELLS_PER_SECOND);
-    this.asks = new rateBucket.RateBucket(now, ASKS_PER_SECOND);
+    this.announcements = new rateBucket.RateBucket(
+      now,
+      ANNOUNCEMENTS_PER_SECOND,
+    );
+    this.lookups = new rateBucket.RateBucket(now, LOOKUPS_PER_SECOND);
   }
 
-  /** Has other gateways remember a stream; returns false if too many streams wait to be told. */
-  tell(stream: BegunStream, now: number): boolean {
+  /** Announces a stream to its holders; returns false if the queue is full. */
+  announce(stream: BegunStream, now: number): boolean {
     if (this.waitingCount >= MAX_WAITING) {
       return false;
     }
@@ -103,7 +106,7 @@
     return true;
   }
 
-  /** Time after which `step` is to be called, in milliseconds; undefined while no stream waits. */
+  /** Time after which `step` must be called, in milliseconds; undefined when the queue is empty. */
   get nextStepMilliseconds(): number | undefined {
     if (this.waiting.size > 0) {
       return STEP_MILLISECONDS;
@@ -113,12 +116,17 @@
       : undefined;
   }
 
-  /** Sends what waits, within the bound. */
+  /** Sends queued announcements, within the maximum rate. */
   step(now: number): void {
     this.assign(now);
     while (
       this.waiting.size > 0 &&
-      this.tells.take(1, TELLS_PER_SECOND, TELLS_PER_SECOND, now) > 0
+      this.announcements.take(
+        1,
+        ANNOUNCEMENTS_PER_SECOND,
+        ANNOUNCEMENTS_PER_SECOND,
+        now,
+      ) > 0
     ) {
       const [ip, streams] = this.waiting.entries().next().value!;
       const begunStreams = streams.splice(0, MAX_STREAMS_PER_MESSAGE);
@@ -131,7 +139,7 @@
     }
   }
 
-  /** Assigns streams to gateways; they wait while this gateway knows no other, as just after its start. */
+  /** Assigns queued streams to their holders, once another gateway is known. */
   private assign(now: number): void {
     const ips = this.members.ips(now);
     if (ips.length === 0) {
@@ -139,8 +147,12 @@
     }
     for (const stream of this.unassigned.splice(0)) {
       const [attemptId] = stream;
-      const told = directMembers.responsibleFor(attemptId, ips, TOLD_COUNT);
-      for (const ip of told) {
+      const holders = directMembers.responsibleFor(
+        attemptId,
+        ips,
+        HOLDER_COUNT,
+      );
+      for (const ip of holders) {
         const streams = this.waiting.get(ip) ?? [];
         this.waiting.set(ip, streams);
         streams.push(stream);
@@ -149,34 +161,38 @@
     }
   }
 
-  /** Asks other gateways; the finding comes with the first that knows the stream, or when all have answered. */
-  ask(
+  /** Queries other gateways. The result follows when one knows the stream, or when all have answered. */
+  lookUp(
     attemptId: string,
     now: number,
-  ): {readonly sequence: number; readonly found: rxjs.Observable<Finding>} {
+  ): {
+    readonly sequence: number;
+    readonly found: rxjs.Observable<LookupResult>;
+  } {
     const sequence = ++this.lastSequence;
     const ips = this.members.ips(now);
-    const asked = directMembers.responsibleFor(attemptId, ips, ASKED_COUNT);
-    const mayAsk = this.asks.take(1, ASKS_PER_SECOND, ASKS_PER_SECOND, now) > 0;
-    if (!mayAsk || asked.length === 0) {
+    const queried = directMembers.responsibleFor(attemptId, ips, QUERIED_COUNT);
+    const mayAsk =
+      this.lookups.take(1, LOOKUPS_PER_SECOND, LOOKUPS_PER_SECOND, now) > 0;
+    if (!mayAsk || queried.length === 0) {
       const finding = {
         softwareVersion: undefined,
-        asked: asked.length,
+        queried: queried.length,
         answered: 0,
       };
       return {sequence, found: rxjs.of(finding)};
     }
-    const found = new rxjs.ReplaySubject<Finding>(1);
+    const found = new rxjs.ReplaySubject<LookupResult>(1);
     this.pending.set(sequence, {
-      awaited: new Set(asked),
-      asked: asked.length,
+      awaited: new Set(queried),
+      queried: queried.length,
       found,
     });
-    asked.forEach(ip => this.send(ip, {versionQuery: {sequence, attemptId}}));
+    queried.forEach(ip => this.send(ip, {versionQuery: {sequence, attemptId}}));
     return {sequence, found};
   }
 
-  /** Ends a query that was not answered by all; its finding comes now. */
+  /** Ends a lookup that some gateways have not answered; its result follows at once. */
   giveUp(sequence: number): void {
     this.settle(sequence, undefined);
   }
@@ -209,8 +225,8 @@
       return;
     }
     this.pending.delete(sequence);
-    const {asked, awaited, found} = query;
-    found.next({softwareVersion, asked, answered: asked - awaited.size});
+    const {queried, awaited, found} = query;
+    found.next({softwareVersion, queried, answered: queried - awaited.size});
     found.complete();
   }
 }
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -39,7 +39,7 @@
   peers: zod.z.object({
     /** Addresses of some gateways, separated by commas. */
     seeds: optional(zod.z.string(), ''),
-    /** UDP port of digests, the same at all gateways. */
+    /** UDP port for messages between gateways; must be the same on all of them. */
     digest_port: port,
   }),
   platform: zod.z.object({store: address}),
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -76,7 +76,7 @@
 
   async start(): Promise<void> {
     const {context} = this;
-    const mayStart = await this.takeUp();
+    const mayStart = await this.prepareResumption();
     if (!mayStart || context.isOver) {
       return;
     }
@@ -128,8 +128,8 @@
     }
   }
 
-  /** Lets a stream that the caller takes up go on at the version that began it; false if the call was refused. */
-  private async takeUp(): Promise<boolean> {
+  /** Binds a resumed stream to the software version that began it; returns false if the call was refused. */
+  private async prepareResumption(): Promise<boolean> {
     const {context} = this;
     const {services, call} = context;
     const origin = await services.origins.find(context);
--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -1,4 +1,4 @@
-/** Finds the software version at which a stream has to go on that its caller takes up. */
+/** Finds the software version at which a stream has to be resumed. */
 import * as rxjs from 'rxjs';
 import * as disposable from '../../../base/common/disposable';
 import * as jsonLog from '../../../base/node/json_log';
@@ -10,20 +10,20 @@
 import * as fleetExchange from '../fleet/fleet_exchange';
 import * as stateFollower from '../state_follower';
 
-/** Streams that other gateways are told of when an endpoint gets a second version; those begun before have mostly ended. */
+/** Maximum number of earlier streams that are announced when an endpoint gets a second version, the latest ones. */
 const MAX_SHARED_AT_ONCE = 2_048;
-/** Wait for other gateways to contradict the only version that was registered lately, in milliseconds. */
+/** Timeout of a lookup if only one version was registered lately, in milliseconds: an answer could only contradict it. */
 const CONFIRMATION_MILLISECONDS = 80;
-/** Retry delay if other gateways may know the stream and did not answer, in seconds. */
+/** Retry delay if a gateway that may know the stream did not answer, in seconds. */
 const UNANSWERED_RETRY_SECONDS = 0.5;
 
-/** Where a stream has to go on. */
+/** Software version that began a stream. */
 export interface StreamOrigin {
-  /** Whether the stream may go on; false if the version that began it is not known. */
+  /** Whether the version is known, or the stream has not begun; the stream must not be resumed otherwise. */
   readonly isKnown: boolean;
-  /** Undefined if any version will do. */
+  /** Undefined if the stream may run at any version. */
   readonly softwareVersion: string | undefined;
-  /** Time after which it may be known, in seconds; Infinity if there is no hope. */
+  /** Retry delay while the version is not known, in seconds; Infinity if no gateway knows it. */
   readonly retrySeconds: number;
 }
 
@@ -40,7 +40,7 @@
   private readonly versions = new endpointVersions.EndpointVersions();
   private readonly directory: versionDirectory.VersionDirectory;
   private readonly subscriptions: rxjs.Subscription[];
-  /** Set while streams wait to be told. */
+  /** Set while announcements are queued. */
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -81,34 +81,37 @@
     const now = performance.now();
     const isMixed = this.versions.isMixed(call.endpointName, now);
     this.streams.record(attemptId, softwareVersion, now, isMixed);
-    if (isMixed && !this.directory.tell([attemptId, softwareVersion], now)) {
+    if (
+      isMixed &&
+      !this.directory.announce([attemptId, softwareVersion], now)
+    ) {
       context.log('stream-versions-not-told', {streams: 1});
     }
     this.scheduleStep();
   }
 
-  /** Finds where the stream of a call has to go on. */
+  /** Finds the version that began the stream of a call. */
   async find(context: callContext.CallContext): Promise<StreamOrigin> {
     const {caller, endpointName} = context.call;
-    if (!takesUp(caller.lastEventId)) {
+    if (!isResumption(caller.lastEventId)) {
       return NOT_BEGUN;
     }
     const attemptId = caller.resumedAttemptId ?? '';
     const now = performance.now();
     const remembered = this.streams.find(attemptId, now);
     const sole = this.versions.soleVersion(endpointName, now);
-    const finding =
+    const result =
       remembered === undefined && attemptId !== ''
-        ? await this.ask(attemptId, sole)
-        : {softwareVersion: remembered, asked: 0, answered: 0};
-    const origin = this.judge(finding, sole);
+        ? await this.lookUp(attemptId, sole)
+        : {softwareVersion: remembered, queried: 0, answered: 0};
+    const origin = this.judge(result, sole);
     context.log('stream-taken-up', {
       resumes: attemptId,
       last_event_id: caller.lastEventId,
       software_version: origin.softwareVersion ?? null,
       remembered: remembered !== undefined,
-      asked_peers: finding.asked,
-      answering_peers: finding.answered,
+      asked_peers: result.queried,
+      answering_peers: result.answered,
     });
     if (origin.softwareVersion !== undefined) {
       this.streams.record(attemptId, origin.softwareVersion, now);
@@ -116,54 +119,59 @@
     return origin;
   }
 
-  /** Decides by what other gateways know, and by the only version that was registered lately, if there is one. */
+  /** Decides by the result of a lookup, and by the only version that was registered lately, if there is one. */
   private judge(
-    {softwareVersion, asked, answered}: versionDirectory.Finding,
+    {softwareVersion, queried, answered}: versionDirectory.LookupResult,
     sole: string | undefined,
   ): StreamOrigin {
     // With an outdated list of instances, a second version may serve unnoticed.
     const isListCurrent = !this.follower.isSourceUnavailable;
-    const isConfirmed = isListCurrent || asked === 0 || answered > 0;
+    const isConfirmed = isListCurrent || queried === 0 || answered > 0;
     const version = softwareVersion ?? (isConfirmed ? sole : undefined);
     return {
       isKnown: version !== undefined,
       softwareVersion: version,
       retrySeconds:
-        answered < asked || this.members.isSettling(performance.now())
+        answered < queried || this.members.isSettling(performance.now())
           ? UNANSWERED_RETRY_SECONDS
           : Infinity,
     };
   }
 
-  private async ask(
+  private async lookUp(
     attemptId: string,
     sole: string | undefined,
-  ): Promise<versionDirectory.Finding> {
-    const {sequence, found} = this.directory.ask(attemptId, performance.now());
+  ): Promise<versionDirectory.LookupResult> {
+    const {sequence, found} = this.directory.lookUp(
+      attemptId,
+      performance.now(),
+    );
     const timer = setTimeout(
       () => this.directory.giveUp(sequence),
       sole === undefined
         ? versionDirectory.ANSWER_TIMEOUT_MILLISECONDS
         : CONFIRMATION_MILLISECONDS,
     );
-    const finding = await rxjs.firstValueFrom(found);
+    const result = await rxjs.firstValueFrom(found);
     clearTimeout(timer);
-    return finding;
+    return result;
   }
 
-  /** Tells other gateways of the streams that began while there was one version. */
+  /** Announces the streams that began while there was one version. */
   private share(): void {
     const now = performance.now();
-    const untold = this.streams
+    const unannounced = this.streams
       .share(MAX_SHARED_AT_ONCE)
-      .filter(stream => !this.directory.tell(stream, now));
-    if (untold.length > 0) {
-      this.log.write('stream-versions-not-told', {streams: untold.length});
+      .filter(stream => !this.directory.announce(stream, now));
+    if (unannounced.length > 0) {
+      this.log.write('stream-versions-not-told', {
+        streams: unannounced.length,
+      });
     }
     this.scheduleStep();
   }
 
-  /** Tells later what waits now; there is no timer while nothing does. */
+  /** Schedules the next step of the directory; without queued announcements there is no timer. */
   private scheduleStep(): void {
     const milliseconds = this.directory.nextStepMilliseconds;
     if (this.timer !== undefined || milliseconds === undefined) {
@@ -179,6 +187,6 @@
 }
 
 /** Whether the caller has events of the stream. */
-function takesUp(lastEventId: string | undefined): boolean {
+function isResumption(lastEventId: string | undefined): boolean {
   return lastEventId !== undefined && !['', '0'].includes(lastEventId.trim());
 }
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -7,7 +7,7 @@
   remainingMilliseconds: 'x-rhubarbvane-deadline-ms',
   promptParts: 'x-rhubarbvane-prompt-prefix',
   lastEventId: 'last-event-id',
-  /** Attempt id of the attempt that brought the first event of the stream that is taken up. */
+  /** Attempt id of the attempt that brought the first event of the stream that is resumed. */
   resumes: 'resumes',
   /** Stamp by which a replica proves that the answer is its own. */
   stamp: 'x-rhubarbvane-server-stamp',
--- a/test/gateway/common/versions/endpoint_versions.test.ts
+++ b/test/gateway/common/versions/endpoint_versions.test.ts
@@ -28,7 +28,7 @@
   t.is(versions.soleVersion('e', 10 * LIFETIME), 'v1');
 });
 
-test('endpoint versions: a version that has left counts as long as its streams may be taken up', t => {
+test('endpoint versions: a version that has left counts as long as its streams may be resumed', t => {
   const versions = new endpointVersions.EndpointVersions();
   versions.update(instancesOf('v1'), 0);
   versions.update(instancesOf('v2'), 5 * LIFETIME);
--- a/test/gateway/common/versions/stream_versions.test.ts
+++ b/test/gateway/common/versions/stream_versions.test.ts
@@ -13,7 +13,7 @@
   t.is(streams.find('b', 2), undefined);
 });
 
-test('stream versions: a stream is forgotten some time after it was last taken up', t => {
+test('stream versions: a stream is forgotten some time after it was last resumed', t => {
   const streams = new StreamVersions();
   streams.record('a', 'v1', 0);
   t.is(streams.find('a', STREAM_LIFETIME_MILLISECONDS), 'v1');
--- a/test/gateway/common/versions/version_directory.test.ts
+++ b/test/gateway/common/versions/version_directory.test.ts
@@ -70,17 +70,17 @@
   directories: SimulatedDirectories,
   index: number,
   attemptId: string,
-): versionDirectory.Finding {
+): versionDirectory.LookupResult {
   const {now, gateways} = directories.fleet;
   const remembered = directories.streams
     .get(gateways[index])!
     .find(attemptId, now);
   if (remembered !== undefined) {
-    return {softwareVersion: remembered, asked: 0, answered: 0};
+    return {softwareVersion: remembered, queried: 0, answered: 0};
   }
   const directory = directories.of(index);
-  const {sequence, found} = directory.ask(attemptId, directories.fleet.now);
-  let finding: versionDirectory.Finding | undefined;
+  const {sequence, found} = directory.lookUp(attemptId, directories.fleet.now);
+  let finding: versionDirectory.LookupResult | undefined;
   found.subscribe(each => (finding = each));
   directories.fleet.run(versionDirectory.ANSWER_TIMEOUT_MILLISECONDS);
   directory.giveUp(sequence);
@@ -95,7 +95,9 @@
     fleet.run(1_000);
     const startedAt = fleet.now;
     for (let index = 0; index < STREAMS; index++) {
-      directories.of(0).tell([`attempt-${index}`, `v${index % 2}`], fleet.now);
+      directories
+        .of(0)
+        .announce([`attempt-${index}`, `v${index % 2}`], fleet.now);
       if (index % STREAMS_PER_STEP === 0) {
         fleet.run(STEP_MILLISECONDS);
       }
@@ -125,7 +127,7 @@
   fleet.loss = 0;
   const directories = new SimulatedDirectories(fleet);
   const finding = askOf(directories, 1, 'attempt-1');
-  t.deepEqual(finding, {softwareVersion: undefined, asked: 3, answered: 3});
+  t.deepEqual(finding, {softwareVersion: undefined, queried: 3, answered: 3});
 });
 
 test('version directory: gateways that do not answer are told from those that know nothing', t => {
@@ -134,14 +136,14 @@
   const directories = new SimulatedDirectories(fleet);
   fleet.isCut = () => true;
   const finding = askOf(directories, 1, 'attempt-1');
-  t.deepEqual(finding, {softwareVersion: undefined, asked: 3, answered: 0});
+  t.deepEqual(finding, {softwareVersion: undefined, queried: 3, answered: 0});
 });
 
 test('version directory: streams wait while no other gateway is known', t => {
   const fleet = new simulatedFleet.SimulatedFleet(4, SEED);
   fleet.loss = 0;
   const directories = new SimulatedDirectories(fleet);
-  directories.of(0).tell(['attempt-1', 'v1'], fleet.now);
+  directories.of(0).announce(['attempt-1', 'v1'], fleet.now);
   fleet.run(3_000);
   t.is(askOf(directories, 1, 'attempt-1').softwareVersion, 'v1');
 });
@@ -151,13 +153,13 @@
   const directories = new SimulatedDirectories(fleet);
   const directory = directories.of(0);
   t.is(directory.nextStepMilliseconds, undefined);
-  directory.tell(['attempt-1', 'v1'], fleet.now);
+  directory.announce(['attempt-1', 'v1'], fleet.now);
   t.true(directory.nextStepMilliseconds! >= 500);
   fleet.introduceAll();
   fleet.run(1_000);
   t.is(directory.nextStepMilliseconds, undefined);
   for (let index = 0; index < 1_000; index++) {
-    directory.tell([`attempt-${index}`, 'v1'], fleet.now);
+    directory.announce([`attempt-${index}`, 'v1'], fleet.now);
   }
   t.true(directory.nextStepMilliseconds! <= 100);
 });
@@ -169,7 +171,7 @@
   const directories = new SimulatedDirectories(fleet);
   fleet.run(1_000);
   for (let index = 0; index < 2_000; index++) {
-    directories.of(0).tell([`attempt-${index}`, 'v1'], fleet.now);
+    directories.of(0).announce([`attempt-${index}`, 'v1'], fleet.now);
   }
   fleet.run(5_000);
   t.true(directories.cost.messages <= MESSAGES_GOAL * 6);
--- a/test/gateway/software_versions.test.ts
+++ b/test/gateway/software_versions.test.ts
@@ -46,8 +46,8 @@
   };
 }
 
-/** Headers of a caller that takes up the stream of an attempt. */
-function takeUp(
+/** Headers of a caller that resumes the stream of an attempt. */
+function resumeHeaders(
   attempt: string,
   lastEvent = BREAK_AFTER,
 ): Record<string, string> {
@@ -123,14 +123,14 @@
   }
 });
 
-test('versions: a stream that its caller takes up at the same gateway goes on at the version that began it', async t => {
+test('versions: a stream that its caller resumes at the same gateway goes on at the version that began it', async t => {
   const gateway = await startGateway(t);
   for (let count = 0; count < STREAMS; count++) {
     const attempt = newAttempt();
     const first = await gateway.call('/once/a', streamOptions(attempt));
     const next = await gateway.call(
       '/once/a',
-      streamOptions(newAttempt(), takeUp(attempt)),
+      streamOptions(newAttempt(), resumeHeaders(attempt)),
     );
     const body = first.body + next.body;
     t.is(versionedReplica.eventCount(body), LAST);
@@ -158,18 +158,18 @@
   return begun;
 }
 
-/** Takes a stream up at a gateway. */
-function takeUpAt(
+/** Resumes a stream at a gateway. */
+function resumeAt(
   fleet: gatewayFleet.GatewayFleet,
   gateway: gatewayFleet.FleetGateway,
   attempt: string,
 ): Promise<testGateway.CallerAnswer> {
-  const options = streamOptions(newAttempt(), takeUp(attempt));
+  const options = streamOptions(newAttempt(), resumeHeaders(attempt));
   return fleet.call(gateway, testGateway.KEY, '/once/a', options);
 }
 
 for (const isKilled of [false, true]) {
-  test(`versions: a stream that its caller takes up at another gateway goes on at the version that began it${isKilled ? ', after the first gateway was killed' : ''}`, async t => {
+  test(`versions: a stream that its caller resumes at another gateway goes on at the version that began it${isKilled ? ', after the first gateway was killed' : ''}`, async t => {
     const fleet = await startFleet(t, 3);
     const [first, ...others] = fleet.gateways;
     const begun = await beginStreams(fleet, first);
@@ -178,23 +178,23 @@
     }
     for (const [index, {attempt, body}] of begun.entries()) {
       const other = others[index % others.length];
-      const answer = await takeUpAt(fleet, other, attempt);
+      const answer = await resumeAt(fleet, other, attempt);
       t.is(versionedReplica.eventCount(body + answer.body), LAST);
       t.is(versionedReplica.versionsIn(body + answer.body).length, 1);
     }
   });
 }
 
-test('versions: a stream that its caller takes up at a gateway that was restarted goes on at the version that began it', async t => {
+test('versions: a stream that its caller resumes at a gateway that was restarted goes on at the version that began it', async t => {
   const fleet = await startFleet(t, 3);
   const begun = await beginStreams(fleet, fleet.gateways[0]);
   const restarted = await fleet.restart(fleet.gateways[0]);
   for (const {attempt, body} of begun) {
-    let answer = await takeUpAt(fleet, restarted, attempt);
-    // It may not know the others yet, and then asks its callers to come back soon.
+    let answer = await resumeAt(fleet, restarted, attempt);
+    // A gateway that has just started may not know its peers yet; it then answers 503 with a short Retry-After.
     while (answer.status === 503) {
       t.true(Number(answer.headers['retry-after']) < 1);
-      answer = await takeUpAt(fleet, restarted, attempt);
+      answer = await resumeAt(fleet, restarted, attempt);
     }
     t.is(versionedReplica.eventCount(body + answer.body), LAST);
     t.is(versionedReplica.versionsIn(body + answer.body).length, 1);
@@ -205,12 +205,12 @@
   const fleet = await startFleet(t, 3);
   const [left, ...silent] = fleet.gateways;
   silent.forEach(each => each.process.dispose());
-  const answer = await takeUpAt(fleet, left, newAttempt());
+  const answer = await resumeAt(fleet, left, newAttempt());
   t.is(answer.status, 503);
   t.true(Number(answer.headers['retry-after']) < 1);
 });
 
-test('versions: a stream that begun before the second version came is taken up at its version', async t => {
+test('versions: a stream that began before the second version came is resumed at its version', async t => {
   const gateway = await startGateway(t, {'i-1': 'v1', 'i-2': 'v1'});
   const attempts = Array.from({length: STREAMS}, newAttempt);
   for (const attempt of attempts) {
@@ -224,7 +224,7 @@
   );
   await gateway.until(() => gateway.process.state.instances.size === 3);
   for (const attempt of attempts) {
-    const options = streamOptions(newAttempt(), takeUp(attempt));
+    const options = streamOptions(newAttempt(), resumeHeaders(attempt));
     const answer = await gateway.call('/once/a', options);
     t.deepEqual(versionedReplica.versionsIn(answer.body), ['v1']);
   }
@@ -232,7 +232,7 @@
 
 test('versions: a stream that no gateway has begun is refused while two versions serve', async t => {
   const gateway = await startGateway(t);
-  const options = streamOptions(newAttempt(), takeUp(newAttempt()));
+  const options = streamOptions(newAttempt(), resumeHeaders(newAttempt()));
   const answer = await gateway.call('/tag/a', options);
   t.is(answer.status, 503);
   t.is(answer.headers['rhubarbvane-work'], 'not-run');
@@ -241,7 +241,7 @@
 
 test('versions: a stream that no gateway has begun goes on while one version serves', async t => {
   const gateway = await startGateway(t, {'i-1': 'v1', 'i-2': 'v1'});
-  const options = streamOptions(newAttempt(), takeUp(newAttempt()));
+  const options = streamOptions(newAttempt(), resumeHeaders(newAttempt()));
   const answer = await gateway.call('/tag/a', options);
   t.is(answer.status, 200);
   t.is(versionedReplica.eventCount(answer.body), LAST - BREAK_AFTER);
@@ -267,7 +267,7 @@
   await gateway.until(() => gateway.process.state.instances.size === 2);
   gateway.store.remove('servers', 'i-1');
   await gateway.until(() => gateway.process.state.instances.size === 1);
-  const options = streamOptions(newAttempt(), takeUp(attempt));
+  const options = streamOptions(newAttempt(), resumeHeaders(attempt));
   const answer = await gateway.call('/once/a', options);
   t.is(answer.status, 503);
   t.is(gateway.replicas.get('i-2')!.requests.length, 0);
--- a/test/soak/request_history.test.ts
+++ b/test/soak/request_history.test.ts
@@ -190,10 +190,10 @@
   ['v1', []],
   ['v1.2', ['whole']],
 ] as const) {
-  test(`request history: a stream of v1 that is taken up and goes on at ${version} is ${expected.length > 0 ? 'a violation' : 'allowed'}`, t => {
+  test(`request history: a stream of v1 that is resumed at ${version} is ${expected.length > 0 ? 'a violation' : 'allowed'}`, t => {
     const history = new requestHistory.RequestHistory();
-    const takenUp = {attempt: 'a', version: 'v1', pieces: 2};
-    history.recordSent('b', RequestKind.Tag, 'key', 'g1', takenUp);
+    const resumed = {attempt: 'a', version: 'v1', pieces: 2};
+    history.recordSent('b', RequestKind.Tag, 'key', 'g1', resumed);
     history.recordRun('b', 'r1', 1, true);
     const body =
       requestHistory.pieceEvent('b', 3, version) +
