Availability of instances: one table answers whether a request may go to an instance

Everyone who places requests, copies or backups asks InstanceAvailability instead of checking for draining beside each sender.

--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -8,6 +8,8 @@
   readonly dataCentre: string;
   /** Ids of instances to which this request must not be sent again. */
   readonly excluded: ReadonlySet<string>;
+  /** Whether the instance may get this request at all; see `InstanceAvailability`. */
+  readonly isAvailable: (instance: instanceTable.Instance) => boolean;
   /** Returns a random number between 0 and 1; breaks ties, so that gateways with the same view choose differently. */
   readonly draw: () => number;
 }
@@ -69,12 +71,11 @@
 /** Returns the instances that may take new work, without those that fail far more often than the others. */
 export function candidates(
   instances: readonly instanceTable.Instance[],
-  excluded: ReadonlySet<string>,
+  {excluded, isAvailable}: Pick<PlacementRequest, 'excluded' | 'isAvailable'>,
   now: number,
 ): instanceTable.Instance[] {
   const ready = instances.filter(
-    instance =>
-      instance.drainingAt === undefined && !excluded.has(instance.record.id),
+    instance => isAvailable(instance) && !excluded.has(instance.record.id),
   );
   const rates = ready
     .map(instance => instance.failureRate)
@@ -111,7 +112,7 @@
     (candidate.record.dataCentre === request.dataCentre ? 0 : REMOTE_COST) +
     candidate.failureRate * 4 +
     request.draw() * 0.1;
-  return cheapest(candidates(instances, request.excluded, now), cost);
+  return cheapest(candidates(instances, request, now), cost);
 }
 
 /**
@@ -157,7 +158,7 @@
       : instances.filter(
           each => instanceTable.versionOf(each.record) === softwareVersion,
         );
-  const eligible = candidates(compatible, request.excluded, now).filter(
+  const eligible = candidates(compatible, request, now).filter(
     candidate => !request.isCopy || !instanceTable.isSuspect(candidate),
   );
   const instance = cheapest(sample(eligible, request), cost);
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
@@ -23,6 +24,8 @@
   /** Name of the endpoint, set even if the configuration does not describe it. */
   readonly endpointName: string;
   readonly customer: configuration.Customer | undefined;
+  /** Where the request may go. */
+  readonly scope: instanceAvailability.AvailabilityRequest;
   /** Monotonic time, in milliseconds. */
   readonly arrivedAt: number;
   /** Monotonic time by which the caller must have its final answer, in milliseconds. */
--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -2,6 +2,7 @@
 import * as rxjs from 'rxjs';
 import * as disposable from '../../base/common/disposable';
 import * as jsonLog from '../../base/node/json_log';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as evacuation from '../common/evacuation';
 import * as instanceClient from '../common/instance_client';
@@ -30,7 +31,9 @@
   abstract readonly run: runTable.Run;
   abstract readonly engine: configuration.EngineProfile;
   abstract readonly isOver: boolean;
-  /** Instance that already holds a copy and is not draining; undefined if there is none. */
+  /** Where the run may be moved. */
+  abstract readonly scope: instanceAvailability.AvailabilityRequest;
+  /** Instance that already holds a copy and accepts requests; undefined if there is none. */
   abstract readonly copyTarget: instanceTable.Instance | undefined;
   /** Whether losing the run also loses the output that its caller has received. */
   abstract readonly needsCopy: boolean;
@@ -244,6 +247,7 @@
       capacityTokens: call.engine.memoryTokens || Infinity,
       remoteCostMilliseconds: REMOTE_COPY_COST_MILLISECONDS,
       isCopy: true,
+      scope: call.scope,
     })?.instance;
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -4,6 +4,7 @@
 import * as jsonLog from '../../base/node/json_log';
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
 import * as engineReports from '../common/engine_reports';
 import * as directMembers from '../common/fleet/direct_members';
@@ -102,6 +103,9 @@
       limits,
       this.exchange,
     );
+    const availability = new instanceAvailability.InstanceAvailability([
+      new instanceAvailability.DrainingRule(),
+    ]);
     const scheduler = new generationScheduler.GenerationScheduler(
       follower,
       runs,
@@ -110,6 +114,7 @@
       members,
       reports,
       permits,
+      availability,
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -117,6 +122,7 @@
       metrics: options.metrics,
       follower,
       client,
+      availability,
       runs,
       crashes,
       promptParts,
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -1,6 +1,7 @@
 /** Objects that all calls of one gateway share. */
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as jsonLog from '../../base/node/json_log';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
 import * as memberTable from '../common/fleet/member_table';
 import * as instanceClient from '../common/instance_client';
@@ -24,6 +25,8 @@
   readonly metrics: gatewayMetrics.GatewayMetrics;
   readonly follower: stateFollower.StateFollower;
   readonly client: instanceClient.InstanceClient;
+  /** Which instances may get which requests. */
+  readonly availability: instanceAvailability.InstanceAvailability;
   readonly runs: runTable.RunTable;
   readonly crashes: crashTable.CrashTable;
   readonly promptParts: promptPartTable.PromptPartTable;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -1,6 +1,7 @@
 /** Assigns generations to instances, at once or when memory becomes free. */
 import * as disposable from '../../base/common/disposable';
 import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as engineReports from '../common/engine_reports';
 import * as generationQueue from '../common/generation_queue';
 import * as instanceTable from '../common/instance_table';
@@ -48,7 +49,10 @@
   | 'capacityTokens'
   | 'remoteCostMilliseconds'
   | 'isCopy'
->;
+> & {
+  /** Regions in which the run or its copy may be kept. */
+  readonly scope: instanceAvailability.AvailabilityRequest;
+};
 
 interface WaitingCall extends generationQueue.WaitingGeneration {
   readonly context: callContext.CallContext;
@@ -81,6 +85,7 @@
     private readonly members: memberTable.MemberTable,
     private readonly reports: engineReports.EngineReports,
     private readonly permits: permitService.PermitService,
+    private readonly availability: instanceAvailability.InstanceAvailability,
   ) {
     this.timer = setInterval(
       () => this.processQueue(),
@@ -118,16 +123,17 @@
     });
   }
 
-  /** Whether an instance of the version accepts work; always true for any version, since calls may wait for an instance. */
-  hasInstance(endpoint: string, softwareVersion: string | undefined): boolean {
+  /** Whether an instance of the version accepts the call; always true for any version, since calls may wait for an instance. */
+  hasInstance({call, softwareVersion}: callContext.CallContext): boolean {
+    const now = performance.now();
     return (
       softwareVersion === undefined ||
       this.follower.instances
-        .forEndpoint(endpoint)
+        .forEndpoint(call.endpointName)
         .some(
-          ({record, drainingAt}) =>
-            drainingAt === undefined &&
-            instanceTable.versionOf(record) === softwareVersion,
+          instance =>
+            this.availability.isAvailable(instance, call.scope, now) &&
+            instanceTable.versionOf(instance.record) === softwareVersion,
         )
     );
   }
@@ -164,6 +170,8 @@
       this.loads(now),
       {
         ...constraints,
+        isAvailable: instance =>
+          this.availability.isAvailable(instance, constraints.scope, now),
         draw: Math.random,
         promptTokens: run.promptTokens,
         expectedTokens: run.expectedTokens,
@@ -178,6 +186,7 @@
     run: runTable.Run,
     source: instanceTable.Instance,
     capacityTokens: number,
+    scope: instanceAvailability.AvailabilityRequest,
   ): instanceTable.Instance | undefined {
     const choice = this.chooseInstance(run, {
       excluded: new Set([source.record.id]),
@@ -186,6 +195,7 @@
       capacityTokens,
       remoteCostMilliseconds: REMOTE_BACKUP_COST_MILLISECONDS,
       isCopy: true,
+      scope,
     });
     const hasRoom =
       choice !== undefined &&
@@ -213,10 +223,17 @@
 
   /** Memory that all runs and copies are expected to need, as a share of the memory of the engines that accept work. */
   private meanMemoryShare(endpoint: string, capacityTokens: number): number {
-    const loads = this.loads(performance.now());
+    const now = performance.now();
+    const loads = this.loads(now);
     const ready = this.follower.instances
       .forEndpoint(endpoint)
-      .filter(instance => instance.drainingAt === undefined);
+      .filter(instance =>
+        this.availability.isAvailable(
+          instance,
+          instanceAvailability.ANY_REGION,
+          now,
+        ),
+      );
     const tokens = ready.reduce(
       (sum, instance) =>
         sum + (loads.get(instance.record.id)?.memoryTokens ?? 0),
@@ -289,6 +306,8 @@
       {
         dataCentre: this.dataCentre,
         excluded,
+        isAvailable: instance =>
+          this.availability.isAvailable(instance, call.scope, now),
         softwareVersion,
         draw: Math.random,
         promptTokens: call.caller.promptTokens,
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -74,15 +74,18 @@
     instancePermits.Selection<instancePermits.InstanceChoice>
   > {
     const {services, call, excluded} = this.context;
+    const {availability} = services;
     const pick = (barred: ReadonlySet<string>) => {
+      const now = performance.now();
       const instance = placement.placeCall(
         services.follower.instances.forEndpoint(call.endpointName),
         {
           dataCentre: services.dataCentre,
           excluded: barred,
+          isAvailable: each => availability.isAvailable(each, call.scope, now),
           draw: Math.random,
         },
-        performance.now(),
+        now,
       );
       return instance && {instance};
     };
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -4,6 +4,7 @@
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
 import * as httpServer from '../../base/node/http_server';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as shutdownPolicy from '../common/shutdown_policy';
@@ -109,6 +110,7 @@
         endpoint: index.findEndpoint(endpointName ?? ''),
         endpointName: endpointName ?? '',
         customer,
+        scope: instanceAvailability.ANY_REGION,
         arrivedAt,
         deadlineAt: arrivedAt + wait,
         fingerprint: fingerprintOf(caller, body, route, customer),
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -1,10 +1,13 @@
 /** Tracks the copies of one running generation, and decides where to keep a backup, a copy that is continuously updated. */
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
 
+const {UnavailableReason} = instanceAvailability;
+
 /**
  * Time after the notice that an instance is leaving in which a run may still
  * continue from its copy there, in milliseconds; no work may reach the instance
@@ -31,15 +34,18 @@
 
   /** Whether the run has no backup and would be lost with its instance; a resumable stream continues at any instance by event id. */
   get needsCopy(): boolean {
-    const isBackedUp =
-      this.hasBackup && this.copy?.instance.drainingAt === undefined;
+    const isBackedUp = this.hasBackup && this.target !== undefined;
     return !this.context.call.route.isResumable && !isBackedUp;
   }
 
-  /** Instance that holds a copy and is not draining; undefined if there is none. */
+  /** Instance that holds a copy and accepts requests; undefined if there is none. */
   get target(): instanceTable.Instance | undefined {
     const target = this.copy?.instance;
-    return target?.drainingAt === undefined ? target : undefined;
+    const {services, call} = this.context;
+    const isUsable =
+      target !== undefined &&
+      services.availability.isAvailable(target, call.scope, performance.now());
+    return isUsable ? target : undefined;
   }
 
   /** Sets the copy made on request; undefined if there is none any more. */
@@ -92,11 +98,30 @@
     const {copy} = this;
     this.copy = undefined;
     const {instances} = this.context.services.follower;
-    const isUsable =
+    const isKnown =
       copy !== undefined &&
-      instances.get(copy.instance.record.id) === copy.instance &&
-      now - (copy.instance.drainingAt ?? now) < DRAINING_COPY_MILLISECONDS;
-    return isUsable ? copy : undefined;
+      instances.get(copy.instance.record.id) === copy.instance;
+    return isKnown && this.acceptsContinuation(copy.instance, now)
+      ? copy
+      : undefined;
+  }
+
+  /** Whether a run may continue from its copy at the instance, which is allowed for a short time after the instance started to drain. */
+  private acceptsContinuation(
+    instance: instanceTable.Instance,
+    now: number,
+  ): boolean {
+    const {services, call} = this.context;
+    const unavailability = services.availability.find(
+      instance,
+      call.scope,
+      now,
+    );
+    return (
+      unavailability === undefined ||
+      (unavailability.reason === UnavailableReason.Draining &&
+        now - unavailability.since < DRAINING_COPY_MILLISECONDS)
+    );
   }
 
   /** Chooses the instance of a backup, which covers a stop of the source without notice, if memory can be spared. */
@@ -112,6 +137,7 @@
       run,
       source,
       capacity,
+      context.call.scope,
     );
   }
 }
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -1,6 +1,7 @@
 /** Streaming generations: events are delivered as they arrive, and if its instance stops, the stream continues at another one where a copy or the route allows it. */
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
+import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
@@ -47,6 +48,10 @@
     return this.context.isOver;
   }
 
+  get scope(): instanceAvailability.AvailabilityRequest {
+    return this.context.call.scope;
+  }
+
   get engine(): configuration.EngineProfile {
     return this.context.call.endpoint?.engine ?? streamSegment.DEFAULT_ENGINE;
   }
@@ -140,10 +145,7 @@
       context.refuse(NoEndpoint, message, origin.retrySeconds);
       return false;
     }
-    const isServed = services.scheduler.hasInstance(
-      call.endpointName,
-      origin.softwareVersion,
-    );
+    const isServed = services.scheduler.hasInstance(context);
     if (!isServed) {
       const message = `no instance with software version "${origin.softwareVersion}" accepts work`;
       const {OVERLOAD_RETRY_SECONDS} = streamContinuations;
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -157,7 +157,7 @@
   private chooseInstance(): Promise<
     instancePermits.Selection<placement.GenerationChoice>
   > {
-    const {services, excluded, softwareVersion} = this.context;
+    const {services, call, excluded, softwareVersion} = this.context;
     return services.permits.selectWithin(
       excluded,
       barred =>
@@ -168,6 +168,7 @@
           capacityTokens: this.engine.memoryTokens || Infinity,
           remoteCostMilliseconds: 0,
           isCopy: false,
+          scope: call.scope,
         }),
       this.delivery.hasBegun ? PATIENCE_MILLISECONDS : 0,
     );
--- a/test/gateway/common/placement.test.ts
+++ b/test/gateway/common/placement.test.ts
@@ -19,12 +19,17 @@
   return [...new instanceTable.InstanceTable().replace(records, 0).added];
 }
 
+function isAvailable({drainingAt}: instanceTable.Instance): boolean {
+  return drainingAt === undefined;
+}
+
 function generation(
   excluded: ReadonlySet<string> = new Set(),
 ): placement.GenerationRequest {
   return {
     dataCentre: 'a',
     excluded,
+    isAvailable,
     draw: () => 0.5,
     promptTokens: 3_000,
     expectedTokens: 900,
@@ -116,9 +121,17 @@
   for (let count = 0; count < 10; count++) {
     instanceTable.recordOutcome(instances[0], true, 1_000);
   }
-  const now = placement.candidates(instances, new Set(), 1_001);
+  const now = placement.candidates(
+    instances,
+    {excluded: new Set(), isAvailable},
+    1_001,
+  );
   t.deepEqual(now, instances.slice(1));
-  t.is(placement.candidates(instances, new Set(), 60_000).length, 3);
+  t.is(
+    placement.candidates(instances, {excluded: new Set(), isAvailable}, 60_000)
+      .length,
+    3,
+  );
 });
 
 test('placement: no instance is avoided for errors that all instances return alike', t => {
@@ -128,7 +141,11 @@
       instanceTable.recordOutcome(instance, true, 1_000),
     );
   }
-  t.is(placement.candidates(instances, new Set(), 1_001).length, 3);
+  t.is(
+    placement.candidates(instances, {excluded: new Set(), isAvailable}, 1_001)
+      .length,
+    3,
+  );
 });
 
 test('placement: at most a third of the instances is avoided', t => {
@@ -139,7 +156,10 @@
       .forEach(instance => instanceTable.recordOutcome(instance, true, 1_000));
     instanceTable.recordOutcome(instances[2], true, 1_000);
   }
-  t.true(placement.candidates(instances, new Set(), 1_001).length >= 4);
+  t.true(
+    placement.candidates(instances, {excluded: new Set(), isAvailable}, 1_001)
+      .length >= 4,
+  );
 });
 
 test('placement: short calls go to the instance with the fewest open requests, preferring the data centre of the gateway', t => {
