Gateway: after all gateways ended, a stream goes on only at a version that is known to have begun it

Cause: one version registered since the start of a gateway counted as proof that it began the stream, also right after all gateways were killed. Ruled out: placement and copies, which are bound to the version; peers' answers, which say that they do not know. The test of endpoint versions now asks for more: right after the start no version is the only one (it said v1 at once, which is the fault), after two minutes it is.

--- a/src/daemon/gateway_main.ts
+++ b/src/daemon/gateway_main.ts
@@ -77,13 +77,17 @@
   const {instance, platform} = settings;
   const registry = new metrics.MetricsRegistry({instance: instance.name});
   const meters = new gatewayMetrics.GatewayMetrics(registry);
+  const onDidCallStore = (operation: string) =>
+    meters.storeCalls.inc({operation});
   return new gatewayProcess.GatewayProcess({
     settings,
     registry,
     metrics: meters,
     log,
-    source: platformAdapter.createStateSource(platform.store, operation =>
-      meters.storeCalls.inc({operation}),
+    source: platformAdapter.createStateSource(platform.store, onDidCallStore),
+    versionStore: platformAdapter.createVersionStore(
+      platform.store,
+      onDidCallStore,
     ),
     client: platformAdapter.createInstanceClient(() =>
       meters.connections.inc(),
--- a/src/gateway/common/versions/endpoint_versions.ts
+++ b/src/gateway/common/versions/endpoint_versions.ts
@@ -2,6 +2,7 @@
 import * as rxjs from 'rxjs';
 import * as instanceTable from '../instance_table';
 import * as streamVersions from './stream_versions';
+import * as versionRecord from './version_record';
 
 /** Time of versions of which instances are registered now. */
 const REGISTERED = Infinity;
@@ -12,9 +13,14 @@
   readonly onDidMix = new rxjs.Subject<string>();
   /** Monotonic milliseconds at which each version was last registered, by endpoint. */
   private readonly registeredAt = new Map<string, Map<string, number>>();
+  /** Monotonic milliseconds of the first update; before it this gateway saw no versions. */
+  private firstUpdateAt = Infinity;
+  /** Monotonic milliseconds since which the versions of an endpoint are complete, as far as a stored record says so. */
+  private readonly completeSince = new Map<string, number>();
 
   /** Records the registered instances; to be called with each change of them. */
   update(instances: Iterable<instanceTable.Instance>, now: number): void {
+    this.firstUpdateAt = Math.min(this.firstUpdateAt, now);
     const mixedBefore = new Set(
       [...this.registeredAt.keys()].filter(each => this.isMixed(each, now)),
     );
@@ -36,10 +42,59 @@
     return this.possibleVersions(endpoint, now).length > 1;
   }
 
-  /** The only version that may have begun a stream; undefined if there are several, or none. */
+  /** Whether `isMixed` holds for any endpoint. */
+  isAnyMixed(now: number): boolean {
+    return [...this.registeredAt.keys()].some(each => this.isMixed(each, now));
+  }
+
+  /** Versions of the endpoint that are registered. */
+  registered(endpoint: string): string[] {
+    return [...(this.registeredAt.get(endpoint) ?? [])]
+      .filter(([, at]) => at === REGISTERED)
+      .map(([version]) => version);
+  }
+
+  /** Whether no version that may have begun a stream is unknown. */
+  isComplete(endpoint: string, now: number): boolean {
+    const since = Math.min(
+      this.firstUpdateAt,
+      this.completeSince.get(endpoint) ?? Infinity,
+    );
+    return isOver(since, now);
+  }
+
+  /** Adds the versions of a stored record, of which those that are not registered have left by now. */
+  adopt(
+    endpoint: string,
+    record: versionRecord.VersionRecord,
+    unixNow: number,
+    now: number,
+  ): void {
+    const wasMixed = this.isMixed(endpoint, now);
+    const versions = this.registeredAt.get(endpoint) ?? new Map();
+    this.registeredAt.set(endpoint, versions);
+    for (const [version, at] of Object.entries(record.versions)) {
+      const leftAt = now - Math.max(0, unixNow - (at ?? unixNow));
+      versions.set(version, Math.max(versions.get(version) ?? leftAt, leftAt));
+    }
+    // Unix times of other gateways may be off by seconds, which is little against the lifetime of streams.
+    this.completeSince.set(
+      endpoint,
+      record.completeSince === 0
+        ? -Infinity
+        : now - (unixNow - record.completeSince),
+    );
+    if (!wasMixed && this.isMixed(endpoint, now)) {
+      this.onDidMix.next(endpoint);
+    }
+  }
+
+  /** The only version that may have begun a stream; undefined if there are several, none, or unknown ones. */
   soleVersion(endpoint: string, now: number): string | undefined {
     const possible = this.possibleVersions(endpoint, now);
-    return possible.length === 1 ? possible[0] : undefined;
+    return possible.length === 1 && this.isComplete(endpoint, now)
+      ? possible[0]
+      : undefined;
   }
 
   private possibleVersions(endpoint: string, now: number): string[] {
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -19,6 +19,7 @@
 import * as stateSource from '../common/state_source';
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
+import * as versionStore from '../common/versions/version_store';
 import * as callerServer from './caller_server';
 import * as evacuationManager from './evacuation_manager';
 import * as fleetExchange from './fleet/fleet_exchange';
@@ -51,6 +52,7 @@
   readonly metrics: gatewayMetrics.GatewayMetrics;
   readonly log: jsonLog.JsonLog;
   readonly source: stateSource.StateSource;
+  readonly versionStore: versionStore.VersionStore;
   readonly client: instanceClient.InstanceClient;
   readonly decoder: requestHandler.CallerDecoder;
 }
@@ -133,6 +135,11 @@
         peers,
         this.exchange,
         log,
+        {
+          store: options.versionStore,
+          gatewayName: name,
+          isFirstStart: settings.instance.bootstrap,
+        },
       ),
       limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -22,6 +22,11 @@
     data_centre: zod.z.string().min(1, 'the name of a data centre'),
     /** IP at which other gateways reach this one. */
     ip: zod.z.string().min(1, 'an IP address'),
+    /** Whether the whole system starts for the first time. */
+    bootstrap: optional(
+      settingsFile.flagSetting() as zod.ZodType<boolean>,
+      true,
+    ),
     /** Width of the link of this instance, in Mbit/s. */
     link_megabits: optional(
       settingsFile.numberSetting(0, 1_000_000) as zod.ZodType<number>,
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -136,7 +136,7 @@
   /** Binds a resumed stream to the software version that began it; returns false if the call was refused. */
   private async prepareResumption(): Promise<boolean> {
     const {context} = this;
-    const {services, call} = context;
+    const {services} = context;
     const origin = await services.origins.find(context);
     context.softwareVersion = origin.softwareVersion;
     const {Overloaded, NoEndpoint} = resultCode.ResultCode;
@@ -254,6 +254,7 @@
       now,
     );
     if (end === SegmentEnd.Completed) {
+      services.origins.recordCompleted(context);
       this.evidence!.recordCompletion(now);
       const tokens = run.eventsDelivered * run.tokensPerEvent;
       const customer = call.customer?.name ?? '';
--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -6,9 +6,12 @@
 import * as endpointVersions from '../../common/versions/endpoint_versions';
 import * as streamVersions from '../../common/versions/stream_versions';
 import * as versionDirectory from '../../common/versions/version_directory';
+import * as versionStore from '../../common/versions/version_store';
 import * as callContext from '../call_context';
 import * as fleetExchange from '../fleet/fleet_exchange';
 import * as stateFollower from '../state_follower';
+import * as endpointRecords from './endpoint_records';
+import * as streamJournalStore from './stream_journal_store';
 
 /** Maximum number of earlier streams that are announced when an endpoint gets a second version, the latest ones. */
 const MAX_SHARED_AT_ONCE = 2_048;
@@ -34,11 +37,21 @@
   retrySeconds: 0,
 };
 
+/** What `StreamOrigins` keeps in the store, and for whom. */
+export interface OriginsStorage {
+  readonly store: versionStore.VersionStore;
+  readonly gatewayName: string;
+  /** Whether the whole system starts for the first time, so that no stream began before. */
+  readonly isFirstStart: boolean;
+}
+
 /** Streams by the version that began them. */
 export class StreamOrigins implements disposable.Disposable {
   private readonly streams = new streamVersions.StreamVersions();
   private readonly versions = new endpointVersions.EndpointVersions();
   private readonly directory: versionDirectory.VersionDirectory;
+  private readonly records: endpointRecords.EndpointRecords;
+  private readonly journal: streamJournalStore.StreamJournalStore;
   private readonly subscriptions: rxjs.Subscription[];
   /** Set while announcements are queued. */
   private timer: NodeJS.Timeout | undefined;
@@ -48,6 +61,7 @@
     private readonly members: directMembers.DirectMembers,
     exchange: fleetExchange.FleetExchange,
     private readonly log: jsonLog.JsonLog,
+    {store, gatewayName, isFirstStart}: OriginsStorage,
   ) {
     this.directory = new versionDirectory.VersionDirectory(
       this.streams,
@@ -64,10 +78,26 @@
         this.directory.receive(ip, message, performance.now()),
       ),
     ];
+    // Subscribed after the versions, which it compares with the record.
+    this.records = new endpointRecords.EndpointRecords(
+      follower,
+      this.versions,
+      store,
+      isFirstStart,
+      log,
+    );
+    this.journal = new streamJournalStore.StreamJournalStore(
+      store,
+      gatewayName,
+      () => this.versions.isAnyMixed(performance.now()),
+      log,
+    );
   }
 
   dispose(): void {
     this.subscriptions.forEach(each => each.unsubscribe());
+    this.records.dispose();
+    this.journal.dispose();
     clearTimeout(this.timer);
   }
 
@@ -81,6 +111,7 @@
     const now = performance.now();
     const isMixed = this.versions.isMixed(call.endpointName, now);
     this.streams.record(attemptId, softwareVersion, now, isMixed);
+    this.journal.add(attemptId, softwareVersion);
     if (
       isMixed &&
       !this.directory.announce([attemptId, softwareVersion], now)
@@ -90,6 +121,12 @@
     this.scheduleStep();
   }
 
+  /** Records that the stream of a call was delivered to its end. */
+  recordCompleted({call}: callContext.CallContext): void {
+    const {attemptId, resumedAttemptId} = call.caller;
+    this.journal.complete(resumedAttemptId ?? attemptId ?? '');
+  }
+
   /** Finds the version that began the stream of a call. */
   async find(context: callContext.CallContext): Promise<StreamOrigin> {
     const {caller, endpointName} = context.call;
@@ -97,44 +134,59 @@
       return NOT_BEGUN;
     }
     const attemptId = caller.resumedAttemptId ?? '';
+    const remembered = this.streams.find(attemptId, performance.now());
+    if (remembered === undefined) {
+      await this.records.load(endpointName);
+    }
     const now = performance.now();
-    const remembered = this.streams.find(attemptId, now);
     const sole = this.versions.soleVersion(endpointName, now);
     const result =
       remembered === undefined && attemptId !== ''
         ? await this.lookUp(attemptId, sole)
         : {softwareVersion: remembered, queried: 0, answered: 0};
-    const origin = this.judge(result, sole);
+    const isOpen =
+      result.softwareVersion === undefined &&
+      sole === undefined &&
+      attemptId !== '';
+    const stored = isOpen ? await this.journal.find(attemptId) : undefined;
+    const origin = this.judge(result, sole, stored);
     context.log('stream-taken-up', {
       resumes: attemptId,
       last_event_id: caller.lastEventId,
       software_version: origin.softwareVersion ?? null,
       remembered: remembered !== undefined,
+      stored: stored?.softwareVersion !== undefined,
       asked_peers: result.queried,
       answering_peers: result.answered,
     });
     if (origin.softwareVersion !== undefined) {
       this.streams.record(attemptId, origin.softwareVersion, now);
+      this.journal.add(attemptId, origin.softwareVersion);
     }
     return origin;
   }
 
-  /** Decides by the result of a lookup, and by the only version that was registered lately, if there is one. */
+  /** Decides by the results of lookups, and by the only version that was registered lately, if there is one. */
   private judge(
     {softwareVersion, queried, answered}: versionDirectory.LookupResult,
     sole: string | undefined,
+    stored: streamJournalStore.JournalResult | undefined,
   ): StreamOrigin {
     // With an outdated list of instances, a second version may serve unnoticed.
     const isListCurrent = !this.follower.isSourceUnavailable;
     const isConfirmed = isListCurrent || queried === 0 || answered > 0;
-    const version = softwareVersion ?? (isConfirmed ? sole : undefined);
+    const version =
+      softwareVersion ??
+      stored?.softwareVersion ??
+      (isConfirmed ? sole : undefined);
+    const mayBeKnownSoon =
+      answered < queried ||
+      stored?.isRead === false ||
+      this.members.isSettling(performance.now());
     return {
       isKnown: version !== undefined,
       softwareVersion: version,
-      retrySeconds:
-        answered < queried || this.members.isSettling(performance.now())
-          ? UNANSWERED_RETRY_SECONDS
-          : Infinity,
+      retrySeconds: mayBeKnownSoon ? UNANSWERED_RETRY_SECONDS : Infinity,
     };
   }
 
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -1,34 +1,24 @@
 /** The client of the platform's metadata store. */
-import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
 import * as configuration from '../gateway/common/configuration';
 import * as instanceTable from '../gateway/common/instance_table';
 import * as stateSource from '../gateway/common/state_source';
 import * as objectCodec from './object_codec';
+import * as storeConnection from './store_connection';
 import * as wireNames from './wire_names';
 
-/** Timeout of a read, in milliseconds; the store answers in about 4 ms. */
-const READ_TIMEOUT_MILLISECONDS = 600;
 /** Time for which a watch may wait at the store, in milliseconds; limits how long a silent connection goes undetected. */
 export const WATCH_WAIT_MILLISECONDS = 2_000;
 /** Time beyond the wait after which a watch times out, in milliseconds. */
 const WATCH_MARGIN_MILLISECONDS = 500;
 
-/** Address of the store, and a listener that is notified of each call. */
-export interface StoreOptions {
-  /** IP and port. */
-  readonly address: string;
-  readonly onDidCall?: (operation: string) => void;
-}
-
-type Body = Readonly<Record<string, unknown>>;
-
 /** Reads configuration and instances from the store over HTTP. */
 export class MetadataStore extends stateSource.StateSource {
-  private readonly agent = new http.Agent({keepAlive: true, maxSockets: 4});
+  private readonly connection: storeConnection.StoreConnection;
 
-  constructor(private readonly options: StoreOptions) {
+  constructor(options: storeConnection.StoreOptions) {
     super();
+    this.connection = new storeConnection.StoreConnection(options);
   }
 
   async readConfiguration(): stateSource.SourceResult<
@@ -36,7 +26,11 @@
   > {
     const {configuration: kind} = wireNames.Kinds;
     const path = `/objects/${kind}/${wireNames.CONFIGURATION_NAME}`;
-    const read = await this.call('read', path, READ_TIMEOUT_MILLISECONDS);
+    const read = await this.call(
+      'read',
+      path,
+      storeConnection.CALL_TIMEOUT_MILLISECONDS,
+    );
     return read.andThen(body => {
       const stored = objectCodec.decodeObject(body);
       const value = stored && objectCodec.decodeConfiguration(stored);
@@ -72,7 +66,11 @@
     let query = '';
     for (;;) {
       const path = `/objects/${wireNames.Kinds.instances}${query}`;
-      const read = await this.call('list', path, READ_TIMEOUT_MILLISECONDS);
+      const read = await this.call(
+        'list',
+        path,
+        storeConnection.CALL_TIMEOUT_MILLISECONDS,
+      );
       if (read.isErr()) {
         return neverthrow.err(read.error);
       }
@@ -107,7 +105,7 @@
 
   /** Closes all connections. */
   dispose(): void {
-    this.agent.destroy();
+    this.connection.dispose();
   }
 
   private async watch(
@@ -136,41 +134,8 @@
     operation: string,
     path: string,
     timeoutMilliseconds: number,
-  ): stateSource.SourceResult<Body> {
-    this.options.onDidCall?.(operation);
-    return new Promise(resolve => {
-      const fail = (error: stateSource.SourceError) => {
-        clearTimeout(timer);
-        resolve(neverthrow.err(error));
-        request.destroy();
-      };
-      const request = http.get(
-        `http://${this.options.address}${path}`,
-        {agent: this.agent},
-        response => {
-          const error = errorOfStatus(response.statusCode ?? 0);
-          if (error !== undefined) {
-            response.resume();
-            clearTimeout(timer);
-            return resolve(neverthrow.err(error));
-          }
-          const chunks: Buffer[] = [];
-          response.on('data', (chunk: Buffer) => chunks.push(chunk));
-          response.once('end', () => {
-            clearTimeout(timer);
-            resolve(parseBody(Buffer.concat(chunks)));
-          });
-          response.once('error', () =>
-            fail(stateSource.SourceError.Unreachable),
-          );
-        },
-      );
-      const timer = setTimeout(
-        () => fail(stateSource.SourceError.Unreachable),
-        timeoutMilliseconds,
-      );
-      request.once('error', () => fail(stateSource.SourceError.Unreachable));
-    });
+  ): stateSource.SourceResult<storeConnection.Body> {
+    return this.connection.read({operation, path, timeoutMilliseconds});
   }
 }
 
@@ -180,31 +145,6 @@
   readonly stored: objectCodec.StoredObject | undefined;
 }
 
-function errorOfStatus(status: number): stateSource.SourceError | undefined {
-  if (status === 200) {
-    return undefined;
-  }
-  if (status === 410) {
-    return stateSource.SourceError.HistoryLost;
-  }
-  if (status === 429 || status === 503) {
-    return stateSource.SourceError.Busy;
-  }
-  return status === 404
-    ? stateSource.SourceError.Missing
-    : stateSource.SourceError.Malformed;
-}
-
-function parseBody(
-  bytes: Buffer,
-): neverthrow.Result<Body, stateSource.SourceError> {
-  try {
-    return neverthrow.ok(JSON.parse(bytes.toString('utf8')) as Body);
-  } catch {
-    return neverthrow.err(stateSource.SourceError.Malformed);
-  }
-}
-
 function decodeEvent(value: unknown): WatchEvent | undefined {
   const event = value as {object?: unknown; deleted?: unknown} | null;
   const stored = objectCodec.decodeObject(event?.object);
@@ -217,14 +157,15 @@
   };
 }
 
-interface Page {
+/** One page of a list. */
+export interface Page {
   readonly objects: objectCodec.StoredObject[];
   readonly hasMore: boolean;
   readonly lastName: string | undefined;
   readonly revision: number;
 }
 
-function decodePage(body: Body): Page {
+export function decodePage(body: storeConnection.Body): Page {
   const entries = Array.isArray(body.entries) ? body.entries : [];
   const objects = entries
     .map(objectCodec.decodeObject)
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -28,7 +28,8 @@
   return Array.isArray(value) ? value : [];
 }
 
-function parseJson(value: unknown): unknown {
+/** Returns the value of JSON text, or a value that is none unchanged; undefined if the text is malformed. */
+export function parseJson(value: unknown): unknown {
   if (typeof value !== 'string') {
     return value;
   }
--- a/src/platform/platform_adapter.ts
+++ b/src/platform/platform_adapter.ts
@@ -2,10 +2,12 @@
 import * as http from 'node:http';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as stateSource from '../gateway/common/state_source';
+import * as versionStore from '../gateway/common/versions/version_store';
 import * as requestHandler from '../gateway/node/request_handler';
 import * as callerCodec from './caller_codec';
 import * as instanceHttpClient from './instance_http_client';
 import * as metadataStore from './metadata_store';
+import * as versionObjectStore from './version_object_store';
 import * as wireNames from './wire_names';
 
 /** Path of the settings file that the platform wrote for this process. */
@@ -21,6 +23,14 @@
   return new metadataStore.MetadataStore({address, onDidCall});
 }
 
+/** Creates the store in which knowledge about software versions outlives the gateways. */
+export function createVersionStore(
+  address: string,
+  onDidCall: (operation: string) => void,
+): versionStore.VersionStore {
+  return new versionObjectStore.VersionObjectStore({address, onDidCall});
+}
+
 /** Creates a client of the platform's replicas. */
 export function createInstanceClient(
   onDidConnect: () => void,
--- /dev/null
+++ b/src/platform/store_connection.ts
@@ -0,0 +1,126 @@
+/** Calls to the platform's metadata store over HTTP. */
+import * as http from 'node:http';
+import * as neverthrow from 'neverthrow';
+import * as stateSource from '../gateway/common/state_source';
+
+/** Timeout of a read or write, in milliseconds; the store answers in about 4 ms. */
+export const CALL_TIMEOUT_MILLISECONDS = 600;
+
+/** Address of the store, and a listener that is notified of each call. */
+export interface StoreOptions {
+  /** IP and port. */
+  readonly address: string;
+  readonly onDidCall?: (operation: string) => void;
+}
+
+/** Fields of a JSON body. */
+export type Body = Readonly<Record<string, unknown>>;
+
+/** One call. */
+export interface StoreCall {
+  /** Name in metrics. */
+  readonly operation: string;
+  readonly method?: string;
+  readonly path: string;
+  /** JSON value to send; undefined to send none. */
+  readonly content?: unknown;
+  readonly timeoutMilliseconds?: number;
+}
+
+/** Status and body of an answer. */
+export interface StoreAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** Keeps connections to the store open between calls. */
+export class StoreConnection {
+  private readonly agent = new http.Agent({keepAlive: true, maxSockets: 4});
+
+  constructor(private readonly options: StoreOptions) {}
+
+  /** Returns the JSON fields of a successful answer. */
+  async read(call: StoreCall): stateSource.SourceResult<Body> {
+    const answer = await this.send(call);
+    const error = answer && errorOfStatus(answer.status);
+    if (answer === undefined || error !== undefined) {
+      return neverthrow.err(error ?? stateSource.SourceError.Unreachable);
+    }
+    return parseBody(answer.body);
+  }
+
+  /** Returns the answer whatever its status; undefined if there was none in time. */
+  send(call: StoreCall): Promise<StoreAnswer | undefined> {
+    const {operation, method, path, content} = call;
+    this.options.onDidCall?.(operation);
+    const text = content === undefined ? undefined : JSON.stringify(content);
+    return new Promise(resolve => {
+      const finish = (answer: StoreAnswer | undefined) => {
+        clearTimeout(timer);
+        resolve(answer);
+      };
+      const request = http.request(
+        `http://${this.options.address}${path}`,
+        {
+          agent: this.agent,
+          method: method ?? 'GET',
+          headers:
+            text === undefined
+              ? {}
+              : {
+                  'Content-Type': 'application/json',
+                  'Content-Length': Buffer.byteLength(text),
+                },
+        },
+        response => {
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.once('end', () =>
+            finish({
+              status: response.statusCode ?? 0,
+              body: Buffer.concat(chunks),
+            }),
+          );
+          response.once('error', () => finish(undefined));
+        },
+      );
+      const timer = setTimeout(() => {
+        finish(undefined);
+        request.destroy();
+      }, call.timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS);
+      request.once('error', () => finish(undefined));
+      request.end(text);
+    });
+  }
+
+  /** Closes all connections. */
+  dispose(): void {
+    this.agent.destroy();
+  }
+}
+
+function errorOfStatus(status: number): stateSource.SourceError | undefined {
+  if (status === 200) {
+    return undefined;
+  }
+  if (status === 410) {
+    return stateSource.SourceError.HistoryLost;
+  }
+  if (status === 429 || status === 503) {
+    return stateSource.SourceError.Busy;
+  }
+  return status === 404
+    ? stateSource.SourceError.Missing
+    : stateSource.SourceError.Malformed;
+}
+
+/** Returns the fields of a JSON body; Malformed if it is none. */
+export function parseBody(
+  bytes: Buffer,
+): neverthrow.Result<Body, stateSource.SourceError> {
+  try {
+    return neverthrow.ok(JSON.parse(bytes.toString('utf8')) as Body);
+  } catch {
+    return neverthrow.err(stateSource.SourceError.Malformed);
+  }
+}
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -74,6 +74,8 @@
 export const Kinds = {
   instances: 'servers',
   configuration: 'config',
+  /** Of this product: software versions that began streams. */
+  streamVersions: 'stream-versions',
 } as const;
 
 /** Name of the only object of the configuration's kind. */
--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -20,6 +20,12 @@
   readonly spec: unknown;
 }
 
+/** Body of a call that writes. */
+interface WrittenObject {
+  readonly meta: {readonly name: string; readonly revision?: number};
+  readonly spec: unknown;
+}
+
 interface ChangeEvent {
   readonly kind: string;
   readonly revision: number;
@@ -101,7 +107,10 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
-    this.calls.push(request.url ?? '');
+    const method = request.method ?? 'GET';
+    this.calls.push(
+      method === 'GET' ? (request.url ?? '') : `${method} ${request.url}`,
+    );
     switch (this.fault) {
       case StoreFault.Busy:
         response.writeHead(503).end();
@@ -115,8 +124,59 @@
         response.writeHead(200).end('{"entries": [');
         return;
       case StoreFault.None:
-        this.serve(new URL(request.url ?? '', 'http://store'), response);
+        this.serveMethod(method, request, response);
+    }
+  }
+
+  private serveMethod(
+    method: string,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const url = new URL(request.url ?? '', 'http://store');
+    if (method === 'GET') {
+      return this.serve(url, response);
+    }
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.once('end', () =>
+      this.serveWrite(method, url, Buffer.concat(chunks), response),
+    );
+  }
+
+  /** Writes or removes an object if the revision in the call is the object's. */
+  private serveWrite(
+    method: string,
+    url: URL,
+    bytes: Buffer,
+    response: http.ServerResponse,
+  ): void {
+    const [, , kind, nameInPath] = url.pathname.split('/');
+    const body =
+      method === 'DELETE'
+        ? undefined
+        : (JSON.parse(bytes.toString('utf8')) as WrittenObject);
+    const name = decodeURIComponent(nameInPath ?? body?.meta.name ?? '');
+    const current = this.objects.get(kind)?.get(name);
+    const revision =
+      body?.meta.revision ?? url.searchParams.get('revision') ?? undefined;
+    if (method !== 'POST' && current === undefined) {
+      response.writeHead(404).end();
+      return;
+    }
+    const isConflict =
+      method === 'POST'
+        ? current !== undefined
+        : revision !== undefined && Number(revision) !== current?.meta.revision;
+    if (isConflict) {
+      return sendJson(response, current, 409);
+    }
+    if (body === undefined) {
+      this.remove(kind, name);
+      return sendJson(response, current);
     }
+    this.put(kind, name, body.spec);
+    sendJson(response, this.objects.get(kind)!.get(name));
   }
 
   private serve(url: URL, response: http.ServerResponse): void {
@@ -178,9 +238,13 @@
   }
 }
 
-function sendJson(response: http.ServerResponse, value: unknown): void {
+function sendJson(
+  response: http.ServerResponse,
+  value: unknown,
+  status = 200,
+): void {
   if (!response.writableEnded) {
-    response.writeHead(200, {'Content-Type': 'application/json'});
+    response.writeHead(status, {'Content-Type': 'application/json'});
     response.end(JSON.stringify(value));
   }
 }
--- a/test/gateway/common/versions/endpoint_versions.test.ts
+++ b/test/gateway/common/versions/endpoint_versions.test.ts
@@ -24,7 +24,9 @@
   const versions = new endpointVersions.EndpointVersions();
   t.is(versions.soleVersion('e', 0), undefined);
   versions.update(instancesOf('v1', 'v1'), 0);
-  t.is(versions.soleVersion('e', 0), 'v1');
+  // Another version may have left just before this gateway started.
+  t.is(versions.soleVersion('e', LIFETIME), undefined);
+  t.is(versions.soleVersion('e', LIFETIME + 1), 'v1');
   t.is(versions.soleVersion('e', 10 * LIFETIME), 'v1');
 });
 
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -62,6 +62,17 @@
     return restarted;
   }
 
+  /** Ends all gateways at the same time, and starts them again at their IPs; `whileDown` runs between. */
+  async restartAll(whileDown: () => void = () => undefined): Promise<void> {
+    this.gateways.forEach(each => each.process.dispose());
+    whileDown();
+    const count = this.gateways.length;
+    for (let index = 1; index <= count; index++) {
+      this.gateways[index - 1] = await this.startOne(index);
+    }
+    await this.until(() => this.gateways.every(each => each.process.isReady));
+  }
+
   /** Writes the registration of a replica; by default of one that no test sends requests to. */
   register(
     id: string,
@@ -149,6 +160,7 @@
   const ip = `127.0.0.${index}`;
   const relay = new tcpRelay.TcpRelay(Number(store.split(':')[1]));
   const registry = new metrics.MetricsRegistry({});
+  const storeAddress = await relay.listen();
   const statePort = await freePorts.freeStreamPort(ip);
   const process = new gatewayProcess.GatewayProcess({
     settings: {
@@ -156,6 +168,7 @@
         name: `gateway-${index}`,
         data_centre: 'a',
         ip,
+        bootstrap: true,
         link_megabits: 0,
       },
       listen: {
@@ -172,8 +185,9 @@
     registry,
     metrics: new gatewayMetrics.GatewayMetrics(registry),
     log: new jsonLog.JsonLog({}, '/dev/null'),
-    source: platformAdapter.createStateSource(
-      await relay.listen(),
+    source: platformAdapter.createStateSource(storeAddress, () => undefined),
+    versionStore: platformAdapter.createVersionStore(
+      storeAddress,
       () => undefined,
     ),
     client: platformAdapter.createInstanceClient(() => undefined),
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -90,6 +90,7 @@
           name: 'gateway-1',
           data_centre: 'a',
           ip: '127.0.0.1',
+          bootstrap: true,
           link_megabits: 0,
         },
         listen: {
@@ -107,6 +108,7 @@
       metrics: new gatewayMetrics.GatewayMetrics(registry),
       log: new jsonLog.JsonLog({}, '/dev/null'),
       source: platformAdapter.createStateSource(store, () => undefined),
+      versionStore: platformAdapter.createVersionStore(store, () => undefined),
       client: platformAdapter.createInstanceClient(() => undefined),
       decoder: platformAdapter.createCallerDecoder(),
     });
