Evacuated data centres and allowed regions: reading, relaying, rules (tests follow)

Cause: entries evacuations/ZONE of the store and regionsAllowed of routes and tenants were not read. Change: the store's kind is listed and watched by the gateways that watch, relayed in the optional digest field evacuated and in PeerState, and enforced by EvacuationRule and RegionRule.

--- a/src/gateway/common/configuration.ts
+++ b/src/gateway/common/configuration.ts
@@ -40,6 +40,8 @@
   readonly isGeneration: boolean;
   /** Whether a stream can be resumed at another instance by event id. */
   readonly isResumable: boolean;
+  /** Regions whose instances may get the requests; undefined for all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Properties of the model engines behind an endpoint. */
@@ -75,6 +77,8 @@
   readonly keys: readonly string[];
   /** Takes precedence over the priority of a route; undefined when not declared. */
   readonly priority?: number;
+  /** Regions whose instances may get the customer's requests; undefined for all. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** One accepted version of the configuration. */
--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -4,6 +4,7 @@
  * a message that one of them may receive holds the digest of its sender.
  */
 import * as zod from 'zod';
+import * as evacuatedDataCentres from '../availability/evacuated_data_centres';
 import * as instanceRegistry from '../instance_registry';
 import * as runTable from '../run_table';
 import * as directMessage from './direct_message';
@@ -113,6 +114,7 @@
       .array(directMessage.relayedLimitSchema)
       .max(MAX_LIMITS)
       .optional(),
+    evacuated: evacuatedDataCentres.relayedEvacuationsSchema.optional(),
     messageVersion: finite.optional(),
     reports: zod.z
       .array(zod.z.tuple([zod.z.string(), finite, finite, finite]))
@@ -177,7 +179,8 @@
 /**
  * Encodes a message within MAX_MESSAGE_BYTES. What is left out first can be
  * had otherwise: changes are fetched by position, members come on later pages,
- * reports expire; of the loads the heaviest remain.
+ * reports expire; of the loads the heaviest remain. Evacuated data centres are
+ * never left out: without them requests would go where they must not.
  */
 export function encode(message: FleetMessage): EncodedMessage {
   const omitted: string[] = [];
@@ -234,6 +237,10 @@
     'crashes',
     message => ({...message, digest: {...message.digest, crashes: []}}),
   ],
+  [
+    'allLoads',
+    message => ({...message, digest: {...message.digest, loads: {}}}),
+  ],
 ];
 
 function heaviest(loads: runTable.LoadsByInstance): runTable.LoadsByInstance {
--- a/src/gateway/common/fleet/gossip.ts
+++ b/src/gateway/common/fleet/gossip.ts
@@ -111,10 +111,10 @@
     return [{message, ips: ips.map(each => each.ip)}];
   }
 
-  /** Sends the digest to all members directly. */
+  /** Sends the digest to all members directly; without evacuated data centres, which rumors and pages carry, since this is the most frequent message. */
   broadcast(now: number): Outgoing[] {
     const message: fleetMessage.FleetMessage = {
-      digest: this.digest(now),
+      digest: {...this.digest(now), evacuated: undefined},
       fleet: {incarnation: this.table.incarnation},
     };
     return [{message, ips: this.table.liveAddresses()}];
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -1,4 +1,5 @@
 /** Status summaries that gateways send each other, and the state that they serve to those that are behind. */
+import * as evacuatedDataCentres from '../availability/evacuated_data_centres';
 import * as configuration from '../configuration';
 import * as crashTable from '../crash_table';
 import * as engineReports from '../engine_reports';
@@ -30,6 +31,8 @@
   readonly promptParts?: readonly promptPartTable.RelayedSuspect[];
   /** Limits that instances name; absent when there are none, and from older builds. */
   readonly limits?: readonly instanceLimits.RelayedLimit[];
+  /** Evacuated data centres as of a position; absent before they are known, if the gateway does not follow them, and from older builds. */
+  readonly evacuated?: evacuatedDataCentres.RelayedEvacuations;
   /** Engine reports that the gateway read itself; absent when there are none. */
   readonly reports?: readonly engineReports.RelayedReport[];
   /** IPs of other gateways; filled by the build before the fleet part, whose readers require the field. */
@@ -48,6 +51,8 @@
   readonly configuration: configuration.Configuration | undefined;
   readonly instancesPosition: number;
   readonly instances: readonly instanceTable.InstanceRecord[];
+  /** Evacuated data centres; absent as in digests. */
+  readonly evacuated?: evacuatedDataCentres.RelayedEvacuations;
 }
 
 /** Last digest of a peer. */
--- a/src/gateway/common/state_source.ts
+++ b/src/gateway/common/state_source.ts
@@ -1,5 +1,6 @@
 /** Interface of the source from which a gateway reads the configuration and the registered instances. */
 import * as neverthrow from 'neverthrow';
+import * as evacuatedDataCentres from './availability/evacuated_data_centres';
 import * as configuration from './configuration';
 import * as instanceTable from './instance_table';
 
@@ -29,6 +30,9 @@
   readonly record: instanceTable.InstanceRecord | undefined;
 }
 
+/** One change to the evacuated data centres. */
+export type EvacuationChange = evacuatedDataCentres.EvacuationChange;
+
 /** Result of a read. */
 export type SourceResult<T> = Promise<neverthrow.Result<T, SourceError>>;
 
@@ -50,4 +54,10 @@
   abstract watchInstances(
     revision: number,
   ): SourceResult<Snapshot<InstanceChange[]>>;
+  /** Lists the names of all evacuated data centres. */
+  abstract listEvacuations(): SourceResult<Snapshot<string[]>>;
+  /** Waits for changes newer than the revision, in their order; empty when there were none in time. */
+  abstract watchEvacuations(
+    revision: number,
+  ): SourceResult<Snapshot<EvacuationChange[]>>;
 }
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -16,6 +16,7 @@
 import * as instanceLimits from '../../common/limits/instance_limits';
 import * as promptPartTable from '../../common/prompt_part_table';
 import * as runTable from '../../common/run_table';
+import * as evacuationFollower from '../evacuation_follower';
 import * as gatewayMetrics from '../gateway_metrics';
 import * as stateFollower from '../state_follower';
 import * as stateTransfer from './state_transfer';
@@ -76,6 +77,7 @@
     private readonly settings: PeerSettings,
     private readonly tables: ExchangeTables,
     private readonly follower: stateFollower.StateFollower,
+    private readonly evacuations: evacuationFollower.EvacuationFollower,
     private readonly metrics: gatewayMetrics.GatewayMetrics,
     private readonly log: jsonLog.JsonLog,
   ) {
@@ -84,7 +86,7 @@
       now => this.digest(now),
       process.pid + Math.floor(Math.random() * 2 ** 31),
     );
-    this.transfer = new stateTransfer.StateTransfer(follower, log);
+    this.transfer = new stateTransfer.StateTransfer(follower, evacuations, log);
   }
 
   start(): void {
@@ -99,6 +101,7 @@
     this.subscriptions.push(
       this.follower.onDidReadChange.subscribe(change => this.relay(change)),
       this.follower.onDidChangeConfiguration.subscribe(() => this.relay()),
+      this.evacuations.onDidReadChange.subscribe(() => this.spreadNow()),
     );
     this.disposables.add(
       disposable.every(CHECK_INTERVAL_MILLISECONDS, () => this.check()),
@@ -128,11 +131,16 @@
   /** Relays what was read from the source, if this gateway watches it. */
   private relay(change?: instanceRegistry.RegistryChange): void {
     if (this.follower.isWatching) {
-      this.beaconAt = performance.now();
-      this.send(this.gossip.spread(this.beaconAt, true, change), 'rumor');
+      this.spreadNow(change);
     }
   }
 
+  /** Sends the digest, and a change, to all peers by way of a few. */
+  private spreadNow(change?: instanceRegistry.RegistryChange): void {
+    this.beaconAt = performance.now();
+    this.send(this.gossip.spread(this.beaconAt, true, change), 'rumor');
+  }
+
   private check(): void {
     const now = performance.now();
     const {members, runs, crashes, promptParts, limits} = this.tables;
@@ -222,6 +230,7 @@
       crashes: tables.crashes.recent(now),
       promptParts: promptParts.length > 0 ? promptParts : undefined,
       limits: limits.length > 0 ? limits : undefined,
+      evacuated: this.evacuations.toRelay(),
       reports: reports.length > 0 ? reports : undefined,
       messageVersion: peerDigest.MESSAGE_VERSION,
       peers: [],
@@ -268,6 +277,7 @@
   private apply(message: fleetMessage.FleetMessage, now: number): void {
     const {digest, change} = message;
     const {runs, reports, crashes, promptParts, limits} = this.tables;
+    this.evacuations.applyDigest(digest, now);
     runs.setPeerLoads(digest.name, digest.loads, now);
     reports.addRelayed(digest.reports ?? [], now);
     const crashesBefore = crashes.additionCount;
--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -5,6 +5,7 @@
 import * as jsonLog from '../../../base/node/json_log';
 import * as fetchDelay from '../../common/fleet/fetch_delay';
 import * as peerDigest from '../../common/fleet/peer_digest';
+import * as evacuationFollower from '../evacuation_follower';
 import * as stateFollower from '../state_follower';
 
 /** Time allowed for a configuration that a peer already has to arrive by the own watch, in milliseconds. */
@@ -27,6 +28,7 @@
 
   constructor(
     private readonly follower: stateFollower.StateFollower,
+    private readonly evacuations: evacuationFollower.EvacuationFollower,
     private readonly log: jsonLog.JsonLog,
   ) {}
 
@@ -114,6 +116,8 @@
       const state = JSON.parse(
         answer.body.toString('utf8'),
       ) as peerDigest.PeerState;
+      // First, so that no request meets instances of an evacuated data centre.
+      this.evacuations.applyPeerState(state, digest.name);
       this.follower.applyPeerState(state, digest.name);
     } catch (error) {
       this.log.write('peer-state-unavailable', {
@@ -141,7 +145,11 @@
       response.writeHead(404).end();
       return;
     }
-    const body = JSON.stringify(this.follower.peerState());
+    const state: peerDigest.PeerState = {
+      ...this.follower.peerState(),
+      evacuated: this.evacuations.toRelay(),
+    };
+    const body = JSON.stringify(state);
     response
       .writeHead(200, {
         'Content-Type': 'application/json',
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -23,6 +23,7 @@
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
   readonly openRequests: promClient.Gauge;
   readonly waiting: promClient.Gauge;
+  readonly evacuatedDataCentres: promClient.Gauge;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -82,5 +83,9 @@
       'rhubarbvane_gateway_waiting_generations',
       'Generations that wait for memory at an engine',
     );
+    this.evacuatedDataCentres = registry.gauge(
+      'rhubarbvane_gateway_evacuated_data_centres',
+      'Data centres that are evacuated as far as this gateway knows',
+    );
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -4,7 +4,9 @@
 import * as jsonLog from '../../base/node/json_log';
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as evacuationRule from '../common/availability/evacuation_rule';
 import * as instanceAvailability from '../common/availability/instance_availability';
+import * as regionRule from '../common/availability/region_rule';
 import * as crashTable from '../common/crash_table';
 import * as engineReports from '../common/engine_reports';
 import * as directMembers from '../common/fleet/direct_members';
@@ -20,6 +22,7 @@
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
 import * as callerServer from './caller_server';
+import * as evacuationFollower from './evacuation_follower';
 import * as evacuationManager from './evacuation_manager';
 import * as fleetExchange from './fleet/fleet_exchange';
 import * as gatewayMetrics from './gateway_metrics';
@@ -62,6 +65,9 @@
   private readonly handler: requestHandler.RequestHandler;
   private readonly server: callerServer.CallerServer;
   private readonly exchange: fleetExchange.FleetExchange;
+  private readonly evacuatedDataCentres: evacuationFollower.EvacuationFollower;
+  /** Undefined if evacuations are not followed. */
+  private readonly evacuationRule: evacuationRule.EvacuationRule | undefined;
   private isShuttingDown = false;
   private readonly suspensions = new suspensionDetector.SuspensionDetector(
     performance.now(),
@@ -87,6 +93,23 @@
       new watcherElection.WatcherElection(members),
       log,
     );
+    const evacuationBound = settings.evacuation.bound_milliseconds;
+    this.evacuatedDataCentres = new evacuationFollower.EvacuationFollower(
+      evacuationBound,
+      name,
+      options.source,
+      follower,
+      options.metrics,
+      log,
+    );
+    this.evacuationRule =
+      evacuationBound > 0
+        ? new evacuationRule.EvacuationRule(
+            this.evacuatedDataCentres.dataCentres,
+            performance.now(),
+            evacuationBound,
+          )
+        : undefined;
     this.exchange = new fleetExchange.FleetExchange(
       {
         stateAddress: settings.listen.peers,
@@ -94,6 +117,7 @@
       },
       {members, runs, crashes, promptParts, reports, limits},
       follower,
+      this.evacuatedDataCentres,
       options.metrics,
       log,
     );
@@ -103,7 +127,10 @@
       limits,
       this.exchange,
     );
+    // The first objection counts. A draining instance may still be used for its copies, one that an earlier rule excludes may not.
     const availability = new instanceAvailability.InstanceAvailability([
+      ...(this.evacuationRule === undefined ? [] : [this.evacuationRule]),
+      new regionRule.RegionRule(settings.instance.regions),
       new instanceAvailability.DrainingRule(),
     ]);
     const scheduler = new generationScheduler.GenerationScheduler(
@@ -168,7 +195,8 @@
     return (
       !this.isShuttingDown &&
       follower.routes !== undefined &&
-      follower.instances.size > 0
+      follower.instances.size > 0 &&
+      this.evacuationRule?.isPending(performance.now()) !== true
     );
   }
 
@@ -177,6 +205,11 @@
     return this.services.follower;
   }
 
+  /** Data centres that operators evacuate. */
+  get evacuations(): evacuationFollower.EvacuationFollower {
+    return this.evacuatedDataCentres;
+  }
+
   /** Parts of prompts with crashes that the process knows of. */
   get promptParts(): promptPartTable.PromptPartTable {
     return this.services.promptParts;
@@ -215,6 +248,8 @@
     );
     follower.onDidChangeInstances.subscribe(() => scheduler.processQueue());
     permits.onDidSettle.subscribe(() => scheduler.processQueue());
+    const {dataCentres} = this.evacuatedDataCentres;
+    dataCentres.onDidChange.subscribe(() => scheduler.processQueue());
     promptParts.onDidBlock.subscribe(({id, crashes}) =>
       log.write(
         'prompt-part-blocked',
@@ -235,6 +270,7 @@
     [
       observability,
       follower,
+      this.evacuatedDataCentres,
       scheduler,
       evacuations,
       permits,
@@ -244,6 +280,7 @@
     ].forEach(each => this.disposables.add(each));
     await this.server.listen(settings.listen.callers);
     this.exchange.start();
+    this.evacuatedDataCentres.start();
     follower.start();
     this.disposables.add(
       disposable.every(SUSPENSION_CHECK_MILLISECONDS, () =>
@@ -309,6 +346,7 @@
     this.options.log.write('stood-still', {gap_ms: Math.round(gap)}, true);
     void this.services.follower.refreshConfiguration(0);
     void this.services.follower.refreshInstances();
+    void this.evacuatedDataCentres.refresh();
   }
 }
 
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -12,6 +12,41 @@
   ) as unknown as zod.ZodType<T>;
 }
 
+/** The region in an entry of the setting, which is the region itself or a description with it. */
+const regionSchema = zod.z.union([
+  zod.z.string(),
+  zod.z.looseObject({region: zod.z.string()}).transform(each => each.region),
+]);
+
+/** Regions by data centre, as JSON. Entries of another form have no region, so that they cannot keep a gateway from starting. */
+const regionsSetting: zod.ZodType<Readonly<Record<string, string>>> = zod.z
+  .string()
+  .transform((text, context) => {
+    const entries = parseEntries(text);
+    if (entries === undefined) {
+      context.addIssue('regions by data centre, as a JSON object');
+      return zod.z.NEVER;
+    }
+    return Object.fromEntries(
+      entries.flatMap(([dataCentre, value]) => {
+        const region = regionSchema.safeParse(value);
+        return region.success ? [[dataCentre, region.data]] : [];
+      }),
+    );
+  });
+
+function parseEntries(text: string): [string, unknown][] | undefined {
+  try {
+    const value = JSON.parse(text) as unknown;
+    const isObject =
+      typeof value === 'object' && value !== null && !Array.isArray(value);
+    return isObject ? Object.entries(value) : undefined;
+  } catch {
+    // The schema reports what was expected.
+    return undefined;
+  }
+}
+
 const address = settingsFile.addressSetting();
 const port = settingsFile.numberSetting(0, 65_535);
 
@@ -22,6 +57,8 @@
     data_centre: zod.z.string().min(1, 'the name of a data centre'),
     /** IP at which other gateways reach this one. */
     ip: zod.z.string().min(1, 'an IP address'),
+    /** Regions of all data centres, as JSON; an unknown region is in no list of allowed regions. */
+    regions: optional(regionsSetting, {}),
     /** Width of the link of this instance, in Mbit/s. */
     link_megabits: optional(
       settingsFile.numberSetting(0, 1_000_000) as zod.ZodType<number>,
@@ -49,6 +86,16 @@
       8,
     ),
   }),
+  evacuation: zod.z.preprocess(
+    value => value ?? {},
+    zod.z.object({
+      /** Time within which an evacuation of a data centre is in force, in milliseconds; 0 to follow none. */
+      bound_milliseconds: optional(
+        settingsFile.numberSetting(0, 3_600_000) as zod.ZodType<number>,
+        0,
+      ),
+    }),
+  ),
   retries: zod.z.object({
     window_seconds: optional(
       settingsFile.numberSetting(0.1, 3_600) as zod.ZodType<number>,
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -110,7 +110,7 @@
         endpoint: index.findEndpoint(endpointName ?? ''),
         endpointName: endpointName ?? '',
         customer,
-        scope: instanceAvailability.ANY_REGION,
+        scope: scopeOf(route, customer),
         arrivedAt,
         deadlineAt: arrivedAt + wait,
         fingerprint: fingerprintOf(caller, body, route, customer),
@@ -276,6 +276,19 @@
   }
 }
 
+/** Where a request of the route and customer may go. */
+function scopeOf(
+  route: configuration.Route,
+  customer: configuration.Customer | undefined,
+): instanceAvailability.AvailabilityRequest {
+  const lists = [route.allowedRegions, customer?.allowedRegions].filter(
+    list => list !== undefined,
+  );
+  return lists.length === 0
+    ? instanceAvailability.ANY_REGION
+    : {allowedRegions: lists};
+}
+
 /** Why a request is rejected. */
 class Rejection {
   constructor(readonly failure: failure.Failure) {}
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -106,6 +106,20 @@
       : undefined;
   }
 
+  /** Why the instance of a copy that was taken got no request in the meantime; draining is no reason within the time that the copy is waited for. */
+  whyUnusable(
+    instance: instanceTable.Instance,
+  ): instanceAvailability.UnavailableReason | undefined {
+    const {services, call} = this.context;
+    const now = performance.now();
+    const reason = services.availability.find(
+      instance,
+      call.scope,
+      now,
+    )?.reason;
+    return reason === UnavailableReason.Draining ? undefined : reason;
+  }
+
   /** Whether a run may continue from its copy at the instance, which is allowed for a short time after the instance started to drain. */
   private acceptsContinuation(
     instance: instanceTable.Instance,
--- a/src/gateway/node/source_health.ts
+++ b/src/gateway/node/source_health.ts
@@ -6,6 +6,7 @@
 export enum SourceKind {
   Configuration = 'configuration',
   Instances = 'instances',
+  Evacuations = 'evacuations',
 }
 
 /** Tracks the outcome of the last call of each kind. */
@@ -14,7 +15,7 @@
 
   constructor(private readonly log: jsonLog.JsonLog) {}
 
-  /** Whether the last call of either kind failed. */
+  /** Whether the last call of any kind failed. */
   get isUnavailable(): boolean {
     return this.failingKinds.size > 0;
   }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -41,11 +41,18 @@
     const {id} = copied.instance.record;
     const {choice} = await permits.selectWithin(
       NONE,
-      barred => (barred.has(id) ? undefined : copied),
+      barred =>
+        barred.has(id) || copies.whyUnusable(copied.instance) !== undefined
+          ? undefined
+          : copied,
       PATIENCE_MILLISECONDS,
     );
     if (choice === undefined) {
-      this.context.log('copy-without-permit', {}, copied.instance);
+      this.context.log(
+        'copy-without-permit',
+        {unavailable: copies.whyUnusable(copied.instance)},
+        copied.instance,
+      );
     }
     return choice;
   }
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -13,6 +13,12 @@
 export const WATCH_WAIT_MILLISECONDS = 2_000;
 /** Time beyond the wait after which a watch times out, in milliseconds. */
 const WATCH_MARGIN_MILLISECONDS = 500;
+/** The same wait for evacuated data centres, which change rarely while every call is priced. */
+export const EVACUATION_WAIT_MILLISECONDS = 4_000;
+/** Time beyond that wait, in milliseconds; shorter, so that after a silent watch a list and its relaying still fit into 5 s. */
+const EVACUATION_MARGIN_MILLISECONDS = 300;
+/** Connections to the store: one for each watch, the others for reads in between. */
+const MAX_CONNECTIONS = 6;
 
 /** Address of the store, and a listener that is notified of each call. */
 export interface StoreOptions {
@@ -25,7 +31,10 @@
 
 /** Reads configuration and instances from the store over HTTP. */
 export class MetadataStore extends stateSource.StateSource {
-  private readonly agent = new http.Agent({keepAlive: true, maxSockets: 4});
+  private readonly agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: MAX_CONNECTIONS,
+  });
 
   constructor(private readonly options: StoreOptions) {
     super();
@@ -105,6 +114,56 @@
     }));
   }
 
+  async listEvacuations(): stateSource.SourceResult<
+    stateSource.Snapshot<string[]>
+  > {
+    const names: string[] = [];
+    let revision: number | undefined;
+    let query = '';
+    for (;;) {
+      const path = `/objects/${wireNames.Kinds.evacuations}${query}`;
+      const read = await this.call('list', path, READ_TIMEOUT_MILLISECONDS);
+      if (read.isErr()) {
+        return neverthrow.err(read.error);
+      }
+      if (!isWholeList(read.value)) {
+        return neverthrow.err(stateSource.SourceError.Malformed);
+      }
+      const page = decodePage(read.value);
+      // Changes between two pages are among those that a watch from the first page returns.
+      revision ??= page.revision;
+      names.push(...page.objects.map(each => each.name));
+      if (!page.hasMore || page.lastName === undefined) {
+        return neverthrow.ok({revision, value: names});
+      }
+      query = `?sinceRev=${encodeURIComponent(page.lastName)}`;
+    }
+  }
+
+  async watchEvacuations(
+    revision: number,
+  ): stateSource.SourceResult<
+    stateSource.Snapshot<stateSource.EvacuationChange[]>
+  > {
+    const watched = await this.watch(
+      wireNames.Kinds.evacuations,
+      revision,
+      EVACUATION_WAIT_MILLISECONDS,
+      EVACUATION_MARGIN_MILLISECONDS,
+    );
+    return watched.andThen(({revision: at, value: events, unreadableCount}) =>
+      unreadableCount > 0
+        ? neverthrow.err(stateSource.SourceError.Malformed)
+        : neverthrow.ok({
+            revision: at,
+            value: events.map(({name, stored}) => ({
+              dataCentre: name,
+              isEvacuated: stored !== undefined,
+            })),
+          }),
+    );
+  }
+
   /** Closes all connections. */
   dispose(): void {
     this.agent.destroy();
@@ -113,12 +172,14 @@
   private async watch(
     kind: string,
     revision: number,
-  ): stateSource.SourceResult<stateSource.Snapshot<WatchEvent[]>> {
-    const path = `/objects/${kind}?watch=${revision}&waitMs=${WATCH_WAIT_MILLISECONDS}`;
+    waitMilliseconds = WATCH_WAIT_MILLISECONDS,
+    marginMilliseconds = WATCH_MARGIN_MILLISECONDS,
+  ): stateSource.SourceResult<WatchAnswer> {
+    const path = `/objects/${kind}?watch=${revision}&waitMs=${waitMilliseconds}`;
     const answer = await this.call(
       'watch',
       path,
-      WATCH_WAIT_MILLISECONDS + WATCH_MARGIN_MILLISECONDS,
+      waitMilliseconds + marginMilliseconds,
     );
     return answer.andThen(body => {
       if (typeof body.at !== 'number') {
@@ -128,7 +189,8 @@
       const value = events
         .map(decodeEvent)
         .filter(event => event !== undefined);
-      return neverthrow.ok({revision: body.at, value});
+      const unreadableCount = events.length - value.length;
+      return neverthrow.ok({revision: body.at, value, unreadableCount});
     });
   }
 
@@ -180,6 +242,12 @@
   readonly stored: objectCodec.StoredObject | undefined;
 }
 
+/** Events of a watch. */
+interface WatchAnswer extends stateSource.Snapshot<WatchEvent[]> {
+  /** Number of events that could not be decoded and are left out. */
+  readonly unreadableCount: number;
+}
+
 function errorOfStatus(status: number): stateSource.SourceError | undefined {
   if (status === 200) {
     return undefined;
@@ -217,6 +285,15 @@
   };
 }
 
+/** Whether the list has a revision, and entries that can all be decoded. */
+function isWholeList({entries, at}: Body): boolean {
+  return (
+    typeof at === 'number' &&
+    Array.isArray(entries) &&
+    entries.every(each => objectCodec.decodeObject(each) !== undefined)
+  );
+}
+
 interface Page {
   readonly objects: objectCodec.StoredObject[];
   readonly hasMore: boolean;
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -110,6 +110,13 @@
   return service === undefined ? [] : [{endpoint: service, weight: 1}];
 }
 
+/** Decodes a list of regions; undefined if there is none. A value that is no list allows no region, since a restriction must not be lost. */
+function decodeRegions(value: unknown): string[] | undefined {
+  return value === undefined || value === null
+    ? undefined
+    : list(value).filter(each => typeof each === 'string');
+}
+
 function decodeRoute(value: unknown): configuration.Route | undefined {
   if (!isFields(value)) {
     return undefined;
@@ -136,6 +143,7 @@
     // Set on routes whose requests describe a prompt for a model engine.
     isGeneration: value.affinity === true,
     isResumable: value.resumable === true,
+    allowedRegions: decodeRegions(value.regionsAllowed),
   };
 }
 
@@ -173,7 +181,8 @@
   const priority =
     typeof value.priority === 'number' ? value.priority : undefined;
   const keys = list(value.apiKeys).filter(key => typeof key === 'string');
-  return {name, keys, priority};
+  const allowedRegions = decodeRegions(value.regionsAllowed);
+  return {name, keys, priority, allowedRegions};
 }
 
 function decodeLimits(value: unknown): configuration.RequestLimits {
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -74,6 +74,8 @@
 export const Kinds = {
   instances: 'servers',
   configuration: 'config',
+  /** Named after the data centre that is evacuated. */
+  evacuations: 'evacuations',
 } as const;
 
 /** Name of the only object of the configuration's kind. */
--- a/test/gateway/state_follower.test.ts
+++ b/test/gateway/state_follower.test.ts
@@ -51,6 +51,16 @@
   > {
     return new Promise(() => undefined);
   }
+
+  async listEvacuations(): ReturnType<
+    stateSource.StateSource['listEvacuations']
+  > {
+    return neverthrow.ok({revision: 1, value: []});
+  }
+
+  watchEvacuations(): ReturnType<stateSource.StateSource['watchEvacuations']> {
+    return new Promise(() => undefined);
+  }
 }
 
 function createFollower(source: ScriptedSource): stateFollower.StateFollower {
--- a/test/gateway/state_transfer.test.ts
+++ b/test/gateway/state_transfer.test.ts
@@ -2,10 +2,13 @@
 import * as ava from 'ava';
 import * as neverthrow from 'neverthrow';
 import * as jsonLog from '../../src/base/node/json_log';
+import * as metrics from '../../src/base/node/metrics';
 import * as memberTable from '../../src/gateway/common/fleet/member_table';
 import * as peerDigest from '../../src/gateway/common/fleet/peer_digest';
 import * as watcherElection from '../../src/gateway/common/fleet/watcher_election';
 import * as stateSource from '../../src/gateway/common/state_source';
+import * as evacuationFollower from '../../src/gateway/node/evacuation_follower';
+import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as stateTransfer from '../../src/gateway/node/fleet/state_transfer';
 import * as stateFollower from '../../src/gateway/node/state_follower';
 import * as freePorts from '../../standins/free_ports';
@@ -44,6 +47,16 @@
   watchInstances(): ReturnType<stateSource.StateSource['watchInstances']> {
     return new Promise(() => undefined);
   }
+
+  async listEvacuations(): ReturnType<
+    stateSource.StateSource['listEvacuations']
+  > {
+    return neverthrow.ok({revision: 1, value: []});
+  }
+
+  watchEvacuations(): ReturnType<stateSource.StateSource['watchEvacuations']> {
+    return new Promise(() => undefined);
+  }
 }
 
 function digestOf(
@@ -81,12 +94,27 @@
   );
 }
 
+/** Follows no evacuations of data centres. */
+function evacuationsOf(
+  follower: stateFollower.StateFollower,
+): evacuationFollower.EvacuationFollower {
+  return new evacuationFollower.EvacuationFollower(
+    0,
+    'gateway-0',
+    new CountingSource(1),
+    follower,
+    new gatewayMetrics.GatewayMetrics(new metrics.MetricsRegistry({})),
+    new jsonLog.JsonLog({}, '/dev/null'),
+  );
+}
+
 function createTransfer(
   t: ava.ExecutionContext,
   follower: stateFollower.StateFollower,
 ): stateTransfer.StateTransfer {
   const transfer = new stateTransfer.StateTransfer(
     follower,
+    evacuationsOf(follower),
     new jsonLog.JsonLog({}, '/dev/null'),
   );
   t.teardown(() => transfer.dispose());
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -157,6 +157,7 @@
         data_centre: 'a',
         ip,
         link_megabits: 0,
+        regions: {},
       },
       listen: {
         callers: `${ip}:0`,
@@ -167,6 +168,7 @@
       peers: {seeds: '127.0.0.1:1,127.0.0.2:1', digest_port: digestPort},
       platform: {store},
       shutdown: {grace_seconds: 8},
+      evacuation: {bound_milliseconds: 0},
       retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
     },
     registry,
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -91,6 +91,7 @@
           data_centre: 'a',
           ip: '127.0.0.1',
           link_megabits: 0,
+          regions: {},
         },
         listen: {
           callers: '127.0.0.1:0',
@@ -101,6 +102,7 @@
         peers: {seeds: '', digest_port: 0},
         platform: {store},
         shutdown: {grace_seconds: 8},
+        evacuation: {bound_milliseconds: 0},
         retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
       },
       registry,
