--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -220,6 +220,11 @@
     return this.services.members.live().length;
   }
 
+  /** Number of generations that wait for an instance. */
+  get waitingCount(): number {
+    return this.services.scheduler.waitingCount;
+  }
+
   /** Port that callers connect to. */
   get port(): number {
     return this.server.port;
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -285,12 +285,13 @@
   };
 }
 
-/** Whether the list has a revision, and entries that can all be decoded. */
+/** Whether the list has a revision, and no entry that cannot be decoded; an empty list may come without entries. */
 function isWholeList({entries, at}: Body): boolean {
+  const values: unknown = entries ?? [];
   return (
     typeof at === 'number' &&
-    Array.isArray(entries) &&
-    entries.every(each => objectCodec.decodeObject(each) !== undefined)
+    Array.isArray(values) &&
+    values.every(each => objectCodec.decodeObject(each) !== undefined)
   );
 }
 
--- a/standins/platform_objects.ts
+++ b/standins/platform_objects.ts
@@ -56,11 +56,12 @@
   address: string,
   state = 'ready',
   version = 'v1',
+  zone = 'a',
 ): object {
   return {
     service,
     address,
-    zone: 'a',
+    zone,
     slots: 24,
     state,
     version,
--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -39,6 +39,12 @@
 export class StoreStandin {
   /** Fault of every call from now on. */
   fault = StoreFault.None;
+  /** Kind of which every call is refused with 503; undefined for none. */
+  refusedKind: string | undefined;
+  /** Body of every answer in place of the right one; undefined for none. */
+  answer: unknown;
+  /** Runs after each call that was answered without a fault. */
+  onDidServe: () => void = () => undefined;
   readonly calls: string[] = [];
   private revision = 1;
   private compactedRevision = 0;
@@ -115,7 +121,15 @@
         response.writeHead(200).end('{"entries": [');
         return;
       case StoreFault.None:
+        if (request.url?.split(/[/?]/)[2] === this.refusedKind) {
+          response.writeHead(503).end();
+          return;
+        }
+        if (this.answer !== undefined) {
+          return sendJson(response, this.answer);
+        }
         this.serve(new URL(request.url ?? '', 'http://store'), response);
+        this.onDidServe();
     }
   }
 
--- a/test/gateway/common/fleet/fleet_message.test.ts
+++ b/test/gateway/common/fleet/fleet_message.test.ts
@@ -1,6 +1,7 @@
 /** Messages between gateways: bounds, other builds and bad input. */
 import * as ava from 'ava';
 import * as fastCheck from 'fast-check';
+import * as evacuatedDataCentres from '../../../../src/gateway/common/availability/evacuated_data_centres';
 import * as fleetMessage from '../../../../src/gateway/common/fleet/fleet_message';
 import * as memberTable from '../../../../src/gateway/common/fleet/member_table';
 import * as runTable from '../../../../src/gateway/common/run_table';
@@ -125,3 +126,53 @@
     t.is(fleetMessage.parse(bytes), undefined);
   }
 });
+
+function withEvacuations(
+  evacuated: unknown,
+  written = message(),
+): fleetMessage.FleetMessage {
+  return {
+    ...written,
+    digest: {...written.digest, evacuated},
+  } as fleetMessage.FleetMessage;
+}
+
+test('fleet messages: evacuated data centres arrive as they were written, and malformed ones make a message unreadable', t => {
+  for (const evacuated of [
+    [0, []],
+    [12, ['galle', 'matara']],
+  ]) {
+    const valid = withEvacuations(evacuated);
+    t.deepEqual(fleetMessage.parse(fleetMessage.encode(valid).bytes), valid);
+  }
+  for (const evacuated of [
+    [-1, []],
+    ['1', []],
+    [1],
+    [1, ['']],
+    [1, ['a'.repeat(65)]],
+    [1, Array.from({length: 65}, (_, index) => `z-${index}`)],
+    [1, 'galle'],
+    null,
+  ]) {
+    const bytes = Buffer.from(JSON.stringify(withEvacuations(evacuated)));
+    t.is(fleetMessage.parse(bytes), undefined);
+  }
+});
+
+test('fleet messages: the largest set of evacuated data centres is sent beside the heaviest loads, within the bound', t => {
+  const {MAX_DATA_CENTRES, MAX_NAME_BYTES} = evacuatedDataCentres;
+  const names = Array.from({length: MAX_DATA_CENTRES}, (_, index) =>
+    `z-${index}`.padEnd(MAX_NAME_BYTES, 'x'),
+  );
+  const loads = Object.fromEntries(
+    Array.from({length: 1_400}, (_, index) => [
+      `i-a7e7f98677-${index}`,
+      {runs: 11, memoryTokens: 26_870.5, prefillTokens: 2_550.5},
+    ]),
+  );
+  const written = withEvacuations([1_000_000, names], message(loads));
+  const {bytes} = fleetMessage.encode(written);
+  t.true(bytes.length <= fleetMessage.MAX_MESSAGE_BYTES);
+  t.deepEqual(fleetMessage.parse(bytes)?.digest.evacuated?.[1], names);
+});
--- a/test/gateway/gateway_settings.test.ts
+++ b/test/gateway/gateway_settings.test.ts
@@ -32,7 +32,35 @@
   t.is(settings.shutdown.grace_seconds, 8);
 });
 
+test('gateway settings: without the section, or with its value left empty, no evacuations are followed', t => {
+  t.is(parse(TEXT)._unsafeUnwrap().evacuation.bound_milliseconds, 0);
+  const empty = `${TEXT}\n[evacuation]\nbound_milliseconds =\n`;
+  t.is(parse(empty)._unsafeUnwrap().evacuation.bound_milliseconds, 0);
+  const given = `${TEXT}\n[evacuation]\nbound_milliseconds = 5000\n`;
+  t.is(parse(given)._unsafeUnwrap().evacuation.bound_milliseconds, 5_000);
+});
+
+for (const [value, expected] of [
+  ['', {}],
+  ['{}', {}],
+  ['{"galle":"south","jaffna":"north"}', {galle: 'south', jaffna: 'north'}],
+  ['{"galle":{"region":"south","cost":2}}', {galle: 'south'}],
+  ['{"galle":{"site":"south"},"jaffna":null}', {}],
+] as const) {
+  test(`gateway settings: regions "${value}" are read`, t => {
+    const text = TEXT.replace('ip = ', `regions = ${value}\nip = `);
+    const parsed = parse(text);
+    t.deepEqual(parsed._unsafeUnwrap().instance.regions, expected);
+  });
+}
+
 for (const [title, from, to, message] of [
+  [
+    'regions that are not JSON',
+    'ip = ',
+    'regions = south\nip = ',
+    /section \[instance\], key regions: saw "south", expected regions by data centre, as a JSON object/,
+  ],
   [
     'a missing store',
     'store = 127.0.0.1:8742',
--- a/test/platform/metadata_store.test.ts
+++ b/test/platform/metadata_store.test.ts
@@ -64,6 +64,81 @@
   t.is(watched._unsafeUnwrapErr(), SourceError.HistoryLost);
 });
 
+test('store: a list of evacuated data centres has all pages, and the revision of its first page, so that a watch returns what changed between pages', async t => {
+  const {standin, store} = await start(t);
+  for (let index = 0; index < 7; index++) {
+    standin.put('evacuations', `zone-${index}`, {});
+  }
+  const revision = 8;
+  standin.onDidServe = () => {
+    standin.onDidServe = () => undefined;
+    standin.remove('evacuations', 'zone-0');
+  };
+  const listed = (await store.listEvacuations())._unsafeUnwrap();
+  t.is(listed.value.length, 7);
+  t.is(listed.revision, revision);
+  const watched = await store.watchEvacuations(listed.revision);
+  t.deepEqual(watched._unsafeUnwrap(), {
+    revision: revision + 1,
+    value: [{dataCentre: 'zone-0', isEvacuated: false}],
+  });
+});
+
+test('store: an empty list of evacuated data centres has a revision', async t => {
+  const {standin, store} = await start(t);
+  standin.put('config', 'main', {version: 1});
+  t.deepEqual((await store.listEvacuations())._unsafeUnwrap(), {
+    revision: 2,
+    value: [],
+  });
+});
+
+test('store: a watch of evacuated data centres waits 4 s and returns orders and withdrawals in their order', async t => {
+  const {standin, store} = await start(t);
+  const {revision} = (await store.listEvacuations())._unsafeUnwrap();
+  standin.put('evacuations', 'galle', {});
+  standin.remove('evacuations', 'galle');
+  standin.put('evacuations', 'galle', {});
+  const watched = await store.watchEvacuations(revision);
+  t.deepEqual(watched._unsafeUnwrap().value, [
+    {dataCentre: 'galle', isEvacuated: true},
+    {dataCentre: 'galle', isEvacuated: false},
+    {dataCentre: 'galle', isEvacuated: true},
+  ]);
+  t.is(
+    standin.calls.at(-1),
+    `/objects/evacuations?watch=${revision}&waitMs=4000`,
+  );
+});
+
+for (const [title, body] of [
+  ['no revision', {entries: [], hasMore: false}],
+  ['an entry without a name', {entries: [{meta: {}}], at: 3}],
+  ['entries of another type', {entries: 'none', at: 3}],
+] as const) {
+  test(`store: a list of evacuated data centres with ${title} fails instead of ending evacuations`, async t => {
+    const {standin, store} = await start(t);
+    standin.answer = body;
+    const listed = await store.listEvacuations();
+    t.is(listed._unsafeUnwrapErr(), SourceError.Malformed);
+  });
+}
+
+test('store: a watch of evacuated data centres with an unreadable event fails instead of skipping it', async t => {
+  const {standin, store} = await start(t);
+  standin.answer = {events: [{object: null, deleted: false}], at: 3};
+  const watched = await store.watchEvacuations(1);
+  t.is(watched._unsafeUnwrapErr(), SourceError.Malformed);
+});
+
+test('store: watching evacuated data centres from before the history fails with HistoryLost', async t => {
+  const {standin, store} = await start(t);
+  standin.put('evacuations', 'galle', {});
+  standin.compact();
+  const watched = await store.watchEvacuations(1);
+  t.is(watched._unsafeUnwrapErr(), SourceError.HistoryLost);
+});
+
 for (const [fault, error] of [
   [StoreFault.Busy, SourceError.Busy],
   [StoreFault.Reset, SourceError.Unreachable],
--- a/test/platform/object_codec.test.ts
+++ b/test/platform/object_codec.test.ts
@@ -82,3 +82,36 @@
   t.deepEqual(route.endpoints, [{endpoint: 's', weight: 90}]);
   t.is(decoded.customers, undefined);
 });
+
+for (const [value, expected] of [
+  [undefined, undefined],
+  [null, undefined],
+  [
+    ['south', 'north'],
+    ['south', 'north'],
+  ],
+  [[], []],
+  [['south', 7], ['south']],
+  ['south', []],
+] as const) {
+  test(`configuration: regionsAllowed ${JSON.stringify(value)} of a route and a tenant allows ${expected === undefined ? 'all regions' : JSON.stringify(expected)}`, t => {
+    const stored = objectCodec.decodeObject({
+      meta: {name: 'main', revision: 1},
+      spec: {
+        version: 3,
+        routes: [
+          {
+            hostname: 'h.example',
+            pathPrefix: '/a/',
+            type: 'streaming',
+            regionsAllowed: value,
+          },
+        ],
+        tenants: [{name: 'customer', apiKeys: ['k'], regionsAllowed: value}],
+      },
+    })!;
+    const decoded = objectCodec.decodeConfiguration(stored)!;
+    t.deepEqual(decoded.routes[0].allowedRegions, expected);
+    t.deepEqual(decoded.customers![0].allowedRegions, expected);
+  });
+}
