Allowed regions survive a rolling release: a configuration relayed by an older build is read again from the store

Cause: gateways of the build before relay configurations without regionsAllowed, which the new build would take as no restriction. Change: hasAllowedRegions marks configurations that were decoded with regions; without it the gateway reads the store once a second until it has one.

--- a/src/gateway/common/configuration.ts
+++ b/src/gateway/common/configuration.ts
@@ -89,4 +89,6 @@
   readonly limits: RequestLimits;
   /** Undefined when requests need no keys. */
   readonly customers?: readonly Customer[];
+  /** Whether allowed regions were read; absent if a gateway of an older build, which does not read them, relayed the configuration. */
+  readonly hasAllowedRegions?: boolean;
 }
--- a/src/gateway/common/route_index.ts
+++ b/src/gateway/common/route_index.ts
@@ -26,6 +26,16 @@
     }
   }
 
+  /** Whether the other configuration adds nothing: an older version, or the same one without more of its content. */
+  isAsNewAs(other: configuration.Configuration): boolean {
+    const {version, hasAllowedRegions} = this.configuration;
+    const isMoreComplete =
+      hasAllowedRegions !== true && other.hasAllowedRegions === true;
+    return (
+      other.version < version || (other.version === version && !isMoreComplete)
+    );
+  }
+
   /** Whether requests on non-public routes need an API key. */
   get needsKeys(): boolean {
     return this.configuration.customers !== undefined;
--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -1,5 +1,6 @@
 /** Serves the state of this gateway over HTTP, and fetches that of a peer that has newer state. */
 import * as http from 'node:http';
+import * as deadline from '../../../base/common/deadline';
 import * as disposable from '../../../base/common/disposable';
 import * as httpClient from '../../../base/node/http_client';
 import * as jsonLog from '../../../base/node/json_log';
@@ -13,6 +14,8 @@
 /** Time allowed for instances that a peer already has to arrive in a datagram, in milliseconds. */
 const RELAY_WAIT_MILLISECONDS = 20;
 const FETCH_TIMEOUT_MILLISECONDS = 800;
+/** Interval of reads of a configuration that a peer of an older build relayed incompletely, in milliseconds. */
+const COMPLETION_INTERVAL_MILLISECONDS = 1_000;
 const STATE_PATH = '/v1/state';
 
 /** Brings this gateway up to date with peers that are ahead of it. */
@@ -23,6 +26,8 @@
   private readonly configurationFetchDelay = new fetchDelay.FetchDelay();
   private readonly instancesFetchDelay = new fetchDelay.FetchDelay();
   private isFetching = false;
+  private isCompleting = false;
+  private isDisposed = false;
   /** Last digest with newer state that arrived during a fetch. */
   private next: peerDigest.PeerDigest | undefined;
 
@@ -48,6 +53,7 @@
   }
 
   dispose(): void {
+    this.isDisposed = true;
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -119,6 +125,7 @@
       // First, so that no request meets instances of an evacuated data centre.
       this.evacuations.applyPeerState(state, digest.name);
       this.follower.applyPeerState(state, digest.name);
+      void this.completeConfiguration();
     } catch (error) {
       this.log.write('peer-state-unavailable', {
         peer: digest.name,
@@ -137,6 +144,26 @@
     }
   }
 
+  /** Reads the configuration from the store while the one in force was relayed by a gateway that does not read allowed regions. */
+  private async completeConfiguration(): Promise<void> {
+    if (this.isCompleting) {
+      return;
+    }
+    this.isCompleting = true;
+    while (this.isConfigurationIncomplete && !this.isDisposed) {
+      await this.follower.refreshConfiguration(0);
+      await deadline.delay(COMPLETION_INTERVAL_MILLISECONDS);
+    }
+    this.isCompleting = false;
+  }
+
+  private get isConfigurationIncomplete(): boolean {
+    const {routes} = this.follower;
+    return (
+      routes !== undefined && routes.configuration.hasAllowedRegions !== true
+    );
+  }
+
   private serveState(
     request: http.IncomingMessage,
     response: http.ServerResponse,
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -295,7 +295,7 @@
     origin: string,
   ): void {
     const {version} = snapshot.value;
-    if (this.index !== undefined && version <= this.configurationVersion) {
+    if (this.index?.isAsNewAs(snapshot.value)) {
       return;
     }
     const previous = this.index?.configuration.version;
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -215,5 +215,6 @@
     customers: Array.isArray(spec.tenants)
       ? spec.tenants.map(decodeCustomer).filter(isDefined)
       : undefined,
+    hasAllowedRegions: true,
   };
 }
--- a/test/gateway/common/route_index.test.ts
+++ b/test/gateway/common/route_index.test.ts
@@ -37,3 +37,25 @@
   t.is(draws.filter(each => each === 'most').length, 90);
   t.is(draws.filter(each => each === 'few').length, 10);
 });
+
+for (const [version, hasAllowedRegions, otherVersion, otherHas, expected] of [
+  [2, true, 1, true, true],
+  [2, true, 2, true, true],
+  [2, true, 3, true, false],
+  [2, true, 3, undefined, false],
+  [2, undefined, 2, undefined, true],
+  [2, undefined, 2, true, false],
+  [2, true, 2, undefined, true],
+  [2, undefined, 1, true, true],
+] as const) {
+  test(`routes: version ${version} ${hasAllowedRegions ? 'with' : 'without'} regions is ${expected ? '' : 'not '}as new as ${otherVersion} ${otherHas ? 'with' : 'without'} them`, t => {
+    const index = new routeIndex.RouteIndex(
+      gatewayRecords.configurationOf({version, hasAllowedRegions}),
+    );
+    const other = gatewayRecords.configurationOf({
+      version: otherVersion,
+      hasAllowedRegions: otherHas,
+    });
+    t.is(index.isAsNewAs(other), expected);
+  });
+}
--- a/test/gateway/evacuation_follower.test.ts
+++ b/test/gateway/evacuation_follower.test.ts
@@ -205,10 +205,13 @@
       fleet.watchers.length === 3 &&
       fleet.watchers.every(each => old.includes(each)),
   );
-  fleet.store.put('evacuations', ZONE, {});
-  t.true((await untilInForce(fleet, true, current)) < BOUND);
-  fleet.store.remove('evacuations', ZONE);
-  t.true((await untilInForce(fleet, false, current)) < BOUND);
+  // At first the reads that each gateway makes at its start may help.
+  for (let round = 0; round < 3; round++) {
+    fleet.store.put('evacuations', ZONE, {});
+    t.true((await untilInForce(fleet, true, current)) < BOUND);
+    fleet.store.remove('evacuations', ZONE);
+    t.true((await untilInForce(fleet, false, current)) < BOUND);
+  }
 });
 
 test('evacuations: with the setting empty no gateway calls the store for them', async t => {
--- a/test/gateway/state_transfer.test.ts
+++ b/test/gateway/state_transfer.test.ts
@@ -161,3 +161,30 @@
   await until(() => follower.configurationVersion === 2);
   t.is(follower.configurationVersion, 2);
 });
+
+test('state transfer: a configuration relayed by a gateway that does not read allowed regions is read from the store as well, so that no restriction is lost', async t => {
+  const ahead = createFollower(new CountingSource(2));
+  const old = {version: 2, hasAllowedRegions: undefined};
+  ahead.applyPeerState(
+    {
+      configurationRevision: 2,
+      configuration: gatewayRecords.configurationOf(old),
+      instancesPosition: 0,
+      instances: [],
+    },
+    'gateway-2',
+  );
+  const address = `${IP}:${await freePorts.freeStreamPort(IP)}`;
+  createTransfer(t, ahead).listen(address);
+  const source = new CountingSource(1);
+  const follower = await startedFollower(source);
+  const transfer = createTransfer(t, follower);
+  source.version = 2;
+  transfer.fetchNewerState(digestOf(1, 2, address), performance.now());
+  await until(
+    () =>
+      follower.configurationVersion === 2 &&
+      follower.routes?.configuration.hasAllowedRegions === true,
+  );
+  t.is(follower.configurationVersion, 2);
+});
--- a/test/support/gateway_records.ts
+++ b/test/support/gateway_records.ts
@@ -39,6 +39,7 @@
       headerTimeoutMilliseconds: 1,
       idleTimeoutMilliseconds: 1,
     },
+    hasAllowedRegions: true,
     ...overrides,
   };
 }
