--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -1,10 +1,12 @@
 /** Serves the state of this gateway over HTTP, and fetches that of a peer that has newer state. */
 import * as http from 'node:http';
+import * as deadline from '../../../base/common/deadline';
 import * as disposable from '../../../base/common/disposable';
 import * as httpClient from '../../../base/node/http_client';
 import * as jsonLog from '../../../base/node/json_log';
 import * as fetchDelay from '../../common/fleet/fetch_delay';
 import * as peerDigest from '../../common/fleet/peer_digest';
+import * as evacuationFollower from '../evacuation_follower';
 import * as stateFollower from '../state_follower';
 
 /** Time allowed for a configuration that a peer already has to arrive by the own watch, in milliseconds. */
@@ -12,6 +14,8 @@
 /** Time allowed for instances that a peer already has to arrive in a datagram, in milliseconds. */
 const RELAY_WAIT_MILLISECONDS = 20;
 const FETCH_TIMEOUT_MILLISECONDS = 800;
+/** Interval of reads of a configuration that a peer of an older build relayed incompletely, in milliseconds. */
+const COMPLETION_INTERVAL_MILLISECONDS = 1_000;
 const STATE_PATH = '/v1/state';
 
 /** Brings this gateway up to date with peers that are ahead of it. */
@@ -22,11 +26,14 @@
   private readonly configurationFetchDelay = new fetchDelay.FetchDelay();
   private readonly instancesFetchDelay = new fetchDelay.FetchDelay();
   private isFetching = false;
+  private isCompleting = false;
+  private isDisposed = false;
   /** Last digest with newer state that arrived during a fetch. */
   private next: peerDigest.PeerDigest | undefined;
 
   constructor(
     private readonly follower: stateFollower.StateFollower,
+    private readonly evacuations: evacuationFollower.EvacuationFollower,
     private readonly log: jsonLog.JsonLog,
   ) {}
 
@@ -46,6 +53,7 @@
   }
 
   dispose(): void {
+    this.isDisposed = true;
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -114,7 +122,10 @@
       const state = JSON.parse(
         answer.body.toString('utf8'),
       ) as peerDigest.PeerState;
+      // First, so that no request meets instances of an evacuated data centre.
+      this.evacuations.applyPeerState(state, digest.name);
       this.follower.applyPeerState(state, digest.name);
+      void this.completeConfiguration();
     } catch (error) {
       this.log.write('peer-state-unavailable', {
         peer: digest.name,
@@ -133,6 +144,26 @@
     }
   }
 
+  /** Reads the configuration from the store while the one in force was relayed by a gateway that does not read allowed regions. */
+  private async completeConfiguration(): Promise<void> {
+    if (this.isCompleting) {
+      return;
+    }
+    this.isCompleting = true;
+    while (this.isConfigurationIncomplete && !this.isDisposed) {
+      await this.follower.refreshConfiguration(0);
+      await deadline.delay(COMPLETION_INTERVAL_MILLISECONDS);
+    }
+    this.isCompleting = false;
+  }
+
+  private get isConfigurationIncomplete(): boolean {
+    const {routes} = this.follower;
+    return (
+      routes !== undefined && routes.configuration.hasAllowedRegions !== true
+    );
+  }
+
   private serveState(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -141,7 +172,11 @@
       response.writeHead(404).end();
       return;
     }
-    const body = JSON.stringify(this.follower.peerState());
+    const state: peerDigest.PeerState = {
+      ...this.follower.peerState(),
+      evacuated: this.evacuations.toRelay(),
+    };
+    const body = JSON.stringify(state);
     response
       .writeHead(200, {
         'Content-Type': 'application/json',
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -11,6 +11,10 @@
 export const WATCH_WAIT_MILLISECONDS = 2_000;
 /** Time beyond the wait after which a watch times out, in milliseconds. */
 const WATCH_MARGIN_MILLISECONDS = 500;
+/** The same wait for evacuated data centres, which change rarely while every call is priced. */
+export const EVACUATION_WAIT_MILLISECONDS = 4_000;
+/** Time beyond that wait, in milliseconds; shorter, so that after a silent watch a list and its relaying still fit into 5 s. */
+const EVACUATION_MARGIN_MILLISECONDS = 300;
 
 /** Reads configuration and instances from the store over HTTP. */
 export class MetadataStore extends stateSource.StateSource {
@@ -103,6 +107,60 @@
     }));
   }
 
+  async listEvacuations(): stateSource.SourceResult<
+    stateSource.Snapshot<string[]>
+  > {
+    const names: string[] = [];
+    let revision: number | undefined;
+    let query = '';
+    for (;;) {
+      const path = `/objects/${wireNames.Kinds.evacuations}${query}`;
+      const read = await this.call(
+        'list',
+        path,
+        storeConnection.CALL_TIMEOUT_MILLISECONDS,
+      );
+      if (read.isErr()) {
+        return neverthrow.err(read.error);
+      }
+      if (!isWholeList(read.value)) {
+        return neverthrow.err(stateSource.SourceError.Malformed);
+      }
+      const page = decodePage(read.value);
+      // Changes between two pages are among those that a watch from the first page returns.
+      revision ??= page.revision;
+      names.push(...page.objects.map(each => each.name));
+      if (!page.hasMore || page.lastName === undefined) {
+        return neverthrow.ok({revision, value: names});
+      }
+      query = `?sinceRev=${encodeURIComponent(page.lastName)}`;
+    }
+  }
+
+  async watchEvacuations(
+    revision: number,
+  ): stateSource.SourceResult<
+    stateSource.Snapshot<stateSource.EvacuationChange[]>
+  > {
+    const watched = await this.watch(
+      wireNames.Kinds.evacuations,
+      revision,
+      EVACUATION_WAIT_MILLISECONDS,
+      EVACUATION_MARGIN_MILLISECONDS,
+    );
+    return watched.andThen(({revision: at, value: events, unreadableCount}) =>
+      unreadableCount > 0
+        ? neverthrow.err(stateSource.SourceError.Malformed)
+        : neverthrow.ok({
+            revision: at,
+            value: events.map(({name, stored}) => ({
+              dataCentre: name,
+              isEvacuated: stored !== undefined,
+            })),
+          }),
+    );
+  }
+
   /** Closes all connections. */
   dispose(): void {
     this.connection.dispose();
@@ -111,12 +169,14 @@
   private async watch(
     kind: string,
     revision: number,
-  ): stateSource.SourceResult<stateSource.Snapshot<WatchEvent[]>> {
-    const path = `/objects/${kind}?watch=${revision}&waitMs=${WATCH_WAIT_MILLISECONDS}`;
+    waitMilliseconds = WATCH_WAIT_MILLISECONDS,
+    marginMilliseconds = WATCH_MARGIN_MILLISECONDS,
+  ): stateSource.SourceResult<WatchAnswer> {
+    const path = `/objects/${kind}?watch=${revision}&waitMs=${waitMilliseconds}`;
     const answer = await this.call(
       'watch',
       path,
-      WATCH_WAIT_MILLISECONDS + WATCH_MARGIN_MILLISECONDS,
+      waitMilliseconds + marginMilliseconds,
     );
     return answer.andThen(body => {
       if (typeof body.at !== 'number') {
@@ -126,7 +186,8 @@
       const value = events
         .map(decodeEvent)
         .filter(event => event !== undefined);
-      return neverthrow.ok({revision: body.at, value});
+      const unreadableCount = events.length - value.length;
+      return neverthrow.ok({revision: body.at, value, unreadableCount});
     });
   }
 
@@ -145,6 +206,12 @@
   readonly stored: objectCodec.StoredObject | undefined;
 }
 
+/** Events of a watch. */
+interface WatchAnswer extends stateSource.Snapshot<WatchEvent[]> {
+  /** Number of events that could not be decoded and are left out. */
+  readonly unreadableCount: number;
+}
+
 function decodeEvent(value: unknown): WatchEvent | undefined {
   const event = value as {object?: unknown; deleted?: unknown} | null;
   const stored = objectCodec.decodeObject(event?.object);
@@ -157,6 +224,16 @@
   };
 }
 
+/** Whether the list has a revision, and no entry that cannot be decoded; an empty list may come without entries. */
+function isWholeList({entries, at}: storeConnection.Body): boolean {
+  const values: unknown = entries ?? [];
+  return (
+    typeof at === 'number' &&
+    Array.isArray(values) &&
+    values.every(each => objectCodec.decodeObject(each) !== undefined)
+  );
+}
+
 /** One page of a list. */
 export interface Page {
   readonly objects: objectCodec.StoredObject[];
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -6,6 +6,9 @@
 /** Timeout of a read or write, in milliseconds; the store answers in about 4 ms. */
 export const CALL_TIMEOUT_MILLISECONDS = 600;
 
+/** Maximum number of connections: one for each watch, the others for reads and writes in between. */
+const MAX_CONNECTIONS = 6;
+
 /** Address of the store, and a listener that is notified of each call. */
 export interface StoreOptions {
   /** IP and port. */
@@ -35,7 +38,10 @@
 
 /** Keeps connections to the store open between calls. */
 export class StoreConnection {
-  private readonly agent = new http.Agent({keepAlive: true, maxSockets: 4});
+  private readonly agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: MAX_CONNECTIONS,
+  });
 
   constructor(private readonly options: StoreOptions) {}
 
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -76,6 +76,8 @@
   configuration: 'config',
   /** Of this product: software versions that began streams. */
   streamVersions: 'stream-versions',
+  /** Named after the data centre that is evacuated. */
+  evacuations: 'evacuations',
 } as const;
 
 /** Name of the only object of the configuration's kind. */
