--- a/src/gateway/common/availability/instance_availability.ts
+++ b/src/gateway/common/availability/instance_availability.ts
@@ -84,4 +84,20 @@
   ): boolean {
     return this.find(instance, request, now) === undefined;
   }
+
+  /** Monotonic milliseconds from which the first of the instances that are in back-off may take the request; undefined if none is. */
+  backOffEnd(
+    instances: readonly instanceTable.Instance[],
+    request: AvailabilityRequest,
+    now: number,
+  ): number | undefined {
+    let first: number | undefined;
+    for (const instance of instances) {
+      const unavailability = this.find(instance, request, now);
+      if (unavailability?.reason === UnavailableReason.BackOff) {
+        first = Math.min(first ?? Infinity, unavailability.until ?? Infinity);
+      }
+    }
+    return first;
+  }
 }
--- a/src/gateway/common/configuration.ts
+++ b/src/gateway/common/configuration.ts
@@ -59,6 +59,10 @@
   readonly maxConnections: number;
   /** Undefined for plain services. */
   readonly engine?: EngineProfile;
+  /** Requests a second that a cold instance takes from all gateways together; 0 or absent if there is no such limit. */
+  readonly rampRequestsPerSecond?: number;
+  /** Time for which an instance is cold after its start; 0 or absent if unknown. */
+  readonly warmUpMilliseconds?: number;
 }
 
 /** Limits on the size of a caller's request, and on how long it may take or stay idle. */
--- a/src/gateway/common/fleet/direct_message.ts
+++ b/src/gateway/common/fleet/direct_message.ts
@@ -34,6 +34,12 @@
 /** A limit with the incarnation of its instance. */
 export const relayedLimitSchema = zod.z.tuple([life, rate.nullable(), age]);
 
+const flag = zod.z.union([zod.z.literal(0), zod.z.literal(1)]);
+/** See `WarmUpUpdate`. */
+const warmUpUpdate = [age, age, count, flag] as const;
+/** A warm-up with the incarnation of its instance. */
+export const relayedWarmUpSchema = zod.z.tuple([life, ...warmUpUpdate]);
+
 const messageSchema = zod.z.object({
   direct: zod.z.object({
     permitRequest: zod.z
@@ -42,6 +48,7 @@
         life,
         wanted: count.max(instancePermits.MAX_WANTED),
         limit: limitUpdateSchema,
+        ramp: zod.z.tuple([rate, ...warmUpUpdate]).optional(),
       })
       .optional(),
     begunStreams: zod.z
@@ -62,6 +69,8 @@
         granted: count.max(instancePermits.MAX_WANTED),
         retryMilliseconds: age,
         limit: limitUpdateSchema.optional(),
+        isCold: zod.z.boolean().optional(),
+        warmUp: zod.z.tuple([...warmUpUpdate]).optional(),
       })
       .optional(),
   }),
--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -61,6 +61,8 @@
 const MAX_SUSPECTS = 64;
 const MAX_CRASHES_PER_SUSPECT = 16;
 const MAX_LIMITS = 64;
+/** Longest identifier of an incarnation with its address, in characters. */
+const MAX_LEAVING_LENGTH = 300;
 
 const finite = zod.z.number().refine(Number.isFinite);
 /** Time since something, in milliseconds. */
@@ -113,6 +115,14 @@
       .array(directMessage.relayedLimitSchema)
       .max(MAX_LIMITS)
       .optional(),
+    warmUps: zod.z
+      .array(directMessage.relayedWarmUpSchema)
+      .max(MAX_LIMITS)
+      .optional(),
+    leaving: zod.z
+      .array(zod.z.tuple([zod.z.string().min(1).max(MAX_LEAVING_LENGTH), age]))
+      .max(MAX_LIMITS)
+      .optional(),
     messageVersion: finite.optional(),
     reports: zod.z
       .array(zod.z.tuple([zod.z.string(), finite, finite, finite]))
@@ -226,6 +236,10 @@
       digest: {...message.digest, promptParts: undefined},
     }),
   ],
+  [
+    'warmUps',
+    message => ({...message, digest: {...message.digest, warmUps: undefined}}),
+  ],
   [
     'limits',
     message => ({...message, digest: {...message.digest, limits: undefined}}),
--- a/src/gateway/common/fleet/member_table.ts
+++ b/src/gateway/common/fleet/member_table.ts
@@ -281,6 +281,11 @@
     );
   }
 
+  /** All members, also those that have been gone for up to a minute. */
+  all(): readonly Member[] {
+    return this.pool;
+  }
+
   /** Addresses of all live members. */
   liveAddresses(): string[] {
     return this.live().map(each => each.ip);
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -3,7 +3,9 @@
 import * as crashTable from '../crash_table';
 import * as engineReports from '../engine_reports';
 import * as instanceTable from '../instance_table';
+import * as leavingInstances from '../leaving_instances';
 import * as instanceLimits from '../limits/instance_limits';
+import * as warmUps from '../limits/warm_ups';
 import * as promptPartTable from '../prompt_part_table';
 import * as runTable from '../run_table';
 
@@ -30,6 +32,10 @@
   readonly promptParts?: readonly promptPartTable.RelayedSuspect[];
   /** Limits that instances name; absent when there are none, and from older builds. */
   readonly limits?: readonly instanceLimits.RelayedLimit[];
+  /** Answers that said how long their instances stay cold; absent when there are none, and from older builds. */
+  readonly warmUps?: readonly warmUps.RelayedWarmUp[];
+  /** Instances that said themselves that they are about to stop; absent when there are none, and from older builds. */
+  readonly leaving?: readonly leavingInstances.RelayedLeaving[];
   /** Engine reports that the gateway read itself; absent when there are none. */
   readonly reports?: readonly engineReports.RelayedReport[];
   /** IPs of other gateways; filled by the build before the fleet part, whose readers require the field. */
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -78,8 +78,29 @@
   return error === SendError.NeverSent || error === SendError.Withdrawn;
 }
 
+/** A time that an instance names in an answer. */
+export interface AnswerTime {
+  /** Undefined if the text is no time; at most an hour. */
+  readonly milliseconds: number | undefined;
+  /** The time as the instance wrote it, shortened. */
+  readonly text: string;
+}
+
+/** What an instance says of itself in an answer; undefined parts are not in the answer. */
+export interface InstanceStatements {
+  /** Limit that the instance names. */
+  readonly limit: instanceLimits.AnswerLimit | undefined;
+  /** Time until the instance is warm. */
+  readonly warmUp: AnswerTime | undefined;
+  /** Time after which the instance asks to be sent requests again. */
+  readonly retryAfter: AnswerTime | undefined;
+  /** Whether the instance is about to stop, and its text, shortened. */
+  readonly leaving:
+    {readonly isLeaving: boolean; readonly text: string} | undefined;
+}
+
 /** Status and headers of an instance's response; the body is still to be read. */
-export interface InstanceResponse {
+export interface InstanceResponse extends InstanceStatements {
   readonly status: number;
   /** Whether the instance states that it did not execute the request. */
   readonly isNotExecuted: boolean;
@@ -87,8 +108,6 @@
   readonly isFromOtherInstance: boolean;
   /** Whether the response carries the server stamp that a success requires. */
   readonly hasServerStamp: boolean;
-  /** Limit that the instance names; undefined if it names none. */
-  readonly limit: instanceLimits.AnswerLimit | undefined;
   /** Headers to forward to the caller: name, value, name, value. */
   readonly passedHeaders: readonly string[];
   readonly body: ResponseBody;
--- a/src/gateway/common/instance_table.ts
+++ b/src/gateway/common/instance_table.ts
@@ -1,4 +1,6 @@
 /** Endpoint instances as seen by a gateway: their registered records and their observed behavior. */
+import * as rxjs from 'rxjs';
+import * as leavingInstances from './leaving_instances';
 
 /** Registered state of an instance. */
 export enum InstanceState {
@@ -17,6 +19,8 @@
   readonly slots: number;
   /** Time for which the instance stays slow after its start, as of its registration. */
   readonly warmUpMilliseconds: number;
+  /** Revision at which the registration named that time; absent if it names none, and from older builds. */
+  readonly warmUpRevision?: number;
   /** Start of this incarnation in Unix milliseconds; 0 when not given. Distinguishes incarnations with the same id. */
   readonly startedAt: number;
   /**
@@ -40,6 +44,16 @@
 /** Weight of one outcome in the moving average of the failure rate. */
 const OUTCOME_WEIGHT = 0.15;
 
+/** Time in which the failure rate halves without requests, in milliseconds. */
+const FAILURE_HALF_LIFE_MILLISECONDS = 2_000;
+
+/** Weight of a success after rejections, which are a state of the instance rather than chance. */
+const RECOVERY_WEIGHT = 0.5;
+/** Time without an answer after which an instance that rejected requests gets one, in milliseconds. */
+const PROBE_INTERVAL_MILLISECONDS = 1_000;
+/** Failure rate below which an instance is chosen as often as others. */
+const MIN_PROBED_RATE = 0.02;
+
 /** Minimum failure rate assigned to an instance that accepts no connections. */
 const UNREACHABLE_FAILURE_RATE = 0.9;
 
@@ -52,8 +66,12 @@
   drainingAt: number | undefined;
   /** Number of requests of this gateway without a complete response. */
   openRequests: number;
-  /** Moving average of the share of requests that the instance failed. */
+  /** Moving average of the share of requests that the instance failed, as of the last request; see `failureRateOf`. */
   failureRate: number;
+  /** Monotonic milliseconds of the last change of the failure rate; 0 before the first. */
+  failureRateAt: number;
+  /** Whether the last failure was an answer that the request was not run. */
+  hasRejectedLast: boolean;
   /** Monotonic milliseconds of the last failure; 0 before the first. */
   lastFailureAt: number;
   /** Monotonic milliseconds of the last complete response; 0 before the first. */
@@ -69,6 +87,10 @@
 
 /** Instances as of the latest known state of the registry. */
 export class InstanceTable {
+  /** Fires with registrations that name another time until their instances are warm than before. */
+  readonly onDidChangeWarmUp = new rxjs.Subject<InstanceRecord>();
+  /** Instances that said themselves that they are about to stop. */
+  readonly leaving = new leavingInstances.LeavingInstances();
   private instances = new Map<string, Instance>();
   private byEndpoint = new Map<string, Instance[]>();
 
@@ -102,7 +124,11 @@
       if (instance !== existing) {
         added.push(instance);
       }
-      if (updateState(instance, record, now)) {
+      if (hasOtherWarmUp(existing, instance, record)) {
+        this.onDidChangeWarmUp.next(record);
+      }
+      const leavingAt = this.leaving.get(record, now);
+      if (updateState(instance, record, leavingAt, now)) {
         drained.push(instance);
       }
       next.set(record.id, instance);
@@ -116,6 +142,30 @@
     return {added, drained, removed};
   }
 
+  /** Marks an instance as draining that says that it is about to stop; returns whether it was not draining before. */
+  markLeaving(instance: Instance, now: number): boolean {
+    this.leaving.recordOwn(instance.record, now);
+    const wasReady = instance.drainingAt === undefined;
+    instance.drainingAt ??= now;
+    return wasReady;
+  }
+
+  /** Adds what peers were told by instances; returns those that are known here. */
+  mergeLeaving(
+    relayed: readonly leavingInstances.RelayedLeaving[],
+    now: number,
+  ): Instance[] {
+    const added = this.leaving.merge(relayed, now);
+    return added
+      .map(key => ({key, instance: this.get(leavingInstances.idOf(key))}))
+      .filter(
+        ({key, instance}) =>
+          instance !== undefined &&
+          leavingInstances.keyOf(instance.record) === key,
+      )
+      .map(({instance}) => instance!);
+  }
+
   private index(): void {
     this.byEndpoint = new Map();
     for (const instance of this.instances.values()) {
@@ -126,14 +176,27 @@
   }
 }
 
+/** Share of requests that the instance is expected to fail; an instance that gets no requests may have recovered. */
+export function failureRateOf(
+  {failureRate, failureRateAt}: Instance,
+  now: number,
+): number {
+  const halfLives = (now - failureRateAt) / FAILURE_HALF_LIFE_MILLISECONDS;
+  return failureRate * 0.5 ** Math.max(0, halfLives);
+}
+
 /** Records the outcome of a request at the instance. */
 export function recordOutcome(
   instance: Instance,
   isFailure: boolean,
   now: number,
 ): void {
-  instance.failureRate +=
-    OUTCOME_WEIGHT * ((isFailure ? 1 : 0) - instance.failureRate);
+  const rate = failureRateOf(instance, now);
+  const isRecovery = !isFailure && instance.hasRejectedLast;
+  const weight = isRecovery ? RECOVERY_WEIGHT : OUTCOME_WEIGHT;
+  instance.failureRate = rate + weight * ((isFailure ? 1 : 0) - rate);
+  instance.failureRateAt = now;
+  instance.hasRejectedLast &&= !isFailure;
   if (isFailure) {
     instance.lastFailureAt = now;
   } else {
@@ -141,15 +204,38 @@
   }
 }
 
+/** Records that the instance answered that it did not run a request. */
+export function recordRejection(instance: Instance, now: number): void {
+  recordOutcome(instance, true, now);
+  instance.hasRejectedLast = true;
+}
+
 /** Records that no connection could be made, which weighs more than one failed request. */
 export function recordUnreachable(instance: Instance, now: number): void {
   instance.failureRate = Math.max(
-    instance.failureRate,
+    failureRateOf(instance, now),
     UNREACHABLE_FAILURE_RATE,
   );
+  instance.failureRateAt = now;
+  instance.hasRejectedLast = false;
   instance.lastFailureAt = now;
 }
 
+/**
+ * Whether the next request is to find out if the instance still rejects
+ * requests. A rejected request is sent elsewhere at once, whereas an instance
+ * that is avoided until its failure rate has aged stays idle for many seconds.
+ */
+export function isDueForProbe(instance: Instance, now: number): boolean {
+  const lastAt = Math.max(instance.lastFailureAt, instance.lastSuccessAt);
+  return (
+    instance.hasRejectedLast &&
+    instance.openRequests === 0 &&
+    now - lastAt >= PROBE_INTERVAL_MILLISECONDS &&
+    failureRateOf(instance, now) > MIN_PROBED_RATE
+  );
+}
+
 /** Whether the instance has completed no response since its last failure. */
 export function isSuspect(instance: Instance): boolean {
   return instance.lastFailureAt > instance.lastSuccessAt;
@@ -167,6 +253,19 @@
   );
 }
 
+/** Whether the record names another time until the instance is warm than what is known of it; called before `updateState`. */
+function hasOtherWarmUp(
+  existing: Instance | undefined,
+  instance: Instance,
+  record: InstanceRecord,
+): boolean {
+  const known = instance === existing ? instance.record : undefined;
+  return (
+    record.warmUpMilliseconds !== (known?.warmUpMilliseconds ?? 0) ||
+    record.warmUpRevision !== known?.warmUpRevision
+  );
+}
+
 function createInstance(record: InstanceRecord, now: number): Instance {
   return {
     record,
@@ -174,25 +273,28 @@
     drainingAt: undefined,
     openRequests: 0,
     failureRate: 0,
+    failureRateAt: 0,
+    hasRejectedLast: false,
     lastFailureAt: 0,
     lastSuccessAt: 0,
   };
 }
 
-/** Updates the record; returns whether the instance has started to drain. */
+/** Updates the record; returns whether the instance has started to drain. Its own word counts more than its record. */
 function updateState(
   instance: Instance,
   record: InstanceRecord,
+  leavingAt: number | undefined,
   now: number,
 ): boolean {
   instance.record = record;
-  if (record.state !== InstanceState.Draining) {
+  if (record.state !== InstanceState.Draining && leavingAt === undefined) {
     instance.drainingAt = undefined;
     return false;
   }
   if (instance.drainingAt !== undefined) {
     return false;
   }
-  instance.drainingAt = now;
+  instance.drainingAt = leavingAt ?? now;
   return true;
 }
--- a/src/gateway/common/limits/instance_permits.ts
+++ b/src/gateway/common/limits/instance_permits.ts
@@ -1,29 +1,24 @@
 /**
  * Decides whether this gateway may send a request to an instance that names a
- * limit. Permits come from the gateway that coordinates the instance; while
- * that one does not answer, each gateway uses its share of the limit alone.
- * Stepped by the caller's clock.
+ * limit or is cold. Permits come from the gateway that coordinates the instance;
+ * while that one does not answer, gateways use their shares alone. Stepped by
+ * the caller's clock.
  */
 import * as rxjs from 'rxjs';
 import * as instanceTable from '../instance_table';
 import * as coordinatorElection from './coordinator_election';
 import * as instanceLimits from './instance_limits';
+import * as instanceRates from './instance_rates';
 import * as limitPolicy from './limit_policy';
 import * as rateBucket from '../rate_bucket';
+import * as permitAccount from './permit_account';
 import * as permitIssuer from './permit_issuer';
+import * as warmUps from './warm_ups';
 
-/** Time after which a request for permits counts as unanswered, in milliseconds; longer than a round trip between regions. */
-const ANSWER_TIMEOUT_MILLISECONDS = 250;
-/** Time between requests to a coordinator that does not answer, in milliseconds; doubled with each further request. */
-const MIN_SILENT_RETRY_MILLISECONDS = 1_000;
-const MAX_SILENT_RETRY_MILLISECONDS = 8_000;
 /** Period of use for which permits are requested in advance, in seconds. */
 const ADVANCE_SECONDS = 0.2;
 /** Most permits in one request. */
 export const MAX_WANTED = 256;
-/** Window over which the use of permits is measured, in milliseconds. */
-const USE_WINDOW_MILLISECONDS = 1_000;
-
 /** Incarnations with an account; the oldest are forgotten first, and begin again without permits. */
 const MAX_ACCOUNTS = 4_096;
 
@@ -49,6 +44,8 @@
   readonly life: string;
   readonly wanted: number;
   readonly limit: instanceLimits.LimitUpdate;
+  /** Absent unless the instance is cold, and from older builds. */
+  readonly ramp?: instanceRates.RampUpdate;
 }
 
 /** The answer of a coordinator. */
@@ -59,6 +56,10 @@
   readonly retryMilliseconds: number;
   /** What the coordinator knows of the limit; absent if nothing. */
   readonly limit?: instanceLimits.LimitUpdate;
+  /** Whether the permits keep to a ramp; absent unless the request told of one, and from older builds, which issue no such permits. */
+  readonly isCold?: boolean;
+  /** What the coordinator knows of the warm-up, if that differs from the request. */
+  readonly warmUp?: warmUps.WarmUpUpdate;
 }
 
 /** Why an instance is not chosen. */
@@ -84,45 +85,28 @@
   readonly instance: instanceTable.Instance;
 }
 
-interface Account {
-  permits: number;
-  /** Monotonic milliseconds until which the permits are valid. */
-  validUntil: number;
-  /** IP of the coordinator as of the last request; undefined if there was none. */
-  coordinator: string | undefined;
-  /** Requests in a row that it did not answer. */
-  unanswered: number;
-  pending: {readonly sequence: number; readonly sentAt: number} | undefined;
-  /** Monotonic milliseconds from which the coordinator may be sent a request. */
-  requestAt: number;
-  /** Accrues the own share; undefined while the coordinator answers. */
-  share: rateBucket.RateBucket | undefined;
-  /** Permits used since the window began, and in the window before. */
-  used: number;
-  usedBefore: number;
-  windowStart: number;
-}
-
 /** Permits of one gateway by incarnation of an instance. */
 export class InstancePermits {
   /** Fires with the incarnation when its coordinator has answered or its limit has changed. */
   readonly onDidSettle = new rxjs.Subject<string>();
-  private readonly accounts = new Map<string, Account>();
+  private readonly accounts = new Map<string, permitAccount.Account>();
   private lastSequence = 0;
 
   constructor(
-    private readonly limits: instanceLimits.InstanceLimits,
+    private readonly rates: instanceRates.InstanceRates,
     private readonly election: coordinatorElection.CoordinatorElection,
     private readonly issuer: permitIssuer.PermitIssuer,
     private readonly send: (ip: string, request: PermitRequest) => void,
     private readonly ownIp: string,
   ) {
-    limits.onDidChange.subscribe(({life, requestsPerSecond}) => {
+    rates.limits.onDidChange.subscribe(({life, requestsPerSecond}) => {
       if (requestsPerSecond === undefined) {
         this.accounts.delete(life);
       }
-      this.onDidSettle.next(life);
     });
+    // Permits and a share of a limit are worth more than those of a ramp.
+    rates.cold.onDidChange.subscribe(({life}) => this.accounts.delete(life));
+    rates.onDidChange.subscribe(life => this.onDidSettle.next(life));
   }
 
   /** Lets `pick` choose among the instances that are not barred, until there is a permit for its choice. */
@@ -155,39 +139,48 @@
 
   /** Takes a permit for one request. */
   tryAcquire(life: string, now: number): Acquisition {
-    const limit = this.limits.get(life);
-    if (limit === undefined) {
+    const allowance = this.rates.allowanceOf(life, now);
+    if (allowance === undefined) {
       return granted(now);
     }
     const account = this.accountOf(life, now);
-    if (takeValid(account, now)) {
+    if (permitAccount.takeValid(account, now)) {
       return granted(now);
     }
     const coordinator = this.election.coordinatorOf(life, now);
-    changeCoordinator(account, coordinator.ip, now);
+    permitAccount.changeCoordinator(account, coordinator.ip, now);
     if (coordinator.ip === undefined) {
-      return this.takeShare(account, limit, now);
+      return this.takeShare(life, account, allowance, now);
     }
     return coordinator.isOwn
-      ? this.issueToSelf(life, account, limit, now)
-      : this.requestPermit(coordinator.ip, life, account, limit, now);
+      ? this.issueToSelf(life, account, allowance, now)
+      : this.requestPermit(coordinator.ip, life, account, allowance, now);
   }
 
   /** Records the answer of a coordinator. */
   receiveGrant(grant: PermitGrant, now: number): void {
     const {life, sequence} = grant;
     if (grant.limit !== undefined) {
-      this.limits.applyUpdate(life, grant.limit, now);
+      this.rates.limits.applyUpdate(life, grant.limit, now);
+    }
+    if (grant.warmUp !== undefined) {
+      this.rates.cold.applyUpdate(life, grant.warmUp, now);
     }
     const account = this.accounts.get(life);
-    if (account?.pending?.sequence === sequence) {
-      const {sentAt} = account.pending;
+    const pending = account?.pending;
+    // A coordinator of an older build knows nothing of ramps, so its answer counts as none.
+    const isUsable = pending?.hasRamp === false || grant.isCold !== undefined;
+    if (account !== undefined && pending?.sequence === sequence && isUsable) {
+      const {sentAt, hasRamp} = pending;
       account.pending = undefined;
       account.unanswered = 0;
       account.share = undefined;
       account.requestAt = now + grant.retryMilliseconds;
       account.permits = grant.granted;
-      account.validUntil = sentAt + limitPolicy.PERMIT_LIFETIME_MILLISECONDS;
+      const lifetime = limitPolicy.permitLifetime({
+        ramp: hasRamp ? 1 : undefined,
+      });
+      account.validUntil = sentAt + lifetime;
     }
     this.onDidSettle.next(life);
   }
@@ -198,32 +191,55 @@
     request: PermitRequest,
     now: number,
   ): PermitGrant | undefined {
-    const {life, sequence, wanted} = request;
-    this.limits.applyUpdate(life, request.limit, now);
+    const {life, sequence, wanted, ramp} = request;
+    const {rates} = this;
+    rates.limits.applyUpdate(life, request.limit, now);
+    if (ramp !== undefined) {
+      rates.cold.applyUpdate(life, warmUpOf(ramp), now);
+    }
     const isOwn = this.election.coordinatorOf(life, now).isOwn;
     if (!isOwn || !this.issuer.mayAnswer(now)) {
       return undefined;
     }
-    const limit = this.limits.get(life);
-    // Without a limit the answer tells the gateway that it has ended.
+    const allowance = rates.allowanceFor(life, ramp?.[0], now);
+    // Without an allowance the answer tells the gateway that it has ended.
     const issue =
-      limit === undefined
+      allowance === undefined
         ? {granted: 0, retryMilliseconds: 0}
-        : this.issuer.issue(gateway, life, wanted, limit, now);
-    return {sequence, life, ...issue, limit: this.limits.updateFor(life, now)};
+        : this.issuer.issue(
+            gateway,
+            life,
+            wanted,
+            allowance,
+            this.election.strengthFor(life, now),
+            now,
+          );
+    const limitUpdate = rates.limits.updateFor(life, now);
+    const grant = {sequence, life, ...issue, limit: limitUpdate};
+    if (ramp === undefined) {
+      return grant;
+    }
+    const isSame = rates.cold.matches(life, warmUpOf(ramp), now);
+    return {
+      ...grant,
+      isCold: allowance?.ramp !== undefined,
+      warmUp: isSame ? undefined : rates.cold.updateFor(life, now),
+    };
   }
 
   private issueToSelf(
     life: string,
-    account: Account,
-    limit: number,
+    account: permitAccount.Account,
+    allowance: limitPolicy.Allowance,
     now: number,
   ): Acquisition {
     account.share = undefined;
     if (now < account.requestAt) {
       return denied(account.requestAt);
     }
-    const issue = this.issuer.issue(this.ownIp, life, 1, limit, now);
+    const strength = this.election.strengthFor(life, now);
+    const {ownIp, issuer} = this;
+    const issue = issuer.issue(ownIp, life, 1, allowance, strength, now);
     if (issue.granted > 0) {
       account.used++;
       return granted(now);
@@ -235,18 +251,18 @@
   private requestPermit(
     ip: string,
     life: string,
-    account: Account,
-    limit: number,
+    account: permitAccount.Account,
+    allowance: limitPolicy.Allowance,
     now: number,
   ): Acquisition {
-    giveUpUnanswered(account, now);
+    permitAccount.giveUpUnanswered(account, now);
     if (account.pending === undefined && now >= account.requestAt) {
       this.sendRequest(ip, life, account, now);
     }
     const fromShare =
       account.share === undefined
         ? denied(Infinity)
-        : this.takeShare(account, limit, now);
+        : this.takeShare(life, account, allowance, now);
     if (fromShare.state === PermitState.Granted) {
       return fromShare;
     }
@@ -258,25 +274,39 @@
   private sendRequest(
     ip: string,
     life: string,
-    account: Account,
+    account: permitAccount.Account,
     now: number,
   ): void {
     const sequence = ++this.lastSequence;
-    account.pending = {sequence, sentAt: now};
+    const ramp = this.rates.rampUpdateFor(life, now);
+    account.pending = {sequence, sentAt: now, hasRamp: ramp !== undefined};
     const usedPerSecond = Math.max(account.used, account.usedBefore);
     const wanted = Math.ceil(usedPerSecond * ADVANCE_SECONDS);
     this.send(ip, {
       sequence,
       life,
       wanted: Math.max(1, Math.min(MAX_WANTED, wanted)),
-      limit: this.limits.updateFor(life, now)!,
+      limit: this.rates.limitUpdateFor(life, now),
+      ramp,
     });
   }
 
-  /** Takes a permit from the share of the limit that this gateway may use alone. */
-  private takeShare(account: Account, limit: number, now: number): Acquisition {
+  /** Takes a permit from the share that this gateway may use alone. */
+  private takeShare(
+    life: string,
+    account: permitAccount.Account,
+    allowance: limitPolicy.Allowance,
+    now: number,
+  ): Acquisition {
     account.share ??= new rateBucket.RateBucket(now);
-    const rate = limitPolicy.permitsPerSecond(limit) / this.election.shareCount;
+    const rate = limitPolicy.sharePerSecond(
+      allowance,
+      1 / this.election.shareCount,
+      allowance.ramp === undefined ? 1 : this.election.rampShareFor(life, now),
+    );
+    if (rate === 0) {
+      return denied(now + permitAccount.MIN_SILENT_RETRY_MILLISECONDS);
+    }
     if (account.share.take(1, rate, 1, now) > 0) {
       account.used++;
       return granted(now);
@@ -284,53 +314,17 @@
     return denied(now + account.share.millisecondsToNext(rate));
   }
 
-  private accountOf(life: string, now: number): Account {
-    const account = this.accounts.get(life) ?? createAccount(now);
+  private accountOf(life: string, now: number): permitAccount.Account {
+    const account = this.accounts.get(life) ?? permitAccount.createAccount(now);
     this.accounts.set(life, account);
     if (this.accounts.size > MAX_ACCOUNTS) {
       this.accounts.delete(this.accounts.keys().next().value!);
     }
-    const age = now - account.windowStart;
-    if (age >= USE_WINDOW_MILLISECONDS) {
-      account.usedBefore = age < 2 * USE_WINDOW_MILLISECONDS ? account.used : 0;
-      account.used = 0;
-      account.windowStart = now;
-    }
+    permitAccount.advanceWindow(account, now);
     return account;
   }
 }
 
-/** Lets the own share count if the coordinator did not answer in time. */
-function giveUpUnanswered(account: Account, now: number): void {
-  const {pending} = account;
-  if (
-    pending === undefined ||
-    now - pending.sentAt <= ANSWER_TIMEOUT_MILLISECONDS
-  ) {
-    return;
-  }
-  account.pending = undefined;
-  account.share ??= new rateBucket.RateBucket(now);
-  const retry = MIN_SILENT_RETRY_MILLISECONDS * 2 ** account.unanswered++;
-  account.requestAt =
-    pending.sentAt + Math.min(MAX_SILENT_RETRY_MILLISECONDS, retry);
-}
-
-/** Forgets what another coordinator said. */
-function changeCoordinator(
-  account: Account,
-  ip: string | undefined,
-  now: number,
-): void {
-  if (account.coordinator === ip) {
-    return;
-  }
-  account.coordinator = ip;
-  account.pending = undefined;
-  account.unanswered = 0;
-  account.requestAt = now;
-}
-
 function granted(now: number): Acquisition {
   return {state: PermitState.Granted, retryAt: now};
 }
@@ -339,26 +333,9 @@
   return {state: PermitState.Denied, retryAt};
 }
 
-function takeValid(account: Account, now: number): boolean {
-  if (account.permits <= 0 || now > account.validUntil) {
-    return false;
-  }
-  account.permits--;
-  account.used++;
-  return true;
-}
-
-function createAccount(now: number): Account {
-  return {
-    permits: 0,
-    validUntil: -Infinity,
-    pending: undefined,
-    coordinator: undefined,
-    unanswered: 0,
-    requestAt: -Infinity,
-    share: undefined,
-    used: 0,
-    usedBefore: 0,
-    windowStart: now,
-  };
+function warmUpOf([
+  ,
+  ...update
+]: instanceRates.RampUpdate): warmUps.WarmUpUpdate {
+  return update;
 }
--- a/src/gateway/common/limits/permit_issuer.ts
+++ b/src/gateway/common/limits/permit_issuer.ts
@@ -1,6 +1,6 @@
 /**
  * Issues permits for the limited instances that this gateway coordinates. Meant
- * for limits of up to tens of requests a second that many gateways share: the
+ * for rates of up to tens of requests a second that many gateways share: the
  * more gateways request permits, the longer a denied one has to wait before its
  * next request.
  */
@@ -48,17 +48,19 @@
     return ++this.answeredInSlot <= MAX_ANSWERS_PER_SLOT;
   }
 
-  /** Issues up to `wanted` permits under a limit in requests a second. */
+  /** Issues up to `wanted` permits; `strength` is the share of the ramp that this gateway may issue. */
   issue(
     gateway: string,
     life: string,
     wanted: number,
-    limit: number,
+    allowance: limitPolicy.Allowance,
+    strength: number,
     now: number,
   ): Issue {
-    const rate = limitPolicy.permitsPerSecond(limit);
+    const share = allowance.ramp === undefined ? 1 : strength;
+    const rate = limitPolicy.permitsPerSecond(allowance) * share;
     const bucket = this.bucketOf(life, now);
-    const capacity = limitPolicy.bucketCapacity(rate);
+    const capacity = Math.max(1, limitPolicy.bucketCapacity(allowance) * share);
     const granted = bucket.take(wanted, rate, capacity, now);
     const key = `${gateway} ${life}`;
     if (granted > 0) {
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -68,7 +68,7 @@
 /** Number of instances that each gateway considers when there are more gateways. */
 const SAMPLE_SIZE = 3;
 
-/** Returns the instances that may take new work, without those that fail far more often than the others. */
+/** Returns the instances that may take new work, without those that fail far more often than the others; only those to be probed, if there are any. */
 export function candidates(
   instances: readonly instanceTable.Instance[],
   {excluded, isAvailable}: Pick<PlacementRequest, 'excluded' | 'isAvailable'>,
@@ -77,13 +77,17 @@
   const ready = instances.filter(
     instance => isAvailable(instance) && !excluded.has(instance.record.id),
   );
-  const rates = ready
-    .map(instance => instance.failureRate)
-    .sort((left, right) => left - right);
+  const probed = ready.filter(each => instanceTable.isDueForProbe(each, now));
+  if (probed.length > 0) {
+    return probed;
+  }
+  const rateOf = (instance: instanceTable.Instance) =>
+    instanceTable.failureRateOf(instance, now);
+  const rates = ready.map(rateOf).sort((left, right) => left - right);
   const median = rates[Math.floor((rates.length - 1) / 2)] ?? 0;
   const failing = ready
     .filter(instance => isFailing(instance, median, now))
-    .sort((left, right) => right.failureRate - left.failureRate)
+    .sort((left, right) => rateOf(right) - rateOf(left))
     .slice(0, Math.floor(instances.length * MAX_AVOIDED_SHARE));
   const healthy = ready.filter(instance => !failing.includes(instance));
   return healthy.length > 0 ? healthy : ready;
@@ -94,9 +98,10 @@
   median: number,
   now: number,
 ): boolean {
+  const rate = instanceTable.failureRateOf(instance, now);
   return (
-    instance.failureRate > FAILING_RATE &&
-    instance.failureRate > median + FAILING_EXCESS &&
+    rate > FAILING_RATE &&
+    rate > median + FAILING_EXCESS &&
     now - instance.lastFailureAt < AVOID_MILLISECONDS
   );
 }
@@ -110,7 +115,7 @@
   const cost = (candidate: instanceTable.Instance) =>
     candidate.openRequests +
     (candidate.record.dataCentre === request.dataCentre ? 0 : REMOTE_COST) +
-    candidate.failureRate * 4 +
+    instanceTable.failureRateOf(candidate, now) * 4 +
     request.draw() * 0.1;
   return cheapest(candidates(instances, request, now), cost);
 }
@@ -143,7 +148,7 @@
         PREEMPTION_RISK_COST_MILLISECONDS +
       prefillTokens * PREFILL_MILLISECONDS_PER_TOKEN +
       queuedRuns * QUEUED_COST_MILLISECONDS +
-      candidate.failureRate * FAILURE_COST_MILLISECONDS +
+      instanceTable.failureRateOf(candidate, now) * FAILURE_COST_MILLISECONDS +
       (isWarm ? 0 : WARM_UP_COST_MILLISECONDS) +
       (candidate.record.dataCentre === request.dataCentre
         ? 0
--- a/src/gateway/common/stream_outcome.ts
+++ b/src/gateway/common/stream_outcome.ts
@@ -7,6 +7,8 @@
 /** How a stream from one instance ended. */
 export interface StreamOutcome {
   readonly isWhole: boolean;
+  /** Whether the instance answered that it did not run the request; absent if it did not. */
+  readonly isRejected?: boolean;
   /** Reason for which no response was received; undefined when one was. */
   readonly error: instanceClient.SendError | undefined;
   /** Whether the stream ended because the caller disconnected. */
@@ -16,7 +18,7 @@
 /** Records a failure of the instance, unless the caller, this process or a planned shutdown ended the stream. */
 export function recordStreamOutcome(
   instance: instanceTable.Instance,
-  {isWhole, error, isCallerGone}: StreamOutcome,
+  {isWhole, isRejected, error, isCallerGone}: StreamOutcome,
   now: number,
 ): void {
   if (isWhole) {
@@ -26,7 +28,11 @@
     return instanceTable.recordUnreachable(instance, now);
   }
   const isCausedHere = isCallerGone || error === SendError.Withdrawn;
-  if (!isCausedHere && instance.drainingAt === undefined) {
-    instanceTable.recordOutcome(instance, true, now);
+  if (isCausedHere || instance.drainingAt !== undefined) {
+    return;
   }
+  if (isRejected) {
+    return instanceTable.recordRejection(instance, now);
+  }
+  instanceTable.recordOutcome(instance, true, now);
 }
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -1,5 +1,6 @@
 /** One request of a caller while the gateway processes it. */
 import * as http from 'node:http';
+import * as deadline from '../../base/common/deadline';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
 import * as instanceAvailability from '../common/availability/instance_availability';
@@ -12,6 +13,9 @@
 /** Maximum number of sends of one attempt that instances reject or never receive. */
 const MAX_REJECTED_SENDS = 4;
 
+/** Share of the objective for which a call waits for an instance in back-off; the rest is for its answer. */
+const BACK_OFF_WAIT_SHARE = 0.6;
+
 /** Minimum retry delay if the instances take no more requests, in seconds. */
 const MIN_LIMIT_RETRY_SECONDS = 0.25;
 
@@ -116,7 +120,7 @@
     this.possibleRuns++;
   }
 
-  /** Sends the request to the instance, and records what its answer says of the limit of the instance. */
+  /** Sends the request to the instance, and records what its answer says of the instance. */
   send(
     instance: instanceTable.Instance,
     options: SendOptions,
@@ -137,30 +141,54 @@
     });
     void exchange.response.then(result => {
       if (result.isOk()) {
-        this.recordLimit(instance, result.value, sentAt);
+        services.answers.record(
+          instance,
+          result.value,
+          sentAt,
+          (event, fields) => this.log(event, fields, instance),
+        );
       }
     });
     return exchange;
   }
 
-  private recordLimit(
-    instance: instanceTable.Instance,
-    answer: instanceClient.InstanceResponse,
-    sentAt: number,
-  ): void {
-    const {limit, status, isNotExecuted} = answer;
-    if (answer.isFromOtherInstance) {
-      return;
-    }
-    if (limit !== undefined && limit.requestsPerSecond === undefined) {
-      this.log('instance-limit-unreadable', {value: limit.text}, instance);
+  /** Monotonic milliseconds from which an instance in back-off may take the call; undefined if none is in back-off. */
+  backOffEnd(now: number): number | undefined {
+    const {availability, follower} = this.services;
+    const {endpointName, scope} = this.call;
+    const instances = follower.instances.forEndpoint(endpointName);
+    return availability.backOffEnd(instances, scope, now);
+  }
+
+  /** Time until the first instance in back-off may take the call, in seconds; undefined if none is in back-off. */
+  get backOffSeconds(): number | undefined {
+    const now = performance.now();
+    const endsAt = this.backOffEnd(now);
+    return endsAt === undefined ? undefined : Math.max(0, endsAt - now) / 1000;
+  }
+
+  /** Latest end of a back-off for which the call waits, in monotonic milliseconds. */
+  get latestBackOffEnd(): number {
+    const {arrivedAt, route, deadlineAt} = this.call;
+    const patience = route.objectiveMilliseconds * BACK_OFF_WAIT_SHARE;
+    return Math.min(arrivedAt + patience, deadlineAt);
+  }
+
+  /** Waits until an instance in back-off may take the call; returns whether there is one by the latest time. */
+  async awaitBackOff(latest = this.latestBackOffEnd): Promise<boolean> {
+    const now = performance.now();
+    const endsAt = this.backOffEnd(now);
+    if (endsAt === undefined || endsAt > latest) {
+      return false;
     }
-    const isSuccess = !isNotExecuted && status < 500;
-    this.services.limits.recordAnswer(
-      instanceTable.lifeOf(instance.record),
-      {limit, isSuccess, sentAt},
-      performance.now(),
-    );
+    await deadline.delay(Math.max(1, endsAt - now));
+    return !this.isOver;
+  }
+
+  /** Whether the instance asked this gateway to send it nothing now. */
+  isInBackOff({record}: instanceTable.Instance): boolean {
+    const life = instanceTable.lifeOf(record);
+    return this.services.backOffs.isActive(life, performance.now());
   }
 
   /** Accounts for a failed send. Returns whether the call may be sent to another instance; if so, charges the shared retry budget. */
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -14,6 +14,7 @@
 import * as watcherElection from '../../common/fleet/watcher_election';
 import * as instanceRegistry from '../../common/instance_registry';
 import * as instanceLimits from '../../common/limits/instance_limits';
+import * as warmUps from '../../common/limits/warm_ups';
 import * as promptPartTable from '../../common/prompt_part_table';
 import * as runTable from '../../common/run_table';
 import * as gatewayMetrics from '../gateway_metrics';
@@ -43,6 +44,7 @@
   readonly promptParts: promptPartTable.PromptPartTable;
   readonly reports: engineReports.EngineReports;
   readonly limits: instanceLimits.InstanceLimits;
+  readonly warmUps: warmUps.WarmUps;
 }
 
 /** A message that another gateway sent to this one alone. */
@@ -69,6 +71,10 @@
   private toldPartCrashes = 0;
   /** Number of limits that peers were told of. */
   private toldLimits = 0;
+  /** Number of statements on warm-ups that peers were told of. */
+  private toldWarmUps = 0;
+  /** Number of instances that say that they leave of which peers were told. */
+  private toldLeaving = 0;
   /** Monotonic time at which this process ends, in milliseconds; undefined unless it is shutting down. */
   private endsAt: number | undefined;
 
@@ -146,12 +152,16 @@
     const hasNews =
       crashes.additionCount > this.knownCrashes ||
       promptParts.recordedCount > this.toldPartCrashes ||
-      limits.ownChangeCount > this.toldLimits;
+      limits.ownChangeCount > this.toldLimits ||
+      this.tables.warmUps.ownChangeCount > this.toldWarmUps ||
+      this.follower.instances.leaving.ownChangeCount > this.toldLeaving;
     if (this.isBeaconDue(now) || hasNews) {
       this.beaconAt = now;
       this.knownCrashes = crashes.additionCount;
       this.toldPartCrashes = promptParts.recordedCount;
       this.toldLimits = limits.ownChangeCount;
+      this.toldWarmUps = this.tables.warmUps.ownChangeCount;
+      this.toldLeaving = this.follower.instances.leaving.ownChangeCount;
       this.send(this.gossip.spread(now, hasNews), 'rumor');
     }
     if (this.loads.isDue(this.loadSignature(), liveCount, now)) {
@@ -210,6 +220,8 @@
     const reports = tables.reports.toRelay(now);
     const promptParts = tables.promptParts.toRelay(now);
     const limits = tables.limits.toRelay(now);
+    const cold = tables.warmUps.toRelay(now);
+    const leaving = follower.instances.leaving.toRelay(now);
     return {
       name: own.name,
       stateAddress: this.settings.stateAddress,
@@ -222,6 +234,8 @@
       crashes: tables.crashes.recent(now),
       promptParts: promptParts.length > 0 ? promptParts : undefined,
       limits: limits.length > 0 ? limits : undefined,
+      warmUps: cold.length > 0 ? cold : undefined,
+      leaving: leaving.length > 0 ? leaving : undefined,
       reports: reports.length > 0 ? reports : undefined,
       messageVersion: peerDigest.MESSAGE_VERSION,
       peers: [],
@@ -275,6 +289,10 @@
     this.knownCrashes += crashes.additionCount - crashesBefore;
     promptParts.merge(digest.promptParts ?? [], now);
     limits.merge(digest.limits ?? [], now);
+    this.tables.warmUps.merge(digest.warmUps ?? [], now);
+    this.follower.instances
+      .mergeLeaving(digest.leaving ?? [], now)
+      .forEach(each => this.follower.markLeaving(each, digest.name));
     if (change !== undefined && !this.follower.isWatching) {
       this.follower.applyRelayedChange(change, digest.name);
     }
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -15,6 +15,8 @@
   readonly latency: promClient.Histogram<'route'>;
   readonly pauses: promClient.Histogram;
   readonly sends: promClient.Counter<'outcome'>;
+  readonly instanceStates: promClient.Counter<'state'>;
+  readonly unreadableStatements: promClient.Counter<'part'>;
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
   readonly copies: promClient.Counter<'outcome'>;
@@ -46,6 +48,16 @@
       'Requests sent to instances by outcome',
       ['outcome'],
     );
+    this.instanceStates = registry.counter(
+      'rhubarbvane_gateway_instance_states_total',
+      'Instances that became cold, leaving or in back-off',
+      ['state'],
+    );
+    this.unreadableStatements = registry.counter(
+      'rhubarbvane_gateway_unreadable_statements_total',
+      'Statements of instances in answers that could not be read, by part',
+      ['part'],
+    );
     this.connections = registry.counter(
       'rhubarbvane_gateway_connections_total',
       'Connections made to instances',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -4,6 +4,7 @@
 import * as jsonLog from '../../base/node/json_log';
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as backOff from '../common/availability/back_off';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
 import * as engineReports from '../common/engine_reports';
@@ -12,13 +13,16 @@
 import * as watcherElection from '../common/fleet/watcher_election';
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
+import * as instanceRates from '../common/limits/instance_rates';
 import * as limitUsage from '../common/limits/limit_usage';
+import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
+import * as answerRecorder from './answer_recorder';
 import * as callerServer from './caller_server';
 import * as evacuationManager from './evacuation_manager';
 import * as fleetExchange from './fleet/fleet_exchange';
@@ -26,6 +30,7 @@
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as generationScheduler from './generation_scheduler';
+import * as coldInstances from './limits/cold_instances';
 import * as limitLog from './limits/limit_log';
 import * as permitService from './limits/permit_service';
 import * as observabilityServer from './observability_server';
@@ -75,6 +80,7 @@
     const promptParts = new promptPartTable.PromptPartTable();
     const reports = new engineReports.EngineReports();
     const limits = new instanceLimits.InstanceLimits();
+    const cold = new warmUps.WarmUps();
     const predictor = new lengthPredictor.LengthPredictor();
     const {ip, name, link_megabits: linkMegabits} = settings.instance;
     const members = new memberTable.MemberTable(
@@ -87,12 +93,19 @@
       new watcherElection.WatcherElection(members),
       log,
     );
+    const ramps = new coldInstances.ColdInstances(
+      follower,
+      cold,
+      options.metrics,
+      log,
+    );
+    this.disposables.add(ramps);
     this.exchange = new fleetExchange.FleetExchange(
       {
         stateAddress: settings.listen.peers,
         digestPort: settings.peers.digest_port,
       },
-      {members, runs, crashes, promptParts, reports, limits},
+      {members, runs, crashes, promptParts, reports, limits, warmUps: cold},
       follower,
       options.metrics,
       log,
@@ -100,11 +113,13 @@
     const permits = new permitService.PermitService(
       members,
       peers,
-      limits,
+      new instanceRates.InstanceRates(limits, cold, life => ramps.rampOf(life)),
       this.exchange,
     );
+    const backOffs = new backOff.BackOffs();
     const availability = new instanceAvailability.InstanceAvailability([
       new instanceAvailability.DrainingRule(),
+      new backOff.BackOffRule(backOffs),
     ]);
     const scheduler = new generationScheduler.GenerationScheduler(
       follower,
@@ -123,6 +138,14 @@
       follower,
       client,
       availability,
+      backOffs,
+      answers: new answerRecorder.AnswerRecorder(
+        follower,
+        limits,
+        cold,
+        backOffs,
+        options.metrics,
+      ),
       runs,
       crashes,
       promptParts,
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -1,6 +1,7 @@
 /** Objects that all calls of one gateway share. */
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as jsonLog from '../../base/node/json_log';
+import * as backOff from '../common/availability/back_off';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
 import * as memberTable from '../common/fleet/member_table';
@@ -11,6 +12,7 @@
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as tokenPace from '../common/token_pace';
+import * as answerRecorder from './answer_recorder';
 import * as evacuationManager from './evacuation_manager';
 import * as gatewayMetrics from './gateway_metrics';
 import * as generationScheduler from './generation_scheduler';
@@ -27,6 +29,10 @@
   readonly client: instanceClient.InstanceClient;
   /** Which instances may get which requests. */
   readonly availability: instanceAvailability.InstanceAvailability;
+  /** Instances that this gateway sends nothing to for some time. */
+  readonly backOffs: backOff.BackOffs;
+  /** Records what instances say of themselves. */
+  readonly answers: answerRecorder.AnswerRecorder;
   readonly runs: runTable.RunTable;
   readonly crashes: crashTable.CrashTable;
   readonly promptParts: promptPartTable.PromptPartTable;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -252,7 +252,7 @@
       if (waiting.context.isOver) {
         return true;
       }
-      const result = this.tryPlace(waiting.context);
+      const result = this.tryPlace(waiting);
       if (result !== undefined) {
         results.set(waiting, result);
       }
@@ -265,9 +265,8 @@
   }
 
   /** Places the generation; undefined if it has to wait. */
-  private tryPlace(
-    context: callContext.CallContext,
-  ): PlacementResult | undefined {
+  private tryPlace(waiting: WaitingCall): PlacementResult | undefined {
+    const {context} = waiting;
     const now = performance.now();
     const loads = this.loads(now);
     const expected = expectedTokens(context, this.predictor);
@@ -283,6 +282,11 @@
       isFull = found !== undefined && !hasRoom(found, loads);
       return isFull ? undefined : found;
     });
+    if (choice === undefined && shortage === undefined && !isFull) {
+      const retryAt = context.backOffEnd(now) ?? -Infinity;
+      const isTooLate = retryAt > generationQueue.latestStart(waiting);
+      return isTooLate ? {placed: undefined, retryAt} : undefined;
+    }
     if (choice === undefined) {
       const isRefused = shortage !== undefined && !shortage.isPending;
       return isRefused && !isFull
--- a/src/gateway/node/limits/permit_service.ts
+++ b/src/gateway/node/limits/permit_service.ts
@@ -1,11 +1,11 @@
-/** Permits to send requests to instances that name a limit, agreed on with the other gateways. */
+/** Permits to send requests to instances that name a limit or are cold, agreed on with the other gateways. */
 import * as rxjs from 'rxjs';
 import * as disposable from '../../../base/common/disposable';
 import * as directMembers from '../../common/fleet/direct_members';
 import * as memberTable from '../../common/fleet/member_table';
 import * as instanceTable from '../../common/instance_table';
 import * as coordinatorElection from '../../common/limits/coordinator_election';
-import * as instanceLimits from '../../common/limits/instance_limits';
+import * as instanceRates from '../../common/limits/instance_rates';
 import * as instancePermits from '../../common/limits/instance_permits';
 import * as permitIssuer from '../../common/limits/permit_issuer';
 import * as fleetExchange from '../fleet/fleet_exchange';
@@ -22,12 +22,12 @@
   constructor(
     members: memberTable.MemberTable,
     peers: directMembers.DirectMembers,
-    private readonly limits: instanceLimits.InstanceLimits,
+    private readonly rates: instanceRates.InstanceRates,
     private readonly exchange: fleetExchange.FleetExchange,
   ) {
     this.election = new coordinatorElection.CoordinatorElection(members, peers);
     this.permits = new instancePermits.InstancePermits(
-      limits,
+      rates,
       this.election,
       new permitIssuer.PermitIssuer(),
       (ip, permitRequest) => exchange.sendDirect(ip, {permitRequest}),
@@ -43,10 +43,10 @@
     return this.permits.onDidSettle;
   }
 
-  /** Whether the instance names a limit. */
+  /** Whether the instance names a limit or is cold. */
   isLimited(instance: instanceTable.Instance): boolean {
     const life = instanceTable.lifeOf(instance.record);
-    return this.limits.get(life) !== undefined;
+    return this.rates.allowanceOf(life, performance.now()) !== undefined;
   }
 
   /** Lets other gateways issue permits, before this one shuts down. */
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -44,6 +44,9 @@
         return;
       }
       if (choice === undefined) {
+        if (await context.awaitBackOff()) {
+          continue;
+        }
         return this.giveUpWithoutInstance(shortage);
       }
       const {instance} = choice;
@@ -55,7 +58,10 @@
       if (retryReason === undefined || !context.tryAcquireRetry(retryReason)) {
         return this.conclude(outcome, retryReason);
       }
-      context.excluded.add(instance.record.id);
+      // An instance in back-off takes the call again after it.
+      if (!context.isInBackOff(instance)) {
+        context.excluded.add(instance.record.id);
+      }
       context.log(
         'call-repeated',
         {
@@ -153,6 +159,8 @@
     }
     if (error === SendError.NeverSent) {
       instanceTable.recordUnreachable(instance, now);
+    } else if (answer !== undefined) {
+      this.recordRejection(instance, now);
     } else if (error !== SendError.Withdrawn) {
       instanceTable.recordOutcome(instance, true, now);
     }
@@ -169,6 +177,13 @@
     return isOver ? undefined : callContext.RetryReason.MayHaveRun;
   }
 
+  /** Records that the instance did not run the request; one that says when to come back is avoided until then anyway. */
+  private recordRejection(instance: instanceTable.Instance, now: number): void {
+    if (!this.context.isInBackOff(instance)) {
+      instanceTable.recordRejection(instance, now);
+    }
+  }
+
   /**
    * Time limit for one instance, in milliseconds: if the call may be retried, a
    * silent instance must leave time for another. Not applied at present: `sendTo`
@@ -222,7 +237,8 @@
     if (code === resultCode.ResultCode.EndpointLost || this.mayHaveRun) {
       return this.context.fail(failure.unknownOutcome(code, message), 502);
     }
-    this.context.refuse(code, message, NO_INSTANCE_RETRY_SECONDS);
+    const seconds = this.context.backOffSeconds ?? NO_INSTANCE_RETRY_SECONDS;
+    this.context.refuse(code, message, seconds);
   }
 
   private get mayHaveRun(): boolean {
--- a/src/gateway/node/report_reader.ts
+++ b/src/gateway/node/report_reader.ts
@@ -67,7 +67,7 @@
     const at = performance.now();
     this.reports.addOwn(engine.record.id, {queuedRuns, memoryTokens, at});
     if (isLeaving) {
-      this.follower.markLeaving(engine);
+      this.follower.markLeaving(engine, 'its own report');
     }
   }
 
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -123,15 +123,14 @@
     ]);
   }
 
-  /** Marks an instance as draining that reports that it is about to stop. */
-  markLeaving(instance: instanceTable.Instance): void {
-    if (instance.drainingAt !== undefined) {
+  /** Marks an instance as draining that says itself that it is about to stop. */
+  markLeaving(instance: instanceTable.Instance, origin: string): void {
+    if (!this.instances.markLeaving(instance, performance.now())) {
       return;
     }
-    instance.drainingAt = performance.now();
     this.log.write('instance-leaving', {
       instance: instance.record.id,
-      origin: 'its own report',
+      origin,
       store_away: this.isSourceUnavailable,
     });
     this.onDidStartDraining.next(instance);
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -136,7 +136,7 @@
   /** Binds a resumed stream to the software version that began it; returns false if the call was refused. */
   private async prepareResumption(): Promise<boolean> {
     const {context} = this;
-    const {services, call} = context;
+    const {services} = context;
     const origin = await services.origins.find(context);
     context.softwareVersion = origin.softwareVersion;
     const {Overloaded, NoEndpoint} = resultCode.ResultCode;
@@ -244,15 +244,21 @@
     const {services, call} = context;
     const now = performance.now();
     services.metrics.sends.inc({outcome: end});
-    streamOutcome.recordStreamOutcome(
-      instance,
-      {
-        isWhole: end === SegmentEnd.Completed,
-        error: this.segment!.error,
-        isCallerGone: context.isOver && !this.hasExpired,
-      },
-      now,
-    );
+    const isRejected =
+      end === SegmentEnd.NotRun && this.segment!.error === undefined;
+    // An instance that says when to come back is avoided until then anyway.
+    if (!isRejected || !context.isInBackOff(instance)) {
+      streamOutcome.recordStreamOutcome(
+        instance,
+        {
+          isWhole: end === SegmentEnd.Completed,
+          isRejected,
+          error: this.segment!.error,
+          isCallerGone: context.isOver && !this.hasExpired,
+        },
+        now,
+      );
+    }
     if (end === SegmentEnd.Completed) {
       this.evidence!.recordCompletion(now);
       const tokens = run.eventsDelivered * run.tokensPerEvent;
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -126,8 +126,11 @@
     previous: instanceClient.RunTarget,
   ): Promise<instanceClient.RunTarget | undefined> {
     const {context} = this;
-    context.excluded.add(previous.instance.record.id);
-    const {choice, shortage} = await this.chooseInstance();
+    // An instance in back-off takes the call again after it.
+    if (!context.isInBackOff(previous.instance)) {
+      context.excluded.add(previous.instance.record.id);
+    }
+    const {choice, shortage} = await this.chooseWithin();
     if (context.isOver) {
       return undefined;
     }
@@ -141,7 +144,8 @@
       } else if (shortage !== undefined) {
         context.refuseForLimits(shortage.retryAt);
       } else {
-        context.refuse(code, message, OVERLOAD_RETRY_SECONDS);
+        const seconds = context.backOffSeconds ?? OVERLOAD_RETRY_SECONDS;
+        context.refuse(code, message, seconds);
       }
       return undefined;
     }
@@ -153,6 +157,24 @@
     return {instance: choice.instance, continuation: undefined};
   }
 
+  /** Chooses an instance, and waits for one in back-off if there is no other. */
+  private async chooseWithin(): Promise<
+    instancePermits.Selection<placement.GenerationChoice>
+  > {
+    const {context, delivery} = this;
+    const latest = delivery.hasBegun
+      ? performance.now() + PATIENCE_MILLISECONDS
+      : context.latestBackOffEnd;
+    for (;;) {
+      const selection = await this.chooseInstance();
+      const isFound =
+        selection.choice !== undefined || selection.shortage !== undefined;
+      if (isFound || !(await context.awaitBackOff(latest))) {
+        return selection;
+      }
+    }
+  }
+
   /** Chooses an instance for a new run of the generation, at the version that began its stream. */
   private chooseInstance(): Promise<
     instancePermits.Selection<placement.GenerationChoice>
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -3,8 +3,8 @@
 import * as net from 'node:net';
 import * as neverthrow from 'neverthrow';
 import * as instanceClient from '../gateway/common/instance_client';
+import * as answerCodec from './answer_codec';
 import * as callerCodec from './caller_codec';
-import * as limitCodec from './limit_codec';
 import * as socketReset from './socket_reset';
 import * as wireNames from './wire_names';
 
@@ -125,7 +125,7 @@
       response.headers[Headers.notRun] !== undefined || isFromOtherInstance,
     isFromOtherInstance,
     hasServerStamp: response.headers[Headers.stamp] !== undefined,
-    limit: limitCodec.decodeLimit(response.headers[Headers.requestLimit]),
+    ...answerCodec.decodeStatements(response.headers),
     passedHeaders: callerCodec.forwardableHeaders(response, NO_HEADERS),
     body: new HttpBody(response, hasSocketFailed),
   };
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -4,6 +4,9 @@
 
 type Fields = Readonly<Record<string, unknown>>;
 
+/** Longest time for which a replica is taken for cold; longer ones are shortened to it. */
+export const MAX_WARM_UP_MILLISECONDS = 3_600_000;
+
 /** An object of the store. */
 export interface StoredObject {
   readonly name: string;
@@ -73,6 +76,10 @@
   if (endpoint === undefined || !isAddress || state === undefined) {
     return undefined;
   }
+  const warmUpMilliseconds = Math.min(
+    MAX_WARM_UP_MILLISECONDS,
+    Math.max(0, number(spec.warmLeftMs)),
+  );
   return {
     id: stored.name,
     endpoint,
@@ -81,7 +88,9 @@
     state,
     slots: number(spec.slots, 1),
     // Time for which the replica stays slow, not for which it stays warm.
-    warmUpMilliseconds: number(spec.warmLeftMs),
+    warmUpMilliseconds,
+    // A replica that writes the same time again is cold again.
+    warmUpRevision: warmUpMilliseconds > 0 ? stored.revision : undefined,
     // Unix milliseconds of the start; only compared for equality.
     startedAt: number(spec.born),
     softwareVersion: text(spec.version) ?? '',
@@ -162,6 +171,11 @@
     healthPath: text(value.healthPath) ?? '/healthz',
     maxConnections: number(value.maxConns, 100),
     engine: decodeEngine(value.runtime),
+    rampRequestsPerSecond: Math.max(0, number(value.rampPerS)),
+    warmUpMilliseconds: Math.min(
+      MAX_WARM_UP_MILLISECONDS,
+      Math.max(0, number(value.warmupS) * 1_000),
+    ),
   };
 }
 
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -17,6 +17,10 @@
   instanceId: 'x-rhubarbvane-replica-id',
   /** Requests a second that a replica in need takes from all callers together. */
   requestLimit: 'server-limit',
+  /** Milliseconds until a cold replica is warm. */
+  warmUp: 'x-rhubarbvane-warmup-ms',
+  /** 1 if the replica is about to stop. */
+  leaving: 'server-leaving',
   model: 'x-rhubarbvane-model',
   /** Prompt tokens and the limit of output tokens, not a count. */
   tokenLimits: 'x-rhubarbvane-token-count',
--- a/test/gateway/common/limits/instance_permits.test.ts
+++ b/test/gateway/common/limits/instance_permits.test.ts
@@ -5,6 +5,7 @@
 import * as peerDigest from '../../../../src/gateway/common/fleet/peer_digest';
 import * as coordinatorElection from '../../../../src/gateway/common/limits/coordinator_election';
 import * as instanceLimits from '../../../../src/gateway/common/limits/instance_limits';
+import * as instanceRates from '../../../../src/gateway/common/limits/instance_rates';
 import * as instancePermits from '../../../../src/gateway/common/limits/instance_permits';
 import * as permitIssuer from '../../../../src/gateway/common/limits/permit_issuer';
 import * as instanceTable from '../../../../src/gateway/common/instance_table';
@@ -49,7 +50,7 @@
       new directMembers.DirectMembers(this.members, startedAt),
     );
     this.permits = new instancePermits.InstancePermits(
-      this.limits,
+      new instanceRates.InstanceRates(this.limits),
       this.election,
       new permitIssuer.PermitIssuer(),
       (_, request) => this.requests.push(request),
--- a/test/platform/object_codec.test.ts
+++ b/test/platform/object_codec.test.ts
@@ -34,6 +34,7 @@
     state: instanceTable.InstanceState.Ready,
     slots: 24,
     warmUpMilliseconds: 20,
+    warmUpRevision: 4,
     startedAt: 1_700_000_000_000,
     softwareVersion: 'v1.2',
   });
@@ -82,3 +83,38 @@
   t.deepEqual(route.endpoints, [{endpoint: 's', weight: 90}]);
   t.is(decoded.customers, undefined);
 });
+
+for (const [warmLeftMs, expected] of [
+  [-1, 0],
+  [NaN, 0],
+  [Infinity, 0],
+  ['20', 0],
+  [null, 0],
+  [1e9, 3_600_000],
+] as const) {
+  // A time without end would keep an instance at its ramp for good.
+  test(`registration: ${JSON.stringify(warmLeftMs)} (${String(warmLeftMs)}) milliseconds to warm up are read as ${expected}`, t => {
+    t.is(decode({...ENTRY, warmLeftMs})!.warmUpMilliseconds, expected);
+  });
+}
+
+for (const [title, fields, expected] of [
+  ['a ramp', {rampPerS: 5, warmupS: 8}, [5, 8_000]],
+  ['no ramp', {}, [0, 0]],
+  ['a negative ramp', {rampPerS: -5, warmupS: -1}, [0, 0]],
+  ['texts', {rampPerS: '5', warmupS: '8'}, [0, 0]],
+] as const) {
+  // A wrong ramp would hold instances back that take every request.
+  test(`configuration: a service with ${title} is decoded`, t => {
+    const decoded = objectCodec.decodeConfiguration({
+      name: 'main',
+      revision: 1,
+      spec: {version: 1, services: [{name: 'writers', ...fields}]},
+    });
+    const [endpoint] = decoded!.endpoints;
+    t.deepEqual(
+      [endpoint.rampRequestsPerSecond, endpoint.warmUpMilliseconds],
+      [...expected],
+    );
+  });
+}
--- a/test/support/simulated_fleet.ts
+++ b/test/support/simulated_fleet.ts
@@ -4,6 +4,7 @@
 import * as fleetMessage from '../../src/gateway/common/fleet/fleet_message';
 import * as gossip from '../../src/gateway/common/fleet/gossip';
 import * as instanceLimits from '../../src/gateway/common/limits/instance_limits';
+import * as warmUps from '../../src/gateway/common/limits/warm_ups';
 import * as memberTable from '../../src/gateway/common/fleet/member_table';
 import * as watcherElection from '../../src/gateway/common/fleet/watcher_election';
 import * as peerDigest from '../../src/gateway/common/fleet/peer_digest';
@@ -38,6 +39,8 @@
   directBytes = 0;
   /** Limits that this gateway knows; undefined unless a test simulates them. */
   limits: instanceLimits.InstanceLimits | undefined;
+  /** Cold instances that this gateway knows; undefined unless a test simulates them. */
+  warmUps: warmUps.WarmUps | undefined;
   private process = 1;
 
   constructor(
@@ -74,6 +77,7 @@
       isWide: this.index % 5 === 0,
       messageVersion: peerDigest.MESSAGE_VERSION,
       limits: this.limits?.toRelay(now),
+      warmUps: this.warmUps?.toRelay(now),
     };
   }
 
@@ -300,6 +304,7 @@
       // Stands for reading the version from the store or the peer.
       to.version = Math.max(to.version, message.digest.configurationVersion);
       to.limits?.merge(message.digest.limits ?? [], this.now);
+      to.warmUps?.merge(message.digest.warmUps ?? [], this.now);
     }
   }
 }
--- a/test/support/simulated_limits.ts
+++ b/test/support/simulated_limits.ts
@@ -4,8 +4,10 @@
 import * as directMessage from '../../src/gateway/common/fleet/direct_message';
 import * as coordinatorElection from '../../src/gateway/common/limits/coordinator_election';
 import * as instanceLimits from '../../src/gateway/common/limits/instance_limits';
+import * as instanceRates from '../../src/gateway/common/limits/instance_rates';
 import * as instancePermits from '../../src/gateway/common/limits/instance_permits';
 import * as permitIssuer from '../../src/gateway/common/limits/permit_issuer';
+import * as warmUps from '../../src/gateway/common/limits/warm_ups';
 import * as simulatedFleet from './simulated_fleet';
 
 export const LIFE = 'i-4a59b46690/1777972974261';
@@ -16,13 +18,16 @@
 const STEP_SECONDS = 0.004;
 
 /** The permits of one gateway. */
-class LimitedGateway {
+export class LimitedGateway {
   limits!: instanceLimits.InstanceLimits;
+  warmUps!: warmUps.WarmUps;
   permits!: instancePermits.InstancePermits;
   /** Times at which callers arrived that wait for a coordinator. */
   waiting: number[] = [];
   /** Requests of callers a second. */
   load = 0;
+  /** Ramp of the endpoint in the configuration; undefined until the gateway has read the registration. */
+  ramp: number | undefined = 0;
 
   constructor(
     readonly gateway: simulatedFleet.SimulatedGateway,
@@ -41,9 +46,15 @@
   start(now: number): void {
     this.limits = new instanceLimits.InstanceLimits();
     this.gateway.limits = this.limits;
+    this.warmUps = new warmUps.WarmUps();
+    this.gateway.warmUps = this.warmUps;
     this.waiting = [];
     this.permits = new instancePermits.InstancePermits(
-      this.limits,
+      new instanceRates.InstanceRates(
+        this.limits,
+        this.warmUps,
+        () => this.ramp,
+      ),
       new coordinatorElection.CoordinatorElection(
         this.gateway.table,
         new directMembers.DirectMembers(this.gateway.table, now),
@@ -75,6 +86,8 @@
   readonly gateways: LimitedGateway[];
   /** Limit that the instance names; undefined to name none. */
   limit: number | undefined;
+  /** Milliseconds until the instance is warm, as its answers name them; undefined to name none. */
+  warmUp: number | undefined;
   /** Times of the requests that the instance got. */
   readonly arrivals: number[] = [];
   private answers: {readonly at: number; readonly give: () => void}[] = [];
@@ -95,6 +108,20 @@
     gateways.forEach(each => (each.load = requestsPerSecond / gateways.length));
   }
 
+  /** Registers the instance as cold, as all gateways read within the time. */
+  registerCold(
+    ramp: number,
+    leftMilliseconds: number,
+    revision = 1,
+    gateways = this.gateways,
+  ): void {
+    const {now} = this.fleet;
+    for (const each of gateways) {
+      each.ramp = ramp;
+      each.warmUps.recordRegistration(LIFE, leftMilliseconds, revision, now);
+    }
+  }
+
   /** The gateway that issues the permits, as the last one sees it. */
   coordinator(): LimitedGateway {
     const {table} = this.gateways[this.gateways.length - 1].gateway;
@@ -111,6 +138,12 @@
     return requestLimit.mostInWindow(this.arrivals.filter(at => at >= since));
   }
 
+  /** Most requests in any second since the time. */
+  mostInSecond(since: number): number {
+    const times = this.arrivals.filter(at => at >= since);
+    return requestLimit.mostInWindow(times, 1_000);
+  }
+
   /** Requests a second since the time. */
   rateSince(since: number): number {
     const count = this.arrivals.filter(at => at >= since).length;
@@ -131,21 +164,26 @@
 
   private sendRequests(from: LimitedGateway, count: number): void {
     const {now} = this.fleet;
-    const {limits} = from;
+    const {limits, warmUps: cold} = from;
     for (let index = 0; index < count; index++) {
       this.arrivals.push(now);
+      const {warmUp} = this;
       const limit =
         this.limit === undefined
           ? undefined
           : {requestsPerSecond: this.limit, text: String(this.limit)};
       this.answers.push({
         at: now + ANSWER_MILLISECONDS,
-        give: () =>
+        give: () => {
           limits.recordAnswer(
             LIFE,
             {limit, isSuccess: true, sentAt: now},
             this.fleet.now,
-          ),
+          );
+          if (warmUp !== undefined) {
+            cold.recordAnswer(LIFE, warmUp, this.fleet.now);
+          }
+        },
       });
     }
   }
