--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as evacuationRule from '../common/availability/evacuation_rule';
+import * as backOff from '../common/availability/back_off';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as regionRule from '../common/availability/region_rule';
 import * as crashTable from '../common/crash_table';
@@ -14,7 +15,9 @@
 import * as watcherElection from '../common/fleet/watcher_election';
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
+import * as instanceRates from '../common/limits/instance_rates';
 import * as limitUsage from '../common/limits/limit_usage';
+import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
@@ -22,6 +25,7 @@
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
 import * as versionStore from '../common/versions/version_store';
+import * as answerRecorder from './answer_recorder';
 import * as callerServer from './caller_server';
 import * as evacuationFollower from './evacuation_follower';
 import * as evacuationManager from './evacuation_manager';
@@ -30,6 +34,7 @@
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as generationScheduler from './generation_scheduler';
+import * as coldInstances from './limits/cold_instances';
 import * as limitLog from './limits/limit_log';
 import * as permitService from './limits/permit_service';
 import * as observabilityServer from './observability_server';
@@ -83,11 +88,12 @@
     const promptParts = new promptPartTable.PromptPartTable();
     const reports = new engineReports.EngineReports();
     const limits = new instanceLimits.InstanceLimits();
+    const cold = new warmUps.WarmUps();
     const predictor = new lengthPredictor.LengthPredictor();
     const {ip, name, link_megabits: linkMegabits} = settings.instance;
     const members = new memberTable.MemberTable(
       {ip, name, isWide: linkMegabits >= WIDE_LINK_MEGABITS},
-      seedIps(settings),
+      gatewaySettings.seedIps(settings),
     );
     const peers = new directMembers.DirectMembers(members, performance.now());
     const follower = new stateFollower.StateFollower(
@@ -112,12 +118,20 @@
             evacuationBound,
           )
         : undefined;
+    const ramps = new coldInstances.ColdInstances(
+      follower,
+      cold,
+      this.evacuatedDataCentres.dataCentres,
+      options.metrics,
+      log,
+    );
+    this.disposables.add(ramps);
     this.exchange = new fleetExchange.FleetExchange(
       {
         stateAddress: settings.listen.peers,
         digestPort: settings.peers.digest_port,
       },
-      {members, runs, crashes, promptParts, reports, limits},
+      {members, runs, crashes, promptParts, reports, limits, warmUps: cold},
       follower,
       this.evacuatedDataCentres,
       options.metrics,
@@ -126,14 +140,16 @@
     const permits = new permitService.PermitService(
       members,
       peers,
-      limits,
+      new instanceRates.InstanceRates(limits, cold, life => ramps.rampOf(life)),
       this.exchange,
     );
     // The first objection counts. A draining instance may still be used for its copies, one that an earlier rule excludes may not.
+    const backOffs = new backOff.BackOffs();
     const availability = new instanceAvailability.InstanceAvailability([
       ...(this.evacuationRule === undefined ? [] : [this.evacuationRule]),
       new regionRule.RegionRule(settings.instance.regions),
       new instanceAvailability.DrainingRule(),
+      new backOff.BackOffRule(backOffs),
     ]);
     const scheduler = new generationScheduler.GenerationScheduler(
       follower,
@@ -152,6 +168,14 @@
       follower,
       client,
       availability,
+      backOffs,
+      answers: new answerRecorder.AnswerRecorder(
+        follower,
+        limits,
+        cold,
+        backOffs,
+        options.metrics,
+      ),
       runs,
       crashes,
       promptParts,
@@ -169,7 +193,9 @@
         },
       ),
       limitUsage: new limitUsage.LimitUsage(),
-      retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
+      retries: new retryLimiter.RetryLimiter(
+        gatewaySettings.retryPolicy(settings),
+      ),
       members,
       predictor,
       pace: new tokenPace.TokenPace(),
@@ -332,8 +358,8 @@
   /** Applies the settings that can change at run time: peer seeds and the retry budget. */
   reload(settings: gatewaySettings.GatewaySettings): void {
     const {members, retries} = this.services;
-    seedIps(settings).forEach(ip => members.addIp(ip));
-    retries.setPolicy(retryPolicy(settings));
+    gatewaySettings.seedIps(settings).forEach(ip => members.addIp(ip));
+    retries.setPolicy(gatewaySettings.retryPolicy(settings));
     const hasOnlyReloadableChanges =
       JSON.stringify({...settings, peers: {}, retries: {}}) ===
       JSON.stringify({...this.options.settings, peers: {}, retries: {}});
@@ -368,18 +394,3 @@
 }: promptPartTable.SeenCrash): Readonly<Record<string, unknown>> {
   return {instance: life, age_ms: Math.round(performance.now() - at)};
 }
-
-/** IPs of the seeds, which are written with a port. */
-function seedIps(settings: gatewaySettings.GatewaySettings): string[] {
-  return settings.peers.seeds
-    .split(',')
-    .map(seed => seed.split(':')[0].trim())
-    .filter(ip => ip.length > 0);
-}
-
-function retryPolicy(
-  settings: gatewaySettings.GatewaySettings,
-): retryLimiter.RetryPolicy {
-  const {window_seconds, ratio, allowance} = settings.retries;
-  return {windowMilliseconds: window_seconds * 1000, ratio, allowance};
-}
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -3,6 +3,7 @@
 import * as zod from 'zod';
 import * as failure from '../../base/common/failure';
 import * as settingsFile from '../../base/node/settings_file';
+import * as retryLimiter from '../common/retry_limiter';
 
 /** A setting that may be empty, as templates leave it if the platform has no value. */
 function optional<T>(schema: zod.ZodType<T>, fallback: T): zod.ZodType<T> {
@@ -126,3 +127,19 @@
 ): neverthrow.Result<GatewaySettings, failure.Failure> {
   return settingsFile.readSettings(path, gatewayFileSchema);
 }
+
+/** IPs of the seeds, which are written with a port. */
+export function seedIps(settings: GatewaySettings): string[] {
+  return settings.peers.seeds
+    .split(',')
+    .map(seed => seed.split(':')[0].trim())
+    .filter(ip => ip.length > 0);
+}
+
+/** Retry budget of all gateways together. */
+export function retryPolicy(
+  settings: GatewaySettings,
+): retryLimiter.RetryPolicy {
+  const {window_seconds, ratio, allowance} = settings.retries;
+  return {windowMilliseconds: window_seconds * 1000, ratio, allowance};
+}
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -244,15 +244,21 @@
     const {services, call} = context;
     const now = performance.now();
     services.metrics.sends.inc({outcome: end});
-    streamOutcome.recordStreamOutcome(
-      instance,
-      {
-        isWhole: end === SegmentEnd.Completed,
-        error: this.segment!.error,
-        isCallerGone: context.isOver && !this.hasExpired,
-      },
-      now,
-    );
+    const isRejected =
+      end === SegmentEnd.NotRun && this.segment!.error === undefined;
+    // An instance that says when to come back is avoided until then anyway.
+    if (!isRejected || !context.isInBackOff(instance)) {
+      streamOutcome.recordStreamOutcome(
+        instance,
+        {
+          isWhole: end === SegmentEnd.Completed,
+          isRejected,
+          error: this.segment!.error,
+          isCallerGone: context.isOver && !this.hasExpired,
+        },
+        now,
+      );
+    }
     if (end === SegmentEnd.Completed) {
       services.origins.recordCompleted(context);
       this.evidence!.recordCompletion(now);
--- a/src/gateway/node/versions/endpoint_records.ts
+++ b/src/gateway/node/versions/endpoint_records.ts
@@ -48,7 +48,7 @@
     }
     let loading = this.loading.get(endpoint);
     if (loading === undefined) {
-      loading = this.read(endpoint).then(() => {
+      loading = this.readOrCreate(endpoint).then(() => {
         this.loading.delete(endpoint);
       });
       this.loading.set(endpoint, loading);
@@ -56,22 +56,22 @@
     await loading;
   }
 
-  private async read(
-    endpoint: string,
-  ): Promise<versionStore.StoredVersions | undefined> {
+  /** Reads the record, and creates it if there is none, as just after the first start of the system. */
+  private async readOrCreate(endpoint: string): Promise<void> {
     const result = await this.store.read(NAME_PREFIX + endpoint);
     if (result.isErr()) {
       this.log.write('endpoint-versions-unreadable', {
         endpoint,
         error: result.error,
       });
-      return undefined;
+      return;
     }
     const record = versionRecord.parseRecord(result.value?.content);
-    if (record !== undefined) {
-      this.adopt(endpoint, record);
+    if (record === undefined) {
+      await this.write(endpoint);
+      return;
     }
-    return result.value;
+    this.adopt(endpoint, record);
   }
 
   private adopt(endpoint: string, record: versionRecord.VersionRecord): void {
