Placement by measured speeds: drafts go where prompts that are read do not make them pause

Cause: instances run at 0.6 to 1.6 times the common speed, and long prompts stall all streams of a slow one. 89 of 597 drafts had a pause over 180 ms, at a dozen of 32 instances. Placement knew one pace for each endpoint.

Change: each gateway measures the speed of an instance from the gaps between events, as the second smallest of ten medians of 150 ms each, and tells peers what they do not know (digest field speeds). The gap in which a prompt is read is learned for each endpoint and divided by the speed: the forecast pause. Long streams avoid instances where it is above the limit, prompts of short ones avoid long streams. Loads tell the number of long streams (longRuns). Switched on by [placement] measured_speeds; with equal speeds the choices are the same as before.

--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -61,6 +61,7 @@
 const MAX_SUSPECTS = 64;
 const MAX_CRASHES_PER_SUSPECT = 16;
 const MAX_LIMITS = 64;
+const MAX_SPEEDS = 64;
 
 const finite = zod.z.number().refine(Number.isFinite);
 /** Time since something, in milliseconds. */
@@ -69,6 +70,7 @@
   runs: finite,
   memoryTokens: finite,
   prefillTokens: finite,
+  longRuns: finite.optional(),
 });
 const memberSchema = zod.z.tuple([
   zod.z.ipv4(),
@@ -113,6 +115,16 @@
       .array(directMessage.relayedLimitSchema)
       .max(MAX_LIMITS)
       .optional(),
+    speeds: zod.z
+      .array(
+        zod.z.tuple([
+          zod.z.string().max(MAX_CRASH_ID_LENGTH),
+          zod.z.number().positive().refine(Number.isFinite),
+          age,
+        ]),
+      )
+      .max(MAX_SPEEDS)
+      .optional(),
     messageVersion: finite.optional(),
     reports: zod.z
       .array(zod.z.tuple([zod.z.string(), finite, finite, finite]))
@@ -177,7 +189,7 @@
 /**
  * Encodes a message within MAX_MESSAGE_BYTES. What is left out first can be
  * had otherwise: changes are fetched by position, members come on later pages,
- * reports expire; of the loads the heaviest remain.
+ * reports and speeds expire; of the loads the heaviest remain.
  */
 export function encode(message: FleetMessage): EncodedMessage {
   const omitted: string[] = [];
@@ -212,6 +224,10 @@
       digest: {...message.digest, reports: undefined},
     }),
   ],
+  [
+    'speeds',
+    message => ({...message, digest: {...message.digest, speeds: undefined}}),
+  ],
   [
     'loads',
     message => ({
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -6,6 +6,7 @@
 import * as instanceLimits from '../limits/instance_limits';
 import * as promptPartTable from '../prompt_part_table';
 import * as runTable from '../run_table';
+import * as instanceSpeeds from '../speeds/instance_speeds';
 
 /** Version of the messages between gateways that this build sends and reads. */
 export const MESSAGE_VERSION = 1;
@@ -32,6 +33,8 @@
   readonly limits?: readonly instanceLimits.RelayedLimit[];
   /** Engine reports that the gateway read itself; absent when there are none. */
   readonly reports?: readonly engineReports.RelayedReport[];
+  /** Speeds of instances that the gateway measured; absent when there is nothing to tell, and from older builds. */
+  readonly speeds?: readonly instanceSpeeds.RelayedSpeed[];
   /** IPs of other gateways; filled by the build before the fleet part, whose readers require the field. */
   readonly peers: readonly string[];
   /** Whether the gateway has a wide link; absent from older builds. */
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -1,6 +1,7 @@
 /** Chooses the instance to which a request is sent. */
 import * as instanceTable from './instance_table';
 import * as runTable from './run_table';
+import * as engineOutlook from './speeds/engine_outlook';
 
 /** Properties of a request that placement considers. */
 export interface PlacementRequest {
@@ -28,6 +29,8 @@
   readonly softwareVersion: string | undefined;
   /** Whether a copy is placed, which is only useful at an instance that is known to respond. */
   readonly isCopy: boolean;
+  /** What the measured speeds of the instances lead to; undefined unless they differ. */
+  readonly outlook?: engineOutlook.EngineOutlook;
 }
 
 /** Instance chosen for a generation. */
@@ -35,6 +38,10 @@
   readonly instance: instanceTable.Instance;
   /** Memory that all runs including this one are expected to need at their ends, as a share of the capacity. */
   readonly memoryShare: number;
+  /** Measured speed of the instance; undefined if it is not known or does not differ from others. */
+  readonly speed?: number;
+  /** Expected longest pause while a prompt is read there, in milliseconds; undefined as `speed`. */
+  readonly forecastPauseMilliseconds?: number;
 }
 
 /** Failure rate above which an instance is considered failing; healthy services stay below it. */
@@ -67,6 +74,13 @@
 const MAX_GATEWAYS_WITHOUT_SAMPLING = 6;
 /** Number of instances that each gateway considers when there are more gateways. */
 const SAMPLE_SIZE = 3;
+/**
+ * Numbers of instances considered when speeds differ: of those at which no
+ * stream would pause too long, and of the others, which are needed once the
+ * first are full.
+ */
+const SUITABLE_SAMPLE_SIZE = 5;
+const UNSUITABLE_SAMPLE_SIZE = 3;
 
 /** Returns the instances that may take new work, without those that fail far more often than the others. */
 export function candidates(
@@ -126,6 +140,7 @@
   request: GenerationRequest,
   now: number,
 ): GenerationChoice | undefined {
+  const {outlook} = request;
   const size = request.promptTokens + request.expectedTokens;
   const shareOf = (candidate: instanceTable.Instance) =>
     ((loads.get(candidate.record.id)?.memoryTokens ?? 0) + size) /
@@ -145,6 +160,7 @@
       queuedRuns * QUEUED_COST_MILLISECONDS +
       candidate.failureRate * FAILURE_COST_MILLISECONDS +
       (isWarm ? 0 : WARM_UP_COST_MILLISECONDS) +
+      (outlook?.cost(candidate, load) ?? 0) +
       (candidate.record.dataCentre === request.dataCentre
         ? 0
         : request.remoteCostMilliseconds) +
@@ -161,8 +177,19 @@
   const eligible = candidates(compatible, request, now).filter(
     candidate => !request.isCopy || !instanceTable.isSuspect(candidate),
   );
-  const instance = cheapest(sample(eligible, request), cost);
-  return instance && {instance, memoryShare: shareOf(instance)};
+  const considered =
+    outlook === undefined
+      ? sample(eligible, request, SAMPLE_SIZE)
+      : sampleBySuitability(eligible, request, outlook, loads);
+  const instance = cheapest(considered, cost);
+  return (
+    instance && {
+      instance,
+      memoryShare: shareOf(instance),
+      speed: outlook?.speedOf(instance),
+      forecastPauseMilliseconds: outlook?.longestPause(instance),
+    }
+  );
 }
 
 /**
@@ -172,15 +199,16 @@
 function sample(
   instances: readonly instanceTable.Instance[],
   request: GenerationRequest,
+  size: number,
 ): readonly instanceTable.Instance[] {
   if (
     request.gatewayCount <= MAX_GATEWAYS_WITHOUT_SAMPLING ||
-    instances.length <= SAMPLE_SIZE
+    instances.length <= size
   ) {
     return instances;
   }
   const remaining = [...instances];
-  return Array.from({length: SAMPLE_SIZE}, () => {
+  return Array.from({length: size}, () => {
     const index = Math.min(
       remaining.length - 1,
       Math.floor(request.draw() * remaining.length),
@@ -189,6 +217,24 @@
   });
 }
 
+function sampleBySuitability(
+  instances: readonly instanceTable.Instance[],
+  request: GenerationRequest,
+  outlook: engineOutlook.EngineOutlook,
+  loads: runTable.LoadView,
+): readonly instanceTable.Instance[] {
+  const suitable: instanceTable.Instance[] = [];
+  const others: instanceTable.Instance[] = [];
+  for (const instance of instances) {
+    const load = loads.get(instance.record.id);
+    (outlook.isSuitable(instance, load) ? suitable : others).push(instance);
+  }
+  return [
+    ...sample(suitable, request, SUITABLE_SAMPLE_SIZE),
+    ...sample(others, request, UNSUITABLE_SAMPLE_SIZE),
+  ];
+}
+
 function cheapest(
   instances: readonly instanceTable.Instance[],
   cost: (instance: instanceTable.Instance) => number,
--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -18,6 +18,9 @@
   hasStarted: boolean;
 }
 
+/** Expected events from which a stream is long: pauses in it are likely to be noticed. */
+export const LONG_STREAM_EVENTS = 8;
+
 /** Load of one engine instance. */
 export interface InstanceLoad {
   runs: number;
@@ -27,6 +30,8 @@
   prefillTokens: number;
   /** Runs waiting at the engine, as reported by the engine; undefined without a report. */
   queuedRuns?: number;
+  /** Runs that send long streams; absent unless speeds are measured, and from older builds. */
+  longRuns?: number;
 }
 
 const IDLE: InstanceLoad = {runs: 0, memoryTokens: 0, prefillTokens: 0};
@@ -55,6 +60,10 @@
   return run.promptTokens + expected;
 }
 
+function isLong({expectedTokens, tokensPerEvent}: Run): boolean {
+  return expectedTokens / tokensPerEvent >= LONG_STREAM_EVENTS;
+}
+
 /**
  * Holds the runs of this gateway and the loads reported by its peers. The sum
  * over the peers is kept up to date with each report, so that a placement costs
@@ -66,6 +75,9 @@
   private readonly peers = new Map<string, PeerLoads>();
   private readonly peerTotals = new Map<string, InstanceLoad>();
 
+  /** `countsLongRuns`: whether loads tell the number of long streams. */
+  constructor(private readonly countsLongRuns = false) {}
+
   get size(): number {
     return this.runs.size;
   }
@@ -87,6 +99,15 @@
     return [...this.runs].filter(run => run.instanceId === instanceId);
   }
 
+  /** Number of runs at the instance, of this gateway and its peers. */
+  countAt(instanceId: string): number {
+    let count = this.peerTotals.get(instanceId)?.runs ?? 0;
+    for (const run of this.runs) {
+      count += run.instanceId === instanceId ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Replaces the loads of a peer. */
   setPeerLoads(peer: string, loads: LoadsByInstance, now: number): void {
     this.removePeer(peer);
@@ -118,6 +139,9 @@
       load.runs++;
       load.memoryTokens += Math.round(expectedFinalMemory(run));
       load.prefillTokens += prefillTokens;
+      if (this.countsLongRuns && isLong(run) && instanceId === run.instanceId) {
+        load.longRuns = (load.longRuns ?? 0) + 1;
+      }
     };
     for (const run of this.runs) {
       add(run.instanceId, run, run.hasStarted ? 0 : run.promptTokens);
@@ -143,6 +167,9 @@
           runs: ownLoad.runs + peerLoad.runs,
           memoryTokens: ownLoad.memoryTokens + peerLoad.memoryTokens,
           prefillTokens: ownLoad.prefillTokens + peerLoad.prefillTokens,
+          ...(this.countsLongRuns && {
+            longRuns: (ownLoad.longRuns ?? 0) + (peerLoad.longRuns ?? 0),
+          }),
         };
       },
     };
@@ -162,6 +189,9 @@
       total.runs += sign * load.runs;
       total.memoryTokens += sign * load.memoryTokens;
       total.prefillTokens += sign * load.prefillTokens;
+      if (load.longRuns !== undefined) {
+        total.longRuns = (total.longRuns ?? 0) + sign * load.longRuns;
+      }
       this.peerTotals.set(instanceId, total);
       if (total.runs <= 0) {
         this.peerTotals.delete(instanceId);
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -6,7 +6,9 @@
  */
 import * as eventSplitter from '../common/event_splitter';
 import * as instanceClient from '../common/instance_client';
+import * as instanceTable from '../common/instance_table';
 import * as runTable from '../common/run_table';
+import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as callContext from './call_context';
 
 /** The event stream to one caller. */
@@ -18,6 +20,10 @@
   private firstEventAt = 0;
   private lastEventAt = 0;
   private longestPause = 0;
+  /** Measures the speed of the segment's instance; undefined if speeds are not measured. */
+  private observer: measuredSpeeds.StreamObserver | undefined;
+  /** Whether the time since the last events says something of the instance. */
+  private isGapOfInstance = false;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -52,8 +58,10 @@
     return this.lastEventAt - this.firstEventAt;
   }
 
-  /** Discards the incomplete event of the previous segment. */
-  startSegment(): void {
+  /** Discards the incomplete event of the previous segment; the next events come from this instance. */
+  startSegment(instance: instanceTable.Instance): void {
+    this.observer = this.context.services.speeds.observe(instance, this.run);
+    this.isGapOfInstance = false;
     this.splitter = new eventSplitter.EventSplitter();
     this.hasReceivedEvents = false;
   }
@@ -101,7 +109,7 @@
   ): void {
     const {run} = this;
     this.writeHead(answer);
-    this.recordPause();
+    this.recordPause(events.ids.length);
     this.lastId = events.ids[events.ids.length - 1] || this.lastId;
     run.eventsDelivered += events.ids.length - skipped;
     run.hasStarted = true;
@@ -111,6 +119,7 @@
     const canWriteMore = response.write(events.bytes.subarray(from));
     if (!canWriteMore) {
       answer.body.pause();
+      this.isGapOfInstance = false;
       response.once('drain', () => answer.body.resume());
     }
   }
@@ -148,12 +157,16 @@
     );
   }
 
-  private recordPause(): void {
+  private recordPause(eventCount: number): void {
     const now = performance.now();
     const pause = this.lastEventAt > 0 ? now - this.lastEventAt : 0;
     this.firstEventAt ||= now;
     this.lastEventAt = now;
     this.longestPause = Math.max(this.longestPause, pause);
+    if (this.isGapOfInstance) {
+      this.observer?.add(pause, eventCount, now);
+    }
+    this.isGapOfInstance = true;
     const {maxPauseMilliseconds} = this.context.call.route;
     if (maxPauseMilliseconds > 0 && pause > maxPauseMilliseconds) {
       this.context.log('long-pause', {
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -16,6 +16,7 @@
 import * as instanceLimits from '../../common/limits/instance_limits';
 import * as promptPartTable from '../../common/prompt_part_table';
 import * as runTable from '../../common/run_table';
+import * as instanceSpeeds from '../../common/speeds/instance_speeds';
 import * as gatewayMetrics from '../gateway_metrics';
 import * as stateFollower from '../state_follower';
 import * as stateTransfer from './state_transfer';
@@ -43,6 +44,7 @@
   readonly promptParts: promptPartTable.PromptPartTable;
   readonly reports: engineReports.EngineReports;
   readonly limits: instanceLimits.InstanceLimits;
+  readonly speeds: instanceSpeeds.InstanceSpeeds;
 }
 
 /** A message that another gateway sent to this one alone. */
@@ -210,6 +212,7 @@
     const reports = tables.reports.toRelay(now);
     const promptParts = tables.promptParts.toRelay(now);
     const limits = tables.limits.toRelay(now);
+    const speeds = tables.speeds.toRelay(now);
     return {
       name: own.name,
       stateAddress: this.settings.stateAddress,
@@ -223,6 +226,7 @@
       promptParts: promptParts.length > 0 ? promptParts : undefined,
       limits: limits.length > 0 ? limits : undefined,
       reports: reports.length > 0 ? reports : undefined,
+      speeds: speeds.length > 0 ? speeds : undefined,
       messageVersion: peerDigest.MESSAGE_VERSION,
       peers: [],
       endsInMilliseconds:
@@ -267,7 +271,7 @@
 
   private apply(message: fleetMessage.FleetMessage, now: number): void {
     const {digest, change} = message;
-    const {runs, reports, crashes, promptParts, limits} = this.tables;
+    const {runs, reports, crashes, promptParts, limits, speeds} = this.tables;
     runs.setPeerLoads(digest.name, digest.loads, now);
     reports.addRelayed(digest.reports ?? [], now);
     const crashesBefore = crashes.additionCount;
@@ -275,6 +279,7 @@
     this.knownCrashes += crashes.additionCount - crashesBefore;
     promptParts.merge(digest.promptParts ?? [], now);
     limits.merge(digest.limits ?? [], now);
+    speeds.merge(digest.speeds ?? [], now);
     if (change !== undefined && !this.follower.isWatching) {
       this.follower.applyRelayedChange(change, digest.name);
     }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -17,6 +17,7 @@
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
+import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
 import * as callerServer from './caller_server';
@@ -70,7 +71,9 @@
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, log, client} = options;
-    const runs = new runTable.RunTable();
+    const {measured_speeds: isMeasuring} = settings.placement;
+    const runs = new runTable.RunTable(isMeasuring);
+    const speeds = new measuredSpeeds.MeasuredSpeeds(runs, isMeasuring);
     const crashes = new crashTable.CrashTable();
     const promptParts = new promptPartTable.PromptPartTable();
     const reports = new engineReports.EngineReports();
@@ -92,7 +95,15 @@
         stateAddress: settings.listen.peers,
         digestPort: settings.peers.digest_port,
       },
-      {members, runs, crashes, promptParts, reports, limits},
+      {
+        members,
+        runs,
+        crashes,
+        promptParts,
+        reports,
+        limits,
+        speeds: speeds.speeds,
+      },
       follower,
       options.metrics,
       log,
@@ -115,6 +126,7 @@
       reports,
       permits,
       availability,
+      speeds,
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -139,6 +151,7 @@
       members,
       predictor,
       pace: new tokenPace.TokenPace(),
+      speeds,
       scheduler,
       evacuations: new evacuationManager.EvacuationManager(
         follower,
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -10,6 +10,7 @@
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
+import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as tokenPace from '../common/token_pace';
 import * as evacuationManager from './evacuation_manager';
 import * as gatewayMetrics from './gateway_metrics';
@@ -39,6 +40,7 @@
   readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
   readonly pace: tokenPace.TokenPace;
+  readonly speeds: measuredSpeeds.MeasuredSpeeds;
   readonly scheduler: generationScheduler.GenerationScheduler;
   readonly evacuations: evacuationManager.EvacuationManager;
 }
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -49,6 +49,17 @@
       8,
     ),
   }),
+  /** Absent from the files of older builds. */
+  placement: optional(
+    zod.z.object({
+      /** Whether requests are placed by the measured speeds of instances. */
+      measured_speeds: optional(
+        settingsFile.flagSetting() as zod.ZodType<boolean>,
+        false,
+      ),
+    }),
+    {measured_speeds: false},
+  ),
   retries: zod.z.object({
     window_seconds: optional(
       settingsFile.numberSetting(0.1, 3_600) as zod.ZodType<number>,
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -8,8 +8,10 @@
 import * as memberTable from '../common/fleet/member_table';
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
+import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as callContext from './call_context';
 import * as permitService from './limits/permit_service';
+import * as placementLog from './placement_log';
 import * as stateFollower from './state_follower';
 
 /** Interval between checks of the queue while generations wait, in milliseconds. */
@@ -86,6 +88,7 @@
     private readonly reports: engineReports.EngineReports,
     private readonly permits: permitService.PermitService,
     private readonly availability: instanceAvailability.InstanceAvailability,
+    private readonly speeds: measuredSpeeds.MeasuredSpeeds,
   ) {
     this.timer = setInterval(
       () => this.processQueue(),
@@ -165,11 +168,15 @@
     constraints: PlacementConstraints,
   ): placement.GenerationChoice | undefined {
     const now = performance.now();
+    const instances = this.follower.instances.forEndpoint(run.endpoint);
     return placement.placeGeneration(
-      this.follower.instances.forEndpoint(run.endpoint),
+      instances,
       this.loads(now),
       {
         ...constraints,
+        outlook: constraints.isCopy
+          ? undefined
+          : this.speeds.outlook(run.endpoint, instances, run, now),
         isAvailable: instance =>
           this.availability.isAvailable(instance, constraints.scope, now),
         draw: Math.random,
@@ -300,17 +307,31 @@
     excluded: ReadonlySet<string>,
     now: number,
   ): placement.GenerationChoice | undefined {
+    const instances = this.follower.instances.forEndpoint(call.endpointName);
+    const {promptTokens} = call.caller;
     return placement.placeGeneration(
-      this.follower.instances.forEndpoint(call.endpointName),
+      instances,
       loads,
       {
+        outlook: this.speeds.outlook(
+          call.endpointName,
+          instances,
+          {
+            promptTokens,
+            expectedTokens: expected,
+            tokensPerEvent: call.endpoint?.engine?.tokensPerEvent ?? 1,
+            objectiveMilliseconds: call.route.objectiveMilliseconds,
+            maxPauseMilliseconds: call.route.maxPauseMilliseconds,
+          },
+          now,
+        ),
         dataCentre: this.dataCentre,
         excluded,
         isAvailable: instance =>
           this.availability.isAvailable(instance, call.scope, now),
         softwareVersion,
         draw: Math.random,
-        promptTokens: call.caller.promptTokens,
+        promptTokens,
         expectedTokens: expected,
         capacityTokens: call.endpoint?.engine?.memoryTokens || Infinity,
         remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
@@ -323,11 +344,12 @@
 
   private addRun(
     context: callContext.CallContext,
-    {instance, memoryShare}: placement.GenerationChoice,
+    choice: placement.GenerationChoice,
     loads: runTable.LoadView,
     expected: number,
   ): PlacedRun {
     const {call} = context;
+    const {instance} = choice;
     const now = performance.now();
     const run: runTable.Run = {
       attemptId: call.caller.attemptId ?? '',
@@ -345,19 +367,14 @@
     context.log(
       'generation-placed',
       {
-        memory_share: round(memoryShare),
-        expected_tokens: Math.round(expected),
-        prompt_tokens: run.promptTokens,
-        prompt_parts: call.caller.sharedParts,
-        software_version: instance.record.softwareVersion,
-        resumes: call.caller.resumedAttemptId,
-        last_event_id: call.caller.lastEventId,
+        ...placementLog.requestFields(call, run),
+        ...placementLog.choiceFields(choice),
         waiting: this.queue.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
         queued_there: loads.get(instance.record.id)?.queuedRuns,
         instances_position: this.follower.instancesPosition,
         reporting_peers: this.runs.peerCount,
-        oldest_report_ms: roundedAge(this.runs.oldestReportAge(now)),
+        oldest_report_ms: placementLog.rounded(this.runs.oldestReportAge(now)),
       },
       instance,
     );
@@ -380,11 +397,3 @@
   const priority = customer?.priority ?? route.priority;
   return Math.max(0, Math.min(9, Math.round(priority)));
 }
-
-function roundedAge(milliseconds: number | undefined): number | undefined {
-  return milliseconds === undefined ? undefined : Math.round(milliseconds);
-}
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- /dev/null
+++ b/src/gateway/node/placement_log.ts
@@ -0,0 +1,39 @@
+/** Fields of the log line about a placed generation. */
+import * as placement from '../common/placement';
+import * as runTable from '../common/run_table';
+import * as callContext from './call_context';
+
+type LogFields = Readonly<Record<string, unknown>>;
+
+/** What was to be placed. */
+export function requestFields(
+  {caller}: callContext.AcceptedCall,
+  run: runTable.Run,
+): LogFields {
+  return {
+    expected_tokens: Math.round(run.expectedTokens),
+    prompt_tokens: run.promptTokens,
+    prompt_parts: caller.sharedParts,
+    resumes: caller.resumedAttemptId,
+    last_event_id: caller.lastEventId,
+  };
+}
+
+/** What was expected of the chosen instance. */
+export function choiceFields(choice: placement.GenerationChoice): LogFields {
+  return {
+    memory_share: hundredths(choice.memoryShare),
+    software_version: choice.instance.record.softwareVersion,
+    speed: hundredths(choice.speed),
+    forecast_pause_ms: rounded(choice.forecastPauseMilliseconds),
+  };
+}
+
+/** The number without its fraction. */
+export function rounded(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
+
+function hundredths(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value * 100) / 100;
+}
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -206,7 +206,7 @@
     this.source = target.instance;
     run.instanceId = target.instance.record.id;
     const backup = this.copies.startSegment(target.instance);
-    this.delivery.startSegment();
+    this.delivery.startSegment(target.instance);
     this.segmentCount++;
     if (target.continuation === undefined) {
       context.recordSend();
--- a/test/gateway/gateway_settings.test.ts
+++ b/test/gateway/gateway_settings.test.ts
@@ -32,6 +32,22 @@
   t.is(settings.shutdown.grace_seconds, 8);
 });
 
+test('gateway settings: a file of an older release, without [placement], measures no speeds; the deployed file does', t => {
+  t.false(parse(TEXT)._unsafeUnwrap().placement.measured_speeds);
+  const empty = `${TEXT}\n[placement]\nmeasured_speeds =\n`;
+  t.false(parse(empty)._unsafeUnwrap().placement.measured_speeds);
+  const deployed = fs.readFileSync(
+    path.join(__dirname, '../../../deploy/gateway.ini'),
+    'utf8',
+  );
+  const section = deployed.slice(
+    deployed.indexOf('[placement]'),
+    deployed.indexOf('[retries]'),
+  );
+  const settings = parse(`${TEXT}\n${section}`)._unsafeUnwrap();
+  t.true(settings.placement.measured_speeds);
+});
+
 for (const [title, from, to, message] of [
   [
     'a missing store',
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -167,6 +167,7 @@
       peers: {seeds: '127.0.0.1:1,127.0.0.2:1', digest_port: digestPort},
       platform: {store},
       shutdown: {grace_seconds: 8},
+      placement: {measured_speeds: false},
       retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
     },
     registry,
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -101,6 +101,7 @@
         peers: {seeds: '', digest_port: 0},
         platform: {store},
         shutdown: {grace_seconds: 8},
+        placement: {measured_speeds: false},
         retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
       },
       registry,
