Plain calls are placed by measured answer times; metrics of measured speeds

Cause: plain calls went to the instance with the fewest open requests of this gateway, so that with two of three instances ten times slower a quarter or more of all calls still went to each slow one.

Change: each gateway keeps the last four answer times of an instance; the second smallest is the estimate, told to peers beyond a difference of 0.35. Instances within a ratio of 1.5 count as equal: smaller differences are chance, and all gateways would choose the same one. One call in 20 tries a slow instance, and the next call follows a quick answer there. Metrics: measured_instances, placements_total{pause}.

--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -1,6 +1,7 @@
 /** Chooses the instance to which a request is sent. */
 import * as instanceTable from './instance_table';
 import * as runTable from './run_table';
+import * as callOutlook from './speeds/call_outlook';
 import * as engineOutlook from './speeds/engine_outlook';
 
 /** Properties of a request that placement considers. */
@@ -15,6 +16,12 @@
   readonly draw: () => number;
 }
 
+/** A call of a plain service to be placed. */
+export interface CallRequest extends PlacementRequest {
+  /** What the measured speeds of the instances lead to; undefined unless they differ. */
+  readonly callOutlook?: callOutlook.CallOutlook;
+}
+
 /** A generation to be placed. */
 export interface GenerationRequest extends PlacementRequest {
   readonly promptTokens: number;
@@ -115,18 +122,30 @@
   );
 }
 
-/** Places a short call on the instance with the fewest open requests, preferring this gateway's data centre. Meant for rates far below capacity. */
+/**
+ * Places a short call on the instance that is expected to answer first: by its
+ * open requests and, where instances differ, by their answer times, preferring
+ * this gateway's data centre. Meant for rates far below capacity.
+ */
 export function placeCall(
   instances: readonly instanceTable.Instance[],
-  request: PlacementRequest,
+  request: CallRequest,
   now: number,
 ): instanceTable.Instance | undefined {
-  const cost = (candidate: instanceTable.Instance) =>
+  const {callOutlook: outlook} = request;
+  const eligible = candidates(instances, request, now);
+  const requestsAhead = (candidate: instanceTable.Instance) =>
     candidate.openRequests +
     (candidate.record.dataCentre === request.dataCentre ? 0 : REMOTE_COST) +
     candidate.failureRate * 4 +
     request.draw() * 0.1;
-  return cheapest(candidates(instances, request, now), cost);
+  const expectedTime = (candidate: instanceTable.Instance) =>
+    ((requestsAhead(candidate) + 1) * (outlook?.timeOf(candidate) ?? 1)) /
+    Math.max(1, candidate.record.slots);
+  return (
+    outlook?.takeTrial(eligible, request.draw) ??
+    cheapest(eligible, outlook === undefined ? requestsAhead : expectedTime)
+  );
 }
 
 /**
--- a/src/gateway/common/speeds/instance_speeds.ts
+++ b/src/gateway/common/speeds/instance_speeds.ts
@@ -17,8 +17,10 @@
 const MAX_ESTIMATES = 4_096;
 /** Maximum number of instances that this gateway measures; the least recently added are dropped first. */
 const MAX_METERS = 1_024;
-/** Relative difference from which peers are told a new estimate. */
-const TOLD_DIFFERENCE = 0.08;
+/** Relative difference from which peers are told a new estimate of an engine. */
+const ENGINE_DIFFERENCE = 0.08;
+/** The same for a plain service, whose answers vary; smaller differences do not change a placement. */
+const SERVICE_DIFFERENCE = 0.35;
 /** Time after which peers are told an unchanged estimate again, in milliseconds. */
 const RETELL_MILLISECONDS = 10_000;
 /** Time for which an estimate stays in the digests once it is told, in milliseconds; several digests make up for lost ones. */
@@ -34,6 +36,12 @@
   readonly at: number;
 }
 
+/** An estimate of this gateway. */
+interface OwnEstimate extends Estimate {
+  /** Relative difference from which peers are told. */
+  readonly difference: number;
+}
+
 /** What peers were last told of an incarnation, by any gateway. */
 interface Told extends Estimate {
   /** Monotonic milliseconds until which this gateway repeats it. */
@@ -58,7 +66,7 @@
 export class InstanceSpeeds {
   private readonly engineMeters = new Map<string, speedMeter.SpeedMeter>();
   private readonly serviceMeters = new Map<string, serviceMeter.ServiceMeter>();
-  private readonly own = new Map<string, Estimate>();
+  private readonly own = new Map<string, OwnEstimate>();
   private readonly estimates = new Map<string, Estimate>();
   private readonly told = new Map<string, Told>();
   private readonly summaries = new Map<string, CachedSummary>();
@@ -84,14 +92,30 @@
       life,
       () => new serviceMeter.ServiceMeter(),
     );
-    meter.add(milliseconds);
-    this.setOwn(life, meter.speed!, now);
+    // Otherwise older answers to this gateway would outweigh a change that peers have found.
+    const expected = this.answerTime(life, now);
+    if (expected !== undefined && serviceMeter.isLike(milliseconds, expected)) {
+      meter.removeUnlike(expected);
+    }
+    const {speed, at} = meter.add(milliseconds, now);
+    this.setOwn(life, speed, at, SERVICE_DIFFERENCE);
+  }
+
+  /** Time in which the instance of a plain service is expected to answer, in milliseconds; undefined if it is not known. */
+  answerTime(life: string, now: number): number | undefined {
+    const speed = this.get(life, now);
+    return speed && serviceMeter.answerMilliseconds(speed);
   }
 
   /** Records an estimate of this gateway. */
-  setOwn(life: string, speed: number, now: number): void {
-    put(this.own, life, {speed, at: now}, MAX_METERS);
-    this.set(life, {speed, at: now});
+  setOwn(
+    life: string,
+    speed: number,
+    at: number,
+    difference = ENGINE_DIFFERENCE,
+  ): void {
+    put(this.own, life, {speed, at, difference}, MAX_METERS);
+    this.set(life, {speed, at});
   }
 
   /** Speed of the incarnation; undefined if it is not known. */
@@ -146,12 +170,13 @@
   /** Returns the estimates of this gateway that peers do not know yet, or were not told for some time. */
   toRelay(now: number): RelayedSpeed[] {
     const relayed: RelayedSpeed[] = [];
-    for (const [life, {speed, at}] of this.own) {
+    for (const [life, estimate] of this.own) {
+      const {speed, at} = estimate;
       if (now - at > TELLING_MILLISECONDS) {
         continue;
       }
       let told = this.told.get(life);
-      if (told === undefined || isNews(told, speed, now)) {
+      if (told === undefined || isNews(told, estimate, now)) {
         told = {speed, at: now, repeatUntil: now + TELLING_MILLISECONDS};
         put(this.told, life, told, MAX_ESTIMATES);
       }
@@ -176,9 +201,13 @@
   }
 }
 
-function isNews(told: Told, speed: number, now: number): boolean {
-  const difference = Math.abs(speed / told.speed - 1);
-  return difference > TOLD_DIFFERENCE || now - told.at > RETELL_MILLISECONDS;
+function isNews(
+  told: Told,
+  {speed, difference}: OwnEstimate,
+  now: number,
+): boolean {
+  const change = Math.abs(speed / told.speed - 1);
+  return change > difference || now - told.at > RETELL_MILLISECONDS;
 }
 
 /** Sets the entry as the last one, and removes the first beyond the bound. */
--- a/src/gateway/common/speeds/measured_speeds.ts
+++ b/src/gateway/common/speeds/measured_speeds.ts
@@ -1,18 +1,23 @@
 /** Measured speeds of one gateway: who measures, and what placements are told. */
 import * as instanceTable from '../instance_table';
 import * as runTable from '../run_table';
+import * as callOutlook from './call_outlook';
 import * as engineOutlook from './engine_outlook';
 import * as instanceSpeeds from './instance_speeds';
 import * as pauseForecast from './pause_forecast';
 
-/** Endpoints whose pauses are forecast; the deployments have a few. */
+/** Endpoints of which something is kept; the deployments have a few. */
 const MAX_ENDPOINTS = 256;
 
 /** Gaps below which events were held up before, by a link or a caller that reads slowly, in milliseconds. No engine is that fast. */
 const MIN_GAP_MILLISECONDS = 2;
 
-/** The pauses of one endpoint. */
-interface EndpointPauses {
+/** Answers that take less than this share of the expected time show that an instance may have recovered. */
+const RECOVERY_SHARE = 0.5;
+
+/** What is kept of one endpoint beside the speeds of its instances. */
+interface EndpointState {
+  readonly trials: callOutlook.SlowInstanceTrials;
   readonly forecast: pauseForecast.PauseForecast;
   /** Longest pause that the last route with such a limit allows; 0 before the first. */
   maxPauseMilliseconds: number;
@@ -48,7 +53,7 @@
 /** Speeds and pauses of all endpoints. */
 export class MeasuredSpeeds {
   readonly speeds = new instanceSpeeds.InstanceSpeeds();
-  private readonly endpoints = new Map<string, EndpointPauses>();
+  private readonly endpoints = new Map<string, EndpointState>();
 
   constructor(
     private readonly runs: runTable.RunTable,
@@ -66,7 +71,7 @@
     }
     return new StreamObserver(
       this.speeds,
-      this.pausesOf(record.endpoint).forecast,
+      this.stateOf(record.endpoint).forecast,
       instanceTable.lifeOf(record),
       tokensPerEvent,
       () => this.runs.countAt(record.id),
@@ -79,11 +84,32 @@
     milliseconds: number,
     now: number,
   ): void {
-    if (this.isEnabled) {
-      this.speeds.recordAnswer(instanceTable.lifeOf(record), milliseconds, now);
+    if (!this.isEnabled) {
+      return;
+    }
+    const life = instanceTable.lifeOf(record);
+    const expected = this.speeds.answerTime(life, now);
+    this.speeds.recordAnswer(life, milliseconds, now);
+    if (expected !== undefined && milliseconds < expected * RECOVERY_SHARE) {
+      this.stateOf(record.endpoint).trials.followUp(record.id);
     }
   }
 
+  /** What to expect of the instances for a plain call; undefined if they are not known to differ. */
+  callOutlook(
+    endpoint: string,
+    instances: readonly instanceTable.Instance[],
+    now: number,
+  ): callOutlook.CallOutlook | undefined {
+    if (!this.isEnabled) {
+      return undefined;
+    }
+    const summary = this.speeds.summary(endpoint, instances, now);
+    return summary.isUneven
+      ? new callOutlook.CallOutlook(summary, this.stateOf(endpoint).trials)
+      : undefined;
+  }
+
   /** What to expect of the instances for the generation; undefined if they are not known to differ. */
   outlook(
     endpoint: string,
@@ -94,11 +120,11 @@
     if (!this.isEnabled) {
       return undefined;
     }
-    const pauses = this.pausesOf(endpoint);
-    pauses.maxPauseMilliseconds =
-      stream.maxPauseMilliseconds || pauses.maxPauseMilliseconds;
+    const state = this.stateOf(endpoint);
+    state.maxPauseMilliseconds =
+      stream.maxPauseMilliseconds || state.maxPauseMilliseconds;
     const summary = this.speeds.summary(endpoint, instances, now);
-    const {forecast, maxPauseMilliseconds} = pauses;
+    const {forecast, maxPauseMilliseconds} = state;
     return summary.isUneven
       ? new engineOutlook.EngineOutlook(
           {...stream, maxPauseMilliseconds},
@@ -108,7 +134,7 @@
       : undefined;
   }
 
-  private pausesOf(endpoint: string): EndpointPauses {
+  private stateOf(endpoint: string): EndpointState {
     const known = this.endpoints.get(endpoint);
     if (known !== undefined) {
       return known;
@@ -116,8 +142,11 @@
     if (this.endpoints.size >= MAX_ENDPOINTS) {
       this.endpoints.clear();
     }
-    const forecast = new pauseForecast.PauseForecast();
-    const created = {forecast, maxPauseMilliseconds: 0};
+    const created = {
+      trials: new callOutlook.SlowInstanceTrials(),
+      forecast: new pauseForecast.PauseForecast(),
+      maxPauseMilliseconds: 0,
+    };
     this.endpoints.set(endpoint, created);
     return created;
   }
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -23,6 +23,8 @@
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
   readonly openRequests: promClient.Gauge;
   readonly waiting: promClient.Gauge;
+  readonly measuredInstances: promClient.Gauge;
+  readonly placements: promClient.Counter<'pause'>;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -82,5 +84,14 @@
       'rhubarbvane_gateway_waiting_generations',
       'Generations that wait for memory at an engine',
     );
+    this.measuredInstances = registry.gauge(
+      'rhubarbvane_gateway_measured_instances',
+      'Incarnations of instances of which a speed is known',
+    );
+    this.placements = registry.counter(
+      'rhubarbvane_gateway_placements_total',
+      'Placed generations by the pause that was forecast',
+      ['pause'],
+    );
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -314,7 +314,9 @@
 
   /** Reads all state again if the process was suspended, since it is then outdated. */
   private checkForSuspension(): void {
-    this.options.metrics.waiting.set(this.services.scheduler.waitingCount);
+    const {scheduler, speeds} = this.services;
+    this.options.metrics.waiting.set(scheduler.waitingCount);
+    this.options.metrics.measuredInstances.set(speeds.speeds.size);
     const gap = this.suspensions.check(performance.now(), Date.now());
     if (gap === undefined) {
       return;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -10,6 +10,7 @@
 import * as runTable from '../common/run_table';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as callContext from './call_context';
+import * as generationRequest from './generation_request';
 import * as permitService from './limits/permit_service';
 import * as placementLog from './placement_log';
 import * as stateFollower from './state_follower';
@@ -308,7 +309,6 @@
     now: number,
   ): placement.GenerationChoice | undefined {
     const instances = this.follower.instances.forEndpoint(call.endpointName);
-    const {promptTokens} = call.caller;
     return placement.placeGeneration(
       instances,
       loads,
@@ -316,13 +316,7 @@
         outlook: this.speeds.outlook(
           call.endpointName,
           instances,
-          {
-            promptTokens,
-            expectedTokens: expected,
-            tokensPerEvent: call.endpoint?.engine?.tokensPerEvent ?? 1,
-            objectiveMilliseconds: call.route.objectiveMilliseconds,
-            maxPauseMilliseconds: call.route.maxPauseMilliseconds,
-          },
+          generationRequest.forecastStream(call, expected),
           now,
         ),
         dataCentre: this.dataCentre,
@@ -331,7 +325,7 @@
           this.availability.isAvailable(instance, call.scope, now),
         softwareVersion,
         draw: Math.random,
-        promptTokens,
+        promptTokens: call.caller.promptTokens,
         expectedTokens: expected,
         capacityTokens: call.endpoint?.engine?.memoryTokens || Infinity,
         remoteCostMilliseconds: REMOTE_COST_MILLISECONDS,
@@ -351,19 +345,11 @@
     const {call} = context;
     const {instance} = choice;
     const now = performance.now();
-    const run: runTable.Run = {
-      attemptId: call.caller.attemptId ?? '',
-      instanceId: instance.record.id,
-      copyInstanceId: undefined,
-      endpoint: call.endpointName,
-      promptTokens: call.caller.promptTokens,
-      maxTokens: call.caller.maxTokens,
-      expectedTokens: expected,
-      tokensPerEvent: call.endpoint?.engine?.tokensPerEvent ?? 1,
-      eventsDelivered: 0,
-      hasStarted: false,
-    };
+    const run = generationRequest.createRun(call, instance, expected);
     this.runs.add(run);
+    context.services.metrics.placements.inc({
+      pause: placementLog.pauseLabel(choice, call),
+    });
     context.log(
       'generation-placed',
       {
--- a/src/gateway/node/placement_log.ts
+++ b/src/gateway/node/placement_log.ts
@@ -29,6 +29,17 @@
   };
 }
 
+/** Label of the forecast pause in the metrics. */
+export function pauseLabel(
+  {forecastPauseMilliseconds: forecast}: placement.GenerationChoice,
+  {route: {maxPauseMilliseconds}}: callContext.AcceptedCall,
+): string {
+  if (forecast === undefined || maxPauseMilliseconds === 0) {
+    return 'unknown';
+  }
+  return forecast <= maxPauseMilliseconds ? 'within-limit' : 'beyond-limit';
+}
+
 /** The number without its fraction. */
 export function rounded(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value);
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -77,9 +77,17 @@
     const {availability} = services;
     const pick = (barred: ReadonlySet<string>) => {
       const now = performance.now();
+      const instances = services.follower.instances.forEndpoint(
+        call.endpointName,
+      );
       const instance = placement.placeCall(
-        services.follower.instances.forEndpoint(call.endpointName),
+        instances,
         {
+          callOutlook: services.speeds.callOutlook(
+            call.endpointName,
+            instances,
+            now,
+          ),
           dataCentre: services.dataCentre,
           excluded: barred,
           isAvailable: each => availability.isAvailable(each, call.scope, now),
@@ -124,9 +132,14 @@
       },
       Math.max(0, context.remainingMilliseconds),
     );
+    const sentAt = performance.now();
     const outcome = await collect(exchange);
     clearTimeout(timer);
     instance.openRequests--;
+    if (hasTimedOut || isGoodAnswer(outcome)) {
+      const now = performance.now();
+      context.services.speeds.recordAnswer(instance, now - sentAt, now);
+    }
     context.services.metrics.sends.inc({outcome: outcomeLabel(outcome)});
     return hasTimedOut && outcome.error === SendError.Cancelled
       ? {error: SendError.TimedOut}
@@ -253,6 +266,11 @@
   }
 }
 
+/** Whether the instance ran the request and did not fail it, so that the time taken says how quick it is. */
+function isGoodAnswer({answer}: SendOutcome): boolean {
+  return answer !== undefined && !answer.isNotExecuted && answer.status < 500;
+}
+
 function outcomeLabel(outcome: SendOutcome): string {
   if (outcome.answer === undefined) {
     return outcome.error ?? 'none';
--- a/test/gateway/common/speeds/instance_speeds.test.ts
+++ b/test/gateway/common/speeds/instance_speeds.test.ts
@@ -105,3 +105,28 @@
   t.true(summary([0.6, 1, 1.6]).isUneven);
   t.is(summary([0.6, 1.6, 1]).median, 1);
 });
+
+test('instance speeds: answer times that vary by chance are not told again and again, which would fill the digests', t => {
+  const speeds = new instanceSpeeds.InstanceSpeeds();
+  let told = 0;
+  for (let now = 0; now < 10_000; now += 100) {
+    speeds.recordAnswer('i-1/7', 45 + (now % 700) / 100, now);
+    told += speeds.toRelay(now).length;
+  }
+  t.true(told <= 27, `${told}`);
+});
+
+test('instance speeds: a single slow answer changes nothing, three change the estimate, and peers that know more confirm the first', t => {
+  const speeds = new instanceSpeeds.InstanceSpeeds();
+  const answer = (milliseconds: number, now: number) => {
+    speeds.recordAnswer('i-1/7', milliseconds, now);
+    return speeds.answerTime('i-1/7', now);
+  };
+  [40, 41, 42, 40].forEach((time, index) => answer(time, index));
+  t.true(answer(400, 10)! < 50);
+  t.true(answer(400, 20)! < 50);
+  t.is(answer(400, 30), 400);
+  [40, 40, 40, 40].forEach((time, index) => answer(time, 40 + index));
+  speeds.merge([['i-1/7', 25, 0]], 100);
+  t.is(answer(410, 110), 410);
+});
