Measured speeds: tests of the wiring, of messages with speeds and of counts of long streams

Cause: the way from an event or an answer to an estimate was tested in parts only. Change: tests through a gateway process.

--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -17,6 +17,7 @@
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
+import * as instanceSpeeds from '../common/speeds/instance_speeds';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
@@ -195,6 +196,11 @@
     return this.services.promptParts;
   }
 
+  /** Speeds of instances that the process knows of. */
+  get instanceSpeeds(): instanceSpeeds.InstanceSpeeds {
+    return this.services.speeds.speeds;
+  }
+
   /** Number of other gateways that this one considers running. */
   get peerCount(): number {
     return this.services.members.live().length;
--- a/test/gateway/common/fleet/fleet_message.test.ts
+++ b/test/gateway/common/fleet/fleet_message.test.ts
@@ -125,3 +125,42 @@
     t.is(fleetMessage.parse(bytes), undefined);
   }
 });
+
+test('fleet messages: speeds arrive as they were written, and malformed ones make a message unreadable', t => {
+  const written = message();
+  const withSpeeds = (speeds: unknown) =>
+    Buffer.from(
+      JSON.stringify({...written, digest: {...written.digest, speeds}}),
+    );
+  const speeds = [
+    ['i-1/7', 62, 3],
+    ['i-2/7', 160, 0],
+  ];
+  t.deepEqual(fleetMessage.parse(withSpeeds(speeds))?.digest.speeds, speeds);
+  for (const wrong of [
+    [['i-1/7', 0, 3]],
+    [['i-1/7', -5, 3]],
+    [['i-1/7', 62, -1]],
+    [['i-1/7', '62', 3]],
+    [['i-1/7', 62]],
+    Array.from({length: 65}, () => ['i-1/7', 62, 3]),
+  ]) {
+    t.is(fleetMessage.parse(withSpeeds(wrong)), undefined);
+  }
+});
+
+test('fleet messages: the largest field of speeds fits beside the loads of a busy gateway', t => {
+  const loads = Object.fromEntries(
+    Array.from({length: 48}, (_, index) => [
+      `i-a7e7f986${index}`,
+      {runs: 3, memoryTokens: 11_481, prefillTokens: 3_079, longRuns: 3},
+    ]),
+  );
+  const {digest, fleet} = message(loads);
+  const speeds = Array.from(
+    {length: 48},
+    (_, index) => [`i-a7e7f986${index}/1764867600000`, 100, 3] as const,
+  );
+  const {omitted} = fleetMessage.encode({digest: {...digest, speeds}, fleet});
+  t.deepEqual(omitted, []);
+});
--- a/test/gateway/common/run_table.test.ts
+++ b/test/gateway/common/run_table.test.ts
@@ -86,3 +86,18 @@
   );
   t.pass();
 });
+
+test('run table: long streams of own runs and of peers are counted together if that is switched on, and those of older builds as none', t => {
+  const runs = new runTable.RunTable(true);
+  runs.add(run('i-1'));
+  runs.add({...run('i-1'), expectedTokens: 8});
+  runs.setPeerLoads('p', {'i-1': {...load(2, 300), longRuns: 2}}, 0);
+  runs.setPeerLoads('old', {'i-1': load(1, 100)}, 0);
+  t.is(runs.view().get('i-1')?.longRuns, 3);
+  t.is(runs.countAt('i-1'), 5);
+  runs.removeReportsBefore(1);
+  t.is(runs.view().get('i-1')?.longRuns, 1);
+  const without = new runTable.RunTable();
+  without.add(run('i-1'));
+  t.false('longRuns' in without.view().get('i-1')!);
+});
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -79,7 +79,10 @@
   private constructor(private readonly t: ava.ExecutionContext) {}
 
   /** Starts the store and a gateway, without a configuration. */
-  static async create(t: ava.ExecutionContext): Promise<TestGateway> {
+  static async create(
+    t: ava.ExecutionContext,
+    isMeasuringSpeeds = false,
+  ): Promise<TestGateway> {
     const test = new TestGateway(t);
     const store = await test.store.listen();
     t.teardown(() => test.store.close());
@@ -101,7 +104,7 @@
         peers: {seeds: '', digest_port: 0},
         platform: {store},
         shutdown: {grace_seconds: 8},
-        placement: {measured_speeds: false},
+        placement: {measured_speeds: isMeasuringSpeeds},
         retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
       },
       registry,
@@ -124,8 +127,9 @@
       Record<string, [string, replicaStandin.ReplicaHandler, string?]>
     >,
     configuration = configurationSpec(1),
+    isMeasuringSpeeds = false,
   ): Promise<TestGateway> {
-    const test = await TestGateway.create(t);
+    const test = await TestGateway.create(t, isMeasuringSpeeds);
     for (const [id, replica] of Object.entries(replicas)) {
       const [service, behaviour, version] = replica;
       await test.addReplica(id, service, behaviour, version);
