Loads: sums of long streams have one object shape

Cause: adding longRuns to a sum after its creation changed the shape of the object; on the scripted model (24 gateways, 60 s) reports of peers then took most of the time. Change: the field exists from the start if it is counted.

--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -34,7 +34,12 @@
   longRuns?: number;
 }
 
-const IDLE: InstanceLoad = {runs: 0, memoryTokens: 0, prefillTokens: 0};
+/** Load without runs. All sums have the same fields from the start, since adding one later slows down each report. */
+function idleLoad(countsLongRuns: boolean): InstanceLoad {
+  return countsLongRuns
+    ? {runs: 0, memoryTokens: 0, prefillTokens: 0, longRuns: 0}
+    : {runs: 0, memoryTokens: 0, prefillTokens: 0};
+}
 
 /** Loads by instance id, as reported by one gateway. */
 export type LoadsByInstance = Readonly<Record<string, InstanceLoad>>;
@@ -135,7 +140,7 @@
   ownLoads(): Record<string, InstanceLoad> {
     const loads: Record<string, InstanceLoad> = {};
     const add = (instanceId: string, run: Run, prefillTokens: number) => {
-      const load = (loads[instanceId] ??= {...IDLE});
+      const load = (loads[instanceId] ??= idleLoad(this.countsLongRuns));
       load.runs++;
       load.memoryTokens += Math.round(expectedFinalMemory(run));
       load.prefillTokens += prefillTokens;
@@ -185,12 +190,13 @@
 
   private addToTotals(loads: LoadsByInstance, sign: 1 | -1): void {
     for (const [instanceId, load] of Object.entries(loads)) {
-      const total = this.peerTotals.get(instanceId) ?? {...IDLE};
+      const total =
+        this.peerTotals.get(instanceId) ?? idleLoad(this.countsLongRuns);
       total.runs += sign * load.runs;
       total.memoryTokens += sign * load.memoryTokens;
       total.prefillTokens += sign * load.prefillTokens;
-      if (load.longRuns !== undefined) {
-        total.longRuns = (total.longRuns ?? 0) + sign * load.longRuns;
+      if (this.countsLongRuns) {
+        total.longRuns = (total.longRuns ?? 0) + sign * (load.longRuns ?? 0);
       }
       this.peerTotals.set(instanceId, total);
       if (total.runs <= 0) {
