--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -64,6 +64,7 @@
 const MAX_LIMITS = 64;
 /** Longest identifier of an incarnation with its address, in characters. */
 const MAX_LEAVING_LENGTH = 300;
+const MAX_SPEEDS = 64;
 
 const finite = zod.z.number().refine(Number.isFinite);
 /** Time since something, in milliseconds. */
@@ -72,6 +73,7 @@
   runs: finite,
   memoryTokens: finite,
   prefillTokens: finite,
+  longRuns: finite.optional(),
 });
 const memberSchema = zod.z.tuple([
   zod.z.ipv4(),
@@ -125,6 +127,16 @@
       .array(zod.z.tuple([zod.z.string().min(1).max(MAX_LEAVING_LENGTH), age]))
       .max(MAX_LIMITS)
       .optional(),
+    speeds: zod.z
+      .array(
+        zod.z.tuple([
+          zod.z.string().max(MAX_CRASH_ID_LENGTH),
+          zod.z.number().positive().refine(Number.isFinite),
+          age,
+        ]),
+      )
+      .max(MAX_SPEEDS)
+      .optional(),
     messageVersion: finite.optional(),
     reports: zod.z
       .array(zod.z.tuple([zod.z.string(), finite, finite, finite]))
@@ -189,8 +201,8 @@
 /**
  * Encodes a message within MAX_MESSAGE_BYTES. What is left out first can be
  * had otherwise: changes are fetched by position, members come on later pages,
- * reports expire; of the loads the heaviest remain. Evacuated data centres are
- * never left out: without them requests would go where they must not.
+ * reports and speeds expire; of the loads the heaviest remain. Evacuated data
+ * centres are never left out: without them requests would go where they must not.
  */
 export function encode(message: FleetMessage): EncodedMessage {
   const omitted: string[] = [];
@@ -225,6 +237,10 @@
       digest: {...message.digest, reports: undefined},
     }),
   ],
+  [
+    'speeds',
+    message => ({...message, digest: {...message.digest, speeds: undefined}}),
+  ],
   [
     'loads',
     message => ({
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -1,6 +1,8 @@
 /** Chooses the instance to which a request is sent. */
 import * as instanceTable from './instance_table';
 import * as runTable from './run_table';
+import * as callOutlook from './speeds/call_outlook';
+import * as engineOutlook from './speeds/engine_outlook';
 
 /** Properties of a request that placement considers. */
 export interface PlacementRequest {
@@ -14,6 +16,12 @@
   readonly draw: () => number;
 }
 
+/** A call of a plain service to be placed. */
+export interface CallRequest extends PlacementRequest {
+  /** What the measured speeds of the instances lead to; undefined unless they differ. */
+  readonly callOutlook?: callOutlook.CallOutlook;
+}
+
 /** A generation to be placed. */
 export interface GenerationRequest extends PlacementRequest {
   readonly promptTokens: number;
@@ -28,6 +36,8 @@
   readonly softwareVersion: string | undefined;
   /** Whether a copy is placed, which is only useful at an instance that is known to respond. */
   readonly isCopy: boolean;
+  /** What the measured speeds of the instances lead to; undefined unless they differ. */
+  readonly outlook?: engineOutlook.EngineOutlook;
 }
 
 /** Instance chosen for a generation. */
@@ -35,6 +45,10 @@
   readonly instance: instanceTable.Instance;
   /** Memory that all runs including this one are expected to need at their ends, as a share of the capacity. */
   readonly memoryShare: number;
+  /** Measured speed of the instance; undefined if it is not known or does not differ from others. */
+  readonly speed?: number;
+  /** Expected longest pause while a prompt is read there, in milliseconds; undefined as `speed`. */
+  readonly forecastPauseMilliseconds?: number;
 }
 
 /** Failure rate above which an instance is considered failing; healthy services stay below it. */
@@ -67,6 +81,13 @@
 const MAX_GATEWAYS_WITHOUT_SAMPLING = 6;
 /** Number of instances that each gateway considers when there are more gateways. */
 const SAMPLE_SIZE = 3;
+/**
+ * Numbers of instances considered when speeds differ: of those at which no
+ * stream would pause too long, and of the others, which are needed once the
+ * first are full.
+ */
+const SUITABLE_SAMPLE_SIZE = 5;
+const UNSUITABLE_SAMPLE_SIZE = 3;
 
 /** Returns the instances that may take new work, without those that fail far more often than the others; only those to be probed, if there are any. */
 export function candidates(
@@ -106,18 +127,30 @@
   );
 }
 
-/** Places a short call on the instance with the fewest open requests, preferring this gateway's data centre. Meant for rates far below capacity. */
+/**
+ * Places a short call on the instance that is expected to answer first: by its
+ * open requests and, where instances differ, by their answer times, preferring
+ * this gateway's data centre. Meant for rates far below capacity.
+ */
 export function placeCall(
   instances: readonly instanceTable.Instance[],
-  request: PlacementRequest,
+  request: CallRequest,
   now: number,
 ): instanceTable.Instance | undefined {
-  const cost = (candidate: instanceTable.Instance) =>
+  const {callOutlook: outlook} = request;
+  const eligible = candidates(instances, request, now);
+  const requestsAhead = (candidate: instanceTable.Instance) =>
     candidate.openRequests +
     (candidate.record.dataCentre === request.dataCentre ? 0 : REMOTE_COST) +
     instanceTable.failureRateOf(candidate, now) * 4 +
     request.draw() * 0.1;
-  return cheapest(candidates(instances, request, now), cost);
+  const expectedTime = (candidate: instanceTable.Instance) =>
+    ((requestsAhead(candidate) + 1) * (outlook?.timeOf(candidate) ?? 1)) /
+    Math.max(1, candidate.record.slots);
+  return (
+    outlook?.takeTrial(eligible, request.draw) ??
+    cheapest(eligible, outlook === undefined ? requestsAhead : expectedTime)
+  );
 }
 
 /**
@@ -131,6 +164,7 @@
   request: GenerationRequest,
   now: number,
 ): GenerationChoice | undefined {
+  const {outlook} = request;
   const size = request.promptTokens + request.expectedTokens;
   const shareOf = (candidate: instanceTable.Instance) =>
     ((loads.get(candidate.record.id)?.memoryTokens ?? 0) + size) /
@@ -150,6 +184,7 @@
       queuedRuns * QUEUED_COST_MILLISECONDS +
       instanceTable.failureRateOf(candidate, now) * FAILURE_COST_MILLISECONDS +
       (isWarm ? 0 : WARM_UP_COST_MILLISECONDS) +
+      (outlook?.cost(candidate, load) ?? 0) +
       (candidate.record.dataCentre === request.dataCentre
         ? 0
         : request.remoteCostMilliseconds) +
@@ -166,8 +201,19 @@
   const eligible = candidates(compatible, request, now).filter(
     candidate => !request.isCopy || !instanceTable.isSuspect(candidate),
   );
-  const instance = cheapest(sample(eligible, request), cost);
-  return instance && {instance, memoryShare: shareOf(instance)};
+  const considered =
+    outlook === undefined
+      ? sample(eligible, request, SAMPLE_SIZE)
+      : sampleBySuitability(eligible, request, outlook, loads);
+  const instance = cheapest(considered, cost);
+  return (
+    instance && {
+      instance,
+      memoryShare: shareOf(instance),
+      speed: outlook?.speedOf(instance),
+      forecastPauseMilliseconds: outlook?.longestPause(instance),
+    }
+  );
 }
 
 /**
@@ -177,15 +223,16 @@
 function sample(
   instances: readonly instanceTable.Instance[],
   request: GenerationRequest,
+  size: number,
 ): readonly instanceTable.Instance[] {
   if (
     request.gatewayCount <= MAX_GATEWAYS_WITHOUT_SAMPLING ||
-    instances.length <= SAMPLE_SIZE
+    instances.length <= size
   ) {
     return instances;
   }
   const remaining = [...instances];
-  return Array.from({length: SAMPLE_SIZE}, () => {
+  return Array.from({length: size}, () => {
     const index = Math.min(
       remaining.length - 1,
       Math.floor(request.draw() * remaining.length),
@@ -194,6 +241,24 @@
   });
 }
 
+function sampleBySuitability(
+  instances: readonly instanceTable.Instance[],
+  request: GenerationRequest,
+  outlook: engineOutlook.EngineOutlook,
+  loads: runTable.LoadView,
+): readonly instanceTable.Instance[] {
+  const suitable: instanceTable.Instance[] = [];
+  const others: instanceTable.Instance[] = [];
+  for (const instance of instances) {
+    const load = loads.get(instance.record.id);
+    (outlook.isSuitable(instance, load) ? suitable : others).push(instance);
+  }
+  return [
+    ...sample(suitable, request, SUITABLE_SAMPLE_SIZE),
+    ...sample(others, request, UNSUITABLE_SAMPLE_SIZE),
+  ];
+}
+
 function cheapest(
   instances: readonly instanceTable.Instance[],
   cost: (instance: instanceTable.Instance) => number,
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -18,6 +18,7 @@
 import * as promptPartTable from '../../common/prompt_part_table';
 import * as runTable from '../../common/run_table';
 import * as evacuationFollower from '../evacuation_follower';
+import * as instanceSpeeds from '../../common/speeds/instance_speeds';
 import * as gatewayMetrics from '../gateway_metrics';
 import * as stateFollower from '../state_follower';
 import * as stateTransfer from './state_transfer';
@@ -46,6 +47,7 @@
   readonly reports: engineReports.EngineReports;
   readonly limits: instanceLimits.InstanceLimits;
   readonly warmUps: warmUps.WarmUps;
+  readonly speeds: instanceSpeeds.InstanceSpeeds;
 }
 
 /** A message that another gateway sent to this one alone. */
@@ -230,6 +232,7 @@
     const limits = tables.limits.toRelay(now);
     const cold = tables.warmUps.toRelay(now);
     const leaving = follower.instances.leaving.toRelay(now);
+    const speeds = tables.speeds.toRelay(now);
     return {
       name: own.name,
       stateAddress: this.settings.stateAddress,
@@ -246,6 +249,7 @@
       warmUps: cold.length > 0 ? cold : undefined,
       leaving: leaving.length > 0 ? leaving : undefined,
       reports: reports.length > 0 ? reports : undefined,
+      speeds: speeds.length > 0 ? speeds : undefined,
       messageVersion: peerDigest.MESSAGE_VERSION,
       peers: [],
       endsInMilliseconds:
@@ -290,7 +294,7 @@
 
   private apply(message: fleetMessage.FleetMessage, now: number): void {
     const {digest, change} = message;
-    const {runs, reports, crashes, promptParts, limits} = this.tables;
+    const {runs, reports, crashes, promptParts, limits, speeds} = this.tables;
     this.evacuations.applyDigest(digest, now);
     runs.setPeerLoads(digest.name, digest.loads, now);
     reports.addRelayed(digest.reports ?? [], now);
@@ -303,6 +307,7 @@
     this.follower.instances
       .mergeLeaving(digest.leaving ?? [], now)
       .forEach(each => this.follower.markLeaving(each, digest.name));
+    speeds.merge(digest.speeds ?? [], now);
     if (change !== undefined && !this.follower.isWatching) {
       this.follower.applyRelayedChange(change, digest.name);
     }
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -26,6 +26,8 @@
   readonly openRequests: promClient.Gauge;
   readonly waiting: promClient.Gauge;
   readonly evacuatedDataCentres: promClient.Gauge;
+  readonly measuredInstances: promClient.Gauge;
+  readonly placements: promClient.Counter<'pause'>;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -99,5 +101,14 @@
       'rhubarbvane_gateway_evacuated_data_centres',
       'Data centres that are evacuated as far as this gateway knows',
     );
+    this.measuredInstances = registry.gauge(
+      'rhubarbvane_gateway_measured_instances',
+      'Incarnations of instances of which a speed is known',
+    );
+    this.placements = registry.counter(
+      'rhubarbvane_gateway_placements_total',
+      'Placed generations by the pause that was forecast',
+      ['pause'],
+    );
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -22,6 +22,8 @@
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
+import * as instanceSpeeds from '../common/speeds/instance_speeds';
+import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as suspensionDetector from '../common/suspension_detector';
 import * as tokenPace from '../common/token_pace';
 import * as versionStore from '../common/versions/version_store';
@@ -83,7 +85,9 @@
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, log, client} = options;
-    const runs = new runTable.RunTable();
+    const {measured_speeds: isMeasuring} = settings.placement;
+    const runs = new runTable.RunTable(isMeasuring);
+    const speeds = new measuredSpeeds.MeasuredSpeeds(runs, isMeasuring);
     const crashes = new crashTable.CrashTable();
     const promptParts = new promptPartTable.PromptPartTable();
     const reports = new engineReports.EngineReports();
@@ -131,7 +135,16 @@
         stateAddress: settings.listen.peers,
         digestPort: settings.peers.digest_port,
       },
-      {members, runs, crashes, promptParts, reports, limits, warmUps: cold},
+      {
+        members,
+        runs,
+        crashes,
+        promptParts,
+        reports,
+        limits,
+        warmUps: cold,
+        speeds: speeds.speeds,
+      },
       follower,
       this.evacuatedDataCentres,
       options.metrics,
@@ -160,6 +173,7 @@
       reports,
       permits,
       availability,
+      speeds,
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -199,6 +213,7 @@
       members,
       predictor,
       pace: new tokenPace.TokenPace(),
+      speeds,
       scheduler,
       evacuations: new evacuationManager.EvacuationManager(
         follower,
@@ -248,6 +263,11 @@
     return this.services.promptParts;
   }
 
+  /** Speeds of instances that the process knows of. */
+  get instanceSpeeds(): instanceSpeeds.InstanceSpeeds {
+    return this.services.speeds.speeds;
+  }
+
   /** Number of other gateways that this one considers running. */
   get peerCount(): number {
     return this.services.members.live().length;
@@ -376,7 +396,9 @@
 
   /** Reads all state again if the process was suspended, since it is then outdated. */
   private checkForSuspension(): void {
-    this.options.metrics.waiting.set(this.services.scheduler.waitingCount);
+    const {scheduler, speeds} = this.services;
+    this.options.metrics.waiting.set(scheduler.waitingCount);
+    this.options.metrics.measuredInstances.set(speeds.speeds.size);
     const gap = this.suspensions.check(performance.now(), Date.now());
     if (gap === undefined) {
       return;
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -205,6 +205,7 @@
       platform: {store},
       shutdown: {grace_seconds: 8},
       evacuation: {bound_milliseconds: evacuationBound},
+      placement: {measured_speeds: false},
       retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
     },
     registry,
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -18,6 +18,7 @@
   /** Time within which evacuations of data centres are in force, in milliseconds; 0 to follow none. */
   readonly evacuationBound?: number;
   readonly regions?: Readonly<Record<string, string>>;
+  readonly isMeasuringSpeeds?: boolean;
 }
 
 /** A route of the tests' host. */
@@ -88,7 +89,11 @@
   /** Starts the store and a gateway, without a configuration. */
   static async create(
     t: ava.ExecutionContext,
-    {evacuationBound = 0, regions = {}}: GatewayVariation = {},
+    {
+      evacuationBound = 0,
+      regions = {},
+      isMeasuringSpeeds = false,
+    }: GatewayVariation = {},
   ): Promise<TestGateway> {
     const test = new TestGateway(t);
     const store = await test.store.listen();
@@ -114,6 +119,7 @@
         platform: {store},
         shutdown: {grace_seconds: 8},
         evacuation: {bound_milliseconds: evacuationBound},
+        placement: {measured_speeds: isMeasuringSpeeds},
         retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
       },
       registry,
