Gateway: slow idempotent calls are sent to a second instance

Cause: a call was sent again only after a failure, so one slow or hanging instance made its callers wait until their deadline. Change: a call of an idempotent route that is not answered within the 95th percentile of the route's recent answer times (at least a fifth of the objective) is sent to a second instance; the first good answer is delivered and the other send is closed at once.

--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -163,11 +163,16 @@
     );
   }
 
+  /** Records that the instance of a send certainly did not run the request. */
+  recordNotRun(): void {
+    this.possibleRuns--;
+    this.rejectedSends++;
+  }
+
   /** Accounts for a failed send. Returns whether the call may be sent to another instance; if so, charges the shared retry budget. */
   tryAcquireRetry(reason: RetryReason): boolean {
     if (reason === RetryReason.NotRun) {
-      this.possibleRuns--;
-      this.rejectedSends++;
+      this.recordNotRun();
     }
     const isAllowed =
       reason === RetryReason.NotRun
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -15,6 +15,7 @@
   readonly latency: promClient.Histogram<'route'>;
   readonly pauses: promClient.Histogram;
   readonly sends: promClient.Counter<'outcome'>;
+  readonly hedges: promClient.Counter<'outcome'>;
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
   readonly copies: promClient.Counter<'outcome'>;
@@ -46,6 +47,11 @@
       'Requests sent to instances by outcome',
       ['outcome'],
     );
+    this.hedges = registry.counter(
+      'rhubarbvane_gateway_hedges_total',
+      'Second sends of calls that were not answered in the usual time, by outcome',
+      ['outcome'],
+    );
     this.connections = registry.counter(
       'rhubarbvane_gateway_connections_total',
       'Connections made to instances',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -10,6 +10,7 @@
 import * as directMembers from '../common/fleet/direct_members';
 import * as memberTable from '../common/fleet/member_table';
 import * as watcherElection from '../common/fleet/watcher_election';
+import * as hedgePolicy from '../common/hedging/hedge_policy';
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
 import * as limitUsage from '../common/limits/limit_usage';
@@ -136,6 +137,7 @@
       ),
       limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
+      hedges: createHedgePolicy(settings),
       members,
       predictor,
       pace: new tokenPace.TokenPace(),
@@ -263,6 +265,7 @@
     const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
     this.handler.prepareShutdown(endsAt);
     this.services.permits.withdraw();
+    this.services.hedges?.stop();
     this.exchange.announceShutdown(endsAt);
     const earliestEndAt = Math.min(
       startedAt + BALANCER_DELAY_MILLISECONDS,
@@ -333,3 +336,10 @@
   const {window_seconds, ratio, allowance} = settings.retries;
   return {windowMilliseconds: window_seconds * 1000, ratio, allowance};
 }
+
+function createHedgePolicy(
+  settings: gatewaySettings.GatewaySettings,
+): hedgePolicy.HedgePolicy | undefined {
+  const maxShare = settings.hedging?.max_share ?? 0;
+  return maxShare > 0 ? new hedgePolicy.HedgePolicy(maxShare) : undefined;
+}
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -4,6 +4,7 @@
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
 import * as memberTable from '../common/fleet/member_table';
+import * as hedgePolicy from '../common/hedging/hedge_policy';
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
 import * as limitUsage from '../common/limits/limit_usage';
@@ -36,6 +37,8 @@
   readonly limitUsage: limitUsage.LimitUsage;
   readonly origins: streamOrigins.StreamOrigins;
   readonly retries: retryLimiter.RetryLimiter;
+  /** Undefined if calls are not hedged. */
+  readonly hedges: hedgePolicy.HedgePolicy | undefined;
   readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
   readonly pace: tokenPace.TokenPace;
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -63,6 +63,16 @@
       10,
     ),
   }),
+  /** Absent in files written for older builds. */
+  hedging: zod.z
+    .object({
+      /** Maximum number of second sends per request; 0 to send none. */
+      max_share: optional(
+        settingsFile.numberSetting(0, 1) as zod.ZodType<number>,
+        0,
+      ),
+    })
+    .optional(),
 });
 
 /** Settings of a gateway. */
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -1,16 +1,17 @@
 /** Calls of plain services: the whole answer is collected before any of it is delivered. */
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
+import * as hedgePolicy from '../common/hedging/hedge_policy';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as instancePermits from '../common/limits/instance_permits';
 import * as placement from '../common/placement';
 import * as callContext from './call_context';
+import * as hedgedSend from './hedged_send';
+import * as plainSend from './plain_send';
 
 const {SendError} = instanceClient;
 
-/** Maximum size of an answer, in bytes; these services send no larger ones. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Minimum time limit for an instance if the call may be retried, in multiples of the route's objective. */
 const INSTANCE_TIMEOUT_OBJECTIVES = 2;
 /** Share of the remaining time that an instance may use if the call may be retried and this is longer. */
@@ -18,25 +19,21 @@
 /** Retry delay if no instance accepts the call, in seconds. */
 const NO_INSTANCE_RETRY_SECONDS = 0.25;
 
-/** Outcome of one send. */
-interface SendOutcome {
-  readonly answer?: instanceClient.InstanceResponse;
-  readonly body?: Buffer;
-  readonly error?: instanceClient.SendError;
-}
-
 /** Runs one call of a plain service. */
-export class PlainCall {
-  private exchange: instanceClient.Exchange | undefined;
+export class PlainCall implements hedgedSend.HedgedCall {
+  private readonly openSends = new Set<plainSend.PlainSend>();
   /** Failure answer of an instance, delivered if no other instance succeeds. */
-  private lastAnswer: SendOutcome | undefined;
+  private lastAnswer: plainSend.SendOutcome | undefined;
 
   constructor(private readonly context: callContext.CallContext) {
-    context.setDisconnectHandler(() => this.exchange?.cancel());
+    context.setDisconnectHandler(() =>
+      this.openSends.forEach(send => send.cancel()),
+    );
   }
 
   async run(): Promise<void> {
     const {context} = this;
+    this.hedges?.recordRequest(performance.now());
     let isFirst = true;
     for (;;) {
       const {choice, shortage} = await this.place();
@@ -46,12 +43,11 @@
       if (choice === undefined) {
         return this.giveUpWithoutInstance(shortage);
       }
-      const {instance} = choice;
-      const outcome = await this.sendTo(instance);
+      const end = await this.sendTo(choice.instance);
       if (context.isOver) {
         return;
       }
-      const retryReason = this.evaluateOutcome(instance, outcome);
+      const {instance, outcome, retryReason} = end;
       if (retryReason === undefined || !context.tryAcquireRetry(retryReason)) {
         return this.conclude(outcome, retryReason);
       }
@@ -70,6 +66,12 @@
     }
   }
 
+  /** Undefined if the call is not hedged. */
+  private get hedges(): hedgePolicy.HedgePolicy | undefined {
+    const {services, call} = this.context;
+    return hedgePolicy.isHedgeable(call.route) ? services.hedges : undefined;
+  }
+
   private place(): Promise<
     instancePermits.Selection<instancePermits.InstanceChoice>
   > {
@@ -105,38 +107,39 @@
     );
   }
 
-  private async sendTo(instance: instanceTable.Instance): Promise<SendOutcome> {
-    const {context} = this;
-    context.recordSend();
-    instance.openRequests++;
-    const exchange = context.send(instance, {
-      urgency: undefined,
-      lastEventId: undefined,
-      continuation: undefined,
-      backupAddress: undefined,
-    });
-    this.exchange = exchange;
-    let hasTimedOut = false;
-    const timer = setTimeout(
-      () => {
-        hasTimedOut = true;
-        exchange.cancel();
-      },
-      Math.max(0, context.remainingMilliseconds),
-    );
-    const outcome = await collect(exchange);
-    clearTimeout(timer);
-    instance.openRequests--;
-    context.services.metrics.sends.inc({outcome: outcomeLabel(outcome)});
-    return hasTimedOut && outcome.error === SendError.Cancelled
-      ? {error: SendError.TimedOut}
-      : outcome;
+  /** Sends the call to the instance, and to a second one if it is hedged. */
+  private async sendTo(
+    instance: instanceTable.Instance,
+  ): Promise<hedgedSend.SendEnd> {
+    const {context, hedges} = this;
+    const send = this.startSend(instance);
+    return hedges === undefined
+      ? this.endOf(send, await send.outcome)
+      : new hedgedSend.HedgedSend(context, hedges, this).finish(send);
+  }
+
+  startSend(instance: instanceTable.Instance): plainSend.PlainSend {
+    this.context.recordSend();
+    const send = new plainSend.PlainSend(this.context, instance);
+    this.openSends.add(send);
+    void send.outcome.then(() => this.openSends.delete(send));
+    return send;
+  }
+
+  endOf(
+    {instance}: plainSend.PlainSend,
+    outcome: plainSend.SendOutcome,
+  ): hedgedSend.SendEnd {
+    const retryReason = this.context.isOver
+      ? undefined
+      : this.evaluateOutcome(instance, outcome);
+    return {instance, outcome, retryReason};
   }
 
   /** Records the outcome; returns why the call may be sent again, or undefined if it may not. */
   private evaluateOutcome(
     instance: instanceTable.Instance,
-    outcome: SendOutcome,
+    outcome: plainSend.SendOutcome,
   ): callContext.RetryReason | undefined {
     const now = performance.now();
     const {answer, error} = outcome;
@@ -188,7 +191,7 @@
   }
 
   private conclude(
-    outcome: SendOutcome,
+    outcome: plainSend.SendOutcome,
     retryReason: callContext.RetryReason | undefined,
   ): void {
     if (outcome.answer !== undefined && !outcome.answer.isNotExecuted) {
@@ -229,7 +232,7 @@
     return this.context.sendsThatMayHaveRun > 0;
   }
 
-  private deliver(outcome: SendOutcome): void {
+  private deliver(outcome: plainSend.SendOutcome): void {
     const {response} = this.context;
     const {answer, body} = outcome;
     const {services, call} = this.context;
@@ -252,38 +255,3 @@
     response.end(body);
   }
 }
-
-function outcomeLabel(outcome: SendOutcome): string {
-  if (outcome.answer === undefined) {
-    return outcome.error ?? 'none';
-  }
-  return outcome.answer.isNotExecuted
-    ? 'rejected'
-    : `status-${outcome.answer.status}`;
-}
-
-/** Waits for the whole answer. */
-async function collect(
-  exchange: instanceClient.Exchange,
-): Promise<SendOutcome> {
-  const result = await exchange.response;
-  if (result.isErr()) {
-    return {error: result.error};
-  }
-  const answer = result.value;
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    answer.body.listen({
-      onData(chunk) {
-        chunks.push(chunk);
-        length += chunk.length;
-        if (length > MAX_ANSWER_BYTES) {
-          exchange.cancel();
-        }
-      },
-      onDidEnd: () => resolve({answer, body: Buffer.concat(chunks)}),
-      onDidFail: () => resolve({error: SendError.ConnectionLost}),
-    });
-  });
-}
--- /dev/null
+++ b/src/gateway/node/plain_send.ts
@@ -0,0 +1,118 @@
+/** One send of a call to an instance of a plain service. */
+import * as instanceClient from '../common/instance_client';
+import * as instanceTable from '../common/instance_table';
+import * as callContext from './call_context';
+
+const {SendError} = instanceClient;
+
+/** Maximum size of an answer, in bytes; these services send no larger ones. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Outcome of one send. */
+export interface SendOutcome {
+  readonly answer?: instanceClient.InstanceResponse;
+  readonly body?: Buffer;
+  readonly error?: instanceClient.SendError;
+}
+
+/** Sends the request when created, and collects the whole answer. */
+export class PlainSend {
+  /** Monotonic milliseconds. */
+  readonly startedAt = performance.now();
+  readonly outcome: Promise<SendOutcome>;
+  private readonly exchange: instanceClient.Exchange;
+  private isAbandoned = false;
+
+  constructor(
+    private readonly context: callContext.CallContext,
+    readonly instance: instanceTable.Instance,
+  ) {
+    instance.openRequests++;
+    this.recordOpen(1);
+    this.exchange = context.send(instance, {
+      urgency: undefined,
+      lastEventId: undefined,
+      continuation: undefined,
+      backupAddress: undefined,
+    });
+    this.outcome = this.collect();
+  }
+
+  /** Closes the connection, upon which the instance drops the request. */
+  cancel(): void {
+    this.exchange.cancel();
+  }
+
+  /** Cancels the send because another one was answered; counts as cancelled even if a part of its answer has arrived. */
+  abandon(): void {
+    this.isAbandoned = true;
+    this.exchange.cancel();
+  }
+
+  private async collect(): Promise<SendOutcome> {
+    const {context, exchange} = this;
+    let hasTimedOut = false;
+    const timer = setTimeout(
+      () => {
+        hasTimedOut = true;
+        exchange.cancel();
+      },
+      Math.max(0, context.remainingMilliseconds),
+    );
+    const outcome = await collect(exchange);
+    clearTimeout(timer);
+    this.instance.openRequests--;
+    this.recordOpen(-1);
+    const isCut = this.isAbandoned && outcome.answer === undefined;
+    context.services.metrics.sends.inc({
+      outcome: isCut ? SendError.Cancelled : outcomeLabel(outcome),
+    });
+    return hasTimedOut && outcome.error === SendError.Cancelled
+      ? {error: SendError.TimedOut}
+      : outcome;
+  }
+
+  private recordOpen(difference: 1 | -1): void {
+    const {services, call} = this.context;
+    services.hedges?.recordOpen(
+      call.endpointName,
+      difference,
+      performance.now(),
+    );
+  }
+}
+
+function outcomeLabel(outcome: SendOutcome): string {
+  if (outcome.answer === undefined) {
+    return outcome.error ?? 'none';
+  }
+  return outcome.answer.isNotExecuted
+    ? 'rejected'
+    : `status-${outcome.answer.status}`;
+}
+
+/** Waits for the whole answer. */
+async function collect(
+  exchange: instanceClient.Exchange,
+): Promise<SendOutcome> {
+  const result = await exchange.response;
+  if (result.isErr()) {
+    return {error: result.error};
+  }
+  const answer = result.value;
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    answer.body.listen({
+      onData(chunk) {
+        chunks.push(chunk);
+        length += chunk.length;
+        if (length > MAX_ANSWER_BYTES) {
+          exchange.cancel();
+        }
+      },
+      onDidEnd: () => resolve({answer, body: Buffer.concat(chunks)}),
+      onDidFail: () => resolve({error: SendError.ConnectionLost}),
+    });
+  });
+}
--- a/test/gateway/gateway_settings.test.ts
+++ b/test/gateway/gateway_settings.test.ts
@@ -32,6 +32,14 @@
   t.is(settings.shutdown.grace_seconds, 8);
 });
 
+test('gateway settings: a file without the section of hedges, or with an empty share, sends none', t => {
+  const without = TEXT.replace(/\[hedging\]\nmax_share = 0\n/, '');
+  t.notRegex(without, /hedging/);
+  t.is(parse(without)._unsafeUnwrap().hedging?.max_share ?? 0, 0);
+  const empty = TEXT.replace('max_share = 0', 'max_share =');
+  t.is(parse(empty)._unsafeUnwrap().hedging?.max_share, 0);
+});
+
 for (const [title, from, to, message] of [
   [
     'a missing store',
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../../src/base/node/metrics';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
+import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
 import * as platformAdapter from '../../src/platform/platform_adapter';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
@@ -79,7 +80,10 @@
   private constructor(private readonly t: ava.ExecutionContext) {}
 
   /** Starts the store and a gateway, without a configuration. */
-  static async create(t: ava.ExecutionContext): Promise<TestGateway> {
+  static async create(
+    t: ava.ExecutionContext,
+    settings: Partial<gatewaySettings.GatewaySettings> = {},
+  ): Promise<TestGateway> {
     const test = new TestGateway(t);
     const store = await test.store.listen();
     t.teardown(() => test.store.close());
@@ -102,6 +106,7 @@
         platform: {store},
         shutdown: {grace_seconds: 8},
         retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
+        ...settings,
       },
       registry,
       metrics: new gatewayMetrics.GatewayMetrics(registry),
@@ -123,8 +128,9 @@
       Record<string, [string, replicaStandin.ReplicaHandler, string?]>
     >,
     configuration = configurationSpec(1),
+    settings: Partial<gatewaySettings.GatewaySettings> = {},
   ): Promise<TestGateway> {
-    const test = await TestGateway.create(t);
+    const test = await TestGateway.create(t, settings);
     for (const [id, replica] of Object.entries(replicas)) {
       const [service, behaviour, version] = replica;
       await test.addReplica(id, service, behaviour, version);
