--- a/test/gateway/hedge_conditions.test.ts
+++ b/test/gateway/hedge_conditions.test.ts
@@ -123,3 +123,18 @@
     t.is(await bench.openCount(), 0);
   },
 );
+
+test.serial(
+  'hedged call: calls get hedges up to the share of the requests, and no more',
+  async t => {
+    const bench = new PlainCallBench({maxShare: 0.05});
+    bench.recordAnswers(40, 100);
+    const calls = Array.from({length: 10}, () => bench.start());
+    await clock.tickAsync(2_000);
+    // 5% of 40 requests and of these ten, rounded down.
+    t.is(bench.linesOf('call-hedged').length, 2);
+    bench.exchanges.forEach(exchange => exchange.answer(200));
+    await Promise.all(calls.map(({done}) => done));
+    t.is(await bench.openCount(), 0);
+  },
+);
