Gateway: answers for callers who read slowly are held within a bounded share of memory

Cause: an instance's answer was paused as soon as its caller's socket was full, so the instance held the rest, cut the answer off after some seconds, or failed. Change: with limits.memory_megabytes (empty: as before) the gateway reads on and holds up to a fifth of the memory for all answers and an eighth of that for one; beyond the sum the answer with the most bytes is reset and its call cancelled, which is no failure of the instance. Held chunks are joined to blocks, and a stream that is paused at its bound is not taken for a stalled one.

--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -294,6 +294,20 @@
     callerAnswer.abortAnswer(this.response);
   }
 
+  /** Resets the caller's connection because too many bytes are held for it, and cancels the call if it still runs. */
+  cutOff(heldBytes: number): void {
+    const isRunning = !this.isFinished;
+    this.log('slow-reader-cut', {held_bytes: heldBytes});
+    this.services.metrics.slowReaderCuts.inc();
+    this.finish('broken-off');
+    // An orderly close could leave the answer in the kernel's buffers and mark its end.
+    this.response.socket?.resetAndDestroy();
+    this.response.destroy();
+    if (isRunning) {
+      this.onDisconnect();
+    }
+  }
+
   /** Records the outcome; only the first one counts. */
   finish(outcome: string): void {
     if (this.isFinished) {
--- /dev/null
+++ b/src/gateway/node/caller_sink.ts
@@ -0,0 +1,188 @@
+/** Writes an answer to its caller, who may read it more slowly than the instance sends it. */
+import * as http from 'node:http';
+import * as deliveryBuffers from '../common/delivery_buffers';
+import * as instanceClient from '../common/instance_client';
+import * as callContext from './call_context';
+
+/** Size to which held chunks are joined, in bytes; many small buffers take several times the memory of their content. */
+const BLOCK_BYTES = 65_536;
+
+/** Receives the body of an answer. */
+export abstract class CallerSink {
+  /** Whether reading of the instance's answer is paused for the caller. */
+  abstract readonly isPaused: boolean;
+  /** Writes bytes that come from the body, which may be paused. */
+  abstract write(body: instanceClient.ResponseBody, bytes: Buffer): void;
+  /** Ends the answer after all bytes. */
+  abstract end(): void;
+}
+
+/** Creates the sink that the settings of the gateway call for. */
+export function createSink(context: callContext.CallContext): CallerSink {
+  const {buffers} = context.services;
+  return buffers === undefined
+    ? new PausingSink(context.response)
+    : new BufferingSink(context, buffers);
+}
+
+/** Pauses the instance's answer as soon as the caller's socket is full. */
+class PausingSink extends CallerSink {
+  readonly isPaused = false;
+
+  constructor(private readonly response: http.ServerResponse) {
+    super();
+  }
+
+  write(body: instanceClient.ResponseBody, bytes: Buffer): void {
+    const canWriteMore = this.response.write(bytes);
+    if (!canWriteMore) {
+      body.pause();
+      this.response.once('drain', () => body.resume());
+    }
+  }
+
+  end(): void {
+    this.response.end();
+  }
+}
+
+/** Holds what the caller's socket does not take, and pauses the instance's answer only at the bound for one answer. */
+class BufferingSink extends CallerSink {
+  private readonly held: HeldBytes;
+  private readonly blocks: Buffer[] = [];
+  private chunks: Buffer[] = [];
+  private chunkBytes = 0;
+  private blockBytes = 0;
+  /** Whether a callback of the socket is awaited. */
+  private isBlocked = false;
+  private paused: instanceClient.ResponseBody | undefined;
+
+  constructor(
+    private readonly context: callContext.CallContext,
+    private readonly buffers: deliveryBuffers.DeliveryBuffers,
+  ) {
+    super();
+    this.held = new HeldBytes(
+      context,
+      () => this.queuedBytes + context.response.writableLength,
+    );
+  }
+
+  get isPaused(): boolean {
+    return this.paused !== undefined;
+  }
+
+  write(body: instanceClient.ResponseBody, bytes: Buffer): void {
+    const {response} = this.context;
+    if (this.isBlocked) {
+      this.enqueue(bytes);
+    } else if (response.writableLength === 0) {
+      if (response.write(bytes)) {
+        return;
+      }
+      this.isBlocked = true;
+      response.once('drain', () => this.flush());
+    } else {
+      // The socket has not taken earlier bytes; it emits no "drain" below its own limit.
+      this.writeBlock(bytes);
+    }
+    this.holdFor(body);
+  }
+
+  end(): void {
+    const {response} = this.context;
+    this.joinChunks();
+    this.blocks.splice(0).forEach(block => response.write(block));
+    this.blockBytes = 0;
+    response.end();
+    holdUntilEnd(this.buffers, this.held, response);
+  }
+
+  private get queuedBytes(): number {
+    return this.blockBytes + this.chunkBytes;
+  }
+
+  private holdFor(body: instanceClient.ResponseBody): void {
+    holdUntilEnd(this.buffers, this.held, this.context.response);
+    if (this.held.measure() > this.buffers.maxAnswerBytes) {
+      body.pause();
+      this.paused = body;
+    }
+  }
+
+  private enqueue(bytes: Buffer): void {
+    this.chunks.push(bytes);
+    this.chunkBytes += bytes.length;
+    if (this.chunkBytes >= BLOCK_BYTES) {
+      this.joinChunks();
+    }
+  }
+
+  private joinChunks(): void {
+    if (this.chunkBytes > 0) {
+      this.blocks.push(Buffer.concat(this.chunks));
+      this.blockBytes += this.chunkBytes;
+      this.chunks = [];
+      this.chunkBytes = 0;
+    }
+  }
+
+  private writeBlock(bytes: Buffer): void {
+    this.isBlocked = true;
+    this.context.response.write(bytes, () => this.flush());
+  }
+
+  /** Writes the next block when the socket has taken the previous one. */
+  private flush(): void {
+    const {response} = this.context;
+    if (response.writableEnded || response.destroyed) {
+      return;
+    }
+    this.isBlocked = false;
+    if (this.blocks.length === 0) {
+      this.joinChunks();
+    }
+    const block = this.blocks.shift();
+    if (block !== undefined) {
+      this.blockBytes -= block.length;
+      this.writeBlock(block);
+    }
+    this.buffers.update(this.held);
+    if (this.held.measure() <= this.buffers.maxAnswerBytes / 2) {
+      this.paused?.resume();
+      this.paused = undefined;
+    }
+  }
+}
+
+/** Bytes held for one call. */
+export class HeldBytes extends deliveryBuffers.HeldAnswer {
+  /** Whether the account is told when the answer ends. */
+  isWatched = false;
+
+  constructor(
+    private readonly context: callContext.CallContext,
+    readonly measure: () => number,
+  ) {
+    super();
+  }
+
+  cutOff(): void {
+    this.context.cutOff(this.measure());
+  }
+}
+
+/** Counts the bytes that are held for the answer, until it has ended. */
+export function holdUntilEnd(
+  buffers: deliveryBuffers.DeliveryBuffers,
+  held: HeldBytes,
+  response: http.ServerResponse,
+): void {
+  if (!held.isWatched) {
+    held.isWatched = true;
+    response.once('close', () => buffers.remove(held));
+  }
+  if (!response.destroyed) {
+    buffers.update(held);
+  }
+}
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -8,6 +8,7 @@
 import * as instanceClient from '../common/instance_client';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
+import * as callerSink from './caller_sink';
 
 /** The event stream to one caller. */
 export class EventDelivery {
@@ -18,6 +19,7 @@
   private firstEventAt = 0;
   private lastEventAt = 0;
   private longestPause = 0;
+  private readonly sink: callerSink.CallerSink;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -25,6 +27,7 @@
     private readonly onDidDeliver: () => void,
   ) {
     this.lastId = context.call.caller.lastEventId;
+    this.sink = callerSink.createSink(context);
   }
 
   /** Whether anything was written to the caller. */
@@ -32,6 +35,11 @@
     return this.isHeadWritten;
   }
 
+  /** Whether the instance's answer is not read because the caller reads too slowly. */
+  get isPaused(): boolean {
+    return this.sink.isPaused;
+  }
+
   /** Whether the current segment has had a whole event. */
   get hasSegmentEvents(): boolean {
     return this.hasReceivedEvents;
@@ -83,7 +91,7 @@
   finish(answer: instanceClient.InstanceResponse): void {
     this.writeHead(answer);
     this.context.finish('served');
-    this.context.response.end();
+    this.sink.end();
   }
 
   /** Adds the longest pause of the stream to the metrics. */
@@ -107,12 +115,7 @@
     run.hasStarted = true;
     this.onDidDeliver();
     const from = skipped === 0 ? 0 : events.ends[skipped - 1];
-    const {response} = this.context;
-    const canWriteMore = response.write(events.bytes.subarray(from));
-    if (!canWriteMore) {
-      answer.body.pause();
-      response.once('drain', () => answer.body.resume());
-    }
+    this.sink.write(answer.body, events.bytes.subarray(from));
   }
 
   /** Number of leading events that the caller already has; undefined if an event is missing. */
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -24,6 +24,8 @@
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
   readonly openRequests: promClient.Gauge;
   readonly waiting: promClient.Gauge;
+  readonly heldBytes: promClient.Gauge;
+  readonly slowReaderCuts: promClient.Counter;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -88,5 +90,13 @@
       'rhubarbvane_gateway_waiting_generations',
       'Generations that wait for memory at an engine',
     );
+    this.heldBytes = registry.gauge(
+      'rhubarbvane_gateway_held_bytes',
+      'Bytes held for callers who read slowly',
+    );
+    this.slowReaderCuts = registry.counter(
+      'rhubarbvane_gateway_slow_reader_cuts_total',
+      'Answers cut off because too many bytes were held for callers',
+    );
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -6,6 +6,7 @@
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
+import * as deliveryBuffers from '../common/delivery_buffers';
 import * as engineReports from '../common/engine_reports';
 import * as directMembers from '../common/fleet/direct_members';
 import * as memberTable from '../common/fleet/member_table';
@@ -138,6 +139,7 @@
       limitUsage: new limitUsage.LimitUsage(),
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       hedges: createHedgePolicy(settings),
+      buffers: createDeliveryBuffers(settings),
       members,
       predictor,
       pace: new tokenPace.TokenPace(),
@@ -189,6 +191,11 @@
     return this.services.members.live().length;
   }
 
+  /** Number of bytes held for callers who read slowly. */
+  get heldBytes(): number {
+    return this.services.buffers?.totalBytes ?? 0;
+  }
+
   /** Port that callers connect to. */
   get port(): number {
     return this.server.port;
@@ -304,7 +311,9 @@
 
   /** Reads all state again if the process was suspended, since it is then outdated. */
   private checkForSuspension(): void {
-    this.options.metrics.waiting.set(this.services.scheduler.waitingCount);
+    const {scheduler, buffers} = this.services;
+    this.options.metrics.waiting.set(scheduler.waitingCount);
+    this.options.metrics.heldBytes.set(buffers?.totalBytes ?? 0);
     const gap = this.suspensions.check(performance.now(), Date.now());
     if (gap === undefined) {
       return;
@@ -343,3 +352,12 @@
   const maxShare = settings.hedging?.max_share ?? 0;
   return maxShare > 0 ? new hedgePolicy.HedgePolicy(maxShare) : undefined;
 }
+
+function createDeliveryBuffers(
+  settings: gatewaySettings.GatewaySettings,
+): deliveryBuffers.DeliveryBuffers | undefined {
+  const memoryMegabytes = settings.limits?.memory_megabytes ?? 0;
+  return memoryMegabytes > 0
+    ? new deliveryBuffers.DeliveryBuffers(memoryMegabytes)
+    : undefined;
+}
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -3,6 +3,7 @@
 import * as jsonLog from '../../base/node/json_log';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as crashTable from '../common/crash_table';
+import * as deliveryBuffers from '../common/delivery_buffers';
 import * as memberTable from '../common/fleet/member_table';
 import * as hedgePolicy from '../common/hedging/hedge_policy';
 import * as instanceClient from '../common/instance_client';
@@ -39,6 +40,8 @@
   readonly retries: retryLimiter.RetryLimiter;
   /** Undefined if calls are not hedged. */
   readonly hedges: hedgePolicy.HedgePolicy | undefined;
+  /** Undefined if instances are read only as fast as their callers read. */
+  readonly buffers: deliveryBuffers.DeliveryBuffers | undefined;
   readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
   readonly pace: tokenPace.TokenPace;
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -73,6 +73,16 @@
       ),
     })
     .optional(),
+  /** Absent in files written for older builds. */
+  limits: zod.z
+    .object({
+      /** Memory of the machine; 0 to hold nothing for callers who read slowly. */
+      memory_megabytes: optional(
+        settingsFile.numberSetting(0, 10_000_000) as zod.ZodType<number>,
+        0,
+      ),
+    })
+    .optional(),
 });
 
 /** Settings of a gateway. */
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -7,6 +7,7 @@
 import * as instancePermits from '../common/limits/instance_permits';
 import * as placement from '../common/placement';
 import * as callContext from './call_context';
+import * as callerSink from './caller_sink';
 import * as hedgedSend from './hedged_send';
 import * as plainSend from './plain_send';
 
@@ -253,5 +254,12 @@
     this.context.finish(answer!.status >= 500 ? 'instance-failure' : 'served');
     response.writeHead(answer!.status, headers);
     response.end(body);
+    if (services.buffers !== undefined && response.writableLength > 0) {
+      callerSink.holdUntilEnd(
+        services.buffers,
+        new callerSink.HeldBytes(this.context, () => response.writableLength),
+        response,
+      );
+    }
   }
 }
--- a/src/gateway/node/plain_send.ts
+++ b/src/gateway/node/plain_send.ts
@@ -2,12 +2,16 @@
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as callContext from './call_context';
+import * as callerSink from './caller_sink';
 
 const {SendError} = instanceClient;
 
 /** Maximum size of an answer, in bytes; these services send no larger ones. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+/** Size from which an answer that is being collected counts as held, in bytes; most answers are smaller. */
+const MIN_HELD_BYTES = 65_536;
+
 /** Outcome of one send. */
 export interface SendOutcome {
   readonly answer?: instanceClient.InstanceResponse;
@@ -59,7 +63,7 @@
       },
       Math.max(0, context.remainingMilliseconds),
     );
-    const outcome = await collect(exchange);
+    const outcome = await this.receive();
     clearTimeout(timer);
     this.instance.openRequests--;
     this.recordOpen(-1);
@@ -72,6 +76,37 @@
       : outcome;
   }
 
+  /** Waits for the whole answer. */
+  private async receive(): Promise<SendOutcome> {
+    const {context, exchange} = this;
+    const {buffers} = context.services;
+    const result = await exchange.response;
+    if (result.isErr()) {
+      return {error: result.error};
+    }
+    const answer = result.value;
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const held = new callerSink.HeldBytes(context, () => length);
+    const outcome = await new Promise<SendOutcome>(resolve => {
+      answer.body.listen({
+        onData(chunk) {
+          chunks.push(chunk);
+          length += chunk.length;
+          if (length > MAX_ANSWER_BYTES) {
+            exchange.cancel();
+          } else if (length > MIN_HELD_BYTES) {
+            buffers?.update(held);
+          }
+        },
+        onDidEnd: () => resolve({answer, body: Buffer.concat(chunks)}),
+        onDidFail: () => resolve({error: SendError.ConnectionLost}),
+      });
+    });
+    buffers?.remove(held);
+    return outcome;
+  }
+
   private recordOpen(difference: 1 | -1): void {
     const {services, call} = this.context;
     services.hedges?.recordOpen(
@@ -90,29 +125,3 @@
     ? 'rejected'
     : `status-${outcome.answer.status}`;
 }
-
-/** Waits for the whole answer. */
-async function collect(
-  exchange: instanceClient.Exchange,
-): Promise<SendOutcome> {
-  const result = await exchange.response;
-  if (result.isErr()) {
-    return {error: result.error};
-  }
-  const answer = result.value;
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    answer.body.listen({
-      onData(chunk) {
-        chunks.push(chunk);
-        length += chunk.length;
-        if (length > MAX_ANSWER_BYTES) {
-          exchange.cancel();
-        }
-      },
-      onDidEnd: () => resolve({answer, body: Buffer.concat(chunks)}),
-      onDidFail: () => resolve({error: SendError.ConnectionLost}),
-    });
-  });
-}
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -296,6 +296,9 @@
     decision: stallPolicy.StallDecision,
   ): Promise<void> {
     const {segment} = this;
+    if (this.delivery.isPaused) {
+      return;
+    }
     if (decision === stallPolicy.StallDecision.Move) {
       segment?.expectStop();
       this.pendingMove = this.moveRun(instance);
