--- a/test/gateway/slow_readers.test.ts
+++ b/test/gateway/slow_readers.test.ts
@@ -269,6 +269,41 @@
   );
 }
 
+// A report with many undelivered events otherwise means a broken connection.
+test.serial(
+  'slow readers: a stream that is paused at its bound is not run again elsewhere as stalled',
+  async t => {
+    let reports = 0;
+    const flood: replicaStandin.ReplicaHandler = (request, response) => {
+      response.writeHead(200, answerHeaders(request));
+      response.write(largeEvents(LATE_EVENTS));
+      const id = String(request.headers['x-rhubarbvane-attempt-id']);
+      for (const replica of gateway.replicas.values()) {
+        const runs = [[id, 0, 10_000, 1]];
+        Object.defineProperty(replica, 'runs', {
+          get: () => {
+            reports++;
+            return runs;
+          },
+        });
+      }
+    };
+    const gateway = await TestGateway.start(
+      t,
+      {'i-1': ['writers', flood], 'i-2': ['writers', flood]},
+      configurationSpec(1),
+      {limits: {memory_megabytes: 10}},
+    );
+    await gateway.until(() => gateway.process.state.instances.size === 2);
+    await openUnread(gateway, '/tag/slow');
+    await untilStill(() => gateway.process.heldBytes);
+    const seen = reports;
+    // The second report is read after the first one has been acted on.
+    await gateway.until(() => reports > seen + 1 || gateway.requestCount > 1);
+    t.is(gateway.requestCount, 1);
+  },
+);
+
 for (const memoryMegabytes of [10, 1_000]) {
   const isCut = memoryMegabytes === 10;
   test.serial(
