--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -191,11 +191,16 @@
     return this.services.backOffs.isActive(life, performance.now());
   }
 
+  /** Records that the instance of a send certainly did not run the request. */
+  recordNotRun(): void {
+    this.possibleRuns--;
+    this.rejectedSends++;
+  }
+
   /** Accounts for a failed send. Returns whether the call may be sent to another instance; if so, charges the shared retry budget. */
   tryAcquireRetry(reason: RetryReason): boolean {
     if (reason === RetryReason.NotRun) {
-      this.possibleRuns--;
-      this.rejectedSends++;
+      this.recordNotRun();
     }
     const isAllowed =
       reason === RetryReason.NotRun
@@ -317,6 +322,20 @@
     callerAnswer.abortAnswer(this.response);
   }
 
+  /** Resets the caller's connection because too many bytes are held for it, and cancels the call if it still runs. */
+  cutOff(heldBytes: number): void {
+    const isRunning = !this.isFinished;
+    this.log('slow-reader-cut', {held_bytes: heldBytes});
+    this.services.metrics.slowReaderCuts.inc();
+    this.finish('broken-off');
+    // An orderly close could leave the answer in the kernel's buffers and mark its end.
+    this.response.socket?.resetAndDestroy();
+    this.response.destroy();
+    if (isRunning) {
+      this.onDisconnect();
+    }
+  }
+
   /** Records the outcome; only the first one counts. */
   finish(outcome: string): void {
     if (this.isFinished) {
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -10,6 +10,7 @@
 import * as runTable from '../common/run_table';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as callContext from './call_context';
+import * as callerSink from './caller_sink';
 
 /** The event stream to one caller. */
 export class EventDelivery {
@@ -24,6 +25,7 @@
   private observer: measuredSpeeds.StreamObserver | undefined;
   /** Whether the time since the last events says something of the instance. */
   private isGapOfInstance = false;
+  private readonly sink: callerSink.CallerSink;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -31,6 +33,7 @@
     private readonly onDidDeliver: () => void,
   ) {
     this.lastId = context.call.caller.lastEventId;
+    this.sink = callerSink.createSink(context);
   }
 
   /** Whether anything was written to the caller. */
@@ -38,6 +41,11 @@
     return this.isHeadWritten;
   }
 
+  /** Whether the instance's answer is not read because the caller reads too slowly. */
+  get isPaused(): boolean {
+    return this.sink.isPaused;
+  }
+
   /** Whether the current segment has had a whole event. */
   get hasSegmentEvents(): boolean {
     return this.hasReceivedEvents;
@@ -91,7 +99,7 @@
   finish(answer: instanceClient.InstanceResponse): void {
     this.writeHead(answer);
     this.context.finish('served');
-    this.context.response.end();
+    this.sink.end();
   }
 
   /** Adds the longest pause of the stream to the metrics. */
@@ -115,13 +123,8 @@
     run.hasStarted = true;
     this.onDidDeliver();
     const from = skipped === 0 ? 0 : events.ends[skipped - 1];
-    const {response} = this.context;
-    const canWriteMore = response.write(events.bytes.subarray(from));
-    if (!canWriteMore) {
-      answer.body.pause();
-      this.isGapOfInstance = false;
-      response.once('drain', () => answer.body.resume());
-    }
+    const isOpen = this.sink.write(answer.body, events.bytes.subarray(from));
+    this.isGapOfInstance &&= isOpen;
   }
 
   /** Number of leading events that the caller already has; undefined if an event is missing. */
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -17,6 +17,7 @@
   readonly sends: promClient.Counter<'outcome'>;
   readonly instanceStates: promClient.Counter<'state'>;
   readonly unreadableStatements: promClient.Counter<'part'>;
+  readonly hedges: promClient.Counter<'outcome'>;
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
   readonly copies: promClient.Counter<'outcome'>;
@@ -28,6 +29,8 @@
   readonly evacuatedDataCentres: promClient.Gauge;
   readonly measuredInstances: promClient.Gauge;
   readonly placements: promClient.Counter<'pause'>;
+  readonly heldBytes: promClient.Gauge;
+  readonly slowReaderCuts: promClient.Counter;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -61,6 +64,11 @@
       'Statements of instances in answers that could not be read, by part',
       ['part'],
     );
+    this.hedges = registry.counter(
+      'rhubarbvane_gateway_hedges_total',
+      'Second sends of calls that were not answered in the usual time, by outcome',
+      ['outcome'],
+    );
     this.connections = registry.counter(
       'rhubarbvane_gateway_connections_total',
       'Connections made to instances',
@@ -110,5 +118,13 @@
       'Placed generations by the pause that was forecast',
       ['pause'],
     );
+    this.heldBytes = registry.gauge(
+      'rhubarbvane_gateway_held_bytes',
+      'Bytes held for callers who read slowly',
+    );
+    this.slowReaderCuts = registry.counter(
+      'rhubarbvane_gateway_slow_reader_cuts_total',
+      'Answers cut off because too many bytes were held for callers',
+    );
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -19,7 +19,6 @@
 import * as limitUsage from '../common/limits/limit_usage';
 import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
-import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
 import * as instanceSpeeds from '../common/speeds/instance_speeds';
@@ -33,6 +32,7 @@
 import * as evacuationManager from './evacuation_manager';
 import * as fleetExchange from './fleet/fleet_exchange';
 import * as gatewayMetrics from './gateway_metrics';
+import * as gatewayPolicies from './gateway_policies';
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as generationScheduler from './generation_scheduler';
@@ -207,9 +207,9 @@
         },
       ),
       limitUsage: new limitUsage.LimitUsage(),
-      retries: new retryLimiter.RetryLimiter(
-        gatewaySettings.retryPolicy(settings),
-      ),
+      retries: gatewayPolicies.createRetryLimiter(settings),
+      hedges: gatewayPolicies.createHedgePolicy(settings),
+      buffers: gatewayPolicies.createDeliveryBuffers(settings),
       members,
       predictor,
       pace: new tokenPace.TokenPace(),
@@ -278,6 +278,11 @@
     return this.services.scheduler.waitingCount;
   }
 
+  /** Number of bytes held for callers who read slowly. */
+  get heldBytes(): number {
+    return this.services.buffers?.totalBytes ?? 0;
+  }
+
   /** Port that callers connect to. */
   get port(): number {
     return this.server.port;
@@ -358,6 +363,7 @@
     const endsAt = startedAt + graceMilliseconds - GRACE_MARGIN_MILLISECONDS;
     this.handler.prepareShutdown(endsAt);
     this.services.permits.withdraw();
+    this.services.hedges?.stop();
     this.exchange.announceShutdown(endsAt);
     const earliestEndAt = Math.min(
       startedAt + BALANCER_DELAY_MILLISECONDS,
@@ -396,9 +402,10 @@
 
   /** Reads all state again if the process was suspended, since it is then outdated. */
   private checkForSuspension(): void {
-    const {scheduler, speeds} = this.services;
+    const {scheduler, speeds, buffers} = this.services;
     this.options.metrics.waiting.set(scheduler.waitingCount);
     this.options.metrics.measuredInstances.set(speeds.speeds.size);
+    this.options.metrics.heldBytes.set(buffers?.totalBytes ?? 0);
     const gap = this.suspensions.check(performance.now(), Date.now());
     if (gap === undefined) {
       return;
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -127,6 +127,26 @@
       10,
     ),
   }),
+  /** Absent in files written for older builds. */
+  hedging: zod.z
+    .object({
+      /** Maximum number of second sends per request; 0 to send none. */
+      max_share: optional(
+        settingsFile.numberSetting(0, 1) as zod.ZodType<number>,
+        0,
+      ),
+    })
+    .optional(),
+  /** Absent in files written for older builds. */
+  limits: zod.z
+    .object({
+      /** Memory of the machine; 0 to hold nothing for callers who read slowly. */
+      memory_megabytes: optional(
+        settingsFile.numberSetting(0, 10_000_000) as zod.ZodType<number>,
+        0,
+      ),
+    })
+    .optional(),
 });
 
 /** Settings of a gateway. */
--- a/test/gateway/gateway_settings.test.ts
+++ b/test/gateway/gateway_settings.test.ts
@@ -70,6 +70,14 @@
   t.true(settings.placement.measured_speeds);
 });
 
+test('gateway settings: a file without the section of hedges, or with an empty share, sends none', t => {
+  const without = TEXT.replace(/\[hedging\]\nmax_share = 0\n/, '');
+  t.notRegex(without, /hedging/);
+  t.is(parse(without)._unsafeUnwrap().hedging?.max_share ?? 0, 0);
+  const empty = TEXT.replace('max_share = 0', 'max_share =');
+  t.is(parse(empty)._unsafeUnwrap().hedging?.max_share, 0);
+});
+
 for (const [title, from, to, message] of [
   [
     'regions that are not JSON',
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../../src/base/node/metrics';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
+import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
 import * as platformAdapter from '../../src/platform/platform_adapter';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
@@ -19,6 +20,8 @@
   readonly evacuationBound?: number;
   readonly regions?: Readonly<Record<string, string>>;
   readonly isMeasuringSpeeds?: boolean;
+  /** Sections of the settings that differ from those of an older release. */
+  readonly settings?: Partial<gatewaySettings.GatewaySettings>;
 }
 
 /** A route of the tests' host. */
@@ -93,6 +96,7 @@
       evacuationBound = 0,
       regions = {},
       isMeasuringSpeeds = false,
+      settings = {},
     }: GatewayVariation = {},
   ): Promise<TestGateway> {
     const test = new TestGateway(t);
@@ -121,6 +125,7 @@
         evacuation: {bound_milliseconds: evacuationBound},
         placement: {measured_speeds: isMeasuringSpeeds},
         retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
+        ...settings,
       },
       registry,
       metrics: new gatewayMetrics.GatewayMetrics(registry),
