Gateway: generations wait at the gateway while engines lack slots or time to read prompts, by shares of customers

Cause: only expected memory held a generation back, so waits took place inside engines, in the order of arrival, and a small customer was refused as often as a flood beside it. Change: gate by slots, unread prompts, reported queues and demand of peers; order by urgency, work of the last seconds at all gateways, and arrival; refusal by forecast; digest field demand.

--- /dev/null
+++ b/src/gateway/common/admission/room_split.ts
@@ -0,0 +1,52 @@
+/**
+ * Divides free places among gateways that see the same ones. Their views are
+ * up to 0.7 s old, so each may take only its part within the time that others
+ * need to see it. Meant for bursts that arrive at several gateways at once.
+ */
+
+/** Time in which a start becomes known to the peers, in milliseconds. */
+const PERIOD_MILLISECONDS = 100;
+/** Share of the places up to which nothing is divided: there is enough for everybody. */
+export const PLENTY_SHARE = 0.5;
+
+/** Places of an endpoint as one gateway sees them. */
+export interface PlacesView {
+  readonly places: number;
+  readonly taken: number;
+  /** Part of the demand of all gateways that arrives at this one, from 0 to 1. */
+  readonly demandShare: number;
+  /** Gateways, with this one, that have generations at the endpoint. */
+  readonly gatewayCount: number;
+}
+
+/** Starts of one gateway in the present period. */
+export class RoomSplit {
+  private periodStart = -Infinity;
+  private started = 0;
+  private budget = 0;
+
+  /** Whether this gateway may take one more place; does not depend on order or kind. */
+  mayStart(view: PlacesView, now: number): boolean {
+    const {places, taken, demandShare, gatewayCount} = view;
+    if (gatewayCount <= 1 || taken < places * PLENTY_SHARE) {
+      return true;
+    }
+    if (now - this.periodStart >= PERIOD_MILLISECONDS) {
+      this.periodStart = now;
+      this.started = 0;
+      const share = Math.max(demandShare, 1 / gatewayCount);
+      this.budget = Math.max(1, Math.ceil((places - taken) * share));
+    }
+    return this.started < this.budget;
+  }
+
+  /** Records a start. */
+  recordStart(): void {
+    this.started++;
+  }
+
+  /** Records that a run of this gateway ended: peers do not know of its place yet. */
+  recordEnd(): void {
+    this.budget++;
+  }
+}
--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -4,6 +4,8 @@
  * a message that one of them may receive holds the digest of its sender.
  */
 import * as zod from 'zod';
+import * as customerWork from '../admission/customer_work';
+import * as demandTable from '../admission/demand_table';
 import * as instanceRegistry from '../instance_registry';
 import * as runTable from '../run_table';
 import * as directMessage from './direct_message';
@@ -92,6 +94,18 @@
     )
     .max(MAX_CRASHES_PER_SUSPECT),
 ]);
+const name = zod.z.string().max(customerWork.MAX_NAME_LENGTH);
+const amount = zod.z.number().min(0).refine(Number.isFinite);
+const demandSchema = zod.z.object({
+  endpoint: name,
+  waiting: zod.z
+    .array(zod.z.tuple([amount, amount, amount]))
+    .max(demandTable.MAX_URGENCIES),
+  work: zod.z
+    .array(zod.z.tuple([name, amount]))
+    .max(customerWork.MAX_NAMED_CUSTOMERS),
+  otherWork: amount,
+});
 const messageSchema = zod.z.object({
   digest: zod.z.looseObject({
     name: zod.z.string().min(1).max(256),
@@ -113,6 +127,10 @@
       .array(directMessage.relayedLimitSchema)
       .max(MAX_LIMITS)
       .optional(),
+    demand: zod.z
+      .array(demandSchema)
+      .max(demandTable.MAX_RELAYED_ENDPOINTS)
+      .optional(),
     messageVersion: finite.optional(),
     reports: zod.z
       .array(zod.z.tuple([zod.z.string(), finite, finite, finite]))
@@ -230,6 +248,10 @@
     'limits',
     message => ({...message, digest: {...message.digest, limits: undefined}}),
   ],
+  [
+    'demand',
+    message => ({...message, digest: {...message.digest, demand: undefined}}),
+  ],
   [
     'crashes',
     message => ({...message, digest: {...message.digest, crashes: []}}),
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -1,4 +1,5 @@
 /** Status summaries that gateways send each other, and the state that they serve to those that are behind. */
+import * as demandTable from '../admission/demand_table';
 import * as configuration from '../configuration';
 import * as crashTable from '../crash_table';
 import * as engineReports from '../engine_reports';
@@ -30,6 +31,8 @@
   readonly promptParts?: readonly promptPartTable.RelayedSuspect[];
   /** Limits that instances name; absent when there are none, and from older builds. */
   readonly limits?: readonly instanceLimits.RelayedLimit[];
+  /** Generations that wait or were started lately; absent when there are none, and from older builds. */
+  readonly demand?: readonly demandTable.EndpointDemand[];
   /** Engine reports that the gateway read itself; absent when there are none. */
   readonly reports?: readonly engineReports.RelayedReport[];
   /** IPs of other gateways; filled by the build before the fleet part, whose readers require the field. */
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -3,6 +3,7 @@
 import * as rxjs from 'rxjs';
 import * as disposable from '../../../base/common/disposable';
 import * as jsonLog from '../../../base/node/json_log';
+import * as demandTable from '../../common/admission/demand_table';
 import * as crashTable from '../../common/crash_table';
 import * as engineReports from '../../common/engine_reports';
 import * as directMessage from '../../common/fleet/direct_message';
@@ -39,6 +40,7 @@
 export interface ExchangeTables {
   readonly members: memberTable.MemberTable;
   readonly runs: runTable.RunTable;
+  readonly demand: demandTable.DemandTable;
   readonly crashes: crashTable.CrashTable;
   readonly promptParts: promptPartTable.PromptPartTable;
   readonly reports: engineReports.EngineReports;
@@ -170,13 +172,15 @@
     return isWatching && (hasChanged || now - this.beaconAt >= interval);
   }
 
-  /** Identifies the loads of the runs of this gateway up to small differences. */
+  /** Identifies what waits at this gateway and the loads of its runs, up to small differences. */
   private loadSignature(): string {
+    const waiting = this.tables.demand.waitingSignature();
     return Object.entries(this.tables.runs.ownLoads())
       .map(([id, load]) => {
         const memory = Math.round(load.memoryTokens / MEMORY_GRAIN_TOKENS);
         return `${id}/${load.runs}/${memory}/${load.prefillTokens}`;
       })
+      .concat(waiting === '' ? [] : waiting)
       .join();
   }
 
@@ -210,6 +214,7 @@
     const reports = tables.reports.toRelay(now);
     const promptParts = tables.promptParts.toRelay(now);
     const limits = tables.limits.toRelay(now);
+    const demand = tables.demand.toRelay(now);
     return {
       name: own.name,
       stateAddress: this.settings.stateAddress,
@@ -222,6 +227,7 @@
       crashes: tables.crashes.recent(now),
       promptParts: promptParts.length > 0 ? promptParts : undefined,
       limits: limits.length > 0 ? limits : undefined,
+      demand: demand.length > 0 ? demand : undefined,
       reports: reports.length > 0 ? reports : undefined,
       messageVersion: peerDigest.MESSAGE_VERSION,
       peers: [],
@@ -267,8 +273,9 @@
 
   private apply(message: fleetMessage.FleetMessage, now: number): void {
     const {digest, change} = message;
-    const {runs, reports, crashes, promptParts, limits} = this.tables;
+    const {runs, demand, reports, crashes, promptParts, limits} = this.tables;
     runs.setPeerLoads(digest.name, digest.loads, now);
+    demand.setPeerDemand(digest.name, digest.demand ?? [], now);
     reports.addRelayed(digest.reports ?? [], now);
     const crashesBefore = crashes.additionCount;
     digest.crashes.forEach(crash => crashes.add(crash, now));
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -23,6 +23,8 @@
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
   readonly openRequests: promClient.Gauge;
   readonly waiting: promClient.Gauge;
+  readonly heldGenerations: promClient.Counter<'reason'>;
+  readonly refusedGenerations: promClient.Counter<'reason'>;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -80,7 +82,17 @@
     );
     this.waiting = registry.gauge(
       'rhubarbvane_gateway_waiting_generations',
-      'Generations that wait for memory at an engine',
+      'Generations that wait for room at an engine',
+    );
+    this.heldGenerations = registry.counter(
+      'rhubarbvane_gateway_held_generations_total',
+      'Generations that waited before they were placed, by the first reason',
+      ['reason'],
+    );
+    this.refusedGenerations = registry.counter(
+      'rhubarbvane_gateway_refused_generations_total',
+      'Generations refused because they could not start in time, by reason',
+      ['reason'],
     );
   }
 }
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as instanceAvailability from '../common/availability/instance_availability';
+import * as demandTable from '../common/admission/demand_table';
 import * as crashTable from '../common/crash_table';
 import * as engineReports from '../common/engine_reports';
 import * as directMembers from '../common/fleet/direct_members';
@@ -25,6 +26,7 @@
 import * as gatewayMetrics from './gateway_metrics';
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
+import * as generationAdmission from './generation_admission';
 import * as generationScheduler from './generation_scheduler';
 import * as limitLog from './limits/limit_log';
 import * as permitService from './limits/permit_service';
@@ -75,7 +77,9 @@
     const promptParts = new promptPartTable.PromptPartTable();
     const reports = new engineReports.EngineReports();
     const limits = new instanceLimits.InstanceLimits();
+    const demand = new demandTable.DemandTable();
     const predictor = new lengthPredictor.LengthPredictor();
+    const pace = new tokenPace.TokenPace();
     const {ip, name, link_megabits: linkMegabits} = settings.instance;
     const members = new memberTable.MemberTable(
       {ip, name, isWide: linkMegabits >= WIDE_LINK_MEGABITS},
@@ -92,7 +96,7 @@
         stateAddress: settings.listen.peers,
         digestPort: settings.peers.digest_port,
       },
-      {members, runs, crashes, promptParts, reports, limits},
+      {members, runs, demand, crashes, promptParts, reports, limits},
       follower,
       options.metrics,
       log,
@@ -115,6 +119,14 @@
       reports,
       permits,
       availability,
+      new generationAdmission.GenerationAdmission({
+        follower,
+        availability,
+        reports,
+        demand,
+        pace,
+        metrics: options.metrics,
+      }),
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -138,7 +150,7 @@
       retries: new retryLimiter.RetryLimiter(retryPolicy(settings)),
       members,
       predictor,
-      pace: new tokenPace.TokenPace(),
+      pace,
       scheduler,
       evacuations: new evacuationManager.EvacuationManager(
         follower,
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -3,14 +3,16 @@
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as engineReports from '../common/engine_reports';
-import * as generationQueue from '../common/generation_queue';
 import * as instanceTable from '../common/instance_table';
 import * as memberTable from '../common/fleet/member_table';
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
+import * as generationAdmission from './generation_admission';
 import * as permitService from './limits/permit_service';
 import * as stateFollower from './state_follower';
+import * as waitingCall from './waiting_call';
+import * as waitingCalls from './waiting_calls';
 
 /** Interval between checks of the queue while generations wait, in milliseconds. */
 const QUEUE_CHECK_INTERVAL_MILLISECONDS = 40;
@@ -25,21 +27,6 @@
 /** Output length assumed without any estimate, in tokens. */
 const DEFAULT_OUTPUT_TOKENS = 400;
 
-/** The run of a placed generation and its instance. */
-export interface PlacedRun {
-  readonly instance: instanceTable.Instance;
-  readonly run: runTable.Run;
-}
-
-/** Where a generation was placed, or why it was not. */
-export interface PlacementResult {
-  readonly placed: PlacedRun | undefined;
-  /** Monotonic milliseconds from which instances may take the generation; undefined unless all of them take no more requests now. */
-  readonly retryAt?: number;
-}
-
-const NOT_PLACED: PlacementResult = {placed: undefined};
-
 /** Constraints on the instance for a run or its copy; see `GenerationRequest`. */
 export type PlacementConstraints = Pick<
   placement.GenerationRequest,
@@ -54,11 +41,6 @@
   readonly scope: instanceAvailability.AvailabilityRequest;
 };
 
-interface WaitingCall extends generationQueue.WaitingGeneration {
-  readonly context: callContext.CallContext;
-  readonly resolve: (result: PlacementResult) => void;
-}
-
 /** Expected output length in tokens: the average of the caller's estimate, which is right at the median, and the learned length, which is right at the mean. */
 export function expectedTokens(
   context: callContext.CallContext,
@@ -74,7 +56,7 @@
 
 /** Places generations, the most urgent first. */
 export class GenerationScheduler implements disposable.Disposable {
-  private readonly queue = new generationQueue.GenerationQueue<WaitingCall>();
+  private readonly waiting: waitingCalls.WaitingCalls;
   private readonly timer: NodeJS.Timeout;
 
   constructor(
@@ -86,7 +68,13 @@
     private readonly reports: engineReports.EngineReports,
     private readonly permits: permitService.PermitService,
     private readonly availability: instanceAvailability.InstanceAvailability,
+    private readonly admission: generationAdmission.GenerationAdmission,
   ) {
+    this.waiting = new waitingCalls.WaitingCalls(
+      admission,
+      () => this.loads(performance.now()),
+      waiting => this.tryPlace(waiting),
+    );
     this.timer = setInterval(
       () => this.processQueue(),
       QUEUE_CHECK_INTERVAL_MILLISECONDS,
@@ -95,7 +83,7 @@
   }
 
   get waitingCount(): number {
-    return this.queue.length;
+    return this.waiting.length;
   }
 
   dispose(): void {
@@ -103,24 +91,44 @@
   }
 
   /** Resolves with the placed run, after waiting for memory if necessary; without one if no instance is available in time or the queue is full. */
-  place(context: callContext.CallContext): Promise<PlacementResult> {
-    return new Promise(resolve => {
-      const {arrivedAt, route} = context.call;
-      const waiting: WaitingCall = {
-        context,
-        resolve,
-        urgency: urgencyOf(context),
-        arrivedAt,
-        objectiveMilliseconds: Math.min(
-          route.objectiveMilliseconds,
-          context.call.deadlineAt - arrivedAt,
-        ),
-      };
-      if (!this.queue.add(waiting)) {
-        return resolve(NOT_PLACED);
-      }
-      this.processQueue();
-    });
+  place(
+    context: callContext.CallContext,
+  ): Promise<waitingCalls.PlacementResult> {
+    const expected = expectedTokens(context, this.predictor);
+    return this.waiting.place(context, urgencyOf(context), expected);
+  }
+
+  /** Places a generation again that its engine turned away; returns whether there is room for it in time. */
+  async placeAgain(
+    context: callContext.CallContext,
+    run: runTable.Run,
+  ): Promise<waitingCalls.PlacementResult> {
+    this.runs.remove(run);
+    const result = await this.place(context);
+    if (result.placed !== undefined) {
+      this.runs.remove(result.placed.run);
+      this.admission.replaceRun(result.placed.run, run);
+      run.instanceId = result.placed.instance.record.id;
+      this.runs.add(run);
+    }
+    return result;
+  }
+
+  /** Records an event of a run. */
+  recordEvent(run: runTable.Run): void {
+    this.admission.recordEvent(run);
+  }
+
+  /** Records that an engine turned the run away; returns whether that may be due to other runs there, so that it is worth waiting for room. */
+  recordTurnedAway(run: runTable.Run): boolean {
+    return this.admission.recordTurnedAway(run, this.loads(performance.now()));
+  }
+
+  /** Removes a run that has left its engine, and starts generations that wait for its room. */
+  release(run: runTable.Run): void {
+    this.runs.remove(run);
+    this.admission.recordEnd(run);
+    this.processQueue();
   }
 
   /** Whether an instance of the version accepts the call; always true for any version, since calls may wait for an instance. */
@@ -242,54 +250,36 @@
     return tokens / Math.max(1, ready.length) / capacityTokens;
   }
 
-  /** Places the waiting generations for which there is memory, and refuses those that can no longer start in time. */
+  /** Places the waiting generations for which there is room, and refuses those that can no longer start in time. */
   processQueue(): void {
-    if (this.queue.length === 0) {
-      return;
-    }
-    const results = new Map<WaitingCall, PlacementResult>();
-    const {started, refused} = this.queue.step(performance.now(), waiting => {
-      if (waiting.context.isOver) {
-        return true;
-      }
-      const result = this.tryPlace(waiting.context);
-      if (result !== undefined) {
-        results.set(waiting, result);
-      }
-      return result !== undefined;
-    });
-    started.forEach(waiting =>
-      waiting.resolve(results.get(waiting) ?? NOT_PLACED),
-    );
-    refused.forEach(waiting => waiting.resolve(NOT_PLACED));
+    this.waiting.process();
   }
 
   /** Places the generation; undefined if it has to wait. */
   private tryPlace(
-    context: callContext.CallContext,
-  ): PlacementResult | undefined {
+    waiting: waitingCall.WaitingCall,
+  ): waitingCalls.PlacementResult | undefined {
+    const {context, expectedTokens: expected} = waiting;
     const now = performance.now();
     const loads = this.loads(now);
-    const expected = expectedTokens(context, this.predictor);
-    let isFull = false;
+    let isHeld = false;
     const {choice, shortage} = this.permits.select(context.excluded, barred => {
-      const found = this.findFirstInstance(
-        context,
-        loads,
-        expected,
-        barred,
-        now,
+      const found = this.admission.findRoom(waiting, loads, now, barred, full =>
+        this.findFirstInstance(context, loads, expected, full, now),
       );
-      isFull = found !== undefined && !hasRoom(found, loads);
-      return isFull ? undefined : found;
+      isHeld = found.isHeld;
+      return found.choice;
     });
     if (choice === undefined) {
       const isRefused = shortage !== undefined && !shortage.isPending;
-      return isRefused && !isFull
+      return isRefused && !isHeld
         ? {placed: undefined, retryAt: shortage.retryAt}
         : undefined;
     }
-    return {placed: this.addRun(context, choice, loads, expected)};
+    const placed = this.addRun(context, choice, loads, expected);
+    const {run, instance} = placed;
+    this.admission.recordStart(waiting, run, instance, loads, now);
+    return {placed};
   }
 
   /** Best instance for a generation that has not run anywhere. */
@@ -326,7 +316,7 @@
     {instance, memoryShare}: placement.GenerationChoice,
     loads: runTable.LoadView,
     expected: number,
-  ): PlacedRun {
+  ): waitingCalls.PlacedRun {
     const {call} = context;
     const now = performance.now();
     const run: runTable.Run = {
@@ -352,7 +342,7 @@
         software_version: instance.record.softwareVersion,
         resumes: call.caller.resumedAttemptId,
         last_event_id: call.caller.lastEventId,
-        waiting: this.queue.length,
+        waiting: this.waiting.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
         queued_there: loads.get(instance.record.id)?.queuedRuns,
         instances_position: this.follower.instancesPosition,
@@ -365,15 +355,6 @@
   }
 }
 
-/** Whether the memory of the instance is expected to suffice; an idle instance takes a generation of any size. */
-function hasRoom(
-  {instance, memoryShare}: placement.GenerationChoice,
-  loads: runTable.LoadView,
-): boolean {
-  const isIdle = (loads.get(instance.record.id)?.runs ?? 0) === 0;
-  return memoryShare <= generationQueue.MAX_MEMORY_SHARE || isIdle;
-}
-
 /** Urgency at the engine: the customer's priority takes precedence over the route's. */
 export function urgencyOf(context: callContext.CallContext): number {
   const {customer, route} = context.call;
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -85,7 +85,8 @@
     if (!mayStart || context.isOver) {
       return;
     }
-    const {placed, retryAt} = await context.services.scheduler.place(context);
+    const {placed, retryAt, refusal} =
+      await context.services.scheduler.place(context);
     if (context.isOver) {
       if (placed !== undefined) {
         context.services.runs.remove(placed.run);
@@ -98,8 +99,8 @@
     if (placed === undefined) {
       return context.refuse(
         resultCode.ResultCode.Overloaded,
-        'no engine is expected to have enough free memory in time',
-        streamContinuations.OVERLOAD_RETRY_SECONDS,
+        'no engine is expected to have enough room in time',
+        refusal?.retrySeconds ?? streamContinuations.OVERLOAD_RETRY_SECONDS,
       );
     }
     this.run = placed.run;
@@ -136,7 +137,7 @@
   /** Binds a resumed stream to the software version that began it; returns false if the call was refused. */
   private async prepareResumption(): Promise<boolean> {
     const {context} = this;
-    const {services, call} = context;
+    const {services} = context;
     const origin = await services.origins.find(context);
     context.softwareVersion = origin.softwareVersion;
     const {Overloaded, NoEndpoint} = resultCode.ResultCode;
@@ -157,6 +158,7 @@
   private recordEvents(): void {
     const {context} = this;
     this.watch?.recordEvents();
+    context.services.scheduler.recordEvent(this.run);
     this.evidence?.recordEvents(performance.now());
     if (context.softwareVersion === undefined) {
       context.softwareVersion = instanceTable.versionOf(this.source!.record);
@@ -178,8 +180,7 @@
     clearTimeout(this.deadlineTimer);
     this.copies.dropUnused();
     services.evacuations.remove(this);
-    services.runs.remove(this.run);
-    services.scheduler.processQueue();
+    services.scheduler.release(this.run);
     this.delivery.observePauses();
   }
 
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -97,8 +97,11 @@
       end === SegmentEnd.NotRun
         ? callContext.RetryReason.NotRun
         : callContext.RetryReason.MayHaveRun;
+    const {scheduler} = context.services;
+    const mayWait =
+      segment.wasTurnedAway && scheduler.recordTurnedAway(this.run);
     if (context.tryAcquireRetry(retryReason)) {
-      return this.placeOnOtherInstance(previous);
+      return mayWait ? this.waitForRoom() : this.placeOnOtherInstance(previous);
     }
     if (end === SegmentEnd.Failed) {
       segment.deliverFailure();
@@ -122,6 +125,31 @@
     return undefined;
   }
 
+  /** Lets a generation wait again that was turned away by an engine with other runs. */
+  private async waitForRoom(): Promise<instanceClient.RunTarget | undefined> {
+    const {context, run} = this;
+    const {placed, refusal} = await context.services.scheduler.placeAgain(
+      context,
+      run,
+    );
+    if (context.isOver) {
+      return undefined;
+    }
+    if (placed === undefined) {
+      const message = 'the engines that were tried are full';
+      const code = resultCode.ResultCode.Overloaded;
+      if (context.sendsThatMayHaveRun > 0) {
+        context.fail(failure.unknownOutcome(code, message), 502);
+      } else {
+        const seconds = refusal?.retrySeconds ?? OVERLOAD_RETRY_SECONDS;
+        context.refuse(code, message, seconds);
+      }
+      return undefined;
+    }
+    context.log('generation-repeated', {}, placed.instance);
+    return {instance: placed.instance, continuation: undefined};
+  }
+
   private async placeOnOtherInstance(
     previous: instanceClient.RunTarget,
   ): Promise<instanceClient.RunTarget | undefined> {
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -41,6 +41,8 @@
   private bodyEnd: BodyEnd | undefined;
   private isStopExpected = false;
   private wasCancelled = false;
+  /** Whether the instance answered that it does not run the request, as full ones do. */
+  wasTurnedAway = false;
   /** Why no answer was received; undefined if one was. */
   error: instanceClient.SendError | undefined;
 
@@ -112,6 +114,7 @@
     }
     const answer = result.value;
     if (answer.isNotExecuted) {
+      this.wasTurnedAway = !answer.isFromOtherInstance;
       answer.body.listen(IGNORE_BODY);
       return SegmentEnd.NotRun;
     }
