Gateway: ceilings of engines from waits inside them; even starts while customers compete; work corrected by what was used

Cause: a learned output length lags for customers with few generations, which then looked like large ones; generations of a burst ended together.

--- a/src/gateway/common/admission/customer_work.ts
+++ b/src/gateway/common/admission/customer_work.ts
@@ -42,7 +42,7 @@
   readonly at: number;
 }
 
-/** Engine time of a generation. */
+/** What a generation takes of an engine. */
 export interface GenerationCost {
   readonly promptTokens: number;
   readonly expectedTokens: number;
@@ -50,7 +50,6 @@
   readonly capacityTokens: number;
   /** Slots of one engine; Infinity if not stated. */
   readonly slots: number;
-  readonly millisecondsPerToken: number;
   /** Prompt tokens that an engine reads in a millisecond. */
   readonly readTokensPerMillisecond: number;
 }
@@ -60,16 +59,13 @@
  * prompt, and the time for which it holds memory or a slot, by the part of the
  * scarcer of both that it takes.
  */
-export function workOf(cost: GenerationCost): number {
+export function workOf(cost: GenerationCost, heldMilliseconds: number): number {
   const {promptTokens, expectedTokens, capacityTokens, slots} = cost;
   const reading = promptTokens / cost.readTokensPerMillisecond;
   // The output grows from nothing to its full length.
   const memoryShare = (promptTokens + expectedTokens / 2) / capacityTokens;
-  const holding =
-    expectedTokens *
-    cost.millisecondsPerToken *
-    Math.min(1, Math.max(memoryShare, 1 / slots));
-  return reading + holding;
+  const share = Math.min(1, Math.max(memoryShare, 1 / slots));
+  return reading + heldMilliseconds * share;
 }
 
 /** Work of the last seconds by customer. */
@@ -80,13 +76,14 @@
   private peerTotalsAt = -Infinity;
   private largestKnown: readonly [string, number] = ['', 0];
   private largestAt = -Infinity;
+  private smallestRate = Infinity;
 
   /** Records that the customer has asked for work. */
   recordArrival(customer: string, now: number): void {
     this.touch(customer, now);
   }
 
-  /** Records work that this gateway has started. */
+  /** Records work that this gateway has started; negative to correct an estimate. */
   recordStart(customer: string, work: number, now: number): void {
     this.touch(customer, now).own.add(work, now);
   }
@@ -106,7 +103,7 @@
     const all = [...this.activities]
       .map(([customer, activity]): [string, number] => [
         customer,
-        Math.round(activity.own.sum(now)),
+        Math.max(0, Math.round(activity.own.sum(now))),
       ])
       .filter(([, work]) => work > 0)
       .sort(([, left], [, right]) => right - left);
@@ -133,7 +130,13 @@
       Math.max(MIN_RATE_MILLISECONDS, now - activity.since),
     );
     const work = activity.own.sum(now) + this.peerWork(customer, now);
-    return (work * 1000) / period;
+    return (Math.max(0, work) * 1000) / period;
+  }
+
+  /** Whether some active customer is behind the largest one. */
+  hasCustomerBehind(now: number): boolean {
+    const [, most] = this.largest(now);
+    return this.smallestRate < most * LARGEST_SHARE;
   }
 
   /** The customer with the highest rate, and that rate. */
@@ -142,12 +145,14 @@
       return this.largestKnown;
     }
     let largest: readonly [string, number] = ['', 0];
+    this.smallestRate = Infinity;
     for (const [customer, activity] of this.activities) {
       if (this.isOver(activity, now)) {
         this.activities.delete(customer);
         continue;
       }
       const rate = this.rate(customer, now);
+      this.smallestRate = Math.min(this.smallestRate, rate);
       if (rate > largest[1]) {
         largest = [customer, rate];
       }
--- a/src/gateway/common/admission/demand_table.ts
+++ b/src/gateway/common/admission/demand_table.ts
@@ -49,6 +49,11 @@
     }
   }
 
+  /** Whether generations wait here or at peers. */
+  isWaiting(now: number): boolean {
+    return this.ownWaiting.length > 0 || this.peersWaiting(now) > 0;
+  }
+
   /** Generations that wait at peers. */
   peersWaiting(now: number): number {
     return this.sumPeers(now, counts => sumOf(counts, ([, count]) => count));
--- a/src/gateway/common/admission/engine_ceilings.ts
+++ b/src/gateway/common/admission/engine_ceilings.ts
@@ -13,11 +13,16 @@
 const CROWDED_SHARE = 0.75;
 /** Shortest time between two reductions, in milliseconds; answers to what was sent before one say nothing about it. */
 const MIN_REDUCTION_INTERVAL_MILLISECONDS = 250;
-/** Range of one reduction. */
-const MIN_REDUCTION = 0.5;
-const MAX_REDUCTION = 0.9;
+/** Times to a first event that are needed for a reduction. */
+const MIN_SAMPLES = 4;
+/** Smallest share of the runs that a reduction leaves. */
+const MIN_REDUCTION = 0.3;
+/** Smallest share of the registered slots that waits inside the engine leave; these may have other reasons than slots. */
+const MIN_SLOTS_SHARE = 0.25;
+/** Time after a rejection in which nothing is sent ahead of a free slot, in milliseconds: the engine has no place for it. */
+const REJECTION_MEMORY_MILLISECONDS = 5_000;
 /** Time after which a reduced ceiling rises by one, in milliseconds. */
-const RECOVERY_MILLISECONDS = 250;
+const RECOVERY_MILLISECONDS = 1_000;
 /** Period over which the shortest time to a first event is kept, in milliseconds; two periods are compared. */
 const BASE_PERIOD_MILLISECONDS = 20_000;
 /** Time that peers' loads need to arrive, in milliseconds: as much work is sent ahead, so that no slot is empty for that time. */
@@ -31,18 +36,31 @@
 /** Engines with an account; the oldest are forgotten first. */
 const MAX_ENGINES = 4_096;
 
+/** A generation when it was sent. */
+export interface SentRun {
+  /** Other runs that were known there. */
+  readonly runs: number;
+  readonly slots: number;
+  /** Monotonic time, in milliseconds. */
+  readonly sentAt: number;
+}
+
 interface EngineAccount {
   /** Ceiling as of the last reduction; Infinity before the first. */
   ceiling: number;
   reducedAt: number;
-  /** Mean time from sending to the first event, without reading the prompts ahead; undefined before the first. */
+  rejectedAt: number;
+  /** Generations that were sent before are not considered: they met another ceiling. */
+  samplesSince: number;
+  /** Mean time from sending to the first event since the last reduction, without reading the prompts ahead; undefined before the first. */
   firstEvent: number | undefined;
+  samples: number;
   /** Shortest such time in this period and in the one before. */
   base: number;
   baseBefore: number;
   baseSince: number;
-  /** Mean time for which a generation is in the engine; undefined before the first end. */
-  held: number | undefined;
+  /** Mean time for which a generation is in the engine, without its wait for a slot; undefined before the first end. */
+  served: number | undefined;
 }
 
 /** Ceilings of engines by instance id. */
@@ -65,20 +83,21 @@
     return Math.min(slots, ceiling);
   }
 
-  /** Mean time for which a generation is in the engine, in milliseconds; undefined if unknown. */
-  heldMilliseconds(instanceId: string): number | undefined {
-    return this.accounts.get(instanceId)?.held;
+  /** Mean time for which a generation has a slot of the engine, in milliseconds; undefined if unknown. */
+  servedMilliseconds(instanceId: string): number | undefined {
+    return this.accounts.get(instanceId)?.served;
   }
 
   /** Generations that are sent ahead of a free slot, so that none is empty until peers hear of it. */
   ahead(instanceId: string, slots: number, now: number): number {
     const ceiling = this.ceiling(instanceId, slots, now);
-    if (!Number.isFinite(ceiling) || ceiling < slots) {
-      // A reduced ceiling holds what waits inside the engine already.
+    const rejectedAt = this.accounts.get(instanceId)?.rejectedAt ?? -Infinity;
+    const isRefusing = now - rejectedAt < REJECTION_MEMORY_MILLISECONDS;
+    if (!Number.isFinite(ceiling) || isRefusing) {
       return 0;
     }
-    const held = this.heldMilliseconds(instanceId) ?? Infinity;
-    const ahead = Math.ceil((ceiling * AHEAD_MILLISECONDS) / held);
+    const served = this.servedMilliseconds(instanceId) ?? Infinity;
+    const ahead = Math.ceil((ceiling * AHEAD_MILLISECONDS) / served);
     return Math.min(Math.max(1, ahead), Math.ceil(ceiling * MAX_AHEAD_SHARE));
   }
 
@@ -94,42 +113,53 @@
     if (deficit <= 0 || !Number.isFinite(ceiling)) {
       return 0;
     }
-    const held = this.heldMilliseconds(instanceId);
+    const served = this.servedMilliseconds(instanceId);
     const servedInTime =
-      held === undefined
+      served === undefined
         ? Infinity
-        : (ceiling * leftMilliseconds * QUEUE_TIME_SHARE) / held;
+        : (ceiling * leftMilliseconds * QUEUE_TIME_SHARE) / served;
     const most = Math.min(ceiling * DEFICIT_SHARE, servedInTime);
     return Math.ceil(Math.max(1, most) * deficit);
   }
 
-  /** Records the time from sending to the first event, without the time to read the prompts ahead; `runs` were there when it was sent. */
+  /** Records the time from sending to the first event, without the time to read the prompts ahead. Returns how much of it was spent waiting. */
   recordFirstEvent(
     instanceId: string,
     milliseconds: number,
-    runs: number,
-    slots: number,
+    {runs, slots, sentAt}: SentRun,
     now: number,
-  ): void {
+  ): number {
     const account = this.accountOf(instanceId, now);
-    account.firstEvent = average(account.firstEvent, milliseconds);
     if (now - account.baseSince >= BASE_PERIOD_MILLISECONDS) {
       account.baseBefore = account.base;
       account.base = Infinity;
       account.baseSince = now;
     }
     account.base = Math.min(account.base, milliseconds);
+    const waited = milliseconds - Math.min(account.base, account.baseBefore);
+    if (sentAt < account.samplesSince) {
+      return waited;
+    }
+    account.firstEvent = average(account.firstEvent, milliseconds);
+    account.samples++;
     const ceiling = this.ceiling(instanceId, slots, now);
     const isCrowded = runs >= ceiling * CROWDED_SHARE;
-    if (isCrowded && excessOf(account) > 0) {
-      this.reduce(account, Math.min(runs, ceiling), now);
+    if (
+      isCrowded &&
+      account.samples >= MIN_SAMPLES &&
+      waitOf(account) > TOLERATED_WAIT_MILLISECONDS
+    ) {
+      const least = Number.isFinite(slots) ? slots * MIN_SLOTS_SHARE : 1;
+      const served = (runs + 1) * servedShare(account);
+      this.reduce(account, Math.ceil(Math.max(least, served)), ceiling, now);
     }
+    return waited;
   }
 
-  /** Records the time for which a generation was in the engine. */
+  /** Records the time for which a generation was in the engine, without its wait there. */
   recordEnd(instanceId: string, milliseconds: number, now: number): void {
     const account = this.accountOf(instanceId, now);
-    account.held = average(account.held, milliseconds);
+    account.served = average(account.served, milliseconds);
   }
 
   /** Records that the engine turned a generation away while so many runs were known there. */
@@ -141,23 +171,27 @@
   ): void {
     const account = this.accountOf(instanceId, now);
     const ceiling = this.ceiling(instanceId, slots, now);
-    this.reduce(account, Math.min(Math.max(1, runs), ceiling), now);
+    account.rejectedAt = now;
+    const served = Math.floor(runs * servedShare(account));
+    this.reduce(account, Math.min(runs - 1, served), ceiling, now);
   }
 
-  /** Lowers the ceiling by what waits inside the engine beyond the tolerated time. */
-  private reduce(account: EngineAccount, from: number, now: number): void {
-    const interval = Math.max(
-      MIN_REDUCTION_INTERVAL_MILLISECONDS,
-      account.firstEvent ?? 0,
-    );
-    if (now - account.reducedAt < interval) {
-      return;
+  private reduce(
+    account: EngineAccount,
+    to: number,
+    ceiling: number,
+    now: number,
+  ): void {
+    const elapsed = now - account.reducedAt;
+    if (to < ceiling && elapsed >= MIN_REDUCTION_INTERVAL_MILLISECONDS) {
+      account.ceiling = Math.max(1, to);
+      account.reducedAt = now;
+      if (account.samples >= MIN_SAMPLES) {
+        account.samplesSince = now;
+        account.firstEvent = undefined;
+        account.samples = 0;
+      }
     }
-    // By Little's law the share of the generations that wait is the share of their time that they wait.
-    const waiting = excessOf(account) / (account.held ?? Infinity);
-    const share = Math.max(MIN_REDUCTION, Math.min(MAX_REDUCTION, 1 - waiting));
-    account.ceiling = Math.max(1, Math.floor(from * share));
-    account.reducedAt = now;
   }
 
   private accountOf(instanceId: string, now: number): EngineAccount {
@@ -168,11 +202,14 @@
     const account: EngineAccount = {
       ceiling: Infinity,
       reducedAt: -Infinity,
+      rejectedAt: -Infinity,
+      samplesSince: -Infinity,
       firstEvent: undefined,
+      samples: 0,
       base: Infinity,
       baseBefore: Infinity,
       baseSince: now,
-      held: undefined,
+      served: undefined,
     };
     this.accounts.set(instanceId, account);
     if (this.accounts.size > MAX_ENGINES) {
@@ -182,12 +219,19 @@
   }
 }
 
-/** Mean time beyond the shortest and the tolerated one, in milliseconds. */
-function excessOf({firstEvent, base, baseBefore}: EngineAccount): number {
-  const shortest = Math.min(base, baseBefore);
+/** Mean time beyond the shortest one to a first event, in milliseconds. */
+function waitOf({firstEvent, base, baseBefore}: EngineAccount): number {
   return firstEvent === undefined
     ? 0
-    : Math.max(0, firstEvent - shortest - TOLERATED_WAIT_MILLISECONDS);
+    : Math.max(0, firstEvent - Math.min(base, baseBefore));
+}
+
+/** Share of the runs in the engine that have a slot; by Little's law that of the time for which they have one. */
+function servedShare(account: EngineAccount): number {
+  const {served} = account;
+  return served === undefined
+    ? 1
+    : Math.max(MIN_REDUCTION, served / (served + waitOf(account)));
 }
 
 function average(before: number | undefined, sample: number): number {
--- a/src/gateway/common/admission/generation_gate.ts
+++ b/src/gateway/common/admission/generation_gate.ts
@@ -13,6 +13,8 @@
 const MAX_YIELD_MILLISECONDS = 200;
 /** Time after which giving way may begin again, in milliseconds. */
 const YIELD_PERIOD_MILLISECONDS = 600;
+/** Time for which starts stay even after generations waited, in milliseconds. */
+const CONTENTION_MILLISECONDS = 2_000;
 /** Endpoints with a state; the oldest are forgotten first. */
 const MAX_ENDPOINTS = 256;
 
@@ -50,6 +52,8 @@
 export interface Places {
   readonly places: number;
   readonly taken: number;
+  /** Mean time for which a generation has a place; undefined if none has ended yet. */
+  readonly servedMilliseconds: number | undefined;
 }
 
 /** A generation that is about to start. */
@@ -68,6 +72,8 @@
   readonly split: roomSplit.RoomSplit;
   /** Monotonic milliseconds since which generations give way to peers; undefined while none does. */
   yieldingSince: number | undefined;
+  /** Monotonic milliseconds at which generations waited here or at peers. */
+  waitedAt: number;
 }
 
 /** Admission of one gateway. */
@@ -142,11 +148,12 @@
   ): HoldReason | undefined {
     const table = this.demand.of(endpoint);
     const gatewayCount = table.activeGateways(now);
-    if (gatewayCount <= 1) {
-      return undefined;
-    }
     const state = this.stateOf(endpoint);
     const isBehind = deficit > 0;
+    const isUneven = !isBehind && this.isContended(table, state, now);
+    if (gatewayCount <= 1 && !isUneven) {
+      return undefined;
+    }
     const rivals = isAged ? 0 : table.peersAhead(urgency, isBehind, now);
     const view = rivals > 0 || !isBehind ? places() : undefined;
     const free = view === undefined ? Infinity : view.places - view.taken;
@@ -157,12 +164,31 @@
       state.yieldingSince = undefined;
     }
     const demandShare = table.ownShare(now);
+    const freedPerSecond = isUneven ? freedRate(view!) : undefined;
     const isWithinSplit =
       isBehind ||
-      state.split.mayStart({...view!, demandShare, gatewayCount}, now);
+      state.split.mayStart(
+        {...view!, demandShare, gatewayCount, freedPerSecond},
+        now,
+      );
     return isWithinSplit ? undefined : HoldReason.Split;
   }
 
+  /** Whether generations waited lately while some customer is behind the largest one. */
+  private isContended(
+    table: demandTable.EndpointDemandTable,
+    state: EndpointState,
+    now: number,
+  ): boolean {
+    if (table.isWaiting(now)) {
+      state.waitedAt = now;
+    }
+    return (
+      now - state.waitedAt < CONTENTION_MILLISECONDS &&
+      table.work.hasCustomerBehind(now)
+    );
+  }
+
   private stateOf(endpoint: string): EndpointState {
     const known = this.endpoints.get(endpoint);
     if (known !== undefined) {
@@ -171,6 +197,7 @@
     const state: EndpointState = {
       split: new roomSplit.RoomSplit(),
       yieldingSince: undefined,
+      waitedAt: -Infinity,
     };
     this.endpoints.set(endpoint, state);
     if (this.endpoints.size > MAX_ENDPOINTS) {
@@ -180,6 +207,13 @@
   }
 }
 
+/** Rate at which places become free, per second. */
+function freedRate({places, servedMilliseconds}: Places): number | undefined {
+  return servedMilliseconds === undefined || !Number.isFinite(places)
+    ? undefined
+    : (places * 1000) / servedMilliseconds;
+}
+
 /** Whether a generation gives way now. Peers that cannot start theirs would otherwise leave engines idle. */
 function mayYield(state: EndpointState, now: number): boolean {
   const since = state.yieldingSince;
--- a/src/gateway/common/admission/room_split.ts
+++ b/src/gateway/common/admission/room_split.ts
@@ -2,13 +2,22 @@
  * Divides free places among gateways that see the same ones. Their views are
  * up to 0.7 s old, so each may take only its part within the time that others
  * need to see it. Meant for bursts that arrive at several gateways at once.
+ * While customers compete, the largest one also starts its generations evenly:
+ * those of a burst would end together, and no place would become free for
+ * others between the ends of two bursts.
  */
+import * as rateBucket from '../rate_bucket';
 
 /** Time in which a start becomes known to the peers, in milliseconds. */
 const PERIOD_MILLISECONDS = 100;
 /** Share of the places up to which nothing is divided: there is enough for everybody. */
 export const PLENTY_SHARE = 0.5;
 
+/** Rate of starts, as a share of the rate at which places become free; above 1 so that none stays free for long. */
+const PACE_SHARE = 1.2;
+/** Starts at once within the pace. */
+const PACE_BURST = 2;
+
 /** Places of an endpoint as one gateway sees them. */
 export interface PlacesView {
   readonly places: number;
@@ -17,6 +26,8 @@
   readonly demandShare: number;
   /** Gateways, with this one, that have generations at the endpoint. */
   readonly gatewayCount: number;
+  /** Rate at which places become free at all engines, per second; undefined unless starts are to be even. */
+  readonly freedPerSecond: number | undefined;
 }
 
 /** Starts of one gateway in the present period. */
@@ -24,10 +35,15 @@
   private periodStart = -Infinity;
   private started = 0;
   private budget = 0;
+  private pace: rateBucket.RateBucket | undefined;
 
   /** Whether this gateway may take one more place; does not depend on order or kind. */
   mayStart(view: PlacesView, now: number): boolean {
-    const {places, taken, demandShare, gatewayCount} = view;
+    const {places, taken, demandShare, gatewayCount, freedPerSecond} = view;
+    if (freedPerSecond !== undefined) {
+      return this.mayStartEvenly(freedPerSecond * demandShare, now);
+    }
+    this.pace = undefined;
     if (gatewayCount <= 1 || taken < places * PLENTY_SHARE) {
       return true;
     }
@@ -49,4 +65,10 @@
   recordEnd(): void {
     this.budget++;
   }
+
+  /** Takes a token of the pace; what it is for may still be held back, which costs one start. */
+  private mayStartEvenly(perSecond: number, now: number): boolean {
+    this.pace ??= new rateBucket.RateBucket(now, 1);
+    return this.pace.take(1, perSecond * PACE_SHARE, PACE_BURST, now) > 0;
+  }
 }
--- a/src/gateway/common/admission/start_forecast.ts
+++ b/src/gateway/common/admission/start_forecast.ts
@@ -11,7 +11,7 @@
   readonly places: number;
   readonly taken: number;
   /** Mean time for which a generation is in an engine; undefined if none has ended yet. */
-  readonly heldMilliseconds: number | undefined;
+  readonly servedMilliseconds: number | undefined;
   /** Generations that wait here and start before. */
   readonly ahead: number;
   /** Part of the places that become free which this gateway is expected to get, from 0 to 1. */
@@ -20,15 +20,15 @@
 
 /** Expected time until the generation starts, in milliseconds; undefined if nothing is known. */
 export function expectedWait(input: ForecastInput): number | undefined {
-  const {places, taken, heldMilliseconds, ahead, share} = input;
+  const {places, taken, servedMilliseconds, ahead, share} = input;
   const missing = ahead + 1 - Math.max(0, places - taken);
   if (missing <= 0) {
     return 0;
   }
-  if (heldMilliseconds === undefined || places <= 0 || share <= 0) {
+  if (servedMilliseconds === undefined || places <= 0 || share <= 0) {
     return undefined;
   }
-  return (missing * heldMilliseconds) / (places * share);
+  return (missing * servedMilliseconds) / (places * share);
 }
 
 /** Time after which a caller that was refused may return, in milliseconds, before it is spread. */
--- a/src/gateway/common/generation_queue.ts
+++ b/src/gateway/common/generation_queue.ts
@@ -22,8 +22,9 @@
   readonly customer: string;
   /** Work of all customers at the endpoint. */
   readonly work: customerWork.CustomerWork;
-  /** Engine time of this generation, in milliseconds. */
-  readonly cost: number;
+  readonly cost: customerWork.GenerationCost;
+  /** Engine time that this generation is expected to take, in milliseconds. */
+  readonly expectedWork: number;
   /** Time at which the request first arrived, before it was refused; undefined for new requests. */
   readonly firstArrivedAt: number | undefined;
   /** Whether it was found that engines lack room for it, not that none may take it. */
@@ -176,12 +177,12 @@
   for (const each of byArrival) {
     const {competitor} = each.entry;
     if (competitor !== undefined) {
-      const {endpoint, customer, work, cost} = competitor;
+      const {endpoint, customer, work, expectedWork} = competitor;
       const key = `${endpoint}\n${customer}`;
       const workAhead = ahead.get(key) ?? 0;
       const seconds = workWindow.WINDOW_MILLISECONDS / 1000;
       each.rate = work.rate(customer, now) + workAhead / seconds;
-      ahead.set(key, workAhead + cost);
+      ahead.set(key, workAhead + expectedWork);
     }
   }
   return byArrival
--- a/src/gateway/node/engine_places.ts
+++ b/src/gateway/node/engine_places.ts
@@ -15,7 +15,7 @@
   readonly places: number;
   taken: number;
   /** Mean time for which a generation is in an engine; undefined if none has ended yet. */
-  readonly heldMilliseconds: number | undefined;
+  readonly servedMilliseconds: number | undefined;
   readonly at: number;
 }
 
@@ -58,7 +58,7 @@
     }
     const memoryTokens = call.endpoint?.engine?.memoryTokens || Infinity;
     const usableTokens = memoryTokens * generationQueue.MAX_MEMORY_SHARE;
-    const helds: number[] = [];
+    const served: number[] = [];
     let places = 0;
     let taken = 0;
     for (const instance of this.follower.instances.forEndpoint(
@@ -75,16 +75,16 @@
       const inMemory = Math.floor(usableTokens / Math.max(1, meanSize));
       places += Math.max(1, Math.min(ceiling, inMemory));
       taken += load?.runs ?? 0;
-      const held = this.ceilings.heldMilliseconds(id);
-      if (held !== undefined) {
-        helds.push(held);
+      const milliseconds = this.ceilings.servedMilliseconds(id);
+      if (milliseconds !== undefined) {
+        served.push(milliseconds);
       }
     }
-    const heldMilliseconds =
-      helds.length === 0
+    const servedMilliseconds =
+      served.length === 0
         ? undefined
-        : helds.reduce((sum, held) => sum + held, 0) / helds.length;
-    const result: KnownPlaces = {places, taken, heldMilliseconds, at: now};
+        : served.reduce((sum, each) => sum + each, 0) / served.length;
+    const result: KnownPlaces = {places, taken, servedMilliseconds, at: now};
     this.known.set(call.endpointName, result);
     return result;
   }
--- a/src/gateway/node/generation_admission.ts
+++ b/src/gateway/node/generation_admission.ts
@@ -37,7 +37,8 @@
   readonly runs: number;
   /** Time to read the prompts ahead and its own, in milliseconds. */
   readonly readingMilliseconds: number;
-  hasEvent: boolean;
+  /** Time that it waited inside the engine, in milliseconds; undefined before its first event. */
+  waitedMilliseconds: number | undefined;
 }
 
 /** What admission reads of the gateway. */
@@ -183,9 +184,10 @@
       sentAt: now,
       runs: load?.runs ?? 0,
       readingMilliseconds: unread / readingBacklog.READ_TOKENS_PER_MILLISECOND,
-      hasEvent: false,
+      waitedMilliseconds: undefined,
     });
-    competitor.work.recordStart(competitor.customer, competitor.cost, now);
+    const {work, customer, expectedWork} = competitor;
+    work.recordStart(customer, expectedWork, now);
     this.gate.recordStart(competitor.endpoint);
     this.places.recordStart(competitor.endpoint);
   }
@@ -201,17 +203,15 @@
   /** Records an event of a run; only the first one counts. */
   recordEvent(run: runTable.Run): void {
     const started = this.started.get(run);
-    if (started === undefined || started.hasEvent) {
+    if (started === undefined || started.waitedMilliseconds !== undefined) {
       return;
     }
-    started.hasEvent = true;
     const now = performance.now();
     const milliseconds = now - started.sentAt - started.readingMilliseconds;
-    this.gate.ceilings.recordFirstEvent(
+    started.waitedMilliseconds = this.gate.ceilings.recordFirstEvent(
       started.instanceId,
       Math.max(0, milliseconds),
-      started.runs,
-      started.slots,
+      started,
       now,
     );
   }
@@ -226,10 +226,14 @@
     this.started.delete(run);
     this.gate.recordEnd(run.endpoint);
     this.places.forget(run.endpoint);
+    const {instanceId, sentAt, waitedMilliseconds} = started;
+    const served = now - sentAt - (waitedMilliseconds ?? 0);
+    const {work, customer, cost, expectedWork} = started.competitor;
+    const actualWork = customerWork.workOf(cost, served);
+    work.recordStart(customer, actualWork - expectedWork, now);
     // A run that was moved has been in several engines.
-    if (started.hasEvent && started.instanceId === run.instanceId) {
-      const {instanceId, sentAt} = started;
-      this.gate.ceilings.recordEnd(instanceId, now - sentAt, now);
+    if (waitedMilliseconds !== undefined && instanceId === run.instanceId) {
+      this.gate.ceilings.recordEnd(instanceId, served, now);
     }
   }
 
@@ -241,8 +245,8 @@
     }
     this.started.delete(run);
     const {instanceId, slots, competitor} = started;
-    const {work, customer, cost} = competitor;
-    work.recordStart(customer, -cost, performance.now());
+    const {work, customer, expectedWork} = competitor;
+    work.recordStart(customer, -expectedWork, performance.now());
     const others = (loads.get(instanceId)?.runs ?? 1) - 1;
     if (others <= 0) {
       return false;
@@ -304,19 +308,27 @@
     const {work} = demand.of(endpoint);
     work.recordArrival(customer, arrivedAt);
     const [first] = follower.instances.forEndpoint(endpoint);
-    const cost = customerWork.workOf({
+    const cost: customerWork.GenerationCost = {
       promptTokens: call.caller.promptTokens,
       expectedTokens,
       capacityTokens: engine.memoryTokens || Infinity,
       slots: first === undefined ? Infinity : enginePlaces.slotsOf(first),
-      millisecondsPerToken: pace.get(endpoint),
       readTokensPerMillisecond: readingBacklog.READ_TOKENS_PER_MILLISECOND,
-    });
+    };
+    const heldMilliseconds = expectedTokens * pace.get(endpoint);
     const firstArrivedAt = this.refusals.takeReturned(
       call.fingerprint,
       arrivedAt,
     );
-    return {endpoint, customer, work, cost, firstArrivedAt, lacksRoom: false};
+    return {
+      endpoint,
+      customer,
+      work,
+      cost,
+      expectedWork: customerWork.workOf(cost, heldMilliseconds),
+      firstArrivedAt,
+      lacksRoom: false,
+    };
   }
 
   private queuedRuns(
--- a/src/gateway/node/generation_refusals.ts
+++ b/src/gateway/node/generation_refusals.ts
@@ -106,7 +106,8 @@
       return_ms: Math.round(delay),
       places: Number.isFinite(places.places) ? places.places : undefined,
       taken: places.taken,
-      held_ms: places.heldMilliseconds && Math.round(places.heldMilliseconds),
+      served_ms:
+        places.servedMilliseconds && Math.round(places.servedMilliseconds),
       waiting: queue.length,
       peers_waiting: table.peersWaiting(now),
       returned: firstArrivedAt !== undefined,
@@ -125,7 +126,7 @@
     return startForecast.expectedWait({
       places: places.places,
       taken: places.taken,
-      heldMilliseconds: places.heldMilliseconds,
+      servedMilliseconds: places.servedMilliseconds,
       ahead: queue.countAhead(waiting, now),
       // Those behind start before the others at all gateways.
       share: isBehind ? 1 : this.demand.of(endpoint).ownShare(now),
