Gateway: generations of customers that are behind get more room the longer they wait

Cause: gateways learn different ceilings of one engine; the one with the highest filled the places for which a small customer waited at another.

--- a/src/gateway/common/admission/engine_ceilings.ts
+++ b/src/gateway/common/admission/engine_ceilings.ts
@@ -17,8 +17,9 @@
 const MIN_SAMPLES = 4;
 /** Smallest share of the runs that a reduction leaves. */
 const MIN_REDUCTION = 0.3;
-/** Smallest share of the registered slots that waits inside the engine leave; these may have other reasons than slots. */
+/** Smallest share of the registered slots that waits inside the engine leave, unless it turned generations away lately: waits may have other reasons than slots. */
 const MIN_SLOTS_SHARE = 0.25;
+const FULL_MEMORY_MILLISECONDS = 60_000;
 /** Time after a rejection in which nothing is sent ahead of a free slot, in milliseconds: the engine has no place for it. */
 const REJECTION_MEMORY_MILLISECONDS = 5_000;
 /** Time after which a reduced ceiling rises by one, in milliseconds. */
@@ -36,6 +37,15 @@
 /** Engines with an account; the oldest are forgotten first. */
 const MAX_ENGINES = 4_096;
 
+/** A generation of a customer that may be behind the largest one. */
+export interface BehindRequest {
+  /** How far it is behind, from 0 to 1. */
+  readonly deficit: number;
+  /** Time to its objective. */
+  readonly leftMilliseconds: number;
+  readonly waitedMilliseconds: number;
+}
+
 /** A generation when it was sent. */
 export interface SentRun {
   /** Other runs that were known there. */
@@ -101,12 +111,15 @@
     return Math.min(Math.max(1, ahead), Math.ceil(ceiling * MAX_AHEAD_SHARE));
   }
 
-  /** Further generations that a customer behind the largest one may send ahead; `deficit` is from 0 to 1, `leftMilliseconds` the time to the objective. */
+  /**
+   * Further generations that a customer behind the largest one may send ahead.
+   * Rises with its wait by what the engine served meanwhile: other gateways may
+   * have learned a higher ceiling and fill the places that it waits for.
+   */
   headroom(
     instanceId: string,
     slots: number,
-    deficit: number,
-    leftMilliseconds: number,
+    {deficit, leftMilliseconds, waitedMilliseconds}: BehindRequest,
     now: number,
   ): number {
     const ceiling = this.ceiling(instanceId, slots, now);
@@ -114,12 +127,14 @@
       return 0;
     }
     const served = this.servedMilliseconds(instanceId);
+    const perMillisecond = served === undefined ? 0 : ceiling / served;
     const servedInTime =
       served === undefined
         ? Infinity
-        : (ceiling * leftMilliseconds * QUEUE_TIME_SHARE) / served;
+        : perMillisecond * leftMilliseconds * QUEUE_TIME_SHARE;
     const most = Math.min(ceiling * DEFICIT_SHARE, servedInTime);
-    return Math.ceil(Math.max(1, most) * deficit);
+    const missed = perMillisecond * waitedMilliseconds;
+    return Math.ceil((Math.max(1, most) + missed) * deficit);
   }
 
   /** Records the time from sending to the first event, without the time to read the prompts ahead. Returns how much of it was spent waiting. */
@@ -149,7 +164,9 @@
       account.samples >= MIN_SAMPLES &&
       waitOf(account) > TOLERATED_WAIT_MILLISECONDS
     ) {
-      const least = Number.isFinite(slots) ? slots * MIN_SLOTS_SHARE : 1;
+      const wasFull = now - account.rejectedAt < FULL_MEMORY_MILLISECONDS;
+      const least =
+        Number.isFinite(slots) && !wasFull ? slots * MIN_SLOTS_SHARE : 1;
       const served = (runs + 1) * servedShare(account);
       this.reduce(account, Math.ceil(Math.max(least, served)), ceiling, now);
     }
--- a/src/gateway/common/admission/generation_gate.ts
+++ b/src/gateway/common/admission/generation_gate.ts
@@ -62,6 +62,7 @@
   readonly customer: string;
   readonly urgency: number;
   readonly promptTokens: number;
+  readonly waitedMilliseconds: number;
   /** Monotonic time of its objective, in milliseconds. */
   readonly objectiveAt: number;
   /** Whether it has waited so long that more urgent ones do not go ahead. */
@@ -106,6 +107,16 @@
     );
   }
 
+  /** Time that an engine needs to read the prompt and those ahead of it, in milliseconds. */
+  readingMilliseconds(
+    {id, prefillTokens}: Pick<EngineState, 'id' | 'prefillTokens'>,
+    promptTokens: number,
+    now: number,
+  ): number {
+    const unread = this.backlog.tokens(id, prefillTokens, now);
+    return (unread + promptTokens) / readingBacklog.READ_TOKENS_PER_MILLISECOND;
+  }
+
   /** Records that a generation was started at an engine. */
   recordStart(endpoint: string): void {
     this.stateOf(endpoint).split.recordStart();
@@ -117,15 +128,16 @@
   }
 
   private checkEngine(
-    {promptTokens, objectiveAt}: GateRequest,
+    {promptTokens, objectiveAt, waitedMilliseconds}: GateRequest,
     {id, slots, runs, prefillTokens, queuedRuns}: EngineState,
     deficit: number,
     now: number,
   ): HoldReason | undefined {
-    const left = Math.max(0, objectiveAt - now);
+    const leftMilliseconds = Math.max(0, objectiveAt - now);
+    const behind = {deficit, leftMilliseconds, waitedMilliseconds};
     const extra =
       this.ceilings.ahead(id, slots, now) +
-      this.ceilings.headroom(id, slots, deficit, left, now);
+      this.ceilings.headroom(id, slots, behind, now);
     if (runs >= this.ceilings.ceiling(id, slots, now) + extra) {
       return HoldReason.Slots;
     }
@@ -133,7 +145,8 @@
       return HoldReason.EngineQueue;
     }
     const unread = this.backlog.tokens(id, prefillTokens, now);
-    const readable = left * readingBacklog.READ_TOKENS_PER_MILLISECOND;
+    const readable =
+      leftMilliseconds * readingBacklog.READ_TOKENS_PER_MILLISECOND;
     return unread > 0 && unread + promptTokens > readable
       ? HoldReason.Prompts
       : undefined;
--- a/src/gateway/node/generation_admission.ts
+++ b/src/gateway/node/generation_admission.ts
@@ -117,6 +117,7 @@
         customer: competitor.customer,
         urgency: waiting.urgency,
         promptTokens: context.call.caller.promptTokens,
+        waitedMilliseconds: now - waiting.arrivedAt,
         objectiveAt: waiting.arrivedAt + waiting.objectiveMilliseconds,
         isAged: generationQueue.isAged(waiting, now),
       },
@@ -176,14 +177,19 @@
       return;
     }
     const load = loads.get(instance.record.id);
-    const unread = (load?.prefillTokens ?? 0) + run.promptTokens;
+    const {id} = instance.record;
+    const prefillTokens = load?.prefillTokens ?? 0;
     this.started.set(run, {
       competitor,
-      instanceId: instance.record.id,
+      instanceId: id,
       slots: enginePlaces.slotsOf(instance),
       sentAt: now,
       runs: load?.runs ?? 0,
-      readingMilliseconds: unread / readingBacklog.READ_TOKENS_PER_MILLISECOND,
+      readingMilliseconds: this.gate.readingMilliseconds(
+        {id, prefillTokens},
+        run.promptTokens,
+        now,
+      ),
       waitedMilliseconds: undefined,
     });
     const {work, customer, expectedWork} = competitor;
