--- a/src/gateway/common/admission/generation_gate.ts
+++ b/src/gateway/common/admission/generation_gate.ts
@@ -10,7 +10,7 @@
 import * as roomSplit from './room_split';
 
 /** Longest time for which a generation gives way to peers without pause, in milliseconds: peers start theirs within the age of a load, or cannot. */
-const MAX_YIELD_MILLISECONDS = 200;
+const MAX_YIELD_MILLISECONDS = 450;
 /** Time after which giving way may begin again, in milliseconds. */
 const YIELD_PERIOD_MILLISECONDS = 600;
 /** Time for which starts stay even after generations waited, in milliseconds. */
@@ -167,7 +167,8 @@
     if (gatewayCount <= 1 && !isUneven) {
       return undefined;
     }
-    const rivals = isAged ? 0 : table.peersAhead(urgency, isBehind, now);
+    const rank = isAged ? 0 : urgency;
+    const rivals = table.peersAhead(rank, isBehind, now);
     const view = rivals > 0 || !isBehind ? places() : undefined;
     const free = view === undefined ? Infinity : view.places - view.taken;
     if (rivals > 0 && free <= rivals && mayYield(state, now)) {
--- a/test/gateway/common/fleet/fleet_message.test.ts
+++ b/test/gateway/common/fleet/fleet_message.test.ts
@@ -55,6 +55,28 @@
   t.deepEqual(fleetMessage.parse(bytes), written);
 });
 
+// Guards against a field that readers reject, and against names that outgrow a datagram.
+test('fleet messages: the demand of a gateway is read as it was written, within 2 KB', t => {
+  const written = message();
+  const demand = [
+    {
+      endpoint: 'writers',
+      waiting: [[1, 20, 3]] as [number, number, number][],
+      work: Array.from({length: 8}, (_, index): [string, number] => [
+        `${index}`.padStart(128, 'c'),
+        12_345,
+      ]),
+      otherWork: 7,
+    },
+  ];
+  const told = {...written, digest: {...written.digest, demand}};
+  const {bytes} = fleetMessage.encode(told);
+  t.deepEqual(fleetMessage.parse(bytes), told);
+  const before = fleetMessage.encode(written).bytes.length;
+  t.log(`${bytes.length - before} bytes`);
+  t.true(bytes.length - before <= 2_000);
+});
+
 test('fleet messages: a digest of the build before is read, and its reader finds the fields it requires', t => {
   const {digest} = message();
   const old = {digest: {...digest, peers: ['10.0.0.9']}};
