--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -1,5 +1,6 @@
 /** Status summaries that gateways send each other, and the state that they serve to those that are behind. */
 import * as evacuatedDataCentres from '../availability/evacuated_data_centres';
+import * as demandTable from '../admission/demand_table';
 import * as configuration from '../configuration';
 import * as crashTable from '../crash_table';
 import * as engineReports from '../engine_reports';
@@ -40,6 +41,8 @@
   readonly warmUps?: readonly warmUps.RelayedWarmUp[];
   /** Instances that said themselves that they are about to stop; absent when there are none, and from older builds. */
   readonly leaving?: readonly leavingInstances.RelayedLeaving[];
+  /** Generations that wait or were started lately; absent when there are none, and from older builds. */
+  readonly demand?: readonly demandTable.EndpointDemand[];
   /** Engine reports that the gateway read itself; absent when there are none. */
   readonly reports?: readonly engineReports.RelayedReport[];
   /** Speeds of instances that the gateway measured; absent when there is nothing to tell, and from older builds. */
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -31,6 +31,8 @@
   readonly placements: promClient.Counter<'pause'>;
   readonly heldBytes: promClient.Gauge;
   readonly slowReaderCuts: promClient.Counter;
+  readonly heldGenerations: promClient.Counter<'reason'>;
+  readonly refusedGenerations: promClient.Counter<'reason'>;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.requests = registry.counter(
@@ -103,7 +105,17 @@
     );
     this.waiting = registry.gauge(
       'rhubarbvane_gateway_waiting_generations',
-      'Generations that wait for memory at an engine',
+      'Generations that wait for room at an engine',
+    );
+    this.heldGenerations = registry.counter(
+      'rhubarbvane_gateway_held_generations_total',
+      'Generations that waited before they were placed, by the first reason',
+      ['reason'],
+    );
+    this.refusedGenerations = registry.counter(
+      'rhubarbvane_gateway_refused_generations_total',
+      'Generations refused because they could not start in time, by reason',
+      ['reason'],
     );
     this.evacuatedDataCentres = registry.gauge(
       'rhubarbvane_gateway_evacuated_data_centres',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -8,6 +8,7 @@
 import * as backOff from '../common/availability/back_off';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as regionRule from '../common/availability/region_rule';
+import * as demandTable from '../common/admission/demand_table';
 import * as crashTable from '../common/crash_table';
 import * as engineReports from '../common/engine_reports';
 import * as directMembers from '../common/fleet/direct_members';
@@ -35,6 +36,7 @@
 import * as gatewayPolicies from './gateway_policies';
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
+import * as generationAdmission from './generation_admission';
 import * as generationScheduler from './generation_scheduler';
 import * as coldInstances from './limits/cold_instances';
 import * as limitLog from './limits/limit_log';
@@ -93,7 +95,9 @@
     const reports = new engineReports.EngineReports();
     const limits = new instanceLimits.InstanceLimits();
     const cold = new warmUps.WarmUps();
+    const demand = new demandTable.DemandTable();
     const predictor = new lengthPredictor.LengthPredictor();
+    const pace = new tokenPace.TokenPace();
     const {ip, name, link_megabits: linkMegabits} = settings.instance;
     const members = new memberTable.MemberTable(
       {ip, name, isWide: linkMegabits >= WIDE_LINK_MEGABITS},
@@ -138,6 +142,7 @@
       {
         members,
         runs,
+        demand,
         crashes,
         promptParts,
         reports,
@@ -174,6 +179,14 @@
       permits,
       availability,
       speeds,
+      new generationAdmission.GenerationAdmission({
+        follower,
+        availability,
+        reports,
+        demand,
+        pace,
+        metrics: options.metrics,
+      }),
     );
     this.services = {
       dataCentre: settings.instance.data_centre,
@@ -212,7 +225,7 @@
       buffers: gatewayPolicies.createDeliveryBuffers(settings),
       members,
       predictor,
-      pace: new tokenPace.TokenPace(),
+      pace,
       speeds,
       scheduler,
       evacuations: new evacuationManager.EvacuationManager(
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -11,9 +11,12 @@
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as callContext from './call_context';
 import * as generationRequest from './generation_request';
+import * as generationAdmission from './generation_admission';
 import * as permitService from './limits/permit_service';
 import * as placementLog from './placement_log';
 import * as stateFollower from './state_follower';
+import * as waitingCall from './waiting_call';
+import * as waitingCalls from './waiting_calls';
 
 /** Interval between checks of the queue while generations wait, in milliseconds. */
 const QUEUE_CHECK_INTERVAL_MILLISECONDS = 40;
@@ -28,21 +31,6 @@
 /** Output length assumed without any estimate, in tokens. */
 const DEFAULT_OUTPUT_TOKENS = 400;
 
-/** The run of a placed generation and its instance. */
-export interface PlacedRun {
-  readonly instance: instanceTable.Instance;
-  readonly run: runTable.Run;
-}
-
-/** Where a generation was placed, or why it was not. */
-export interface PlacementResult {
-  readonly placed: PlacedRun | undefined;
-  /** Monotonic milliseconds from which instances may take the generation; undefined unless all of them take no more requests now. */
-  readonly retryAt?: number;
-}
-
-const NOT_PLACED: PlacementResult = {placed: undefined};
-
 /** Constraints on the instance for a run or its copy; see `GenerationRequest`. */
 export type PlacementConstraints = Pick<
   placement.GenerationRequest,
@@ -57,11 +45,6 @@
   readonly scope: instanceAvailability.AvailabilityRequest;
 };
 
-interface WaitingCall extends generationQueue.WaitingGeneration {
-  readonly context: callContext.CallContext;
-  readonly resolve: (result: PlacementResult) => void;
-}
-
 /** Expected output length in tokens: the average of the caller's estimate, which is right at the median, and the learned length, which is right at the mean. */
 export function expectedTokens(
   context: callContext.CallContext,
@@ -77,7 +60,7 @@
 
 /** Places generations, the most urgent first. */
 export class GenerationScheduler implements disposable.Disposable {
-  private readonly queue = new generationQueue.GenerationQueue<WaitingCall>();
+  private readonly waiting: waitingCalls.WaitingCalls;
   private readonly timer: NodeJS.Timeout;
 
   constructor(
@@ -90,7 +73,13 @@
     private readonly permits: permitService.PermitService,
     private readonly availability: instanceAvailability.InstanceAvailability,
     private readonly speeds: measuredSpeeds.MeasuredSpeeds,
+    private readonly admission: generationAdmission.GenerationAdmission,
   ) {
+    this.waiting = new waitingCalls.WaitingCalls(
+      admission,
+      () => this.loads(performance.now()),
+      waiting => this.tryPlace(waiting),
+    );
     this.timer = setInterval(
       () => this.processQueue(),
       QUEUE_CHECK_INTERVAL_MILLISECONDS,
@@ -99,7 +88,7 @@
   }
 
   get waitingCount(): number {
-    return this.queue.length;
+    return this.waiting.length;
   }
 
   dispose(): void {
@@ -107,24 +96,44 @@
   }
 
   /** Resolves with the placed run, after waiting for memory if necessary; without one if no instance is available in time or the queue is full. */
-  place(context: callContext.CallContext): Promise<PlacementResult> {
-    return new Promise(resolve => {
-      const {arrivedAt, route} = context.call;
-      const waiting: WaitingCall = {
-        context,
-        resolve,
-        urgency: urgencyOf(context),
-        arrivedAt,
-        objectiveMilliseconds: Math.min(
-          route.objectiveMilliseconds,
-          context.call.deadlineAt - arrivedAt,
-        ),
-      };
-      if (!this.queue.add(waiting)) {
-        return resolve(NOT_PLACED);
-      }
-      this.processQueue();
-    });
+  place(
+    context: callContext.CallContext,
+  ): Promise<waitingCalls.PlacementResult> {
+    const expected = expectedTokens(context, this.predictor);
+    return this.waiting.place(context, urgencyOf(context), expected);
+  }
+
+  /** Places a generation again that its engine turned away; returns whether there is room for it in time. */
+  async placeAgain(
+    context: callContext.CallContext,
+    run: runTable.Run,
+  ): Promise<waitingCalls.PlacementResult> {
+    this.runs.remove(run);
+    const result = await this.place(context);
+    if (result.placed !== undefined) {
+      this.runs.remove(result.placed.run);
+      this.admission.replaceRun(result.placed.run, run);
+      run.instanceId = result.placed.instance.record.id;
+      this.runs.add(run);
+    }
+    return result;
+  }
+
+  /** Records an event of a run. */
+  recordEvent(run: runTable.Run): void {
+    this.admission.recordEvent(run);
+  }
+
+  /** Records that an engine turned the run away; returns whether that may be due to other runs there, so that it is worth waiting for room. */
+  recordTurnedAway(run: runTable.Run): boolean {
+    return this.admission.recordTurnedAway(run, this.loads(performance.now()));
+  }
+
+  /** Removes a run that has left its engine, and starts generations that wait for its room. */
+  release(run: runTable.Run): void {
+    this.runs.remove(run);
+    this.admission.recordEnd(run);
+    this.processQueue();
   }
 
   /** Whether an instance of the version accepts the call; always true for any version, since calls may wait for an instance. */
@@ -250,58 +259,41 @@
     return tokens / Math.max(1, ready.length) / capacityTokens;
   }
 
-  /** Places the waiting generations for which there is memory, and refuses those that can no longer start in time. */
+  /** Places the waiting generations for which there is room, and refuses those that can no longer start in time. */
   processQueue(): void {
-    if (this.queue.length === 0) {
-      return;
-    }
-    const results = new Map<WaitingCall, PlacementResult>();
-    const {started, refused} = this.queue.step(performance.now(), waiting => {
-      if (waiting.context.isOver) {
-        return true;
-      }
-      const result = this.tryPlace(waiting);
-      if (result !== undefined) {
-        results.set(waiting, result);
-      }
-      return result !== undefined;
-    });
-    started.forEach(waiting =>
-      waiting.resolve(results.get(waiting) ?? NOT_PLACED),
-    );
-    refused.forEach(waiting => waiting.resolve(NOT_PLACED));
+    this.waiting.process();
   }
 
   /** Places the generation; undefined if it has to wait. */
-  private tryPlace(waiting: WaitingCall): PlacementResult | undefined {
-    const {context} = waiting;
+  private tryPlace(
+    waiting: waitingCall.WaitingCall,
+  ): waitingCalls.PlacementResult | undefined {
+    const {context, expectedTokens: expected} = waiting;
     const now = performance.now();
     const loads = this.loads(now);
-    const expected = expectedTokens(context, this.predictor);
-    let isFull = false;
+    let isHeld = false;
     const {choice, shortage} = this.permits.select(context.excluded, barred => {
-      const found = this.findFirstInstance(
-        context,
-        loads,
-        expected,
-        barred,
-        now,
+      const found = this.admission.findRoom(waiting, loads, now, barred, full =>
+        this.findFirstInstance(context, loads, expected, full, now),
       );
-      isFull = found !== undefined && !hasRoom(found, loads);
-      return isFull ? undefined : found;
+      isHeld = found.isHeld;
+      return found.choice;
     });
-    if (choice === undefined && shortage === undefined && !isFull) {
+    if (choice === undefined && shortage === undefined && !isHeld) {
       const retryAt = context.backOffEnd(now) ?? -Infinity;
       const isTooLate = retryAt > generationQueue.latestStart(waiting);
       return isTooLate ? {placed: undefined, retryAt} : undefined;
     }
     if (choice === undefined) {
       const isRefused = shortage !== undefined && !shortage.isPending;
-      return isRefused && !isFull
+      return isRefused && !isHeld
         ? {placed: undefined, retryAt: shortage.retryAt}
         : undefined;
     }
-    return {placed: this.addRun(context, choice, loads, expected)};
+    const placed = this.addRun(context, choice, loads, expected);
+    const {run, instance} = placed;
+    this.admission.recordStart(waiting, run, instance, loads, now);
+    return {placed};
   }
 
   /** Best instance for a generation that has not run anywhere. */
@@ -345,7 +337,7 @@
     choice: placement.GenerationChoice,
     loads: runTable.LoadView,
     expected: number,
-  ): PlacedRun {
+  ): waitingCalls.PlacedRun {
     const {call} = context;
     const {instance} = choice;
     const now = performance.now();
@@ -359,7 +351,7 @@
       {
         ...placementLog.requestFields(call, run),
         ...placementLog.choiceFields(choice),
-        waiting: this.queue.length,
+        waiting: this.waiting.length,
         runs_there: loads.get(instance.record.id)?.runs ?? 0,
         queued_there: loads.get(instance.record.id)?.queuedRuns,
         instances_position: this.follower.instancesPosition,
@@ -372,15 +364,6 @@
   }
 }
 
-/** Whether the memory of the instance is expected to suffice; an idle instance takes a generation of any size. */
-function hasRoom(
-  {instance, memoryShare}: placement.GenerationChoice,
-  loads: runTable.LoadView,
-): boolean {
-  const isIdle = (loads.get(instance.record.id)?.runs ?? 0) === 0;
-  return memoryShare <= generationQueue.MAX_MEMORY_SHARE || isIdle;
-}
-
 /** Urgency at the engine: the customer's priority takes precedence over the route's. */
 export function urgencyOf(context: callContext.CallContext): number {
   const {customer, route} = context.call;
