Instances that leave within the grace period after an outage of the store are removed when it ends

Cause: the end of the grace period was scheduled only if instances changed, so that an instance whose removal was the only news stayed in use until the next change; found when two of eight gateways kept a removed instance for 40 s after slow reads at their start. Change: the end is scheduled in any case. Ruled out: relayed changes, whose positions are correct.

--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -353,6 +353,7 @@
       this.onDidReadChange.next(change);
     }
     const changes = this.instances.replace(this.registry.values(), now);
+    this.scheduleExpiry(now);
     const idOf = (instance: instanceTable.Instance) => instance.record.id;
     const changeCount =
       changes.added.length + changes.drained.length + changes.removed.length;
@@ -370,7 +371,6 @@
     changes.drained.forEach(instance => this.onDidStartDraining.next(instance));
     changes.removed.forEach(instance => this.onDidStartDraining.next(instance));
     this.onDidChangeInstances.next();
-    this.scheduleExpiry(now);
   }
 
   /** Removes instances that disappeared around an outage of the source, once their grace period is over. */
--- a/test/gateway/state_follower.test.ts
+++ b/test/gateway/state_follower.test.ts
@@ -150,3 +150,51 @@
   const follower = createFollower(new ScriptedSource());
   t.is(follower.sourceAge(5_000), undefined);
 });
+
+/** Answers with scripted lists and changes of instances; calls beyond the script are never answered. */
+class InstanceSource extends ScriptedSource {
+  constructor(
+    private readonly lists: Awaited<
+      ReturnType<stateSource.StateSource['listInstances']>
+    >[],
+    private readonly changes: Awaited<
+      ReturnType<stateSource.StateSource['watchInstances']>
+    >[],
+  ) {
+    super();
+  }
+
+  override async listInstances() {
+    return this.lists.shift() ?? super.listInstances();
+  }
+
+  override async watchInstances() {
+    return this.changes.shift() ?? super.watchInstances();
+  }
+}
+
+test('follower: an instance that leaves shortly after an outage of the store is removed when the grace period ends, although nothing else changes', async t => {
+  const record = gatewayRecords.instanceRecord({id: 'i-1'});
+  const listed = neverthrow.ok({revision: 2, value: [record]});
+  const source = new InstanceSource(
+    [listed, listed],
+    [
+      neverthrow.err(stateSource.SourceError.Unreachable),
+      neverthrow.ok({revision: 3, value: [{id: 'i-1', record: undefined}]}),
+    ],
+  );
+  source.next = neverthrow.ok({revision: 1, value: version(1)});
+  const follower = createFollower(source);
+  t.teardown(() => follower.dispose());
+  follower.start();
+  while (follower.instances.size === 0) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  // The expiry of the grace period keeps no process alive by itself.
+  const keepAlive = setInterval(() => undefined, 100);
+  t.teardown(() => clearInterval(keepAlive));
+  while (follower.instances.size > 0) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  t.is(follower.instances.get('i-1'), undefined);
+});
