--- a/src/gateway/common/availability/evacuation_duty.ts
+++ b/src/gateway/common/availability/evacuation_duty.ts
@@ -13,6 +13,9 @@
 /** Time for which a gateway counts after it was last heard to know of evacuations, in milliseconds. */
 const PEER_LIFETIME_MILLISECONDS = 10_000;
 
+/** Largest number of peers that are remembered; those heard longest ago are forgotten first. */
+const MAX_PEERS = 2_048;
+
 /** Who reads evacuations, as heard by one gateway. */
 export class EvacuationDuty {
   /** Monotonic milliseconds at which each peer was last heard to know of evacuations, by name. */
@@ -26,7 +29,11 @@
 
   /** Records a peer whose message tells of evacuations. */
   recordPeer(name: string, isWatching: boolean, now: number): void {
+    this.heardAt.delete(name);
     this.heardAt.set(name, now);
+    if (this.heardAt.size > MAX_PEERS) {
+      this.heardAt.delete(this.heardAt.keys().next().value!);
+    }
     if (isWatching) {
       this.watcherHeardAt = now;
     }
