--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -139,6 +139,7 @@
       client,
       availability,
       backOffs,
+      coldInstances: cold,
       answers: new answerRecorder.AnswerRecorder(
         follower,
         limits,
@@ -200,6 +201,11 @@
     return this.services.follower;
   }
 
+  /** Cold instances that the process knows of. */
+  get coldInstances(): warmUps.WarmUps {
+    return this.services.coldInstances;
+  }
+
   /** Parts of prompts with crashes that the process knows of. */
   get promptParts(): promptPartTable.PromptPartTable {
     return this.services.promptParts;
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -8,6 +8,7 @@
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
 import * as limitUsage from '../common/limits/limit_usage';
+import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
 import * as runTable from '../common/run_table';
@@ -31,6 +32,8 @@
   readonly availability: instanceAvailability.InstanceAvailability;
   /** Instances that this gateway sends nothing to for some time. */
   readonly backOffs: backOff.BackOffs;
+  /** When cold instances become warm. */
+  readonly coldInstances: warmUps.WarmUps;
   /** Records what instances say of themselves. */
   readonly answers: answerRecorder.AnswerRecorder;
   readonly runs: runTable.RunTable;
--- a/test/gateway/common/fleet/direct_message.test.ts
+++ b/test/gateway/common/fleet/direct_message.test.ts
@@ -20,6 +20,20 @@
     },
   };
   const others: readonly directMessage.DirectMessage[] = [
+    {
+      permitRequest: {
+        ...REQUEST.permitRequest!,
+        limit: [null, 1e21],
+        ramp: [5, 8_000, 0, 7, 0],
+      },
+    },
+    {
+      permitGrant: {
+        ...grant.permitGrant!,
+        isCold: true,
+        warmUp: [0, 12, 7, 1],
+      },
+    },
     {begunStreams: [['933bc43c118800c1', 'v1.2']]},
     {versionQuery: {sequence: 1, attemptId: '933bc43c118800c1'}},
     {versionAnswer: {sequence: 1, softwareVersion: 'v1.2'}},
--- a/test/gateway/common/limits/instance_permits.test.ts
+++ b/test/gateway/common/limits/instance_permits.test.ts
@@ -7,6 +7,7 @@
 import * as instanceLimits from '../../../../src/gateway/common/limits/instance_limits';
 import * as instanceRates from '../../../../src/gateway/common/limits/instance_rates';
 import * as instancePermits from '../../../../src/gateway/common/limits/instance_permits';
+import * as warmUps from '../../../../src/gateway/common/limits/warm_ups';
 import * as permitIssuer from '../../../../src/gateway/common/limits/permit_issuer';
 import * as instanceTable from '../../../../src/gateway/common/instance_table';
 import * as gatewayRecords from '../../../support/gateway_records';
@@ -17,6 +18,7 @@
 /** Time at which the tests begin, in milliseconds; the gateway started long before. */
 const START = 100_000;
 const LIMIT = 2;
+const RAMP = 5;
 /** Time for a lost member to be considered gone, in milliseconds. */
 const GONE_MILLISECONDS = 10_000;
 
@@ -39,6 +41,7 @@
     [],
   );
   readonly limits = new instanceLimits.InstanceLimits();
+  readonly cold = new warmUps.WarmUps();
   readonly requests: instancePermits.PermitRequest[] = [];
   readonly permits: instancePermits.InstancePermits;
   readonly instance: instanceTable.Instance;
@@ -50,7 +53,7 @@
       new directMembers.DirectMembers(this.members, startedAt),
     );
     this.permits = new instancePermits.InstancePermits(
-      new instanceRates.InstanceRates(this.limits),
+      new instanceRates.InstanceRates(this.limits, this.cold, () => RAMP),
       this.election,
       new permitIssuer.PermitIssuer(),
       (_, request) => this.requests.push(request),
@@ -78,10 +81,15 @@
   }
 
   /** Answers the latest request. */
-  answer(granted: number, retryMilliseconds: number, now: number): void {
+  answer(
+    granted: number,
+    retryMilliseconds: number,
+    now: number,
+    isCold?: boolean,
+  ): void {
     const {sequence} = this.requests[this.requests.length - 1];
     this.permits.receiveGrant(
-      {sequence, life: this.life, granted, retryMilliseconds},
+      {sequence, life: this.life, granted, retryMilliseconds, isCold},
       now,
     );
   }
@@ -161,3 +169,46 @@
   t.is(Math.round(shortage!.retryAt - silentAt), Math.round(1_000 / 0.9));
   t.truthy(gateways.select(shortage!.retryAt + 1).choice);
 });
+
+// An older build grants by the limit alone, which is more than the ramp allows.
+test('instance permits: what a coordinator grants that knows nothing of ramps is not used at a cold instance', t => {
+  const gateways = new TwoGateways();
+  gateways.cold.recordRegistration(gateways.life, 60_000, 1, START);
+  gateways.select(START);
+  t.deepEqual(gateways.requests[0].ramp, [RAMP, 60_000, 0, 1, 0]);
+  gateways.answer(9, 0, START + 5);
+  t.is(gateways.select(START + 10).choice, undefined);
+  gateways.answer(1, 0, START + 15, true);
+  t.truthy(gateways.select(START + 20).choice);
+});
+
+// Permits that were granted for a warm instance would be used up at once.
+test('instance permits: permits end when the instance becomes cold, and are valid for a shorter time while it is', t => {
+  const gateways = new TwoGateways();
+  gateways.select(START);
+  gateways.answer(9, 0, START + 5);
+  gateways.cold.recordAnswer(gateways.life, 60_000, START + 10);
+  t.is(gateways.select(START + 10).choice, undefined);
+  gateways.answer(9, 0, START + 15, true);
+  t.truthy(gateways.select(START + 200).choice);
+  t.is(gateways.select(START + 215).choice, undefined);
+});
+
+test('instance permits: a coordinator that has seen the instance become warm says so', t => {
+  const gateways = new TwoGateways();
+  gateways.cold.recordRegistration(gateways.life, 60_000, 1, START);
+  gateways.select(START);
+  const {sequence} = gateways.requests[0];
+  gateways.permits.receiveGrant(
+    {
+      sequence,
+      life: gateways.life,
+      granted: 0,
+      retryMilliseconds: 0,
+      isCold: false,
+      warmUp: [0, 10, 1, 1],
+    },
+    START + 5,
+  );
+  t.false(gateways.cold.isCold(gateways.life, START + 5));
+});
