--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -196,6 +196,7 @@
       client,
       availability,
       backOffs,
+      coldInstances: cold,
       answers: new answerRecorder.AnswerRecorder(
         follower,
         limits,
@@ -271,6 +272,11 @@
     return this.evacuatedDataCentres;
   }
 
+  /** Cold instances that the process knows of. */
+  get coldInstances(): warmUps.WarmUps {
+    return this.services.coldInstances;
+  }
+
   /** Parts of prompts with crashes that the process knows of. */
   get promptParts(): promptPartTable.PromptPartTable {
     return this.services.promptParts;
