--- a/test/gateway/common/admission/generation_gate.test.ts
+++ b/test/gateway/common/admission/generation_gate.test.ts
@@ -1,13 +1,14 @@
 /** Shares of customers at an engine for 16 generations a second, played on explicit times. */
 import * as ava from 'ava';
+import * as admissionOutcomes from '../../../support/admission_outcomes';
 import * as simulatedAdmission from '../../../support/simulated_admission';
 
 const test = ava.default;
-const {countServed, shareInTime} = simulatedAdmission;
+const {countServed, shareInTime} = admissionOutcomes;
 const ENGINE = {gateways: 3, slots: 24, serviceMilliseconds: 1_500};
 const CAPACITY_PER_SECOND = 16;
-const LARGE: simulatedAdmission.Load = {customer: 'large', perSecond: 50};
-const SMALL: simulatedAdmission.Load = {customer: 'small', perSecond: 3};
+const LARGE: admissionOutcomes.Load = {customer: 'large', perSecond: 50};
+const SMALL: admissionOutcomes.Load = {customer: 'small', perSecond: 3};
 const END = 20_000;
 
 /** Most generations that the engine begins in the time. */
--- a/test/support/simulated_admission.ts
+++ b/test/support/simulated_admission.ts
@@ -4,6 +4,7 @@
 import * as generationGate from '../../src/gateway/common/admission/generation_gate';
 import * as startForecast from '../../src/gateway/common/admission/start_forecast';
 import * as generationQueue from '../../src/gateway/common/generation_queue';
+import * as admissionOutcomes from './admission_outcomes';
 
 export const STEP_MILLISECONDS = 10;
 const CHECK_MILLISECONDS = 40;
@@ -11,22 +12,6 @@
 const ENDPOINT = 'writers';
 const ENGINE = 'i-1';
 
-/** A stream of generations of one customer. */
-export interface Load {
-  readonly customer: string;
-  readonly perSecond: number;
-  readonly objectiveMilliseconds?: number;
-  readonly urgency?: number;
-  readonly promptTokens?: number;
-  readonly outputTokens?: number;
-  readonly serviceMilliseconds?: number;
-  /** Times between which it arrives, in milliseconds. */
-  readonly from?: number;
-  readonly to?: number;
-  /** Gateways at which it arrives, in turn; all by default. */
-  readonly gateways?: readonly number[];
-}
-
 /** The engine and the exchange between gateways. */
 export interface SimulationOptions {
   readonly gateways: number;
@@ -39,21 +24,12 @@
   readonly isLost?: (index: number) => boolean;
 }
 
-/** What became of one generation. */
-export interface Outcome {
-  readonly load: Load;
-  readonly arrivedAt: number;
-  startedAt: number | undefined;
-  firstEventAt: number | undefined;
-  refusedAt: number | undefined;
-}
-
 interface Waiting extends generationQueue.WaitingGeneration {
-  readonly outcome: Outcome;
+  readonly outcome: admissionOutcomes.Outcome;
 }
 
 interface Run {
-  readonly outcome: Outcome;
+  readonly outcome: admissionOutcomes.Outcome;
   readonly waiting: Waiting;
   readonly gateway: Gateway;
   readonly sentAt: number;
@@ -81,7 +57,7 @@
 
 /** Steps gateways and the engine. */
 export class SimulatedAdmission {
-  readonly outcomes: Outcome[] = [];
+  readonly outcomes: admissionOutcomes.Outcome[] = [];
   /** Time for which slots were empty while generations waited, in slot milliseconds. */
   wastedMilliseconds = 0;
   private now = 0;
@@ -100,7 +76,7 @@
   }
 
   /** Runs the loads until the time. */
-  run(loads: readonly Load[], until: number): void {
+  run(loads: readonly admissionOutcomes.Load[], until: number): void {
     const counts = loads.map(() => 0);
     for (; this.now < until; this.now += STEP_MILLISECONDS) {
       this.deliverDigests();
@@ -137,7 +113,7 @@
   }
 
   /** Outcomes of a customer that arrived from the time on. */
-  of(customer: string, from = 0): Outcome[] {
+  of(customer: string, from = 0): admissionOutcomes.Outcome[] {
     return this.outcomes.filter(
       each => each.load.customer === customer && each.arrivedAt >= from,
     );
@@ -147,10 +123,10 @@
     return new Gateway(`gateway-${++this.gatewayCount}`);
   }
 
-  private arrive(load: Load, index: number): void {
+  private arrive(load: admissionOutcomes.Load, index: number): void {
     const {gateways = this.gateways.map((_, position) => position)} = load;
     const gateway = this.gateways[gateways[index % gateways.length]];
-    const outcome: Outcome = {
+    const outcome: admissionOutcomes.Outcome = {
       load,
       arrivedAt: this.now,
       startedAt: undefined,
@@ -230,7 +206,7 @@
     };
   }
 
-  private serviceOf(load: Load): number {
+  private serviceOf(load: admissionOutcomes.Load): number {
     return load.serviceMilliseconds ?? this.options.serviceMilliseconds;
   }
 
@@ -393,18 +369,3 @@
     }
   }
 }
-
-/** Share of the outcomes whose first event came within the objective. */
-export function shareInTime(outcomes: readonly Outcome[]): number {
-  const inTime = outcomes.filter(
-    ({arrivedAt, firstEventAt, load}) =>
-      firstEventAt !== undefined &&
-      firstEventAt - arrivedAt <= (load.objectiveMilliseconds ?? 1_000),
-  );
-  return inTime.length / outcomes.length;
-}
-
-/** Number of outcomes that began. */
-export function countServed(outcomes: readonly Outcome[]): number {
-  return outcomes.filter(each => each.firstEventAt !== undefined).length;
-}
