--- a/src/gateway/common/limits/warm_ups.ts
+++ b/src/gateway/common/limits/warm_ups.ts
@@ -149,6 +149,7 @@
         at: known?.at ?? now,
         revision: known?.revision ?? 0,
         isAnswer: known?.isAnswer ?? false,
+        newsAt: known?.newsAt ?? -Infinity,
         isOwn: known?.isOwn ?? false,
       },
       WarmUpOrigin.Reopening,
