--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -1,74 +1,30 @@
 /** The gateway process: serves callers, follows the platform's state, and lets running requests finish within the grace period when it shuts down. */
 import * as deadline from '../../base/common/deadline';
 import * as disposable from '../../base/common/disposable';
-import * as jsonLog from '../../base/node/json_log';
-import * as metrics from '../../base/node/metrics';
-import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as evacuationRule from '../common/availability/evacuation_rule';
-import * as backOff from '../common/availability/back_off';
-import * as instanceAvailability from '../common/availability/instance_availability';
-import * as regionRule from '../common/availability/region_rule';
-import * as demandTable from '../common/admission/demand_table';
-import * as crashTable from '../common/crash_table';
-import * as engineReports from '../common/engine_reports';
-import * as directMembers from '../common/fleet/direct_members';
-import * as memberTable from '../common/fleet/member_table';
-import * as watcherElection from '../common/fleet/watcher_election';
-import * as instanceClient from '../common/instance_client';
-import * as instanceLimits from '../common/limits/instance_limits';
-import * as instanceRates from '../common/limits/instance_rates';
-import * as limitUsage from '../common/limits/limit_usage';
 import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
-import * as runTable from '../common/run_table';
-import * as stateSource from '../common/state_source';
 import * as instanceSpeeds from '../common/speeds/instance_speeds';
-import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as suspensionDetector from '../common/suspension_detector';
-import * as tokenPace from '../common/token_pace';
-import * as versionStore from '../common/versions/version_store';
-import * as answerRecorder from './answer_recorder';
 import * as callerServer from './caller_server';
 import * as evacuationFollower from './evacuation_follower';
-import * as evacuationManager from './evacuation_manager';
 import * as fleetExchange from './fleet/fleet_exchange';
-import * as gatewayMetrics from './gateway_metrics';
-import * as gatewayPolicies from './gateway_policies';
+import * as gatewayAssembly from './gateway_assembly';
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
-import * as generationAdmission from './generation_admission';
-import * as generationScheduler from './generation_scheduler';
-import * as coldInstances from './limits/cold_instances';
 import * as limitLog from './limits/limit_log';
-import * as permitService from './limits/permit_service';
 import * as observabilityServer from './observability_server';
-import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
 import * as stateFollower from './state_follower';
-import * as streamOrigins from './versions/stream_origins';
 
 /** Time after the stop signal during which the load balancer still sends new connections, in milliseconds. */
 const BALANCER_DELAY_MILLISECONDS = 3_500;
 /** Time before the end of the grace period at which the process exits even if requests are still running, in milliseconds. */
 const GRACE_MARGIN_MILLISECONDS = 300;
 const SHUTDOWN_CHECK_MILLISECONDS = 50;
-/** Link width from which a gateway watches the store for others first, in Mbit/s. */
-const WIDE_LINK_MEGABITS = 100;
 /** Interval of checks whether the process was suspended, in milliseconds. */
 const SUSPENSION_CHECK_MILLISECONDS = 200;
 
-/** Settings and dependencies of a gateway. */
-export interface GatewayOptions {
-  readonly settings: gatewaySettings.GatewaySettings;
-  readonly registry: metrics.MetricsRegistry;
-  readonly metrics: gatewayMetrics.GatewayMetrics;
-  readonly log: jsonLog.JsonLog;
-  readonly source: stateSource.StateSource;
-  readonly versionStore: versionStore.VersionStore;
-  readonly client: instanceClient.InstanceClient;
-  readonly decoder: requestHandler.CallerDecoder;
-}
-
 /** One gateway process. */
 export class GatewayProcess implements disposable.Disposable {
   private readonly disposables = new disposable.DisposableStore();
@@ -85,159 +41,14 @@
     Date.now(),
   );
 
-  constructor(private readonly options: GatewayOptions) {
-    const {settings, log, client} = options;
-    const {measured_speeds: isMeasuring} = settings.placement;
-    const runs = new runTable.RunTable(isMeasuring);
-    const speeds = new measuredSpeeds.MeasuredSpeeds(runs, isMeasuring);
-    const crashes = new crashTable.CrashTable();
-    const promptParts = new promptPartTable.PromptPartTable();
-    const reports = new engineReports.EngineReports();
-    const limits = new instanceLimits.InstanceLimits();
-    const cold = new warmUps.WarmUps();
-    const demand = new demandTable.DemandTable();
-    const predictor = new lengthPredictor.LengthPredictor();
-    const pace = new tokenPace.TokenPace();
-    const {ip, name, link_megabits: linkMegabits} = settings.instance;
-    const members = new memberTable.MemberTable(
-      {ip, name, isWide: linkMegabits >= WIDE_LINK_MEGABITS},
-      gatewaySettings.seedIps(settings),
-    );
-    const peers = new directMembers.DirectMembers(members, performance.now());
-    const follower = new stateFollower.StateFollower(
-      options.source,
-      new watcherElection.WatcherElection(members),
-      log,
-    );
-    const evacuationBound = settings.evacuation.bound_milliseconds;
-    this.evacuatedDataCentres = new evacuationFollower.EvacuationFollower(
-      evacuationBound,
-      name,
-      options.source,
-      follower,
-      options.metrics,
-      log,
-    );
-    this.evacuationRule =
-      evacuationBound > 0
-        ? new evacuationRule.EvacuationRule(
-            this.evacuatedDataCentres.dataCentres,
-            performance.now(),
-            evacuationBound,
-          )
-        : undefined;
-    const ramps = new coldInstances.ColdInstances(
-      follower,
-      cold,
-      this.evacuatedDataCentres.dataCentres,
-      options.metrics,
-      log,
-    );
-    this.disposables.add(ramps);
-    this.exchange = new fleetExchange.FleetExchange(
-      {
-        stateAddress: settings.listen.peers,
-        digestPort: settings.peers.digest_port,
-      },
-      {
-        members,
-        runs,
-        demand,
-        crashes,
-        promptParts,
-        reports,
-        limits,
-        warmUps: cold,
-        speeds: speeds.speeds,
-      },
-      follower,
-      this.evacuatedDataCentres,
-      options.metrics,
-      log,
-    );
-    const permits = new permitService.PermitService(
-      members,
-      peers,
-      new instanceRates.InstanceRates(limits, cold, life => ramps.rampOf(life)),
-      this.exchange,
-    );
-    // The first objection counts. A draining instance may still be used for its copies, one that an earlier rule excludes may not.
-    const backOffs = new backOff.BackOffs();
-    const availability = new instanceAvailability.InstanceAvailability([
-      ...(this.evacuationRule === undefined ? [] : [this.evacuationRule]),
-      new regionRule.RegionRule(settings.instance.regions),
-      new instanceAvailability.DrainingRule(),
-      new backOff.BackOffRule(backOffs),
-    ]);
-    const scheduler = new generationScheduler.GenerationScheduler(
-      follower,
-      runs,
-      predictor,
-      settings.instance.data_centre,
-      members,
-      reports,
-      permits,
-      availability,
-      speeds,
-      new generationAdmission.GenerationAdmission({
-        follower,
-        availability,
-        reports,
-        demand,
-        pace,
-        metrics: options.metrics,
-      }),
-    );
-    this.services = {
-      dataCentre: settings.instance.data_centre,
-      log,
-      metrics: options.metrics,
-      follower,
-      client,
-      availability,
-      backOffs,
-      coldInstances: cold,
-      answers: new answerRecorder.AnswerRecorder(
-        follower,
-        limits,
-        cold,
-        backOffs,
-        options.metrics,
-      ),
-      runs,
-      crashes,
-      promptParts,
-      limits,
-      permits,
-      origins: new streamOrigins.StreamOrigins(
-        follower,
-        peers,
-        this.exchange,
-        log,
-        {
-          store: options.versionStore,
-          gatewayName: name,
-          isFirstStart: settings.instance.bootstrap,
-        },
-      ),
-      limitUsage: new limitUsage.LimitUsage(),
-      retries: gatewayPolicies.createRetryLimiter(settings),
-      hedges: gatewayPolicies.createHedgePolicy(settings),
-      buffers: gatewayPolicies.createDeliveryBuffers(settings),
-      members,
-      predictor,
-      pace,
-      speeds,
-      scheduler,
-      evacuations: new evacuationManager.EvacuationManager(
-        follower,
-        client,
-        scheduler,
-        runs,
-        options.metrics,
-        log,
-      ),
-    };
+  constructor(private readonly options: gatewayAssembly.GatewayOptions) {
+    const {log} = options;
+    const assembly = gatewayAssembly.assemble(options);
+    this.services = assembly.services;
+    this.exchange = assembly.exchange;
+    this.evacuatedDataCentres = assembly.evacuatedDataCentres;
+    this.evacuationRule = assembly.evacuationRule;
+    assembly.disposables.forEach(each => this.disposables.add(each));
     this.handler = new requestHandler.RequestHandler(
       this.services,
       options.decoder,
@@ -246,9 +57,6 @@
       (request, response) => this.handler.handle(request, response),
       log,
     );
-    this.disposables.add(
-      new reportReader.ReportReader(follower, client, runs, reports),
-    );
   }
 
   /** Whether the load balancer should send connections to this process. */
