--- a/src/gateway/common/route_index.ts
+++ b/src/gateway/common/route_index.ts
@@ -5,6 +5,7 @@
 export class RouteIndex {
   private readonly routesByHost = new Map<string, configuration.Route[]>();
   private readonly endpoints = new Map<string, configuration.Endpoint>();
+  private readonly mostUrgent = new Map<string, number>();
   private readonly customersByKey = new Map<string, configuration.Customer>();
 
   constructor(readonly configuration: configuration.Configuration) {
@@ -12,6 +13,7 @@
       const routes = this.routesByHost.get(route.host) ?? [];
       routes.push(route);
       this.routesByHost.set(route.host, routes);
+      this.addGenerationPriority(route);
     }
     for (const routes of this.routesByHost.values()) {
       routes.sort(
@@ -52,6 +54,21 @@
     return this.customersByKey.get(key);
   }
 
+  /** Priority of the most urgent generations that the endpoint may get; Infinity if it gets none. */
+  mostUrgentGeneration(endpoint: string): number {
+    return this.mostUrgent.get(endpoint) ?? Infinity;
+  }
+
+  private addGenerationPriority(route: configuration.Route): void {
+    if (!route.isGeneration) {
+      return;
+    }
+    for (const {endpoint} of route.endpoints) {
+      const known = this.mostUrgentGeneration(endpoint);
+      this.mostUrgent.set(endpoint, Math.min(known, route.priority));
+    }
+  }
+
   findEndpoint(name: string): configuration.Endpoint | undefined {
     return this.endpoints.get(name);
   }
--- a/src/gateway/common/speeds/engine_outlook.ts
+++ b/src/gateway/common/speeds/engine_outlook.ts
@@ -38,10 +38,20 @@
   readonly tokensPerEvent: number;
   /** Absent if the stream has begun. */
   readonly objectiveMilliseconds?: number;
+  /** Whether no generations of the endpoint are more urgent; absent if it is not known. */
+  readonly isMostUrgent?: boolean;
   /** Longest pause that the route allows, in milliseconds; 0 if it declares none, absent if it is not known. */
   readonly maxPauseMilliseconds?: number;
 }
 
+/** Whether pauses in the stream are likely to be noticed. */
+export function isLongStream({
+  expectedTokens,
+  tokensPerEvent,
+}: ForecastStream): boolean {
+  return expectedTokens / tokensPerEvent >= runTable.LONG_STREAM_EVENTS;
+}
+
 /** What is expected of the instances of one endpoint for one generation. */
 export class EngineOutlook {
   private readonly isLong: boolean;
@@ -54,7 +64,7 @@
     private readonly forecast: pauseForecast.PauseForecast,
   ) {
     const events = stream.expectedTokens / stream.tokensPerEvent;
-    this.isLong = events >= runTable.LONG_STREAM_EVENTS;
+    this.isLong = isLongStream(stream);
     this.exposure = this.isLong ? Math.min(1, events / MEETING_EVENTS) : 0;
   }
 
--- a/src/gateway/common/speeds/measured_speeds.ts
+++ b/src/gateway/common/speeds/measured_speeds.ts
@@ -21,6 +21,8 @@
   readonly forecast: pauseForecast.PauseForecast;
   /** Longest pause that the last route with such a limit allows; 0 before the first. */
   maxPauseMilliseconds: number;
+  /** Whether the last long stream was as urgent as any generation of the endpoint. */
+  areLongMostUrgent: boolean;
 }
 
 /** Measures the events that come from one instance for one stream. */
@@ -123,6 +125,16 @@
     const state = this.stateOf(endpoint);
     state.maxPauseMilliseconds =
       stream.maxPauseMilliseconds || state.maxPauseMilliseconds;
+    if (
+      stream.isMostUrgent !== undefined &&
+      engineOutlook.isLongStream(stream)
+    ) {
+      state.areLongMostUrgent = stream.isMostUrgent;
+    }
+    // Long streams that collect on the fast instances would be preempted there by more urgent ones.
+    if (!state.areLongMostUrgent) {
+      return undefined;
+    }
     const summary = this.speeds.summary(endpoint, instances, now);
     const {forecast, maxPauseMilliseconds} = state;
     return summary.isUneven
@@ -146,6 +158,7 @@
       trials: new callOutlook.SlowInstanceTrials(),
       forecast: new pauseForecast.PauseForecast(),
       maxPauseMilliseconds: 0,
+      areLongMostUrgent: true,
     };
     this.endpoints.set(endpoint, created);
     return created;
--- a/src/gateway/node/generation_request.ts
+++ b/src/gateway/node/generation_request.ts
@@ -28,6 +28,7 @@
 export function forecastStream(
   {caller, endpoint, route}: callContext.AcceptedCall,
   expectedTokens: number,
+  mostUrgentPriority: number,
 ): engineOutlook.ForecastStream {
   return {
     promptTokens: caller.promptTokens,
@@ -35,5 +36,6 @@
     tokensPerEvent: endpoint?.engine?.tokensPerEvent ?? 1,
     objectiveMilliseconds: route.objectiveMilliseconds,
     maxPauseMilliseconds: route.maxPauseMilliseconds,
+    isMostUrgent: route.priority <= mostUrgentPriority,
   };
 }
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -312,7 +312,12 @@
         outlook: this.speeds.outlook(
           call.endpointName,
           instances,
-          generationRequest.forecastStream(call, expected),
+          generationRequest.forecastStream(
+            call,
+            expected,
+            this.follower.routes?.mostUrgentGeneration(call.endpointName) ??
+              Infinity,
+          ),
           now,
         ),
         dataCentre: this.dataCentre,
--- a/test/gateway/common/route_index.test.ts
+++ b/test/gateway/common/route_index.test.ts
@@ -59,3 +59,30 @@
     t.is(index.isAsNewAs(other), expected);
   });
 }
+
+test('routes: the most urgent generations of an endpoint are those of any route that leads to it', t => {
+  const endpoints = [{endpoint: 'writers', weight: 1}];
+  const index = new routeIndex.RouteIndex(
+    gatewayRecords.configurationOf({
+      routes: [
+        gatewayRecords.route('/a/', {
+          endpoints,
+          isGeneration: true,
+          priority: 2,
+        }),
+        gatewayRecords.route('/b/', {
+          endpoints,
+          isGeneration: true,
+          priority: 1,
+        }),
+        gatewayRecords.route('/c/', {
+          endpoints,
+          isGeneration: false,
+          priority: 0,
+        }),
+      ],
+    }),
+  );
+  t.is(index.mostUrgentGeneration('writers'), 1);
+  t.is(index.mostUrgentGeneration('other'), Infinity);
+});
