--- a/test/support/plain_call_bench.ts
+++ b/test/support/plain_call_bench.ts
@@ -14,6 +14,9 @@
 import * as retryLimiter from '../../src/gateway/common/retry_limiter';
 import * as callContext from '../../src/gateway/node/call_context';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
+import * as backOff from '../../src/gateway/common/availability/back_off';
+import * as runTable from '../../src/gateway/common/run_table';
+import * as measuredSpeeds from '../../src/gateway/common/speeds/measured_speeds';
 import * as gatewayServices from '../../src/gateway/node/gateway_services';
 import * as plainCall from '../../src/gateway/node/plain_call';
 import * as gatewayRecords from './gateway_records';
@@ -198,6 +201,9 @@
         allowance: retryAllowance,
       }),
       hedges: this.hedges,
+      speeds: new measuredSpeeds.MeasuredSpeeds(new runTable.RunTable(), false),
+      backOffs: new backOff.BackOffs(),
+      answers: {record: () => undefined},
       members: {gatewayCount: () => 1, live: () => []},
     } as unknown as gatewayServices.GatewayServices;
   }
