--- a/src/gateway/common/availability/back_off.ts
+++ b/src/gateway/common/availability/back_off.ts
@@ -1,5 +1,5 @@
 /**
- * Instances that answered that this gateway shall come back later. Meant for
+ * Instances that asked this gateway to retry later. Meant for
  * instances that turn requests away for seconds while others of their service
  * take them, and for services whose only instances do so.
  */
--- a/src/gateway/common/placement.ts
+++ b/src/gateway/common/placement.ts
@@ -10,7 +10,7 @@
   readonly dataCentre: string;
   /** Ids of instances to which this request must not be sent again. */
   readonly excluded: ReadonlySet<string>;
-  /** Whether the instance may get this request at all; see `InstanceAvailability`. */
+  /** Whether the instance may get this request; see `InstanceAvailability`. */
   readonly isAvailable: (instance: instanceTable.Instance) => boolean;
   /** Returns a random number between 0 and 1; breaks ties, so that gateways with the same view choose differently. */
   readonly draw: () => number;
--- a/src/gateway/common/speeds/measured_speeds.ts
+++ b/src/gateway/common/speeds/measured_speeds.ts
@@ -59,7 +59,7 @@
 
   constructor(
     private readonly runs: runTable.RunTable,
-    /** Whether speeds are measured and considered at all. */
+    /** Whether speeds are measured and used for placement. */
     readonly isEnabled: boolean,
   ) {}
 
--- a/src/gateway/node/answer_recorder.ts
+++ b/src/gateway/node/answer_recorder.ts
@@ -1,4 +1,4 @@
-/** Records what instances say of themselves in their answers: limits, warm-ups, that they leave, and when to come back. */
+/** Records what instances state in answers: rate limits, warm-up times, shutdowns and retry delays. */
 import * as instanceClient from '../common/instance_client';
 import * as backOff from '../common/availability/back_off';
 import * as instanceTable from '../common/instance_table';
--- a/src/gateway/node/engine_places.ts
+++ b/src/gateway/node/engine_places.ts
@@ -1,4 +1,4 @@
-/** Places for generations at all engines of an endpoint that take work. */
+/** Free slots for generations at the available engines of an endpoint. */
 import * as engineCeilings from '../common/admission/engine_ceilings';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as generationQueue from '../common/generation_queue';
