Gateway: fair shares of customers are a setting, off by default

Cause: fair admission was in force wherever a configuration has engines and customers, so that no deployment could be served as before. Without it memory alone holds generations back.

--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -161,14 +161,17 @@
     permits,
     availability,
     speeds,
-    new generationAdmission.GenerationAdmission({
-      follower,
-      availability,
-      reports,
-      demand,
-      pace,
-      metrics: options.metrics,
-    }),
+    new generationAdmission.GenerationAdmission(
+      {
+        follower,
+        availability,
+        reports,
+        demand,
+        pace,
+        metrics: options.metrics,
+      },
+      settings.admission?.fair_shares === true,
+    ),
   );
   const services: gatewayServices.GatewayServices = {
     dataCentre: settings.instance.data_centre,
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -113,6 +113,16 @@
     }),
     {measured_speeds: false},
   ),
+  /** Absent in files written for older builds. */
+  admission: zod.z
+    .object({
+      /** Whether generations wait at the gateway for room, and customers share it fairly. */
+      fair_shares: optional(
+        settingsFile.flagSetting() as zod.ZodType<boolean>,
+        false,
+      ),
+    })
+    .optional(),
   retries: zod.z.object({
     window_seconds: optional(
       settingsFile.numberSetting(0.1, 3_600) as zod.ZodType<number>,
--- a/src/gateway/node/generation_admission.ts
+++ b/src/gateway/node/generation_admission.ts
@@ -58,7 +58,11 @@
   private readonly started = new WeakMap<runTable.Run, StartedRun>();
   private readonly places: enginePlaces.EnginePlaces;
 
-  constructor(private readonly tables: AdmissionTables) {
+  constructor(
+    private readonly tables: AdmissionTables,
+    /** Whether customers share engines fairly; otherwise memory alone holds generations back. */
+    private readonly isFair: boolean,
+  ) {
     this.gate = new generationGate.GenerationGate(tables.demand);
     this.places = new enginePlaces.EnginePlaces(
       tables.follower,
@@ -299,14 +303,15 @@
     );
   }
 
-  /** Undefined unless the configuration tells customers apart and the endpoint has engines. */
+  /** Undefined unless shares are fair, the configuration tells customers apart and the endpoint has engines. */
   private competitorOf(
     {call}: callContext.CallContext,
     expectedTokens: number,
   ): generationQueue.Competitor | undefined {
     const {engine} = call.endpoint ?? {};
     const {demand, follower, pace} = this.tables;
-    if (engine === undefined || follower.routes?.needsKeys !== true) {
+    const isShared = this.isFair && follower.routes?.needsKeys === true;
+    if (engine === undefined || !isShared) {
       return undefined;
     }
     const {endpointName: endpoint, arrivedAt} = call;
--- a/test/gateway/fair_admission.test.ts
+++ b/test/gateway/fair_admission.test.ts
@@ -137,7 +137,9 @@
   t: ava.ExecutionContext,
   engine: queueingEngine.QueueingEngine,
 ): Promise<gatewayFleet.GatewayFleet> {
-  const fleet = await gatewayFleet.GatewayFleet.start(t, GATEWAYS);
+  const fleet = await gatewayFleet.GatewayFleet.start(t, GATEWAYS, () => ({
+    hasFairShares: true,
+  }));
   t.teardown(() => engine.close());
   const tenants = [LARGE, SMALL].map(({name, key}) => ({name, apiKeys: [key]}));
   fleet.store.put(
--- a/test/gateway/gateway_settings.test.ts
+++ b/test/gateway/gateway_settings.test.ts
@@ -64,12 +64,25 @@
   );
   const section = deployed.slice(
     deployed.indexOf('[placement]'),
-    deployed.indexOf('[retries]'),
+    deployed.indexOf('[admission]'),
   );
   const settings = parse(`${TEXT}\n${section}`)._unsafeUnwrap();
   t.true(settings.placement.measured_speeds);
 });
 
+test('gateway settings: fair shares are off without the section and where the setting is empty', t => {
+  t.notRegex(TEXT, /admission/);
+  t.is(parse(TEXT)._unsafeUnwrap().admission?.fair_shares, undefined);
+  for (const [value, expected] of [
+    ['', false],
+    ['false', false],
+    ['true', true],
+  ] as const) {
+    const text = `${TEXT}\n[admission]\nfair_shares = ${value}\n`;
+    t.is(parse(text)._unsafeUnwrap().admission?.fair_shares, expected);
+  }
+});
+
 test('gateway settings: a file without the section of hedges, or with an empty share, sends none', t => {
   const without = TEXT.replace(/\[hedging\]\nmax_share = 0\n/, '');
   t.notRegex(without, /hedging/);
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -16,6 +16,8 @@
 export interface FleetVariation extends testGateway.GatewayVariation {
   /** Width of its link, in Mbit/s. */
   readonly linkMegabits?: number;
+  /** Whether customers share engines fairly. */
+  readonly hasFairShares?: boolean;
 }
 
 /** Interval at which conditions are polled, in milliseconds. */
@@ -176,7 +178,12 @@
   index: number,
   store: string,
   digestPort: number,
-  {evacuationBound = 0, regions = {}, linkMegabits = 0}: FleetVariation,
+  {
+    evacuationBound = 0,
+    regions = {},
+    linkMegabits = 0,
+    hasFairShares = false,
+  }: FleetVariation,
   relayMode = tcpRelay.RelayMode.Pass,
 ): Promise<FleetGateway> {
   const ip = `127.0.0.${index}`;
@@ -206,6 +213,7 @@
       shutdown: {grace_seconds: 8},
       evacuation: {bound_milliseconds: evacuationBound},
       placement: {measured_speeds: false},
+      admission: {fair_shares: hasFairShares},
       retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
     },
     registry,
