Soak: evacuated data centres, cold returns, uneven engines, floods of one customer

The soak knew none of the parts for hard load. Its gateways now run with all of their settings on. New promises: evacuated and cold, checked from what replicas see. Checks of answers moved to a module of their own.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as hdr from 'hdr-histogram-js';
+import * as answers from './answers';
 import * as deployment from './deployment';
 import * as requestHistory from './request_history';
 import * as random from './random';
@@ -31,6 +32,8 @@
 const REVOKED_KEY_SHARE = 0.05;
 /** Fraction of broken-off tags that their caller resumes. */
 const RESUME_SHARE = 0.8;
+/** Fraction of requests in a flood that are of the flooding customer. */
+const FLOOD_SHARE = 0.8;
 const PLAIN_WAIT_MILLISECONDS = 2_000;
 /** Longer than the 2.4 s that a stream of maximum length lasts. */
 const STREAM_WAIT_MILLISECONDS = 8_000;
@@ -69,13 +72,21 @@
       while (broken !== undefined && this.random.chance(RESUME_SHARE)) {
         broken = await this.send(agent, kind, pieces, broken);
       }
-      await timers.setTimeout(this.random.integer(0, MAX_THINK_MILLISECONDS));
+      // A flood comes without pauses.
+      const isFlood = this.target.floodingKey !== undefined;
+      await timers.setTimeout(
+        isFlood ? 0 : this.random.integer(0, MAX_THINK_MILLISECONDS),
+      );
     }
     agent.destroy();
   }
 
   private pickKey(): string {
     this.target.keys.forEach(key => this.issuedKeys.add(key));
+    const {floodingKey} = this.target;
+    if (floodingKey !== undefined && this.random.chance(FLOOD_SHARE)) {
+      return floodingKey;
+    }
     const keys = this.random.chance(REVOKED_KEY_SHARE)
       ? this.issuedKeys
       : this.target.keys;
@@ -87,8 +98,8 @@
     agent: http.Agent,
     kind: requestHistory.RequestKind,
     pieces: number,
-    resumed: requestHistory.ResumedStream | undefined,
-  ): Promise<requestHistory.ResumedStream | undefined> {
+    resumed: answers.ResumedStream | undefined,
+  ): Promise<answers.ResumedStream | undefined> {
     const gateway = this.random.pick(this.target.gateways);
     const attempt = (++this.attemptCount).toString(16).padStart(16, '0');
     const key = this.pickKey();
@@ -155,7 +166,7 @@
 }
 
 function resumeHeaders(
-  resumed: requestHistory.ResumedStream | undefined,
+  resumed: answers.ResumedStream | undefined,
 ): Record<string, string> {
   return resumed === undefined
     ? {}
@@ -165,15 +176,14 @@
 /** What the caller has of a stream that was broken off; undefined if it has nothing or all of it. */
 function brokenStream(
   attempt: string,
-  answer: requestHistory.ReceivedAnswer | undefined,
-  resumed: requestHistory.ResumedStream | undefined,
-): requestHistory.ResumedStream | undefined {
+  answer: answers.ReceivedAnswer | undefined,
+  resumed: answers.ResumedStream | undefined,
+): answers.ResumedStream | undefined {
   if (answer === undefined || answer.isComplete || answer.status !== 200) {
     return undefined;
   }
-  const pieces =
-    (resumed?.pieces ?? 0) + requestHistory.pieceCount(answer.body);
-  const version = resumed?.version ?? requestHistory.versionOf(answer.body);
+  const pieces = (resumed?.pieces ?? 0) + answers.pieceCount(answer.body);
+  const version = resumed?.version ?? answers.versionOf(answer.body);
   return pieces === 0 || version === undefined
     ? undefined
     : {attempt: resumed?.attempt ?? attempt, version, pieces};
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -11,6 +11,17 @@
 /** Versions of the replicas' software, in turn. */
 const VERSIONS = ['v1', 'v1.2'];
 
+/** Data centres of the replicas, in turn; the gateways are in the first one. */
+export const DATA_CENTRES = ['a', 'b'];
+/** Speeds of the engines relative to the common one, in turn. */
+const SPEEDS = [1, 0.6, 1.6];
+/** Generations that an engine runs at once by its registration, few enough that callers compete for them. */
+const SLOTS = 4;
+/** Requests a second that a cold replica takes. */
+export const RAMP_PER_SECOND = 5;
+/** Time for which a replica may be cold, in milliseconds. */
+export const WARM_UP_MILLISECONDS = 4_000;
+
 /** Number of gateways and replicas of a deployment. */
 export interface DeploymentSize {
   readonly gateways: number;
@@ -26,6 +37,8 @@
   /** API keys in force. */
   readonly keys = new Set(['key-0', 'key-1', 'key-2', 'key-3']);
   private readonly copies = new Map();
+  /** Key of a customer whose callers send most of the requests; undefined for equal customers. */
+  floodingKey: string | undefined;
   private version = 0;
   private replicaCount = 0;
   private keyCount = 4;
@@ -63,28 +76,53 @@
     }
   }
 
-  async addReplica(service: string): Promise<replicas.Replica> {
+  /** Adds a replica that is warm, or cold for the usual time. */
+  async addReplica(service: string, isCold = false): Promise<replicas.Replica> {
+    const count = ++this.replicaCount;
     const replica = new replicas.Replica(
-      `replica-${++this.replicaCount}`,
-      service,
-      VERSIONS[this.replicaCount % VERSIONS.length],
+      {
+        id: `replica-${count}`,
+        service,
+        version: VERSIONS[count % VERSIONS.length],
+        dataCentre:
+          DATA_CENTRES[
+            Math.floor(count / VERSIONS.length) % DATA_CENTRES.length
+          ],
+        speed: SPEEDS[count % SPEEDS.length],
+      },
       this.history,
       this.copies,
     );
     await replica.start();
     this.replicas.push(replica);
-    this.register(replica, 'ready');
+    this.history.places.recordReplica(replica.id, replica.dataCentre);
+    const warmLeft = isCold ? WARM_UP_MILLISECONDS : 0;
+    if (isCold) {
+      this.history.places.recordCold(
+        replica.id,
+        RAMP_PER_SECOND,
+        performance.now(),
+        warmLeft,
+      );
+    }
+    this.register(replica, 'ready', warmLeft);
     return replica;
   }
 
   /** Writes the registration of the replica. */
-  register(replica: replicas.Replica, state: string): void {
-    const {service, address, version} = replica;
-    this.store.put(
-      'servers',
-      replica.id,
-      platformObjects.registrationSpec(service, address, state, version),
-    );
+  register(replica: replicas.Replica, state: string, warmLeftMs = 0): void {
+    const {service, address, version, dataCentre} = replica;
+    this.store.put('servers', replica.id, {
+      ...platformObjects.registrationSpec(
+        service,
+        address,
+        state,
+        version,
+        dataCentre,
+      ),
+      slots: SLOTS,
+      warmLeftMs,
+    });
   }
 
   /** Crashes the replica and removes its registration. */
@@ -110,7 +148,11 @@
       services: [
         platformObjects.serviceSpec('ledger'),
         platformObjects.serviceSpec('writers', platformObjects.engineSpec()),
-      ],
+      ].map(each => ({
+        ...each,
+        rampPerS: RAMP_PER_SECOND,
+        warmupS: WARM_UP_MILLISECONDS / 1000,
+      })),
       limits: platformObjects.LIMITS,
       tenants: [...this.keys].map(key => ({
         name: `customer of ${key}`,
--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -54,6 +54,9 @@
     compact: () => this.compact(),
     replica: time => this.replicaFault(time),
     limit: time => this.limit(time),
+    evacuate: time => this.evacuate(time),
+    cold: () => this.returnCold(),
+    flood: time => this.flood(time),
     crash: () => this.replaceReplica(0),
     drain: () => this.replaceReplica(DRAIN_MILLISECONDS),
     key: () => this.replaceKey(),
@@ -245,6 +248,50 @@
     });
   }
 
+  /** Evacuates a data centre for longer than the bound, and withdraws the order. */
+  private evacuate(time: number): Promise<void> {
+    const {store} = this.target;
+    const dataCentre = this.random.pick(deployment.DATA_CENTRES);
+    const event = {fault: 'evacuate', data_centre: dataCentre, time};
+    return this.inject(this.evacuate, '', event, async () => {
+      store.put('evacuations', dataCentre, {});
+      const end = this.history.places.beginEvacuation(
+        dataCentre,
+        performance.now(),
+      );
+      await timers.setTimeout(
+        requestHistory.EVACUATION_LIMIT_MILLISECONDS + time,
+      );
+      end(performance.now());
+      store.remove('evacuations', dataCentre);
+    });
+  }
+
+  /** Crashes a replica and starts one that is cold in its place. */
+  private returnCold(): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'cold', replica: replica.id};
+    return this.inject(replica, replica.id, event, async () => {
+      this.target.removeReplica(replica);
+      await this.target.addReplica(replica.service, true);
+    });
+  }
+
+  /** Lets the callers of one customer send most of the requests. */
+  private flood(time: number): Promise<void> {
+    const key = this.random.pick([...this.target.keys]);
+    return this.inject(
+      this.flood,
+      '',
+      {fault: 'flood', key, time},
+      async () => {
+        this.target.floodingKey = key;
+        await timers.setTimeout(time);
+        this.target.floodingKey = undefined;
+      },
+    );
+  }
+
   private replaceKey(): Promise<void> {
     const key = this.random.pick([...this.target.keys]);
     return this.inject(this.replaceKey, key, {fault: 'key', key}, async () =>
--- a/soak/gateway_child.ts
+++ b/soak/gateway_child.ts
@@ -5,6 +5,7 @@
 import * as path from 'node:path';
 import * as freePorts from '../standins/free_ports';
 import * as tcpRelay from '../standins/tcp_relay';
+import * as requestHistory from './request_history';
 
 const PROGRAM = path.join(__dirname, '..', 'src', 'daemon', 'gateway_main.js');
 
@@ -136,6 +137,16 @@
       `store = ${store}`,
       '[shutdown]',
       'grace_seconds = 6',
+      '[evacuation]',
+      `bound_milliseconds = ${requestHistory.EVACUATION_LIMIT_MILLISECONDS}`,
+      '[placement]',
+      'measured_speeds = true',
+      '[admission]',
+      'fair_shares = true',
+      '[hedging]',
+      'max_share = 0.05',
+      '[limits]',
+      'memory_megabytes = 96',
       '[retries]',
       'window_seconds = 10',
       'ratio = 0.2',
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -1,6 +1,7 @@
 /** Replicas of the soak test: plain services, and engines whose runs can be copied. */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as answers from './answers';
 import * as requestHistory from './request_history';
 
 /** Interval between the pieces of a stream, in milliseconds. */
@@ -40,8 +41,24 @@
   {readonly attempt: string; readonly sentPieces: number}
 >;
 
+/** What distinguishes a replica from others. */
+export interface ReplicaProfile {
+  readonly id: string;
+  readonly service: string;
+  /** Version of its software. */
+  readonly version: string;
+  readonly dataCentre: string;
+  /** Speed relative to the common one. */
+  readonly speed: number;
+}
+
 /** Serves requests of gateways over HTTP. */
 export class Replica {
+  readonly id: string;
+  readonly service: string;
+  readonly version: string;
+  readonly dataCentre: string;
+  private readonly speed: number;
   mode = ReplicaMode.Normal;
   /** Requests a second that the replica names as its limit; undefined to name none. */
   limit: number | undefined;
@@ -52,13 +69,16 @@
   );
 
   constructor(
-    readonly id: string,
-    readonly service: string,
-    /** Version of its software. */
-    readonly version: string,
+    profile: ReplicaProfile,
     private readonly history: requestHistory.RequestHistory,
     private readonly copies: Copies,
-  ) {}
+  ) {
+    this.id = profile.id;
+    this.service = profile.service;
+    this.version = profile.version;
+    this.dataCentre = profile.dataCentre;
+    this.speed = profile.speed;
+  }
 
   async start(): Promise<void> {
     await new Promise<void>(resolve =>
@@ -72,7 +92,7 @@
   breakUnframedStreams(): void {
     for (const run of [...this.streams.values()]) {
       if (run.isUnframed) {
-        const event = requestHistory.pieceEvent(
+        const event = answers.pieceEvent(
           run.attempt,
           run.sentPieces + 1,
           this.version,
@@ -164,12 +184,12 @@
     }
     setTimeout(
       () => this.answerPlain(attempt, response),
-      PLAIN_ANSWER_MILLISECONDS,
+      PLAIN_ANSWER_MILLISECONDS / this.speed,
     );
   }
 
   private answerPlain(attempt: string, response: http.ServerResponse): void {
-    const body = requestHistory.plainBody(attempt, this.id);
+    const body = answers.plainBody(attempt, this.id);
     const {socket} = response;
     response.writeHead(200, {
       ...answerHeaders(attempt, this.id),
@@ -225,7 +245,7 @@
     this.streams.set(attempt, run);
     run.timer = setInterval(
       () => this.sendPiece(run, pieces),
-      PIECE_INTERVAL_MILLISECONDS,
+      PIECE_INTERVAL_MILLISECONDS / this.speed,
     );
     response.once('close', () => this.endStream(run));
   }
@@ -236,13 +256,11 @@
     }
     if (run.sentPieces < pieces) {
       run.response.write(
-        requestHistory.pieceEvent(run.attempt, ++run.sentPieces, this.version),
+        answers.pieceEvent(run.attempt, ++run.sentPieces, this.version),
       );
       return;
     }
-    run.response.end(
-      requestHistory.endEvent(run.attempt, pieces, this.version),
-    );
+    run.response.end(answers.endEvent(run.attempt, pieces, this.version));
     this.endStream(run);
   }
 
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -5,6 +5,8 @@
  */
 
 import * as requestLimit from '../standins/request_limit';
+import * as answers from './answers';
+import * as placeRules from './place_rules';
 
 /** Kinds of requests that the soak test sends. */
 export enum RequestKind {
@@ -18,17 +20,6 @@
   Tag = 'tag',
 }
 
-/** An answer as its caller received it. */
-export interface ReceivedAnswer {
-  /** 0 when no answer began. */
-  readonly status: number;
-  readonly body: string;
-  /** Whether the answer looked complete. */
-  readonly isComplete: boolean;
-  /** Stamp that proves that a replica answered; undefined on answers of a gateway. */
-  readonly stamp: string | undefined;
-}
-
 /** One violated guarantee. */
 export interface Violation {
   readonly promise: string;
@@ -36,15 +27,6 @@
   readonly detail: string;
 }
 
-/** A stream that its caller resumes in another request. */
-export interface ResumedStream {
-  /** Attempt that brought the first event. */
-  readonly attempt: string;
-  readonly version: string;
-  /** Pieces that the caller has. */
-  readonly pieces: number;
-}
-
 /** Time in which a replica named a limit. */
 interface LimitedTime {
   readonly replica: string;
@@ -53,11 +35,11 @@
 }
 
 interface SentRequest {
-  readonly resumed: ResumedStream | undefined;
+  readonly resumed: answers.ResumedStream | undefined;
   readonly kind: RequestKind;
   readonly key: string;
   readonly gateway: string;
-  answer?: ReceivedAnswer;
+  answer?: answers.ReceivedAnswer;
 }
 
 interface Run {
@@ -75,6 +57,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time within which a change is in force at a connected gateway, in milliseconds; twice the platform's limit, since the machine is shared. */
 const CHANGE_LIMIT_MILLISECONDS = 4_000;
+/** Time within which an evacuation of a data centre is in force, in milliseconds; the bound in the gateways' settings. */
+export const EVACUATION_LIMIT_MILLISECONDS = 5_000;
 /** Time without any fault after which a gateway counts as connected, in milliseconds. */
 const FAULT_FREE_MILLISECONDS = 4_000;
 
@@ -83,41 +67,9 @@
 /** Time without a fault of its own after which a gateway is bound by a limit, in milliseconds. */
 const LIMIT_FAULT_FREE_MILLISECONDS = 3_000;
 
-/** Body of a complete plain answer. */
-export function plainBody(attempt: string, replica: string): string {
-  return `${attempt} served by ${replica}`;
-}
-
-/** One piece of a stream, which tells the software version of its replica. */
-export function pieceEvent(
-  attempt: string,
-  index: number,
-  version = 'v1',
-): string {
-  return `id: ${index}\ndata: ${attempt} ${version} piece ${index}\n\n`;
-}
-
-/** Last event of a complete stream. */
-export function endEvent(
-  attempt: string,
-  pieces: number,
-  version = 'v1',
-): string {
-  return `id: ${pieces + 1}\ndata: ${attempt} ${version} end\n\n`;
-}
-
-/** Version that the first event of a stream tells; undefined without an event. */
-export function versionOf(body: string): string | undefined {
-  return /^id: \d+\ndata: \S+ (\S+) (?:piece|end)/.exec(body)?.[1];
-}
-
-/** Number of whole pieces in the body of a stream. */
-export function pieceCount(body: string): number {
-  return [...body.matchAll(/ piece \d+\n\n/g)].length;
-}
-
 /** Holds what callers and replicas observed in one soak test. */
 export class RequestHistory {
+  readonly places = new placeRules.PlaceRules();
   private readonly sent = new Map<string, SentRequest>();
   private readonly runs = new Map<string, Run[]>();
   private readonly faults: {gateway: string | undefined; range: TimeRange}[] =
@@ -132,16 +84,16 @@
     kind: RequestKind,
     key: string,
     gateway: string,
-    resumed?: ResumedStream,
+    resumed?: answers.ResumedStream,
   ): void {
     this.sent.set(attempt, {kind, key, gateway, resumed});
   }
 
-  answerOf(attempt: string): ReceivedAnswer | undefined {
+  answerOf(attempt: string): answers.ReceivedAnswer | undefined {
     return this.sent.get(attempt)?.answer;
   }
 
-  recordAnswer(attempt: string, answer: ReceivedAnswer): void {
+  recordAnswer(attempt: string, answer: answers.ReceivedAnswer): void {
     this.sent.get(attempt)!.answer = answer;
   }
 
@@ -208,6 +160,7 @@
       );
     }
     violations.push(...this.limited.flatMap(each => this.checkLimit(each)));
+    violations.push(...this.places.violations(this.arrivedRequests()));
     for (const attempt of this.runs.keys()) {
       if (!this.sent.has(attempt)) {
         violations.push({
@@ -220,6 +173,20 @@
     return violations;
   }
 
+  /** All requests at replicas, continued runs included. */
+  private arrivedRequests(): placeRules.ArrivedRequest[] {
+    return [...this.runs].flatMap(([attempt, runs]) => {
+      const gateway = this.sent.get(attempt)?.gateway ?? '';
+      return runs.map(({replica, at}) => ({
+        attempt,
+        replica,
+        at,
+        isBoundBy: (changedAt: number) =>
+          this.isLate(at, changedAt, gateway, EVACUATION_LIMIT_MILLISECONDS),
+      }));
+    });
+  }
+
   private checkRuns(
     attempt: string,
     {kind, key, gateway}: SentRequest,
@@ -294,15 +261,20 @@
   }
 
   /** Whether a run began after the time limit of a change although the gateway was connected long enough to receive the change. */
-  private isLate(at: number, changedAt: number, gateway: string): boolean {
-    const since = at - CHANGE_LIMIT_MILLISECONDS - FAULT_FREE_MILLISECONDS;
+  private isLate(
+    at: number,
+    changedAt: number,
+    gateway: string,
+    limitMilliseconds = CHANGE_LIMIT_MILLISECONDS,
+  ): boolean {
+    const since = at - limitMilliseconds - FAULT_FREE_MILLISECONDS;
     const wasFaulty = this.faults.some(
       ({gateway: faultGateway, range}) =>
         (faultGateway === undefined || faultGateway === gateway) &&
         range.from <= at &&
         range.to >= since,
     );
-    return at > changedAt + CHANGE_LIMIT_MILLISECONDS && !wasFaulty;
+    return at > changedAt + limitMilliseconds && !wasFaulty;
   }
 
   private checkAnswer(
@@ -325,59 +297,21 @@
     }
     const fault =
       kind === RequestKind.Draft || kind === RequestKind.Tag
-        ? checkStream(attempt, answer, resumed)
-        : checkPlain(attempt, answer, runs);
+        ? answers.checkStream(attempt, answer, resumed)
+        : answers.checkPlain(
+            attempt,
+            answer,
+            runs.map(run => run.replica),
+          );
     return fault === undefined
       ? []
       : [{promise: 'whole', attempt, detail: fault}];
   }
 }
 
-function outcomeOf({status, isComplete}: ReceivedAnswer): string {
+function outcomeOf({status, isComplete}: answers.ReceivedAnswer): string {
   if (status === 0) {
     return 'no answer';
   }
   return isComplete ? String(status) : `${status} cut`;
 }
-
-function checkPlain(
-  attempt: string,
-  {body, isComplete, stamp}: ReceivedAnswer,
-  runs: readonly Run[],
-): string | undefined {
-  if (!isComplete) {
-    return undefined;
-  }
-  const isFromRun = runs.some(
-    run => run.replica === stamp && body === plainBody(attempt, run.replica),
-  );
-  return isFromRun ? undefined : `body "${body}" with stamp ${stamp}`;
-}
-
-function checkStream(
-  attempt: string,
-  {body, isComplete}: ReceivedAnswer,
-  resumed: ResumedStream | undefined,
-): string | undefined {
-  const version = versionOf(body) ?? resumed?.version;
-  if (resumed !== undefined && version !== resumed.version) {
-    return `begun at ${resumed.version} as ${resumed.attempt}, goes on at ${version}`;
-  }
-  let expected = '';
-  let pieces = resumed?.pieces ?? 0;
-  while (body.startsWith(expected + pieceEvent(attempt, pieces + 1, version))) {
-    expected += pieceEvent(attempt, ++pieces, version);
-  }
-  const rest = body.slice(expected.length);
-  if (rest === endEvent(attempt, pieces, version)) {
-    return undefined;
-  }
-  // A truncated answer may end within a piece or within the last event.
-  const isTruncated =
-    pieceEvent(attempt, pieces + 1, version).startsWith(rest) ||
-    endEvent(attempt, pieces, version).startsWith(rest);
-  if (!isComplete && isTruncated) {
-    return undefined;
-  }
-  return `after piece ${pieces}: "${rest.slice(0, 80)}", complete ${isComplete}`;
-}
--- a/test/soak/request_history.test.ts
+++ b/test/soak/request_history.test.ts
@@ -1,5 +1,6 @@
 /** The checks of the soak test report violations, and no permitted behaviour. */
 import * as ava from 'ava';
+import * as answers from '../../soak/answers';
 import * as requestHistory from '../../soak/request_history';
 
 const test = ava.default;
@@ -8,8 +9,8 @@
 function answer(
   status: number,
   body: string,
-  overrides: Partial<requestHistory.ReceivedAnswer> = {},
-): requestHistory.ReceivedAnswer {
+  overrides: Partial<answers.ReceivedAnswer> = {},
+): answers.ReceivedAnswer {
   return {status, body, isComplete: true, stamp: undefined, ...overrides};
 }
 
@@ -17,12 +18,11 @@
   readonly title: string;
   readonly kind: requestHistory.RequestKind;
   readonly runs: readonly [replica: string, at: number, isContinued: boolean][];
-  readonly answer?: requestHistory.ReceivedAnswer;
+  readonly answer?: answers.ReceivedAnswer;
   readonly promise: string | undefined;
 }
 
-const PIECES =
-  requestHistory.pieceEvent('a', 1) + requestHistory.pieceEvent('a', 2);
+const PIECES = answers.pieceEvent('a', 1) + answers.pieceEvent('a', 2);
 const CASES: readonly Case[] = [
   {
     title: 'a filing that ran twice is a violation',
@@ -76,14 +76,14 @@
     title: 'the body of another request is a violation',
     kind: RequestKind.File,
     runs: [['r1', 1, false]],
-    answer: answer(200, requestHistory.plainBody('b', 'r1'), {stamp: 'r1'}),
+    answer: answer(200, answers.plainBody('b', 'r1'), {stamp: 'r1'}),
     promise: 'whole',
   },
   {
     title: 'the complete body is allowed',
     kind: RequestKind.File,
     runs: [['r1', 1, false]],
-    answer: answer(200, requestHistory.plainBody('a', 'r1'), {stamp: 'r1'}),
+    answer: answer(200, answers.plainBody('a', 'r1'), {stamp: 'r1'}),
     promise: undefined,
   },
   {
@@ -111,7 +111,7 @@
     title: 'a complete stream is allowed',
     kind: RequestKind.Draft,
     runs: [['r1', 1, false]],
-    answer: answer(200, PIECES + requestHistory.endEvent('a', 2), {
+    answer: answer(200, PIECES + answers.endEvent('a', 2), {
       stamp: 'r1',
     }),
     promise: undefined,
@@ -196,8 +196,7 @@
     history.recordSent('b', RequestKind.Tag, 'key', 'g1', resumed);
     history.recordRun('b', 'r1', 1, true);
     const body =
-      requestHistory.pieceEvent('b', 3, version) +
-      requestHistory.endEvent('b', 3, version);
+      answers.pieceEvent('b', 3, version) + answers.endEvent('b', 3, version);
     history.recordAnswer('b', answer(200, body, {stamp: 'r1'}));
     t.deepEqual(
       history.violations().map(found => found.promise),
