Platform: the decoder of configurations tells what it leaves out or replaces

Cause: gateways decode what they can read and keep quiet about the rest, so a check before sending would need a second definition of the format. Fields are now read through a reader with a listener; gateways pass none.

Kinds of routes and states of instances were looked up in plain objects, so that the type or state "constructor" was accepted as a function. Both are maps now; the two cases added to object_codec.test.ts fail with objects.

--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -1,8 +1,10 @@
 /** Decodes objects of the metadata store. Unreadable parts are left out; decoding never throws. */
 import * as configuration from '../gateway/common/configuration';
+import * as findings from '../gateway/common/configuration_check/findings';
 import * as instanceTable from '../gateway/common/instance_table';
+import * as fieldReader from './field_reader';
 
-type Fields = Readonly<Record<string, unknown>>;
+const {isFields, number, text} = fieldReader;
 
 /** Longest time for which a replica is taken for cold; longer ones are shortened to it. */
 export const MAX_WARM_UP_MILLISECONDS = 3_600_000;
@@ -15,22 +17,6 @@
   readonly spec: unknown;
 }
 
-function isFields(value: unknown): value is Fields {
-  return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
-function text(value: unknown): string | undefined {
-  return typeof value === 'string' && value.length > 0 ? value : undefined;
-}
-
-function number(value: unknown, fallback = 0): number {
-  return typeof value === 'number' && Number.isFinite(value) ? value : fallback;
-}
-
-function list(value: unknown): readonly unknown[] {
-  return Array.isArray(value) ? value : [];
-}
-
 /** Returns the value of JSON text, or a value that is none unchanged; undefined if the text is malformed. */
 export function parseJson(value: unknown): unknown {
   if (typeof value !== 'string') {
@@ -57,10 +43,12 @@
   return {name, revision: number(outer.meta.revision), spec: outer.spec};
 }
 
-const INSTANCE_STATES: Readonly<Record<string, instanceTable.InstanceState>> = {
-  ready: instanceTable.InstanceState.Ready,
-  draining: instanceTable.InstanceState.Draining,
-};
+// A map, since an object would also have the names of its prototype.
+const INSTANCE_STATES: ReadonlyMap<string, instanceTable.InstanceState> =
+  new Map([
+    ['ready', instanceTable.InstanceState.Ready],
+    ['draining', instanceTable.InstanceState.Draining],
+  ]);
 
 /** Decodes one instance; undefined if the entry has missing or wrong fields, or an unknown state. */
 export function decodeInstance(
@@ -72,7 +60,7 @@
   }
   const endpoint = text(spec.service);
   const address = text(spec.address);
-  const state = INSTANCE_STATES[text(spec.state) ?? ''];
+  const state = INSTANCE_STATES.get(text(spec.state) ?? '');
   const isAddress = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address ?? '');
   if (endpoint === undefined || !isAddress || state === undefined) {
     return undefined;
@@ -98,140 +86,214 @@
   };
 }
 
-const REQUEST_KINDS: Readonly<Record<string, configuration.RequestKind>> = {
-  idempotent: configuration.RequestKind.Idempotent,
-  non_idempotent: configuration.RequestKind.NonIdempotent,
-  streaming: configuration.RequestKind.Streaming,
-};
+const REQUEST_KINDS: ReadonlyMap<string, configuration.RequestKind> = new Map([
+  ['idempotent', configuration.RequestKind.Idempotent],
+  ['non_idempotent', configuration.RequestKind.NonIdempotent],
+  ['streaming', configuration.RequestKind.Streaming],
+]);
+
+/** Decodes one entry of a list of the configuration; undefined if it is left out. */
+type EntryDecoder<T> = (reader: fieldReader.FieldReader) => T | undefined;
+
+/** Decodes the entries of a list; those that cannot be read are left out. */
+function decodeEntries<T>(
+  kind: string,
+  values: readonly unknown[],
+  onIssue: fieldReader.IssueListener,
+  decode: EntryDecoder<T>,
+): T[] {
+  const entries: T[] = [];
+  for (const [index, value] of values.entries()) {
+    const place = `${kind} (entry ${index + 1})`;
+    if (!isFields(value)) {
+      const type = fieldReader.typeOf(value);
+      onIssue(place, `saw ${type}, expected an object; it is left out`);
+      continue;
+    }
+    const name = text(value.name) ?? text(value.pathPrefix);
+    const placeOf = () =>
+      name === undefined ? place : `${kind} ${findings.quote(name)}`;
+    const entry = decode(new fieldReader.FieldReader(value, placeOf, onIssue));
+    if (entry !== undefined) {
+      entries.push(entry);
+    }
+  }
+  return entries;
+}
 
 function decodeWeightedEndpoints(
-  fields: Fields,
+  reader: fieldReader.FieldReader,
 ): configuration.WeightedEndpoint[] {
-  const split = list(fields.split)
-    .filter(isFields)
-    .map(each => ({
-      endpoint: text(each.service) ?? '',
-      weight: number(each.wt),
-    }));
+  const split = reader.objects('split').map(part => ({
+    endpoint: part.optionalText('service') ?? '',
+    weight: part.number('wt'),
+  }));
+  const service = reader.optionalText('service');
   if (split.length > 0) {
     return split;
   }
-  const service = text(fields.service);
   return service === undefined ? [] : [{endpoint: service, weight: 1}];
 }
 
 /** Decodes a list of regions; undefined if there is none. A value that is no list allows no region, since a restriction must not be lost. */
-function decodeRegions(value: unknown): string[] | undefined {
-  const isAbsent = value === undefined || value === null;
-  const isEmpty = Array.isArray(value) && value.length === 0;
-  return isAbsent || isEmpty
-    ? undefined
-    : list(value).filter(each => typeof each === 'string');
+function decodeRegions(reader: fieldReader.FieldReader): string[] | undefined {
+  const value = reader.value('regionsAllowed');
+  if (Array.isArray(value)) {
+    return value.length === 0 ? undefined : reader.texts('regionsAllowed');
+  }
+  if (fieldReader.isAbsent(value)) {
+    return undefined;
+  }
+  const type = fieldReader.typeOf(value);
+  reader.report(
+    `regionsAllowed: saw ${type}, expected a list; no region is allowed`,
+  );
+  return [];
 }
 
-function decodeRoute(value: unknown): configuration.Route | undefined {
-  if (!isFields(value)) {
-    return undefined;
+function decodeKind(
+  reader: fieldReader.FieldReader,
+): configuration.RequestKind | undefined {
+  const type = reader.requiredText('type');
+  const kind = type === undefined ? undefined : REQUEST_KINDS.get(type);
+  if (type !== undefined && kind === undefined) {
+    const known = [...REQUEST_KINDS.keys()].join(', ');
+    reader.report(
+      `type: saw ${findings.quote(type)}, expected one of ${known}; the entry is left out`,
+    );
   }
-  const host = text(value.hostname);
-  const pathPrefix = text(value.pathPrefix);
-  const kind = REQUEST_KINDS[text(value.type) ?? ''];
+  return kind;
+}
+
+function decodeRoute(
+  reader: fieldReader.FieldReader,
+): configuration.Route | undefined {
+  const host = reader.requiredText('hostname');
+  const pathPrefix = reader.requiredText('pathPrefix');
+  const kind = decodeKind(reader);
   if (host === undefined || pathPrefix === undefined || kind === undefined) {
     return undefined;
   }
-  const timeoutMilliseconds = number(value.timeoutMs, 60_000);
+  const timeoutMilliseconds = reader.number('timeoutMs', {fallback: 60_000});
   return {
-    name: text(value.name) ?? pathPrefix,
+    name: reader.optionalText('name') ?? pathPrefix,
     host: host.toLowerCase(),
     pathPrefix,
     kind,
     timeoutMilliseconds,
-    objectiveMilliseconds: number(value.sloMs, timeoutMilliseconds),
-    maxPauseMilliseconds: number(value.itlTargetMs),
-    priority: number(value.priority),
-    endpoints: decodeWeightedEndpoints(value),
-    attempts: Math.max(1, number(value.attempts, 1)),
-    isPublic: value.public === true,
+    objectiveMilliseconds: reader.number('sloMs', {
+      fallback: timeoutMilliseconds,
+    }),
+    maxPauseMilliseconds: reader.number('itlTargetMs'),
+    priority: reader.number('priority'),
+    endpoints: decodeWeightedEndpoints(reader),
+    attempts: reader.number('attempts', {fallback: 1, minimum: 1}),
+    isPublic: reader.flag('public'),
     // Set on routes whose requests describe a prompt for a model engine.
-    isGeneration: value.affinity === true,
-    isResumable: value.resumable === true,
-    allowedRegions: decodeRegions(value.regionsAllowed),
+    isGeneration: reader.flag('affinity'),
+    isResumable: reader.flag('resumable'),
+    allowedRegions: decodeRegions(reader),
   };
 }
 
-function decodeEngine(value: unknown): configuration.EngineProfile | undefined {
-  if (!isFields(value)) {
+function decodeEngine(
+  reader: fieldReader.FieldReader,
+): configuration.EngineProfile | undefined {
+  const runtime = reader.object('runtime');
+  if (runtime === undefined) {
     return undefined;
   }
   return {
-    memoryTokens: number(value.kvCap),
-    canMoveRuns: value.moves === true,
-    canBackUpRuns: value.backups === true,
+    memoryTokens: runtime.number('kvCap'),
+    canMoveRuns: runtime.flag('moves'),
+    canBackUpRuns: runtime.flag('backups'),
     // Tokens that one event of a stream holds.
-    tokensPerEvent: Math.max(1, number(value.stride, 1)),
+    tokensPerEvent: runtime.number('stride', {fallback: 1, minimum: 1}),
   };
 }
 
-function decodeEndpoint(value: unknown): configuration.Endpoint | undefined {
-  const name = isFields(value) ? text(value.name) : undefined;
-  if (!isFields(value) || name === undefined) {
+function decodeEndpoint(
+  reader: fieldReader.FieldReader,
+): configuration.Endpoint | undefined {
+  const name = reader.requiredText('name');
+  if (name === undefined) {
     return undefined;
   }
   return {
     name,
-    healthPath: text(value.healthPath) ?? '/healthz',
-    maxConnections: number(value.maxConns, 100),
-    engine: decodeEngine(value.runtime),
-    rampRequestsPerSecond: Math.max(0, number(value.rampPerS)),
-    warmUpMilliseconds: Math.min(
-      MAX_WARM_UP_MILLISECONDS,
-      Math.max(0, number(value.warmupS) * 1_000),
-    ),
+    healthPath: reader.optionalText('healthPath') ?? '/healthz',
+    maxConnections: reader.number('maxConns', {fallback: 100}),
+    engine: decodeEngine(reader),
+    rampRequestsPerSecond: reader.number('rampPerS', {minimum: 0}),
+    warmUpMilliseconds:
+      reader.number('warmupS', {
+        minimum: 0,
+        maximum: MAX_WARM_UP_MILLISECONDS / 1_000,
+      }) * 1_000,
   };
 }
 
-function decodeCustomer(value: unknown): configuration.Customer | undefined {
-  const name = isFields(value) ? text(value.name) : undefined;
-  if (!isFields(value) || name === undefined) {
+function decodeCustomer(
+  reader: fieldReader.FieldReader,
+): configuration.Customer | undefined {
+  const name = reader.requiredText('name');
+  if (name === undefined) {
     return undefined;
   }
-  const priority =
-    typeof value.priority === 'number' ? value.priority : undefined;
-  const keys = list(value.apiKeys).filter(key => typeof key === 'string');
-  const allowedRegions = decodeRegions(value.regionsAllowed);
-  return {name, keys, priority, allowedRegions};
-}
-
-function decodeLimits(value: unknown): configuration.RequestLimits {
-  const fields = isFields(value) ? value : {};
   return {
-    maxHeaderBytes: number(fields.maxHeaderBytes, 16_384),
-    maxBodyBytes: number(fields.maxBodyBytes, 4_194_304),
-    headerTimeoutMilliseconds: number(fields.headerTimeoutMs, 5_000),
-    idleTimeoutMilliseconds: number(fields.idleTimeoutMs, 15_000),
+    name,
+    keys: reader.texts('apiKeys'),
+    priority: reader.optionalNumber('priority'),
+    allowedRegions: decodeRegions(reader),
   };
 }
 
-function isDefined<T>(value: T | undefined): value is T {
-  return value !== undefined;
+function decodeLimits(
+  reader: fieldReader.FieldReader,
+): configuration.RequestLimits {
+  return {
+    maxHeaderBytes: reader.number('maxHeaderBytes', {fallback: 16_384}),
+    maxBodyBytes: reader.number('maxBodyBytes', {fallback: 4_194_304}),
+    headerTimeoutMilliseconds: reader.number('headerTimeoutMs', {
+      fallback: 5_000,
+    }),
+    idleTimeoutMilliseconds: reader.number('idleTimeoutMs', {
+      fallback: 15_000,
+    }),
+  };
 }
 
-/** Decodes the configuration; undefined if the object is not one. */
+/** Decodes the configuration; undefined if the object is not one. The listener is told of everything that is left out or replaced. */
 export function decodeConfiguration(
   stored: StoredObject,
+  onIssue: fieldReader.IssueListener = () => undefined,
 ): configuration.Configuration | undefined {
   const spec = parseJson(stored.spec);
-  if (!isFields(spec) || typeof spec.version !== 'number') {
+  if (!isFields(spec)) {
+    onIssue('configuration', 'expected a JSON object');
+    return undefined;
+  }
+  const readerOf = (place: string, fields: fieldReader.Fields) =>
+    new fieldReader.FieldReader(fields, () => place, onIssue);
+  const reader = readerOf('configuration', spec);
+  if (typeof spec.version !== 'number') {
+    const type = fieldReader.typeOf(spec.version);
+    reader.report(
+      `version: saw ${type}, expected a number; the configuration is not read`,
+    );
     return undefined;
   }
+  const decodeAll = <T>(name: string, kind: string, decode: EntryDecoder<T>) =>
+    decodeEntries(kind, reader.list(name), onIssue, decode);
+  const routes = decodeAll('routes', 'route', decodeRoute);
+  const endpoints = decodeAll('services', 'service', decodeEndpoint);
+  const customers = decodeAll('tenants', 'customer', decodeCustomer);
   return {
     version: spec.version,
-    routes: list(spec.routes).map(decodeRoute).filter(isDefined),
-    endpoints: list(spec.services).map(decodeEndpoint).filter(isDefined),
-    limits: decodeLimits(spec.limits),
-    customers: Array.isArray(spec.tenants)
-      ? spec.tenants.map(decodeCustomer).filter(isDefined)
-      : undefined,
+    routes,
+    endpoints,
+    limits: decodeLimits(reader.object('limits') ?? readerOf('limits', {})),
+    customers: Array.isArray(spec.tenants) ? customers : undefined,
     hasAllowedRegions: true,
   };
 }
--- a/test/platform/object_codec.test.ts
+++ b/test/platform/object_codec.test.ts
@@ -46,6 +46,8 @@
   ['no address', {...ENTRY, address: undefined}],
   ['an invalid address', {...ENTRY, address: 'replica-1'}],
   ['an unknown state', {...ENTRY, state: 'resting'}],
+  // Looked up in an object, the name of a prototype member would be a state.
+  ['the state "constructor"', {...ENTRY, state: 'constructor'}],
   ['a list', [1, 2]],
   ['null', null],
   ['bytes that are not JSON', '{"service": "wri'],
@@ -73,7 +75,16 @@
   };
   const stored = objectCodec.decodeObject({
     meta: {name: 'main', revision: 1},
-    spec: {version: 3, routes: [{}, null, good, {...good, type: 'other'}]},
+    spec: {
+      version: 3,
+      routes: [
+        {},
+        null,
+        good,
+        {...good, type: 'other'},
+        {...good, type: 'constructor'},
+      ],
+    },
   })!;
   const decoded = objectCodec.decodeConfiguration(stored)!;
   t.is(decoded.routes.length, 1);
