Tool: rhubarbvane check finds faults of a configuration before it is sent

Cause: a service name with a typing error, a hidden route or a key of two customers shows only by its effect on callers.

--- a/src/base/node/settings_file.ts
+++ b/src/base/node/settings_file.ts
@@ -88,6 +88,35 @@
   );
 }
 
+/** A place of a settings file that does not match the schema. Has no value, since it may be a secret. */
+export interface SettingsIssue {
+  /** Section, its parts and the key. */
+  readonly path: readonly string[];
+  readonly message: string;
+}
+
+/** Validates the text of a settings file like `parseSettings`. Errors: all issues. */
+export function checkSettings<T>(
+  text: string,
+  schema: zod.ZodType<T>,
+): neverthrow.Result<T, SettingsIssue[]> {
+  const checked = schema.safeParse(plainObject(ini.parse(text)));
+  return checked.success
+    ? neverthrow.ok(checked.data)
+    : neverthrow.err(checked.error.issues.flatMap(issuesOf));
+}
+
+function issuesOf(issue: zod.z.core.$ZodIssue): SettingsIssue[] {
+  const path = issue.path.map(String);
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({
+      path: [...path, key],
+      message: 'unknown key',
+    }));
+  }
+  return [{path, message: `expected ${issue.message}`}];
+}
+
 function plainObject(parsed: object): object {
   return JSON.parse(JSON.stringify(parsed)) as object;
 }
--- a/src/decision/common/change_system.ts
+++ b/src/decision/common/change_system.ts
@@ -55,6 +55,29 @@
   return neverthrow.ok(checked);
 }
 
+/** What is wrong with a declared object. */
+export interface ObjectProblem {
+  readonly object: operator.DeclaredObject;
+  readonly problem: string;
+}
+
+/** Returns what is wrong with objects that are declared at once, beside others that are declared already. */
+export function findProblems(
+  objects: readonly operator.DeclaredObject[],
+  others: readonly operator.DeclaredObject[],
+): ObjectProblem[] {
+  const keyOf = (kind: operator.ObjectKind, name: string) => `${kind}/${name}`;
+  const declared = new Set(
+    [...objects, ...others].map(each => keyOf(each.kind, each.name)),
+  );
+  return objects.flatMap(object => {
+    const problem = validateObject(object, (kind, name) =>
+      declared.has(keyOf(kind, name)),
+    );
+    return problem === undefined ? [] : [{object, problem}];
+  });
+}
+
 function label(object: operator.DeclaredObject): string {
   return `${operator.ObjectKind[object.kind]?.toLowerCase()} ${object.name}`;
 }
@@ -79,7 +102,9 @@
 ): failure.Failure | undefined {
   const problem = change.isRemoval
     ? validateRemoval(table, change, all)
-    : validateObject(table, change.object, all);
+    : validateObject(change.object, (kind, name) =>
+        isDeclaredAfter(table, all, kind, name),
+      );
   if (problem === undefined) {
     return undefined;
   }
@@ -126,10 +151,24 @@
   return isModel || isEndpoint || isCustomer;
 }
 
-function validateObject(
+/** Whether the object is declared once all changes are accepted. */
+function isDeclaredAfter(
   table: configurationTable.ConfigurationTable,
-  object: operator.DeclaredObject,
   all: readonly RequestedChange[],
+  kind: operator.ObjectKind,
+  name: string,
+): boolean {
+  const change = all.find(
+    other => other.object.kind === kind && other.object.name === name,
+  );
+  return change === undefined
+    ? table.get(kind, name) !== undefined
+    : !change.isRemoval;
+}
+
+function validateObject(
+  object: operator.DeclaredObject,
+  exists: (kind: operator.ObjectKind, name: string) => boolean,
 ): string | undefined {
   if (!NAME_PATTERN.test(object.name)) {
     return 'name: expected up to 63 characters of a-z, 0-9 and -';
@@ -140,14 +179,6 @@
   ) {
     return 'spec: does not match the kind';
   }
-  const exists = (kind: operator.ObjectKind, name: string) => {
-    const change = all.find(
-      other => other.object.kind === kind && other.object.name === name,
-    );
-    return change === undefined
-      ? table.get(kind, name) !== undefined
-      : !change.isRemoval;
-  };
   switch (object.spec.case) {
     case 'model':
       return validateModel(object.spec.value);
--- a/src/gateway/common/configuration.ts
+++ b/src/gateway/common/configuration.ts
@@ -44,6 +44,11 @@
   readonly allowedRegions?: readonly string[];
 }
 
+/** Whether requests of the route may be sent again after an instance may have run them. */
+export function isRetryable(route: Route): boolean {
+  return route.kind === RequestKind.Idempotent || route.isResumable;
+}
+
 /** Properties of the model engines behind an endpoint. */
 export interface EngineProfile {
   /** Memory for prompts and output, in tokens. */
--- a/src/gateway/common/route_index.ts
+++ b/src/gateway/common/route_index.ts
@@ -1,6 +1,12 @@
 /** Looks up the route, endpoint and customer of a request in one version of the configuration. */
 import * as configuration from './configuration';
 
+/** A route that no request reaches, since another route gets all requests with its host and path. */
+export interface HiddenRoute {
+  readonly route: configuration.Route;
+  readonly hidingRoute: configuration.Route;
+}
+
 /** Lookup tables of a configuration. */
 export class RouteIndex {
   private readonly routesByHost = new Map<string, configuration.Route[]>();
@@ -50,6 +56,24 @@
       ?.find(route => path.startsWith(route.pathPrefix));
   }
 
+  /** Returns the routes that `findRoute` never returns. */
+  hiddenRoutes(): HiddenRoute[] {
+    const hidden: HiddenRoute[] = [];
+    for (const routes of this.routesByHost.values()) {
+      // A route's own prefix is a path of the route, which a longer prefix does not match. So only an equal prefix hides it.
+      const firstByPrefix = new Map<string, configuration.Route>();
+      for (const route of routes) {
+        const hidingRoute = firstByPrefix.get(route.pathPrefix);
+        if (hidingRoute === undefined) {
+          firstByPrefix.set(route.pathPrefix, route);
+        } else {
+          hidden.push({route, hidingRoute});
+        }
+      }
+    }
+    return hidden;
+  }
+
   findCustomer(key: string): configuration.Customer | undefined {
     return this.customersByKey.get(key);
   }
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -104,10 +104,7 @@
   }
 
   get isRetryable(): boolean {
-    const {route} = this.call;
-    return (
-      route.kind === configuration.RequestKind.Idempotent || route.isResumable
-    );
+    return configuration.isRetryable(this.call.route);
   }
 
   /** Number of sends without proof that the instance did not run them. */
--- a/src/tool/declarations.ts
+++ b/src/tool/declarations.ts
@@ -58,7 +58,15 @@
   deployment: deploymentSchema.optional(),
 });
 
-type DeclarationFile = zod.z.infer<typeof fileSchema>;
+/** Content of a declaration file. */
+export type DeclarationFile = zod.z.infer<typeof fileSchema>;
+
+/** Validates the text of a declaration file. Errors: all places that do not match the schema. */
+export function checkDeclarations(
+  text: string,
+): neverthrow.Result<DeclarationFile, settingsFile.SettingsIssue[]> {
+  return settingsFile.checkSettings(text, fileSchema);
+}
 
 /** Reads and validates a declaration file. Errors: SettingsUnreadable, SettingsInvalid. */
 export function readDeclarations(
@@ -67,7 +75,8 @@
   return settingsFile.readSettings(path, fileSchema).map(toObjects);
 }
 
-function toObjects(file: DeclarationFile): operator.DeclaredObject[] {
+/** Returns the declared objects of a file. */
+export function toObjects(file: DeclarationFile): operator.DeclaredObject[] {
   const objects: operator.DeclaredObject[] = [];
   const add = (
     kind: operator.ObjectKind,
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -3,6 +3,7 @@
 import * as clipanion from 'clipanion';
 import * as version from '../base/node/version';
 import * as callerCommands from './caller_commands';
+import * as checkCommand from './check_command';
 import * as declarationCommands from './declaration_commands';
 import * as operationCommands from './operation_commands';
 
@@ -12,6 +13,7 @@
   binaryVersion: version.readVersion(),
 });
 const commands = [
+  checkCommand.CheckCommand,
   declarationCommands.ApplyCommand,
   declarationCommands.GetCommand,
   declarationCommands.DeleteCommand,
--- a/test/gateway/common/route_index.test.ts
+++ b/test/gateway/common/route_index.test.ts
@@ -1,5 +1,6 @@
 /** Lookup of the route and endpoint of a request. */
 import * as ava from 'ava';
+import * as fastCheck from 'fast-check';
 import * as routeIndex from '../../../src/gateway/common/route_index';
 import * as gatewayRecords from '../../support/gateway_records';
 
@@ -86,3 +87,51 @@
   t.is(index.mostUrgentGeneration('writers'), 1);
   t.is(index.mostUrgentGeneration('other'), Infinity);
 });
+
+test('routes: a route is hidden exactly if no path, its own prefix included, is looked up as this route', t => {
+  const segment = fastCheck.constantFrom('/', '/a/', '/a/b/', '/ab/', 'a');
+  const host = fastCheck.constantFrom('h.example', 'i.example');
+  const routes = fastCheck.array(
+    fastCheck.record({host, pathPrefix: segment}),
+    {maxLength: 12},
+  );
+  const paths = [
+    '/',
+    '/a/',
+    '/a/b/',
+    '/a/b/c',
+    '/ab/',
+    '/ab/c',
+    '/c',
+    'a',
+    'ab',
+  ];
+  fastCheck.assert(
+    fastCheck.property(routes, entries => {
+      const index = new routeIndex.RouteIndex(
+        gatewayRecords.configurationOf({
+          routes: entries.map((each, number) =>
+            gatewayRecords.route(each.pathPrefix, {
+              host: each.host,
+              name: `${number}`,
+            }),
+          ),
+        }),
+      );
+      const hidden = index.hiddenRoutes();
+      for (const route of index.configuration.routes) {
+        const isFound = paths.some(
+          path => index.findRoute(route.host, path) === route,
+        );
+        const found = hidden.find(each => each.route === route);
+        t.is(found === undefined, isFound);
+        if (found !== undefined) {
+          t.is(
+            index.findRoute(route.host, route.pathPrefix),
+            found.hidingRoute,
+          );
+        }
+      }
+    }),
+  );
+});
