Platform: decoding without a listener builds no messages

Gateways pass no listener, but the message and place of each value that is left out were built and dropped. A customer with a million keys of the wrong type took 1,617 to 1,817 ms to decode, instead of 10 to 16 ms before the listener was introduced, and blocked the gateway for that time.

--- a/src/platform/field_reader.ts
+++ b/src/platform/field_reader.ts
@@ -3,7 +3,7 @@
 /** Fields of a JSON object. */
 export type Fields = Readonly<Record<string, unknown>>;
 
-/** Is told of what decoding leaves out or replaces: the place of the entry and what is wrong. Has no values that may be secret. */
+/** Receives what decoding leaves out or replaces: the place of the entry and what is wrong. Has no values that may be secret. */
 export type IssueListener = (place: string, message: string) => void;
 
 export function isFields(value: unknown): value is Fields {
@@ -58,17 +58,19 @@
 
 /** Reads the fields of one entry. */
 export class FieldReader {
+  /** Reports an issue of the entry. Undefined without a listener, so that `report?.()` builds no message: a million of them would block a gateway for seconds. */
+  readonly report: ((message: string) => void) | undefined;
+
   constructor(
     private readonly fields: Fields,
     /** Returns kind and name of the entry. */
     private readonly place: () => string,
-    private readonly onIssue: IssueListener,
+    private readonly onIssue: IssueListener | undefined,
     /** Where in the entry the fields are. */
     private readonly prefix = '',
-  ) {}
-
-  report(message: string): void {
-    this.onIssue(this.place(), `${this.prefix}${message}`);
+  ) {
+    this.report =
+      onIssue && (message => onIssue(this.place(), `${prefix}${message}`));
   }
 
   value(name: string): unknown {
@@ -79,7 +81,7 @@
   requiredText(name: string): string | undefined {
     const value = this.fields[name];
     if (text(value) === undefined) {
-      this.report(
+      this.report?.(
         `${name}: saw ${typeOf(value)}, expected a text; the entry is left out`,
       );
     }
@@ -89,7 +91,7 @@
   optionalText(name: string): string | undefined {
     const value = this.fields[name];
     if (!isAbsent(value) && typeof value !== 'string') {
-      this.report(
+      this.report?.(
         `${name}: saw ${typeOf(value)}, expected a text; it is ignored`,
       );
     }
@@ -101,7 +103,7 @@
     if (isAbsent(value) || typeof value === 'number') {
       return value ?? undefined;
     }
-    this.report(
+    this.report?.(
       `${name}: saw ${typeOf(value)}, expected a number; it is ignored`,
     );
     return undefined;
@@ -115,12 +117,12 @@
     const read = number(value, fallback);
     const used = Math.min(maximum, Math.max(minimum, read));
     if (!isAbsent(value) && read !== value) {
-      this.report(
+      this.report?.(
         `${name}: saw ${typeOf(value)}, expected a number; ${used} is used`,
       );
     } else if (used !== read) {
       const side = read < minimum ? 'at least' : 'at most';
-      this.report(
+      this.report?.(
         `${name}: saw ${read}, expected ${side} ${used}; ${used} is used`,
       );
     }
@@ -131,7 +133,7 @@
   flag(name: string): boolean {
     const value = this.fields[name];
     if (!isAbsent(value) && typeof value !== 'boolean') {
-      this.report(
+      this.report?.(
         `${name}: saw ${typeOf(value)}, expected true or false; false is used`,
       );
     }
@@ -141,7 +143,7 @@
   list(name: string): readonly unknown[] {
     const value = this.fields[name];
     if (!isAbsent(value) && !Array.isArray(value)) {
-      this.report(
+      this.report?.(
         `${name}: saw ${typeOf(value)}, expected a list; it is ignored`,
       );
     }
@@ -152,7 +154,7 @@
   texts(name: string): string[] {
     return this.list(name).filter((each, index): each is string => {
       if (typeof each !== 'string') {
-        this.report(
+        this.report?.(
           `${name}, entry ${index + 1}: saw ${typeOf(each)}, expected a text; it is left out`,
         );
       }
@@ -167,7 +169,7 @@
       return this.nested(name, value);
     }
     if (!isAbsent(value)) {
-      this.report(
+      this.report?.(
         `${name}: saw ${typeOf(value)}, expected an object; it is ignored`,
       );
     }
@@ -182,7 +184,7 @@
       if (isFields(value)) {
         readers.push(this.nested(path, value));
       } else {
-        this.report(
+        this.report?.(
           `${path}: saw ${typeOf(value)}, expected an object; it is left out`,
         );
       }
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -92,6 +92,8 @@
   ['streaming', configuration.RequestKind.Streaming],
 ]);
 
+const KNOWN_KINDS = [...REQUEST_KINDS.keys()].join(', ');
+
 /** Decodes one entry of a list of the configuration; undefined if it is left out. */
 type EntryDecoder<T> = (reader: fieldReader.FieldReader) => T | undefined;
 
@@ -99,20 +101,24 @@
 function decodeEntries<T>(
   kind: string,
   values: readonly unknown[],
-  onIssue: fieldReader.IssueListener,
+  onIssue: fieldReader.IssueListener | undefined,
   decode: EntryDecoder<T>,
 ): T[] {
   const entries: T[] = [];
   for (const [index, value] of values.entries()) {
-    const place = `${kind} (entry ${index + 1})`;
     if (!isFields(value)) {
-      const type = fieldReader.typeOf(value);
-      onIssue(place, `saw ${type}, expected an object; it is left out`);
+      onIssue?.(
+        `${kind} (entry ${index + 1})`,
+        `saw ${fieldReader.typeOf(value)}, expected an object; it is left out`,
+      );
       continue;
     }
-    const name = text(value.name) ?? text(value.pathPrefix);
-    const placeOf = () =>
-      name === undefined ? place : `${kind} ${findings.quote(name)}`;
+    const placeOf = () => {
+      const name = text(value.name) ?? text(value.pathPrefix);
+      return name === undefined
+        ? `${kind} (entry ${index + 1})`
+        : `${kind} ${findings.quote(name)}`;
+    };
     const entry = decode(new fieldReader.FieldReader(value, placeOf, onIssue));
     if (entry !== undefined) {
       entries.push(entry);
@@ -145,7 +151,7 @@
     return undefined;
   }
   const type = fieldReader.typeOf(value);
-  reader.report(
+  reader.report?.(
     `regionsAllowed: saw ${type}, expected a list; no region is allowed`,
   );
   return [];
@@ -157,9 +163,8 @@
   const type = reader.requiredText('type');
   const kind = type === undefined ? undefined : REQUEST_KINDS.get(type);
   if (type !== undefined && kind === undefined) {
-    const known = [...REQUEST_KINDS.keys()].join(', ');
-    reader.report(
-      `type: saw ${findings.quote(type)}, expected one of ${known}; the entry is left out`,
+    reader.report?.(
+      `type: saw ${findings.quote(type)}, expected one of ${KNOWN_KINDS}; the entry is left out`,
     );
   }
   return kind;
@@ -266,11 +271,11 @@
 /** Decodes the configuration; undefined if the object is not one. The listener is told of everything that is left out or replaced. */
 export function decodeConfiguration(
   stored: StoredObject,
-  onIssue: fieldReader.IssueListener = () => undefined,
+  onIssue?: fieldReader.IssueListener,
 ): configuration.Configuration | undefined {
   const spec = parseJson(stored.spec);
   if (!isFields(spec)) {
-    onIssue('configuration', 'expected a JSON object');
+    onIssue?.('configuration', 'expected a JSON object');
     return undefined;
   }
   const readerOf = (place: string, fields: fieldReader.Fields) =>
@@ -278,7 +283,7 @@
   const reader = readerOf('configuration', spec);
   if (typeof spec.version !== 'number') {
     const type = fieldReader.typeOf(spec.version);
-    reader.report(
+    reader.report?.(
       `version: saw ${type}, expected a number; the configuration is not read`,
     );
     return undefined;
--- a/test/platform/object_codec.test.ts
+++ b/test/platform/object_codec.test.ts
@@ -2,6 +2,7 @@
 import * as ava from 'ava';
 import * as configuration from '../../src/gateway/common/configuration';
 import * as instanceTable from '../../src/gateway/common/instance_table';
+import * as fieldReader from '../../src/platform/field_reader';
 import * as objectCodec from '../../src/platform/object_codec';
 
 const test = ava.default;
@@ -63,6 +64,24 @@
   });
 }
 
+test('configuration: without a listener no message is built, so that a million wrong values do not block a gateway', t => {
+  const reader = new fieldReader.FieldReader(
+    {texts: [7], split: [{wt: 'x'}], flag: 1, number: 'x'},
+    () => {
+      t.fail();
+      return '';
+    },
+    undefined,
+  );
+  t.is(reader.report, undefined);
+  t.deepEqual(reader.texts('texts'), []);
+  t.is(reader.flag('flag'), false);
+  t.is(reader.number('number'), 0);
+  const [part] = reader.objects('split');
+  t.is(part.report, undefined);
+  t.is(part.number('wt'), 0);
+});
+
 test('configuration: unreadable routes are left out and the others kept', t => {
   const good = {
     name: 'r',
