Check: splits are judged by the draw, also with negative weights

A split with weights of 0 and -1 was reported as never reaching a service, but the gateways' draw selects the first part, since the total is negative too. canDrawEndpoint tries the extreme draws; a property test compares it with drawEndpoint over 1,000 draws. The message no longer says that no weight is above 0, which is wrong for weights whose total is infinite.

--- a/src/gateway/common/configuration_check/configuration_check.ts
+++ b/src/gateway/common/configuration_check/configuration_check.ts
@@ -79,10 +79,10 @@
         );
       }
     }
-    if (routeIndex.drawEndpoint(route, 0) === undefined) {
+    if (!routeIndex.canDrawEndpoint(route)) {
       found.addWarning(
         routePlaces.of(route),
-        'can never reach a service: no weight of its split is above 0',
+        'can never reach a service: the weights of its split select none',
       );
     }
   }
--- a/src/gateway/common/configuration_check/findings.ts
+++ b/src/gateway/common/configuration_check/findings.ts
@@ -77,7 +77,7 @@
 const MAX_NAME_CHARACTERS = 100;
 /** Maximum number of characters of a message with names of unknown length. */
 const MAX_MESSAGE_CHARACTERS = 400;
-/** Characters that a terminal obeys, that are not seen, or that reorder text. */
+/** Characters that a terminal interprets, that are not seen, or that reorder text. */
 const UNPRINTABLE =
   // eslint-disable-next-line no-control-regex
   /[\u0000-\u001f\u007f-\u009f\u200b-\u200f\u2028-\u202e\u2060-\u2069]/g;
--- a/src/gateway/common/route_index.ts
+++ b/src/gateway/common/route_index.ts
@@ -98,6 +98,17 @@
   }
 }
 
+/** Largest number below 1. */
+const LARGEST_DRAW = 1 - Number.EPSILON / 2;
+
+/** Whether any draw returns an endpoint of the route. Not even all negative weights exclude one: their total is negative too. */
+export function canDrawEndpoint(route: configuration.Route): boolean {
+  // The part of the total that is drawn grows or falls evenly with the draw, so one of both ends returns an endpoint if any draw does.
+  return [0, LARGEST_DRAW].some(
+    draw => drawEndpoint(route, draw) !== undefined,
+  );
+}
+
 /** Returns an endpoint of a route in proportion to its weight; `draw` is a random number between 0 and 1. Undefined when no weight is positive. */
 export function drawEndpoint(
   route: configuration.Route,
--- a/test/gateway/common/configuration_check/configuration_check.test.ts
+++ b/test/gateway/common/configuration_check/configuration_check.test.ts
@@ -76,12 +76,12 @@
   [
     'a split without weight',
     routes({endpoints: [{endpoint: 'ledger', weight: 0}]}),
-    'warning: route "reads": can never reach a service: no weight of its split is above 0',
+    'warning: route "reads": can never reach a service: the weights of its split select none',
   ],
   [
     'a split with a negative weight alone',
     routes({endpoints: [{endpoint: 'ledger', weight: -1}]}),
-    'warning: route "reads": can never reach a service: no weight of its split is above 0',
+    'warning: route "reads": can never reach a service: the weights of its split select none',
   ],
   [
     'a service that does not exist',
@@ -264,7 +264,7 @@
   [3, 1],
   [4, 0],
 ] as const) {
-  // Gateways keep the version in force without a word if the new one is not above it.
+  // Gateways keep the version in force silently if the new one is not above it.
   test(`configuration check: version ${version} after version 3 has ${count} findings`, t => {
     const found = new findings.FindingList(10);
     configurationCheck.checkVersion(
--- a/test/gateway/common/route_index.test.ts
+++ b/test/gateway/common/route_index.test.ts
@@ -88,6 +88,28 @@
   t.is(index.mostUrgentGeneration('other'), Infinity);
 });
 
+test('routes: no draw returns an endpoint exactly if canDrawEndpoint says so, also with negative and infinite weights', t => {
+  const weight = fastCheck.oneof(
+    fastCheck.integer({min: -3, max: 3}),
+    fastCheck.constant(Number.MAX_VALUE),
+  );
+  const draws = Array.from({length: 1_000}, (_, index) => index / 1_000);
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(weight, {maxLength: 5}), weights => {
+      const split = gatewayRecords.route('/', {
+        endpoints: weights.map((each, index) => ({
+          endpoint: `${index}`,
+          weight: each,
+        })),
+      });
+      t.is(
+        routeIndex.canDrawEndpoint(split),
+        draws.some(draw => routeIndex.drawEndpoint(split, draw) !== undefined),
+      );
+    }),
+  );
+});
+
 test('routes: a route is hidden exactly if no path, its own prefix included, is looked up as this route', t => {
   const segment = fastCheck.constantFrom('/', '/a/', '/a/b/', '/ab/', 'a');
   const host = fastCheck.constantFrom('h.example', 'i.example');
