Check: tokens in the place of sections and fractions of tokens

A token before the first section of a declaration file, or as the name of a section, was printed as an unknown key. It is shown as "a key" now, like unknown keys with digits or capitals within sections.

context_tokens and max_outstanding_tokens accepted fractions, which cannot be encoded: BigInt of the latter ended the check with a RangeError and its stack, the former passed the check. Both are refused by the schema, also of apply.

--- a/src/base/node/settings_file.ts
+++ b/src/base/node/settings_file.ts
@@ -22,6 +22,17 @@
     );
 }
 
+/** Schema of a number without fraction in a settings file. */
+export function wholeNumberSetting(
+  minimum: number,
+  maximum: number,
+): zod.ZodType<number, string> {
+  return numberSetting(minimum, maximum).refine(
+    Number.isInteger,
+    `a whole number from ${minimum} to ${maximum}`,
+  );
+}
+
 /** Schema of a boolean in a settings file. */
 export function flagSetting(): zod.ZodType<boolean, boolean | string> {
   return zod.z
--- a/src/tool/declaration_form.ts
+++ b/src/tool/declaration_form.ts
@@ -23,7 +23,7 @@
       for (const {path, message} of checked.error) {
         const [kind = 'file', name, ...keys] = path;
         const text = [...keys.map(shownKey), message].join(': ');
-        found.addError(placeOf(kind, name), text);
+        found.addError(placeOf(shownKey(kind), name), text);
       }
       return neverthrow.ok(undefined);
     } catch (error) {
@@ -129,11 +129,10 @@
 }
 
 function placeOf(kind: string, name: string | undefined): string {
-  const shown = findings.printable(kind);
-  return name === undefined ? shown : `${shown} ${findings.quote(name)}`;
+  return name === undefined ? kind : `${kind} ${findings.quote(name)}`;
 }
 
-/** Returns a key of the file, or a stand-in for text that may be a secret in the place of a key. */
+/** Returns a key of the file, or a stand-in for text that may be a secret in the place of a key. Secrets mostly have digits or capitals. */
 function shownKey(key: string): string {
-  return /^[a-z_0-9]{1,30}$/.test(key) ? key : 'a key';
+  return key === SECRET_KEY || /^[a-z_]{1,30}$/.test(key) ? key : 'a key';
 }
--- a/src/tool/declarations.ts
+++ b/src/tool/declarations.ts
@@ -22,7 +22,7 @@
   .default('');
 
 const modelSchema = zod.z.strictObject({
-  context_tokens: settingsFile.numberSetting(1, 100_000_000),
+  context_tokens: settingsFile.wholeNumberSetting(1, 100_000_000),
   weights_version: zod.z.string().default(''),
   wind_down_at: dateSetting,
 });
@@ -44,7 +44,7 @@
   token_sha256: zod.z
     .string()
     .regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits in lower case'),
-  max_outstanding_tokens: settingsFile.numberSetting(0, 1e12).default(0),
+  max_outstanding_tokens: settingsFile.wholeNumberSetting(0, 1e12).default(0),
   weight: settingsFile.numberSetting(0, 1_000).default(1),
 });
 
--- a/test/support/check_runs.ts
+++ b/test/support/check_runs.ts
@@ -8,7 +8,7 @@
 import * as findings from '../../src/gateway/common/configuration_check/findings';
 import * as checkCommand from '../../src/tool/check_command';
 
-/** Time within which a file of 100,000 routes is checked, "a few seconds" as asked. */
+/** Time within which a file of 100,000 routes is checked: a few seconds. */
 export const LARGE_FILE_MILLISECONDS = 5_000;
 /** Hash of the only token in `declarationText`. */
 export const TOKEN = 'a'.repeat(64);
--- a/test/tool/check_declarations.test.ts
+++ b/test/tool/check_declarations.test.ts
@@ -38,6 +38,30 @@
       'customer "two": a key: unknown key',
     ],
   ],
+  [
+    'with a token before all sections',
+    `sk-secret-1\n${declarationText()}`,
+    ['a key: unknown key'],
+  ],
+  [
+    'with a token of lower-case letters and digits before all sections',
+    `secret1\n${declarationText()}`,
+    ['a key: unknown key'],
+  ],
+  [
+    'with a token as a section',
+    `${declarationText()}\n[sk-secret-1]\na = 1`,
+    ['a key: unknown key'],
+  ],
+  // Numbers with a fraction cannot be encoded; without the check they ended the program with a stack trace.
+  [
+    'with fractions of tokens',
+    `${declarationText()}\nrepeatable = true\n[model.m]\ncontext_tokens = 1.5\n[customer.two]\ntoken_sha256 = ${'b'.repeat(64)}\nmax_outstanding_tokens = 1.5`,
+    [
+      'model "m": context_tokens: expected a whole number from 1 to 100000000',
+      'customer "two": max_outstanding_tokens: expected a whole number from 0 to 1000000000000',
+    ],
+  ],
   [
     'with an unknown key and an unknown kind',
     `${declarationText()}\nrepeatabel = true\n[routes.x]\nmodel = m`,
