Check: paths that no request has follow the HTTP parser

A prefix of an absolute URI or an asterisk was reported as never matching, but gateways match such targets as they are. Prefixes with blanks, control characters or letters beyond ASCII were not reported, though the parser refuses them: of the 256 bytes within a target, node:http accepts 33 to 126.

--- a/src/gateway/common/configuration_check/configuration_check.ts
+++ b/src/gateway/common/configuration_check/configuration_check.ts
@@ -37,6 +37,12 @@
   ): void;
 }
 
+/**
+ * Targets of requests up to the query, which gateways match with routes: a path, an absolute URI or an asterisk. The HTTP
+ * parser refuses characters other than printable ASCII.
+ */
+const REQUEST_PATH = /^(\/|\*|https?:\/\/)[!->@-~]*$/i;
+
 /** Routes that no request reaches, or whose requests reach no service. */
 export class RouteCheck extends ConfigurationCheck {
   check(subject: CheckedConfiguration, found: findings.FindingList): void {
@@ -48,10 +54,7 @@
       );
     }
     for (const route of subject.configuration.routes) {
-      // Gateways match the target of a request up to its query.
-      const isPath =
-        route.pathPrefix.startsWith('/') && !route.pathPrefix.includes('?');
-      if (!isPath) {
+      if (!REQUEST_PATH.test(route.pathPrefix)) {
         found.addWarning(
           routePlaces.of(route),
           `can never match: no path of a request begins with ${findings.quote(route.pathPrefix)}`,
--- a/test/gateway/common/configuration_check/configuration_check.test.ts
+++ b/test/gateway/common/configuration_check/configuration_check.test.ts
@@ -73,11 +73,31 @@
     routes({pathPrefix: '/reads?a/'}),
     'warning: route "reads": can never match: no path of a request begins with "/reads?a/"',
   ],
+  [
+    'a path with a blank at its end',
+    routes({pathPrefix: '/reads/ '}),
+    'warning: route "reads": can never match: no path of a request begins with "/reads/ "',
+  ],
+  [
+    'a path with letters that are not encoded',
+    routes({pathPrefix: '/caf\u00e9/'}),
+    'warning: route "reads": can never match: no path of a request begins with "/caf\u00e9/"',
+  ],
   [
     'a split without weight',
     routes({endpoints: [{endpoint: 'ledger', weight: 0}]}),
     'warning: route "reads": can never reach a service: the weights of its split select none',
   ],
+  [
+    'a split with weights whose total is infinite',
+    routes({
+      endpoints: [
+        {endpoint: 'ledger', weight: Number.MAX_VALUE},
+        {endpoint: 'ledger', weight: Number.MAX_VALUE},
+      ],
+    }),
+    'warning: route "reads": can never reach a service: the weights of its split select none',
+  ],
   [
     'a split with a negative weight alone',
     routes({endpoints: [{endpoint: 'ledger', weight: -1}]}),
@@ -192,6 +212,8 @@
     'the same path at another host',
     routes({}, {name: 'other', host: 'other.example'}),
   ],
+  ['an absolute URI as path', routes({pathPrefix: 'http://h.example/'})],
+  ['the asterisk of OPTIONS as path', routes({pathPrefix: '*'})],
   [
     'a part of a split without weight',
     routes({endpoints: [...ENDPOINTS, {endpoint: 'ledger', weight: 0}]}),
