--- a/src/tool/declarations.ts
+++ b/src/tool/declarations.ts
@@ -22,7 +22,7 @@
   .default('');
 
 const modelSchema = zod.z.strictObject({
-  context_tokens: settingsFile.numberSetting(1, 100_000_000),
+  context_tokens: settingsFile.wholeNumberSetting(1, 100_000_000),
   weights_version: zod.z.string().default(''),
   wind_down_at: dateSetting,
 });
@@ -44,7 +44,7 @@
   token_sha256: zod.z
     .string()
     .regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits in lower case'),
-  max_outstanding_tokens: settingsFile.numberSetting(0, 1e12).default(0),
+  max_outstanding_tokens: settingsFile.wholeNumberSetting(0, 1e12).default(0),
   weight: settingsFile.numberSetting(0, 1_000).default(1),
 });
 
@@ -58,7 +58,15 @@
   deployment: deploymentSchema.optional(),
 });
 
-type DeclarationFile = zod.z.infer<typeof fileSchema>;
+/** Content of a declaration file. */
+export type DeclarationFile = zod.z.infer<typeof fileSchema>;
+
+/** Validates the text of a declaration file. Errors: all places that do not match the schema. */
+export function checkDeclarations(
+  text: string,
+): neverthrow.Result<DeclarationFile, settingsFile.SettingsIssue[]> {
+  return settingsFile.checkSettings(text, fileSchema);
+}
 
 /** Reads and validates a declaration file. Errors: SettingsUnreadable, SettingsInvalid. */
 export function readDeclarations(
@@ -67,7 +75,8 @@
   return settingsFile.readSettings(path, fileSchema).map(toObjects);
 }
 
-function toObjects(file: DeclarationFile): operator.DeclaredObject[] {
+/** Returns the declared objects of a file. */
+export function toObjects(file: DeclarationFile): operator.DeclaredObject[] {
   const objects: operator.DeclaredObject[] = [];
   const add = (
     kind: operator.ObjectKind,
