--- a/src/gateway/common/configuration_check/configuration_check.ts
+++ b/src/gateway/common/configuration_check/configuration_check.ts
@@ -5,6 +5,7 @@
  */
 import * as configuration from '../configuration';
 import * as routeIndex from '../route_index';
+import * as quotedText from '../../../base/common/quoted_text';
 import * as findings from './findings';
 
 /** A configuration with the lookups by which gateways match requests. */
@@ -57,7 +58,7 @@
       if (!REQUEST_PATH.test(route.pathPrefix)) {
         found.addWarning(
           routePlaces.of(route),
-          `can never match: no path of a request begins with ${findings.quote(route.pathPrefix)}`,
+          `can never match: no path of a request begins with ${quotedText.quote(route.pathPrefix)}`,
         );
       }
       this.checkEndpoints(route, subject, found);
@@ -78,7 +79,7 @@
       if (index.findEndpoint(name) === undefined) {
         found.addError(
           routePlaces.of(route),
-          `service ${findings.quote(name)} does not exist`,
+          `service ${quotedText.quote(name)} does not exist`,
         );
       }
     }
@@ -147,7 +148,7 @@
       for (const region of missingRegions(route, ofCustomers)) {
         found.addWarning(
           subject.routePlaces.of(route),
-          `allowed region ${findings.quote(region)} can never be used: no customer allows it`,
+          `allowed region ${quotedText.quote(region)} can never be used: no customer allows it`,
         );
       }
     }
@@ -155,7 +156,7 @@
       for (const region of missingRegions(customer, ofRoutes)) {
         found.addWarning(
           subject.customerPlaces.of(customer),
-          `allowed region ${findings.quote(region)} can never be used: no route that needs a key allows it`,
+          `allowed region ${quotedText.quote(region)} can never be used: no route that needs a key allows it`,
         );
       }
     }
--- a/src/gateway/common/configuration_check/configuration_differences.ts
+++ b/src/gateway/common/configuration_check/configuration_differences.ts
@@ -1,5 +1,6 @@
 /** Describes in words how one configuration differs from another. Keys of customers are counted and never shown. */
 import * as configuration from '../configuration';
+import * as quotedText from '../../../base/common/quoted_text';
 import * as findings from './findings';
 
 /** One difference. */
@@ -88,7 +89,7 @@
   }
   return values.length === 0
     ? 'none'
-    : [...new Set(values)].sort().map(findings.quoteWhole).join(', ');
+    : [...new Set(values)].sort().map(quotedText.quoteWhole).join(', ');
 }
 
 function shares(endpoints: readonly configuration.WeightedEndpoint[]): string {
@@ -96,7 +97,8 @@
     ? 'none'
     : endpoints
         .map(
-          each => `${findings.quoteWhole(each.endpoint)} weight ${each.weight}`,
+          each =>
+            `${quotedText.quoteWhole(each.endpoint)} weight ${each.weight}`,
         )
         .sort()
         .join(', ');
@@ -110,8 +112,8 @@
 }
 
 const ROUTE_PROPERTIES: readonly Property<configuration.Route>[] = [
-  new ShownProperty('host', route => findings.quoteWhole(route.host)),
-  new ShownProperty('path', route => findings.quoteWhole(route.pathPrefix)),
+  new ShownProperty('host', route => quotedText.quoteWhole(route.host)),
+  new ShownProperty('path', route => quotedText.quoteWhole(route.pathPrefix)),
   new ShownProperty('kind', route => route.kind),
   new ShownProperty('timeout', route =>
     milliseconds(route.timeoutMilliseconds),
@@ -135,7 +137,7 @@
 
 const ENDPOINT_PROPERTIES: readonly Property<configuration.Endpoint>[] = [
   new ShownProperty('health path', endpoint =>
-    findings.quoteWhole(endpoint.healthPath),
+    quotedText.quoteWhole(endpoint.healthPath),
   ),
   new ShownProperty('connections', endpoint => `${endpoint.maxConnections}`),
   new ShownProperty(
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -1,6 +1,6 @@
 /** Decodes objects of the metadata store. Unreadable parts are left out; decoding never throws. */
 import * as configuration from '../gateway/common/configuration';
-import * as findings from '../gateway/common/configuration_check/findings';
+import * as quotedText from '../base/common/quoted_text';
 import * as instanceTable from '../gateway/common/instance_table';
 import * as fieldReader from './field_reader';
 
@@ -117,7 +117,7 @@
       const name = text(value.name) ?? text(value.pathPrefix);
       return name === undefined
         ? `${kind} (entry ${index + 1})`
-        : `${kind} ${findings.quote(name)}`;
+        : `${kind} ${quotedText.quote(name)}`;
     };
     const entry = decode(new fieldReader.FieldReader(value, placeOf, onIssue));
     if (entry !== undefined) {
@@ -164,7 +164,7 @@
   const kind = type === undefined ? undefined : REQUEST_KINDS.get(type);
   if (type !== undefined && kind === undefined) {
     reader.report?.(
-      `type: saw ${findings.quote(type)}, expected one of ${KNOWN_KINDS}; the entry is left out`,
+      `type: saw ${quotedText.quote(type)}, expected one of ${KNOWN_KINDS}; the entry is left out`,
     );
   }
   return kind;
--- a/src/tool/declaration_form.ts
+++ b/src/tool/declaration_form.ts
@@ -2,6 +2,7 @@
 import * as neverthrow from 'neverthrow';
 import * as changeSystem from '../decision/common/change_system';
 import * as configurationDifferences from '../gateway/common/configuration_check/configuration_differences';
+import * as quotedText from '../base/common/quoted_text';
 import * as findings from '../gateway/common/configuration_check/findings';
 import * as checkedFile from './checked_file';
 import * as declarations from './declarations';
@@ -47,7 +48,7 @@
     );
     for (const {object, problem} of problems) {
       const kind = declarations.kindName(object.kind);
-      found.addError(placeOf(kind, object.name), findings.printable(problem));
+      found.addError(placeOf(kind, object.name), quotedText.printable(problem));
     }
     const holders = new Map<string, string>();
     for (const [name, customer] of Object.entries(content.customer)) {
@@ -125,11 +126,13 @@
   if (Array.isArray(value)) {
     return value.map(describe).join(', ') || 'nothing';
   }
-  return typeof value === 'string' ? findings.quoteWhole(value) : String(value);
+  return typeof value === 'string'
+    ? quotedText.quoteWhole(value)
+    : String(value);
 }
 
 function placeOf(kind: string, name: string | undefined): string {
-  return name === undefined ? kind : `${kind} ${findings.quote(name)}`;
+  return name === undefined ? kind : `${kind} ${quotedText.quote(name)}`;
 }
 
 /** Returns a key of the file, or a stand-in for text that may be a secret in the place of a key. Secrets mostly have digits or capitals. */
--- a/test/gateway/common/configuration_check/findings.test.ts
+++ b/test/gateway/common/configuration_check/findings.test.ts
@@ -1,5 +1,6 @@
 /** Bounds of what a check prints, and texts of unknown origin in it. */
 import * as ava from 'ava';
+import * as quotedText from '../../../../src/base/common/quoted_text';
 import * as findings from '../../../../src/gateway/common/configuration_check/findings';
 
 const test = ava.default;
@@ -24,7 +25,7 @@
 ] as const) {
   // Names come from files of others; printed as they are, they could rewrite the terminal.
   test(`findings: a name with ${title} is quoted without harm`, t => {
-    t.is(findings.quote(text), expected);
+    t.is(quotedText.quote(text), expected);
   });
 }
 
