Fair admission: causes of three failing tests under shortage

A small customer beside a flood, with digests 0.7 s old: the ceiling of an engine was reduced from 24 slots to 13, because waits inside it were explained by the runs known at sending, without those of peers that became known later; and the gateways' parts of the demand, computed from single late numbers, added up to almost twice the whole while queues grew. The ceiling now uses the most runs known between sending and first event. Even starts use a mean part over 2 s, and each gateway keeps to 1.1 times its part of the places.

Checks beside drafts that fill the memory: drafts that start together fill it for 4 s, in which none ends. Less urgent generations now leave the last room in memory to more urgent ones that wait at peers or arrived lately.

An engine with fewer slots than registered: estimated work was corrected when a generation ended, so the reductions stayed in the 5 s window after the estimates had left it, and the flood counted as a customer without any work. Corrections now go to the time of the start. Aged generations of the flood also held back those of a customer that is behind until its own had aged; these now rank as if they had aged too.

--- a/src/gateway/common/admission/customer_work.ts
+++ b/src/gateway/common/admission/customer_work.ts
@@ -83,11 +83,21 @@
     this.touch(customer, now);
   }
 
-  /** Records work that this gateway has started; negative to correct an estimate. */
+  /** Records work that this gateway has started, as estimated. */
   recordStart(customer: string, work: number, now: number): void {
     this.touch(customer, now).own.add(work, now);
   }
 
+  /** Corrects the estimate of work that was started at the time. The window forgets both together: a reduction that stayed longer than the estimate would make a large customer look as if it got nothing. */
+  recordCorrection(
+    customer: string,
+    difference: number,
+    startedAt: number,
+    now: number,
+  ): void {
+    this.touch(customer, now).own.correct(difference, startedAt, now);
+  }
+
   /** Replaces the work of a peer. */
   setPeerWork(peer: string, relayed: RelayedWork, now: number): void {
     this.peers.set(peer, {work: new Map(relayed.work), at: now});
--- a/src/gateway/common/admission/demand_table.ts
+++ b/src/gateway/common/admission/demand_table.ts
@@ -36,6 +36,11 @@
     this.ownWaiting = counts;
   }
 
+  /** Generations that wait here. */
+  get waitingHere(): number {
+    return sumOf(this.ownWaiting, ([, count]) => count);
+  }
+
   setPeer(peer: string, demand: EndpointDemand, now: number): void {
     this.work.setPeerWork(peer, demand, now);
     const counts = demand.waiting;
@@ -73,7 +78,7 @@
 
   /** Part of the waiting generations of all gateways that wait here, counting one that is about to. */
   ownShare(now: number): number {
-    const own = sumOf(this.ownWaiting, ([, count]) => count) + 1;
+    const own = this.waitingHere + 1;
     return own / (own + this.peersWaiting(now));
   }
 
--- a/src/gateway/common/admission/engine_ceilings.ts
+++ b/src/gateway/common/admission/engine_ceilings.ts
@@ -5,6 +5,8 @@
  * chose.
  */
 
+import * as recentPeaks from './recent_peaks';
+
 /** Weight of one generation in the moving averages. */
 const SAMPLE_WEIGHT = 0.2;
 /** Wait inside an engine that is no reason to send it fewer generations, in milliseconds; about two times the age of a peer's loads. */
@@ -71,6 +73,8 @@
   baseSince: number;
   /** Mean time for which a generation is in the engine, without its wait for a slot; undefined before the first end. */
   served: number | undefined;
+  /** Runs that were known there in the last seconds. */
+  readonly runs: recentPeaks.RecentPeaks;
 }
 
 /** Ceilings of engines by instance id. */
@@ -137,6 +141,11 @@
     return Math.ceil((Math.max(1, most) + missed) * deficit);
   }
 
+  /** Records the runs that are known at the engine. */
+  recordRuns(instanceId: string, runs: number, now: number): void {
+    this.accountOf(instanceId, now).runs.add(runs, now);
+  }
+
   /** Records the time from sending to the first event, without the time to read the prompts ahead. Returns how much of it was spent waiting. */
   recordFirstEvent(
     instanceId: string,
@@ -158,7 +167,9 @@
     account.firstEvent = average(account.firstEvent, milliseconds);
     account.samples++;
     const ceiling = this.ceiling(instanceId, slots, now);
-    const isCrowded = runs >= ceiling * CROWDED_SHARE;
+    // Runs of peers may have become known only after sending; without them, their waits would be put down to missing slots.
+    const mostRuns = Math.max(runs, account.runs.since(sentAt));
+    const isCrowded = mostRuns >= ceiling * CROWDED_SHARE;
     if (
       isCrowded &&
       account.samples >= MIN_SAMPLES &&
@@ -167,7 +178,7 @@
       const wasFull = now - account.rejectedAt < FULL_MEMORY_MILLISECONDS;
       const least =
         Number.isFinite(slots) && !wasFull ? slots * MIN_SLOTS_SHARE : 1;
-      const served = (runs + 1) * servedShare(account);
+      const served = (mostRuns + 1) * servedShare(account);
       this.reduce(account, Math.ceil(Math.max(least, served)), ceiling, now);
     }
     return waited;
@@ -227,6 +238,7 @@
       baseBefore: Infinity,
       baseSince: now,
       served: undefined,
+      runs: new recentPeaks.RecentPeaks(),
     };
     this.accounts.set(instanceId, account);
     if (this.accounts.size > MAX_ENGINES) {
--- a/src/gateway/common/admission/generation_gate.ts
+++ b/src/gateway/common/admission/generation_gate.ts
@@ -4,10 +4,12 @@
  * waits there can no longer be ordered. Stepped by the caller's clock.
  */
 import * as generationQueue from '../generation_queue';
+import * as demandShare from './demand_share';
 import * as demandTable from './demand_table';
 import * as engineCeilings from './engine_ceilings';
 import * as readingBacklog from './reading_backlog';
 import * as roomSplit from './room_split';
+import * as urgentReserve from './urgent_reserve';
 
 /** Longest time for which a generation gives way to peers without pause, in milliseconds: peers start theirs within the age of a load, or cannot. */
 const MAX_YIELD_MILLISECONDS = 450;
@@ -31,6 +33,8 @@
   Peers = 'peers',
   /** The free places are divided among the gateways that see them. */
   Split = 'split',
+  /** More urgent generations would have no room in the memory of any engine. */
+  Reserve = 'reserve',
 }
 
 /** An engine as this gateway sees it. */
@@ -52,6 +56,10 @@
 export interface Places {
   readonly places: number;
   readonly taken: number;
+  /** Places taken by runs of this gateway. */
+  readonly ownRuns: number;
+  /** Memory that is not needed by runs, by engine, in tokens; Infinity if not stated. */
+  readonly freeTokens: ReadonlyMap<string, number>;
   /** Mean time for which a generation has a place; undefined if none has ended yet. */
   readonly servedMilliseconds: number | undefined;
 }
@@ -62,6 +70,8 @@
   readonly customer: string;
   readonly urgency: number;
   readonly promptTokens: number;
+  /** Memory that it is expected to need at its end, in tokens. */
+  readonly memoryTokens: number;
   readonly waitedMilliseconds: number;
   /** Monotonic time of its objective, in milliseconds. */
   readonly objectiveAt: number;
@@ -71,6 +81,8 @@
 
 interface EndpointState {
   readonly split: roomSplit.RoomSplit;
+  readonly share: demandShare.DemandShare;
+  readonly reserve: urgentReserve.UrgentReserve;
   /** Monotonic milliseconds since which generations give way to peers; undefined while none does. */
   yieldingSince: number | undefined;
   /** Monotonic milliseconds at which generations waited here or at peers. */
@@ -92,6 +104,9 @@
     places: () => Places,
     now: number,
   ): HoldReason | undefined {
+    const table = this.demand.of(request.endpoint);
+    const state = this.stateOf(request.endpoint);
+    state.reserve.record(request.urgency, request.memoryTokens, now);
     if (engine.runs <= 0) {
       // An idle engine takes a generation of any size.
       return undefined;
@@ -99,10 +114,14 @@
     if (engine.memoryShare > generationQueue.MAX_MEMORY_SHARE) {
       return HoldReason.Memory;
     }
-    const table = this.demand.of(request.endpoint);
+    this.ceilings.recordRuns(engine.id, engine.runs, now);
+    if (state.share.isDue(now)) {
+      state.share.sample(table.waitingHere, table.peersWaiting(now), now);
+    }
     const deficit = table.work.deficit(request.customer, now);
     return (
       this.checkEngine(request, engine, deficit, now) ??
+      this.checkReserve(request, engine, deficit, places, now) ??
       this.checkPeers(request, deficit, places, now)
     );
   }
@@ -152,6 +171,28 @@
       : undefined;
   }
 
+  /** Less urgent generations leave room for more urgent ones. Not those of customers behind that have waited for long: urgent generations may have taken all memory for themselves. */
+  private checkReserve(
+    {endpoint, urgency, memoryTokens, isAged}: GateRequest,
+    {id}: EngineState,
+    deficit: number,
+    places: () => Places,
+    now: number,
+  ): HoldReason | undefined {
+    if (urgency <= 0 || (isAged && deficit > 0)) {
+      return undefined;
+    }
+    const peersWaiting = this.demand
+      .of(endpoint)
+      .peersAhead(urgency, true, now);
+    const hasRoom = this.stateOf(endpoint).reserve.hasRoom(
+      {urgency, memoryTokens, engineId: id, peersWaiting},
+      () => places().freeTokens,
+      now,
+    );
+    return hasRoom ? undefined : HoldReason.Reserve;
+  }
+
   /** Only for customers that are not behind: those behind are few by definition and go ahead. */
   private checkPeers(
     {endpoint, urgency, isAged}: GateRequest,
@@ -177,12 +218,20 @@
     if (rivals === 0 && !isAged) {
       state.yieldingSince = undefined;
     }
-    const demandShare = table.ownShare(now);
     const freedPerSecond = isUneven ? freedRate(view!) : undefined;
+    const even = freedPerSecond !== undefined && {
+      freedPerSecond,
+      meanShare: state.share.get(gatewayCount),
+    };
     const isWithinSplit =
       isBehind ||
       state.split.mayStart(
-        {...view!, demandShare, gatewayCount, freedPerSecond},
+        {
+          ...view!,
+          demandShare: table.ownShare(now),
+          gatewayCount,
+          even: even || undefined,
+        },
         now,
       );
     return isWithinSplit ? undefined : HoldReason.Split;
@@ -210,6 +259,8 @@
     }
     const state: EndpointState = {
       split: new roomSplit.RoomSplit(),
+      share: new demandShare.DemandShare(),
+      reserve: new urgentReserve.UrgentReserve(),
       yieldingSince: undefined,
       waitedAt: -Infinity,
     };
--- a/src/gateway/common/admission/room_split.ts
+++ b/src/gateway/common/admission/room_split.ts
@@ -12,6 +12,8 @@
 const PERIOD_MILLISECONDS = 100;
 /** Share of the places up to which nothing is divided: there is enough for everybody. */
 export const PLENTY_SHARE = 0.5;
+/** Places that a gateway may take while starts are even, as a share of its part; above 1 because parts are estimates. */
+const PART_SHARE = 1.1;
 
 /** Rate of starts, as a share of the rate at which places become free; above 1 so that none stays free for long. */
 const PACE_SHARE = 1.2;
@@ -22,12 +24,22 @@
 export interface PlacesView {
   readonly places: number;
   readonly taken: number;
+  /** Places taken by runs of this gateway. */
+  readonly ownRuns: number;
   /** Part of the demand of all gateways that arrives at this one, from 0 to 1. */
   readonly demandShare: number;
   /** Gateways, with this one, that have generations at the endpoint. */
   readonly gatewayCount: number;
-  /** Rate at which places become free at all engines, per second; undefined unless starts are to be even. */
-  readonly freedPerSecond: number | undefined;
+  /** Undefined unless starts are to be even. */
+  readonly even: EvenStarts | undefined;
+}
+
+/** What even starts depend on. */
+export interface EvenStarts {
+  /** Rate at which places become free at all engines, per second. */
+  readonly freedPerSecond: number;
+  /** Mean part of the demand of all gateways that arrived at this one, from 0 to 1. */
+  readonly meanShare: number;
 }
 
 /** Starts of one gateway in the present period. */
@@ -39,9 +51,9 @@
 
   /** Whether this gateway may take one more place; does not depend on order or kind. */
   mayStart(view: PlacesView, now: number): boolean {
-    const {places, taken, demandShare, gatewayCount, freedPerSecond} = view;
-    if (freedPerSecond !== undefined) {
-      return this.mayStartEvenly(freedPerSecond * demandShare, now);
+    const {places, taken, demandShare, gatewayCount, even} = view;
+    if (even !== undefined) {
+      return this.mayStartEvenly(even, view, now);
     }
     this.pace = undefined;
     if (gatewayCount <= 1 || taken < places * PLENTY_SHARE) {
@@ -66,8 +78,22 @@
     this.budget++;
   }
 
-  /** Takes a token of the pace; what it is for may still be held back, which costs one start. */
-  private mayStartEvenly(perSecond: number, now: number): boolean {
+  /**
+   * Keeps to the part of this gateway, whose own runs it knows without delay,
+   * unless there is enough for everybody, and takes a token of the pace; what it
+   * is for may still be held back, which costs one start.
+   */
+  private mayStartEvenly(
+    {freedPerSecond, meanShare}: EvenStarts,
+    {places, taken, ownRuns}: PlacesView,
+    now: number,
+  ): boolean {
+    const part = Math.ceil(places * meanShare * PART_SHARE);
+    const isShort = taken >= places * PLENTY_SHARE;
+    if (isShort && ownRuns >= Math.max(1, part)) {
+      return false;
+    }
+    const perSecond = freedPerSecond * meanShare;
     this.pace ??= new rateBucket.RateBucket(now, 1);
     return this.pace.take(1, perSecond * PACE_SHARE, PACE_BURST, now) > 0;
   }
--- a/src/gateway/common/admission/work_window.ts
+++ b/src/gateway/common/admission/work_window.ts
@@ -15,6 +15,21 @@
     this.amounts[this.lastBucket % BUCKET_COUNT] += amount;
   }
 
+  /**
+   * Corrects an amount that was added at the time. If it has left the window,
+   * an increase counts from now on and a reduction is dropped: the sum would be
+   * too low without what is reduced.
+   */
+  correct(amount: number, addedAt: number, now: number): void {
+    this.advance(now);
+    const bucket = Math.floor(addedAt / BUCKET_MILLISECONDS);
+    if (this.lastBucket - bucket < BUCKET_COUNT) {
+      this.amounts[bucket % BUCKET_COUNT] += amount;
+    } else if (amount > 0) {
+      this.amounts[this.lastBucket % BUCKET_COUNT] += amount;
+    }
+  }
+
   sum(now: number): number {
     this.advance(now);
     return this.amounts.reduce((sum, amount) => sum + amount, 0);
--- a/src/gateway/common/generation_queue.ts
+++ b/src/gateway/common/generation_queue.ts
@@ -109,7 +109,9 @@
         each !== entry &&
         each.competitor?.endpoint === entry.competitor?.endpoint,
     );
-    return sorted([...others, entry], now).indexOf(entry);
+    return sorted([...others, entry], now).findIndex(
+      each => each.entry === entry,
+    );
   }
 
   /** Starts, in order, each generation that `tryStart` accepts, and refuses those that are too late. */
@@ -117,17 +119,17 @@
     const started: T[] = [];
     const refused: T[] = this.displaced.splice(0);
     const blockedRanks = new Map<string, number>();
-    for (const entry of sorted(this.waiting, now)) {
+    for (const {entry, rank} of sorted(this.waiting, now)) {
       const endpoint = entry.competitor?.endpoint ?? '';
       const blockedRank = blockedRanks.get(endpoint) ?? Infinity;
       if (now > latestStart(entry)) {
         refused.push(entry);
-      } else if (rankOf(entry, now) <= blockedRank && tryStart(entry)) {
+      } else if (rank <= blockedRank && tryStart(entry)) {
         started.push(entry);
       } else {
         // Less urgent generations must not take the room that this one waits for.
-        const rank = blocksAll(entry, now) ? -Infinity : rankOf(entry, now);
-        blockedRanks.set(endpoint, Math.min(blockedRank, rank));
+        const blocked = blocksAll(entry, now) ? -Infinity : rank;
+        blockedRanks.set(endpoint, Math.min(blockedRank, blocked));
       }
     }
     [...started, ...refused].forEach(entry => this.remove(entry));
@@ -150,6 +152,7 @@
     }
     return sorted(this.waiting, entry.arrivedAt)
       .reverse()
+      .map(({entry: each}) => each)
       .find(({competitor}) => counts.get(competitor?.customer ?? '') === most);
   }
 }
@@ -159,15 +162,55 @@
   return entry.competitor?.lacksRoom === true && isAged(entry, now);
 }
 
+/**
+ * Least urgent of the aged generations, by endpoint. Generations of customers
+ * behind the largest one that are as urgent or more rank as if they had aged:
+ * ageing goes ahead of more urgent arrivals, not of those customers.
+ */
+function agedUrgencies(
+  waiting: readonly WaitingGeneration[],
+  now: number,
+): ReadonlyMap<string, number> {
+  const urgencies = new Map<string, number>();
+  for (const entry of waiting) {
+    const {competitor, urgency} = entry;
+    if (competitor !== undefined && isAged(entry, now)) {
+      const known = urgencies.get(competitor.endpoint) ?? -Infinity;
+      urgencies.set(competitor.endpoint, Math.max(known, urgency));
+    }
+  }
+  return urgencies;
+}
+
+/** Whether the generation's customer is behind and a generation that is no more urgent has aged. */
+function isLifted(
+  {competitor, urgency}: WaitingGeneration,
+  aged: ReadonlyMap<string, number>,
+  now: number,
+): boolean {
+  return (
+    competitor !== undefined &&
+    urgency <= (aged.get(competitor.endpoint) ?? -Infinity) &&
+    competitor.work.deficit(competitor.customer, now) > 0
+  );
+}
+
+/** A generation and its urgency with ageing. */
+interface Ranked<T> {
+  readonly entry: T;
+  readonly rank: number;
+}
+
 /** Sorts by rank, then by the work of the customers, then by arrival. */
 function sorted<T extends WaitingGeneration>(
   waiting: readonly T[],
   now: number,
-): T[] {
+): Ranked<T>[] {
+  const aged = agedUrgencies(waiting, now);
   const byArrival = waiting
     .map(entry => ({
       entry,
-      rank: rankOf(entry, now),
+      rank: isLifted(entry, aged, now) ? 0 : rankOf(entry, now),
       since: entry.competitor?.firstArrivedAt ?? entry.arrivedAt,
       rate: 0,
     }))
@@ -185,12 +228,10 @@
       ahead.set(key, workAhead + expectedWork);
     }
   }
-  return byArrival
-    .sort(
-      (left, right) =>
-        left.rank - right.rank ||
-        left.rate - right.rate ||
-        left.since - right.since,
-    )
-    .map(({entry}) => entry);
+  return byArrival.sort(
+    (left, right) =>
+      left.rank - right.rank ||
+      left.rate - right.rate ||
+      left.since - right.since,
+  );
 }
--- a/src/gateway/common/run_table.ts
+++ b/src/gateway/common/run_table.ts
@@ -55,6 +55,12 @@
   get(instanceId: string): InstanceLoad | undefined;
 }
 
+/** Loads, with those of this gateway apart. */
+export interface GatewayLoadView extends LoadView {
+  /** Number of runs of this gateway at the instance. */
+  ownRuns(instanceId: string): number;
+}
+
 /** Memory that the run is expected to need at its end, in tokens. */
 export function expectedFinalMemory(run: Run): number {
   const generated = run.eventsDelivered * run.tokensPerEvent;
@@ -158,9 +164,10 @@
   }
 
   /** Loads of all instances from the runs of this gateway and the reports of its peers. */
-  view(): LoadView {
+  view(): GatewayLoadView {
     const own = this.ownLoads();
     return {
+      ownRuns: instanceId => own[instanceId]?.runs ?? 0,
       get: instanceId => {
         const ownLoad = own[instanceId];
         const peerLoad = this.peerTotals.get(instanceId);
--- a/src/gateway/node/engine_places.ts
+++ b/src/gateway/node/engine_places.ts
@@ -14,6 +14,10 @@
 export interface KnownPlaces {
   readonly places: number;
   taken: number;
+  /** Places taken by runs of this gateway. */
+  ownRuns: number;
+  /** Memory that is not needed by runs, by engine, in tokens; Infinity if not stated. */
+  readonly freeTokens: Map<string, number>;
   /** Mean time for which a generation is in an engine; undefined if none has ended yet. */
   readonly servedMilliseconds: number | undefined;
   readonly at: number;
@@ -34,10 +38,14 @@
     private readonly ceilings: engineCeilings.EngineCeilings,
   ) {}
 
-  recordStart(endpoint: string): void {
+  /** Records that a generation of the size, in tokens, was started at the engine. */
+  recordStart(endpoint: string, engineId: string, size: number): void {
     const known = this.known.get(endpoint);
     if (known !== undefined) {
+      const {freeTokens} = known;
       known.taken++;
+      known.ownRuns++;
+      freeTokens.set(engineId, (freeTokens.get(engineId) ?? 0) - size);
     }
   }
 
@@ -49,7 +57,7 @@
   get(
     call: callContext.AcceptedCall,
     size: number,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
   ): KnownPlaces {
     const known = this.known.get(call.endpointName);
@@ -61,6 +69,8 @@
     const served: number[] = [];
     let places = 0;
     let taken = 0;
+    let ownRuns = 0;
+    const freeTokens = new Map<string, number>();
     for (const instance of this.follower.instances.forEndpoint(
       call.endpointName,
     )) {
@@ -75,6 +85,8 @@
       const inMemory = Math.floor(usableTokens / Math.max(1, meanSize));
       places += Math.max(1, Math.min(ceiling, inMemory));
       taken += load?.runs ?? 0;
+      ownRuns += loads.ownRuns(id);
+      freeTokens.set(id, usableTokens - (load?.memoryTokens ?? 0));
       const milliseconds = this.ceilings.servedMilliseconds(id);
       if (milliseconds !== undefined) {
         served.push(milliseconds);
@@ -84,7 +96,14 @@
       served.length === 0
         ? undefined
         : served.reduce((sum, each) => sum + each, 0) / served.length;
-    const result: KnownPlaces = {places, taken, servedMilliseconds, at: now};
+    const result: KnownPlaces = {
+      places,
+      taken,
+      ownRuns,
+      freeTokens,
+      servedMilliseconds,
+      at: now,
+    };
     this.known.set(call.endpointName, result);
     return result;
   }
--- a/src/gateway/node/generation_admission.ts
+++ b/src/gateway/node/generation_admission.ts
@@ -102,7 +102,7 @@
   private check(
     waiting: waitingCall.WaitingCall,
     {instance, memoryShare}: placement.GenerationChoice,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
   ): generationGate.HoldReason | undefined {
     const {competitor, context} = waiting;
@@ -121,6 +121,7 @@
         customer: competitor.customer,
         urgency: waiting.urgency,
         promptTokens: context.call.caller.promptTokens,
+        memoryTokens: waitingCall.sizeOf(waiting),
         waitedMilliseconds: now - waiting.arrivedAt,
         objectiveAt: waiting.arrivedAt + waiting.objectiveMilliseconds,
         isAged: generationQueue.isAged(waiting, now),
@@ -145,7 +146,7 @@
   /** Lets `find` choose among the engines that are not barred, until one has room. */
   findRoom(
     waiting: waitingCall.WaitingCall,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
     barred: ReadonlySet<string>,
     find: (full: ReadonlySet<string>) => placement.GenerationChoice | undefined,
@@ -173,7 +174,7 @@
     waiting: waitingCall.WaitingCall,
     run: runTable.Run,
     instance: instanceTable.Instance,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
   ): void {
     const {competitor} = waiting;
@@ -199,7 +200,11 @@
     const {work, customer, expectedWork} = competitor;
     work.recordStart(customer, expectedWork, now);
     this.gate.recordStart(competitor.endpoint);
-    this.places.recordStart(competitor.endpoint);
+    this.places.recordStart(
+      competitor.endpoint,
+      id,
+      waitingCall.sizeOf(waiting),
+    );
   }
 
   /** Lets one run take the place of another one of the same generation. */
@@ -240,7 +245,7 @@
     const served = now - sentAt - (waitedMilliseconds ?? 0);
     const {work, customer, cost, expectedWork} = started.competitor;
     const actualWork = customerWork.workOf(cost, served);
-    work.recordStart(customer, actualWork - expectedWork, now);
+    work.recordCorrection(customer, actualWork - expectedWork, sentAt, now);
     // A run that was moved has been in several engines.
     if (waitedMilliseconds !== undefined && instanceId === run.instanceId) {
       this.gate.ceilings.recordEnd(instanceId, served, now);
@@ -248,15 +253,18 @@
   }
 
   /** Records that the engine turned the run away; returns whether other runs there may be the reason. */
-  recordTurnedAway(run: runTable.Run, loads: runTable.LoadView): boolean {
+  recordTurnedAway(
+    run: runTable.Run,
+    loads: runTable.GatewayLoadView,
+  ): boolean {
     const started = this.started.get(run);
     if (started === undefined) {
       return false;
     }
     this.started.delete(run);
-    const {instanceId, slots, competitor} = started;
+    const {instanceId, slots, sentAt, competitor} = started;
     const {work, customer, expectedWork} = competitor;
-    work.recordStart(customer, -expectedWork, performance.now());
+    work.recordCorrection(customer, -expectedWork, sentAt, performance.now());
     const others = (loads.get(instanceId)?.runs ?? 1) - 1;
     if (others <= 0) {
       return false;
@@ -355,6 +363,6 @@
 
 /** Whether another engine may have room. */
 function isOfEngine(held: generationGate.HoldReason): boolean {
-  const {Peers, Split} = generationGate.HoldReason;
-  return held !== Peers && held !== Split;
+  const {Memory, Slots, Prompts, EngineQueue} = generationGate.HoldReason;
+  return [Memory, Slots, Prompts, EngineQueue].includes(held);
 }
--- a/src/gateway/node/generation_refusals.ts
+++ b/src/gateway/node/generation_refusals.ts
@@ -46,7 +46,7 @@
   findForecast(
     waiting: waitingCall.WaitingCall,
     queue: generationQueue.GenerationQueue<waitingCall.WaitingCall>,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
   ): Refusal | undefined {
     const {competitor} = waiting;
@@ -72,7 +72,7 @@
     waiting: waitingCall.WaitingCall,
     reason: RefusalReason,
     queue: generationQueue.GenerationQueue<waitingCall.WaitingCall>,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
   ): Refusal | undefined {
     this.metrics.refusedGenerations.inc({reason});
@@ -135,7 +135,7 @@
 
   private placesFor(
     waiting: waitingCall.WaitingCall,
-    loads: runTable.LoadView,
+    loads: runTable.GatewayLoadView,
     now: number,
   ): enginePlaces.KnownPlaces {
     const {call} = waiting.context;
--- a/src/gateway/node/generation_scheduler.ts
+++ b/src/gateway/node/generation_scheduler.ts
@@ -223,9 +223,10 @@
   }
 
   /** Loads as accounted for by the gateways, with memory raised to at least what engines report. */
-  private loads(now: number): runTable.LoadView {
+  private loads(now: number): runTable.GatewayLoadView {
     const view = this.runs.view();
     return {
+      ownRuns: id => view.ownRuns(id),
       get: id => {
         const load = view.get(id);
         const report = load && this.reports.get(id, now);
--- a/src/gateway/node/waiting_calls.ts
+++ b/src/gateway/node/waiting_calls.ts
@@ -1,4 +1,5 @@
 /** Generations of callers that wait for room at an engine. */
+import * as generationGate from '../common/admission/generation_gate';
 import * as generationQueue from '../common/generation_queue';
 import * as instanceTable from '../common/instance_table';
 import * as runTable from '../common/run_table';
@@ -37,7 +38,7 @@
 
   constructor(
     private readonly admission: generationAdmission.GenerationAdmission,
-    private readonly loads: () => runTable.LoadView,
+    private readonly loads: () => runTable.GatewayLoadView,
     private readonly tryPlace: (
       waiting: waitingCall.WaitingCall,
     ) => PlacementResult | undefined,
@@ -74,6 +75,9 @@
     }
     const results = new Map<QueuedCall, PlacementResult>();
     const failures = new Map<string, number>();
+    // Urgency from which a customer's generations leave room for more urgent ones; the others of a step have no more room than the first.
+    const reserved = new Map<string, number>();
+    const {Reserve} = generationGate.HoldReason;
     const {started, refused} = this.queue.step(performance.now(), waiting => {
       if (waiting.context.isOver) {
         return true;
@@ -84,11 +88,18 @@
       if (failed >= MAX_FAILED_ATTEMPTS) {
         return false;
       }
+      const customerKey = `${key}\n${waiting.competitor?.customer ?? ''}`;
+      if (waiting.urgency >= (reserved.get(customerKey) ?? Infinity)) {
+        waiting.heldBy = Reserve;
+        return false;
+      }
       const result = this.tryPlace(waiting);
       if (result !== undefined) {
         results.set(waiting, result);
       } else if (waiting.competitor?.lacksRoom === true) {
         failures.set(key, failed + 1);
+      } else if (waiting.heldBy === Reserve) {
+        reserved.set(customerKey, waiting.urgency);
       }
       return result !== undefined;
     });
--- a/test/support/simulated_admission.ts
+++ b/test/support/simulated_admission.ts
@@ -188,7 +188,7 @@
   }
 
   private placesOf(
-    {gate}: Gateway,
+    gateway: Gateway,
     {competitor}: Waiting,
     view: Omit<Digest, 'demand'>,
   ): generationGate.Places {
@@ -199,10 +199,13 @@
         ? promptTokens + expectedTokens
         : view.memoryTokens / view.runs;
     const usableTokens = capacityTokens * generationQueue.MAX_MEMORY_SHARE;
+    const freeTokens = usableTokens - view.memoryTokens;
     return {
       places: Math.min(slots, Math.floor(usableTokens / meanSize)),
       taken: view.runs,
-      servedMilliseconds: gate.ceilings.servedMilliseconds(ENGINE),
+      ownRuns: this.ownLoad(gateway).runs,
+      freeTokens: new Map([[ENGINE, freeTokens]]),
+      servedMilliseconds: gateway.gate.ceilings.servedMilliseconds(ENGINE),
     };
   }
 
@@ -246,6 +249,7 @@
         customer: competitor!.customer,
         urgency: waiting.urgency,
         promptTokens,
+        memoryTokens: promptTokens + expectedTokens,
         waitedMilliseconds: this.now - arrivedAt,
         objectiveAt: arrivedAt + waiting.objectiveMilliseconds,
         isAged: generationQueue.isAged(waiting, this.now),
