--- a/src/gateway/common/generation_queue.ts
+++ b/src/gateway/common/generation_queue.ts
@@ -182,6 +182,16 @@
   return urgencies;
 }
 
+/** Urgency with ageing, its own and that of others. */
+function rankWith(
+  aged: ReadonlyMap<string, number>,
+  entry: WaitingGeneration,
+  now: number,
+): number {
+  const rank = rankOf(entry, now);
+  return rank > 0 && isLifted(entry, aged, now) ? 0 : rank;
+}
+
 /** Whether the generation's customer is behind and a generation that is no more urgent has aged. */
 function isLifted(
   {competitor, urgency}: WaitingGeneration,
@@ -210,7 +220,7 @@
   const byArrival = waiting
     .map(entry => ({
       entry,
-      rank: isLifted(entry, aged, now) ? 0 : rankOf(entry, now),
+      rank: rankWith(aged, entry, now),
       since: entry.competitor?.firstArrivedAt ?? entry.arrivedAt,
       rate: 0,
     }))
