--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -108,7 +108,7 @@
     this.runs.set(attempt, runs);
   }
 
-  /** Records the start of a fault at one gateway, or at all of them when `gateway` is undefined. The returned function records the end of the fault. */
+  /** Records the start of a fault at the gateway; undefined stands for all gateways. Call the returned function when the fault ends. */
   beginFault(gateway: string | undefined, at: number): (at: number) => void {
     const range: TimeRange = {from: at, to: Infinity};
     this.faults.push({gateway, range});
--- a/src/gateway/common/admission/room_split.ts
+++ b/src/gateway/common/admission/room_split.ts
@@ -36,7 +36,7 @@
 
 /** What even starts depend on. */
 export interface EvenStarts {
-  /** Rate at which places become free at all engines, per second. */
+  /** Places that become free per second, summed over all engines. */
   readonly freedPerSecond: number;
   /** Mean part of the demand of all gateways that arrived at this one, from 0 to 1. */
   readonly meanShare: number;
--- a/src/gateway/common/speeds/service_meter.ts
+++ b/src/gateway/common/speeds/service_meter.ts
@@ -1,6 +1,7 @@
 /**
  * Measures how long an instance of a plain service takes to answer. Meant for
- * services whose instances differ, with single slow answers at all of them.
+ * services whose instances have different speeds, and each of which gives an
+ * occasional slow answer.
  */
 
 /** Answers that an estimate covers. */
--- a/src/gateway/common/versions/endpoint_versions.ts
+++ b/src/gateway/common/versions/endpoint_versions.ts
@@ -77,7 +77,7 @@
       const leftAt = now - Math.max(0, unixNow - (at ?? unixNow));
       versions.set(version, Math.max(versions.get(version) ?? leftAt, leftAt));
     }
-    // Unix times of other gateways may be off by seconds, which is little against the lifetime of streams.
+    // Clock skew between gateways is a few seconds at most, short compared with the time for which versions are kept.
     this.completeSince.set(
       endpoint,
       record.completeSince === 0
--- a/src/gateway/node/generation_refusals.ts
+++ b/src/gateway/node/generation_refusals.ts
@@ -128,7 +128,7 @@
       taken: places.taken,
       servedMilliseconds: places.servedMilliseconds,
       ahead: queue.countAhead(waiting, now),
-      // Those behind start before the others at all gateways.
+      // Every gateway starts the generations of customers that are behind first, so those do not divide the places by demand.
       share: isBehind ? 1 : this.demand.of(endpoint).ownShare(now),
     });
   }
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -189,7 +189,7 @@
     return isOver ? undefined : callContext.RetryReason.MayHaveRun;
   }
 
-  /** Records that the instance did not run the request; one that says when to come back is avoided until then anyway. */
+  /** Records that the instance did not run the request. One that sent a `Retry-After` is avoided by its back-off instead. */
   private recordRejection(instance: instanceTable.Instance, now: number): void {
     if (!this.context.isInBackOff(instance)) {
       instanceTable.recordRejection(instance, now);
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -247,7 +247,7 @@
     services.metrics.sends.inc({outcome: end});
     const isRejected =
       end === SegmentEnd.NotRun && this.segment!.error === undefined;
-    // An instance that says when to come back is avoided until then anyway.
+    // An instance that sent a `Retry-After` is avoided by its back-off instead.
     if (!isRejected || !context.isInBackOff(instance)) {
       streamOutcome.recordStreamOutcome(
         instance,
--- a/test/gateway/all_killed.test.ts
+++ b/test/gateway/all_killed.test.ts
@@ -91,7 +91,7 @@
   });
 }
 
-/** Resumes a stream at the other gateway; comes back as long as the answer asks to come back soon. */
+/** Resumes a stream at the other gateway; retries while the answer is 503 with a `Retry-After` below one second. */
 async function resume(
   fleet: gatewayFleet.GatewayFleet,
   {attempt}: BegunStream,
--- a/test/gateway/back_offs.test.ts
+++ b/test/gateway/back_offs.test.ts
@@ -1,4 +1,4 @@
-/** Instances that turn requests away and say when to come back. */
+/** Instances that refuse requests with 503 and a `Retry-After`. */
 import * as ava from 'ava';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
