Store client: one function reads the pages of a list; an unused time limit of plain calls is removed

Lists of instances and of evacuations repeated the same loop. The time limit for one instance was not applied. Behaviour is unchanged; metadata_store, calls and evacuation_follower pass (46 tests).

--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -13,10 +13,6 @@
 
 const {SendError} = instanceClient;
 
-/** Minimum time limit for an instance if the call may be retried, in multiples of the route's objective. */
-const INSTANCE_TIMEOUT_OBJECTIVES = 2;
-/** Share of the remaining time that an instance may use if the call may be retried and this is longer. */
-const INSTANCE_TIMEOUT_SHARE = 0.4;
 /** Retry delay if no instance accepts the call, in seconds. */
 const NO_INSTANCE_RETRY_SECONDS = 0.25;
 
@@ -196,24 +192,6 @@
     }
   }
 
-  /**
-   * Time limit for one instance, in milliseconds: if the call may be retried, a
-   * silent instance must leave time for another. Not applied at present: `sendTo`
-   * waits for all of the remaining time.
-   */
-  private instanceTimeout(): number {
-    const {context} = this;
-    const left = Math.max(0, context.remainingMilliseconds);
-    const canRepeat =
-      context.isRetryable &&
-      context.sendsThatMayHaveRun < context.call.route.attempts;
-    const first =
-      context.call.route.objectiveMilliseconds * INSTANCE_TIMEOUT_OBJECTIVES;
-    return canRepeat
-      ? Math.min(left, Math.max(first, left * INSTANCE_TIMEOUT_SHARE))
-      : left;
-  }
-
   private conclude(
     outcome: plainSend.SendOutcome,
     retryReason: callContext.RetryReason | undefined,
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -66,30 +66,13 @@
   async listInstances(): stateSource.SourceResult<
     stateSource.Snapshot<instanceTable.InstanceRecord[]>
   > {
-    const records: instanceTable.InstanceRecord[] = [];
-    let query = '';
-    for (;;) {
-      const path = `/objects/${wireNames.Kinds.instances}${query}`;
-      const read = await this.call(
-        'list',
-        path,
-        storeConnection.CALL_TIMEOUT_MILLISECONDS,
-      );
-      if (read.isErr()) {
-        return neverthrow.err(read.error);
-      }
-      const page = decodePage(read.value);
-      records.push(
-        ...page.objects
-          .map(objectCodec.decodeInstance)
-          .filter(record => record !== undefined),
-      );
-      if (!page.hasMore || page.lastName === undefined) {
-        return neverthrow.ok({revision: page.revision, value: records});
-      }
-      // The parameter is named after a revision, but lists continue from an object's name.
-      query = `?sinceRev=${encodeURIComponent(page.lastName)}`;
-    }
+    const listed = await this.listPages(wireNames.Kinds.instances, false);
+    return listed.map(({revision, objects}) => ({
+      revision: revision.last,
+      value: objects
+        .map(objectCodec.decodeInstance)
+        .filter(record => record !== undefined),
+    }));
   }
 
   async watchInstances(
@@ -110,31 +93,12 @@
   async listEvacuations(): stateSource.SourceResult<
     stateSource.Snapshot<string[]>
   > {
-    const names: string[] = [];
-    let revision: number | undefined;
-    let query = '';
-    for (;;) {
-      const path = `/objects/${wireNames.Kinds.evacuations}${query}`;
-      const read = await this.call(
-        'list',
-        path,
-        storeConnection.CALL_TIMEOUT_MILLISECONDS,
-      );
-      if (read.isErr()) {
-        return neverthrow.err(read.error);
-      }
-      if (!isWholeList(read.value)) {
-        return neverthrow.err(stateSource.SourceError.Malformed);
-      }
-      const page = decodePage(read.value);
+    const listed = await this.listPages(wireNames.Kinds.evacuations, true);
+    return listed.map(({revision, objects}) => ({
       // Changes between two pages are among those that a watch from the first page returns.
-      revision ??= page.revision;
-      names.push(...page.objects.map(each => each.name));
-      if (!page.hasMore || page.lastName === undefined) {
-        return neverthrow.ok({revision, value: names});
-      }
-      query = `?sinceRev=${encodeURIComponent(page.lastName)}`;
-    }
+      revision: revision.first,
+      value: objects.map(each => each.name),
+    }));
   }
 
   async watchEvacuations(
@@ -166,6 +130,40 @@
     this.connection.dispose();
   }
 
+  /** Reads all pages of a list; `isStrict` to fail if an entry cannot be decoded rather than to leave it out. */
+  private async listPages(
+    kind: string,
+    isStrict: boolean,
+  ): stateSource.SourceResult<PageList> {
+    const objects: objectCodec.StoredObject[] = [];
+    let first: number | undefined;
+    let query = '';
+    for (;;) {
+      const read = await this.call(
+        'list',
+        `/objects/${kind}${query}`,
+        storeConnection.CALL_TIMEOUT_MILLISECONDS,
+      );
+      if (read.isErr()) {
+        return neverthrow.err(read.error);
+      }
+      if (isStrict && !isWholeList(read.value)) {
+        return neverthrow.err(stateSource.SourceError.Malformed);
+      }
+      const page = decodePage(read.value);
+      first ??= page.revision;
+      objects.push(...page.objects);
+      if (!page.hasMore || page.lastName === undefined) {
+        return neverthrow.ok({
+          objects,
+          revision: {first, last: page.revision},
+        });
+      }
+      // The parameter is named after a revision, but lists continue from an object's name.
+      query = `?sinceRev=${encodeURIComponent(page.lastName)}`;
+    }
+  }
+
   private async watch(
     kind: string,
     revision: number,
@@ -234,6 +232,13 @@
   );
 }
 
+/** All pages of a list. */
+interface PageList {
+  readonly objects: objectCodec.StoredObject[];
+  /** Revisions of the first and the last page. */
+  readonly revision: {readonly first: number; readonly last: number};
+}
+
 /** One page of a list. */
 export interface Page {
   readonly objects: objectCodec.StoredObject[];
