Gateway: repeated sends and the retry budget that is left are logged and counted

Cause: no line or metric named the budget, the gateways that share it, or the sends that take nothing from it, so that the hypotheses of the incident could not be told apart. Each gateway writes a line a second for each endpoint with repeats, and counts the same events in a metric. Behaviour is unchanged; retry_limiter, calls and hedging pass.

--- a/src/gateway/common/retry_limiter.ts
+++ b/src/gateway/common/retry_limiter.ts
@@ -38,18 +38,22 @@
 
   /** Takes one retry from the share of one of `gateways` gateways; returns false when the share is used up. */
   tryAcquire(endpoint: string, gateways: number, now: number): boolean {
-    const window = this.windowOf(endpoint);
-    const {requests, extraSends} = window.totals(now);
-    const share =
-      this.policy.allowance / Math.max(1, gateways) +
-      this.policy.ratio * requests;
-    if (extraSends + 1 > share * (1 - SAFETY_SHARE)) {
+    if (this.left(endpoint, gateways, now) < 1) {
       return false;
     }
-    window.addExtraSend(now);
+    this.windowOf(endpoint).addExtraSend(now);
     return true;
   }
 
+  /** Retries left in the share of one of `gateways` gateways; not a whole number. */
+  left(endpoint: string, gateways: number, now: number): number {
+    const {requests, extraSends} = this.windowOf(endpoint).totals(now);
+    const share =
+      this.policy.allowance / Math.max(1, gateways) +
+      this.policy.ratio * requests;
+    return share * (1 - SAFETY_SHARE) - extraSends;
+  }
+
   private windowOf(endpoint: string): slidingCounts.SlidingCounts {
     const window =
       this.windows.get(endpoint) ??
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -7,6 +7,7 @@
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
+import * as retryUsage from '../common/retry_usage';
 import * as callerAnswer from './caller_answer';
 import * as gatewayServices from './gateway_services';
 
@@ -128,6 +129,13 @@
     if (services.limits.get(life) !== undefined) {
       services.limitUsage.recordSend(life, this.sends > 0);
     }
+    if (this.sends > 0) {
+      this.recordRepeat(
+        options.continuation === undefined
+          ? retryUsage.RepeatEvent.Sent
+          : retryUsage.RepeatEvent.Continued,
+      );
+    }
     this.sends++;
     const exchange = services.client.send(instance, {
       caller: call.caller,
@@ -203,16 +211,25 @@
       reason === RetryReason.NotRun
         ? this.rejectedSends < MAX_REJECTED_SENDS
         : this.isRetryable && this.possibleRuns < this.call.route.attempts;
-    const now = performance.now();
-    return (
-      isAllowed &&
-      !this.isOver &&
-      this.services.retries.tryAcquire(
-        this.call.endpointName,
-        this.services.members.gatewayCount(),
-        now,
-      )
+    return isAllowed && !this.isOver && this.chargeRetry();
+  }
+
+  private chargeRetry(): boolean {
+    const {retries, members} = this.services;
+    const {RepeatEvent} = retryUsage;
+    const isCharged = retries.tryAcquire(
+      this.call.endpointName,
+      members.gatewayCount(),
+      performance.now(),
     );
+    this.recordRepeat(isCharged ? RepeatEvent.Charged : RepeatEvent.Denied);
+    return isCharged;
+  }
+
+  /** Counts an event of a repeated send. */
+  recordRepeat(event: retryUsage.RepeatEvent): void {
+    this.services.metrics.repeats.inc({event});
+    this.services.retryUsage.record(this.call.endpointName, event);
   }
 
   /** Records the loss of an instance as caused by the request; not to be called for an instance that was about to leave. */
--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -19,6 +19,7 @@
 import * as limitUsage from '../common/limits/limit_usage';
 import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
+import * as retryUsage from '../common/retry_usage';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
@@ -201,6 +202,7 @@
     }),
     limitUsage: new limitUsage.LimitUsage(),
     retries: gatewayPolicies.createRetryLimiter(settings),
+    retryUsage: new retryUsage.RetryUsage(),
     hedges: gatewayPolicies.createHedgePolicy(settings),
     buffers: gatewayPolicies.createDeliveryBuffers(settings),
     members,
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -17,6 +17,7 @@
   readonly sends: promClient.Counter<'outcome'>;
   readonly instanceStates: promClient.Counter<'state'>;
   readonly unreadableStatements: promClient.Counter<'part'>;
+  readonly repeats: promClient.Counter<'event'>;
   readonly hedges: promClient.Counter<'outcome'>;
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
@@ -66,6 +67,11 @@
       'Statements of instances in answers that could not be read, by part',
       ['part'],
     );
+    this.repeats = registry.counter(
+      'rhubarbvane_gateway_repeats_total',
+      'Requests sent to a further instance, and decisions about them, by event',
+      ['event'],
+    );
     this.hedges = registry.counter(
       'rhubarbvane_gateway_hedges_total',
       'Second sends of calls that were not answered in the usual time, by outcome',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -15,6 +15,7 @@
 import * as limitLog from './limits/limit_log';
 import * as observabilityServer from './observability_server';
 import * as requestHandler from './request_handler';
+import * as retryLog from './retry_log';
 import * as stateFollower from './state_follower';
 
 /** Time after the stop signal during which the load balancer still sends new connections, in milliseconds. */
@@ -154,6 +155,7 @@
         log,
       ),
     );
+    this.disposables.add(new retryLog.RetryLog(this.services));
     promptParts.onDidUnblock.subscribe(part =>
       log.write('prompt-part-unblocked', {part}, true),
     );
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -13,6 +13,7 @@
 import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as retryLimiter from '../common/retry_limiter';
+import * as retryUsage from '../common/retry_usage';
 import * as runTable from '../common/run_table';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as tokenPace from '../common/token_pace';
@@ -48,6 +49,7 @@
   readonly limitUsage: limitUsage.LimitUsage;
   readonly origins: streamOrigins.StreamOrigins;
   readonly retries: retryLimiter.RetryLimiter;
+  readonly retryUsage: retryUsage.RetryUsage;
   /** Undefined if calls are not hedged. */
   readonly hedges: hedgePolicy.HedgePolicy | undefined;
   /** Undefined if instances are read only as fast as their callers read. */
--- /dev/null
+++ b/src/gateway/node/retry_log.ts
@@ -0,0 +1,48 @@
+/** Logs the repeated sends of this gateway, and what is left of its share of the retry budget. */
+import * as disposable from '../../base/common/disposable';
+import * as retryUsage from '../common/retry_usage';
+import * as gatewayServices from './gateway_services';
+
+/** Interval of the lines, in milliseconds; a fraction of the usual window of the budget. */
+const USAGE_INTERVAL_MILLISECONDS = 1_000;
+
+const {RepeatEvent} = retryUsage;
+
+/** Writes a line for each endpoint with repeated sends. */
+export class RetryLog implements disposable.Disposable {
+  private readonly timer: disposable.Disposable;
+
+  constructor(
+    private readonly services: Pick<
+      gatewayServices.GatewayServices,
+      'log' | 'members' | 'retries' | 'retryUsage'
+    >,
+  ) {
+    this.timer = disposable.every(USAGE_INTERVAL_MILLISECONDS, () =>
+      this.logUsage(),
+    );
+  }
+
+  dispose(): void {
+    this.timer.dispose();
+  }
+
+  private logUsage(): void {
+    const {log, members, retries, retryUsage: usage} = this.services;
+    const gateways = members.gatewayCount();
+    for (const [endpoint, counts] of usage.take()) {
+      const countOf = (event: retryUsage.RepeatEvent) => counts.get(event) ?? 0;
+      log.write('retry-usage', {
+        endpoint,
+        interval_ms: USAGE_INTERVAL_MILLISECONDS,
+        charged: countOf(RepeatEvent.Charged),
+        denied: countOf(RepeatEvent.Denied),
+        sent: countOf(RepeatEvent.Sent),
+        continued: countOf(RepeatEvent.Continued),
+        continuations_rejected: countOf(RepeatEvent.ContinuationRejected),
+        left: retries.left(endpoint, gateways, performance.now()),
+        gateways,
+      });
+    }
+  }
+}
--- a/test/support/plain_call_bench.ts
+++ b/test/support/plain_call_bench.ts
@@ -12,6 +12,7 @@
 import * as instanceLimits from '../../src/gateway/common/limits/instance_limits';
 import * as limitUsage from '../../src/gateway/common/limits/limit_usage';
 import * as retryLimiter from '../../src/gateway/common/retry_limiter';
+import * as retryUsage from '../../src/gateway/common/retry_usage';
 import * as callContext from '../../src/gateway/node/call_context';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as backOff from '../../src/gateway/common/availability/back_off';
@@ -200,6 +201,7 @@
         ratio: 0,
         allowance: retryAllowance,
       }),
+      retryUsage: new retryUsage.RetryUsage(),
       hedges: this.hedges,
       speeds: new measuredSpeeds.MeasuredSpeeds(new runTable.RunTable(), false),
       backOffs: new backOff.BackOffs(),
