Retry budget: token buckets that begin empty, so that restarts give no share again

Cause: each gateway counted its repeats in a sliding window of its own and took a fixed part of the allowance by its count of members. A gateway that started again had its whole part again; with the members not yet known, a larger one. A change of the window cleared the counts as well. Nothing bounded the sum. Change: a bucket for each endpoint that requests and the part of the allowance fill. What it gives in a window is bounded by its capacity and its inflow, so the sum holds for any number of restarts and any alignment of windows. Buckets are empty after a start unless the whole system starts for the first time, and get no part of the allowance while the number of gateways is not known. Where a part is below one repeat, lots decide. The fleet of the tests says now that a restart is no first start, as the platform does.

--- a/src/gateway/common/retry_limiter.ts
+++ b/src/gateway/common/retry_limiter.ts
@@ -1,64 +1,155 @@
 /**
- * Limits retries to each endpoint over a sliding window. The budget is shared by
- * all gateways: each may use its share of the fixed allowance and a ratio of
- * the requests that it received itself.
+ * Limits repeated requests to each endpoint to a budget that all gateways
+ * share. Each gateway has a token bucket that its part of the allowance and the
+ * requests that it receives fill. What a bucket gives in a window is bounded by
+ * its capacity and by what flows in, so that the sum of all gateways keeps to
+ * the budget in every window, also when gateways restart: their buckets are
+ * empty then. Meant for budgets of about one repeat or more per gateway; with
+ * less, gateways draw lots. Stepped by the caller's clock.
  */
 import * as slidingCounts from './sliding_counts';
 
-/** Share of the budget that is left unused, since clocks and windows of gateways are not aligned. */
-const SAFETY_SHARE = 0.25;
+/** Part of the budget that is used; the rest is for repeats that arrive later than they are charged. */
+const USABLE_SHARE = 0.9;
+/** Part of the allowance that a full bucket holds; the rest flows in over a window. */
+const BURST_SHARE = 0.5;
+/** Part of the window for which an unused repeat that a request added is kept. */
+const CARRY_SHARE = 0.1;
+/** Endpoints with a bucket; the least recently used ones lose theirs, and begin again with an empty one. */
+const MAX_ENDPOINTS = 4_096;
 
 /** Retry budget of all gateways together. */
 export interface RetryPolicy {
   readonly windowMilliseconds: number;
-  /** Retries allowed per request. */
+  /** Repeats allowed per request. */
   readonly ratio: number;
-  /** Retries allowed in a window regardless of the number of requests. */
+  /** Repeats allowed in a window regardless of the number of requests. */
   readonly allowance: number;
 }
 
-/** Counts requests and retries by endpoint. */
+/** State of the gateway when its buckets are created. */
+export interface LimiterStart {
+  /** Monotonic milliseconds. */
+  readonly startedAt: number;
+  /** Whether no gateway ran before, so that nothing of the budget can be spent. */
+  readonly isFirstStart: boolean;
+}
+
+interface Bucket {
+  /** Repeats that may be sent. */
+  level: number;
+  /** Monotonic milliseconds. */
+  filledAt: number;
+  readonly recentRequests: slidingCounts.SlidingCounts;
+}
+
+/** Buckets by endpoint. */
 export class RetryLimiter {
-  private readonly windows = new Map<string, slidingCounts.SlidingCounts>();
+  private readonly buckets = new Map<string, Bucket>();
+  /** Monotonic milliseconds at which a bucket without use was empty. */
+  private emptyAt: number;
 
-  constructor(private policy: RetryPolicy) {}
+  /**
+   * @param gatewayCount Number of gateways that share the budget at a monotonic
+   * time; Infinity while it is unknown, upon which this gateway has no part of
+   * the allowance.
+   */
+  constructor(
+    private policy: RetryPolicy,
+    {startedAt, isFirstStart}: LimiterStart,
+    readonly gatewayCount: (now: number) => number,
+    private readonly random: () => number = Math.random,
+  ) {
+    this.emptyAt = isFirstStart ? -Infinity : startedAt;
+  }
 
-  /** Replaces the policy; clears all counts if the length of the window changes. */
+  /** Replaces the policy; what has been spent stays spent. */
   setPolicy(policy: RetryPolicy): void {
-    if (policy.windowMilliseconds !== this.policy.windowMilliseconds) {
-      this.windows.clear();
-    }
     this.policy = policy;
   }
 
   /** Counts a request of a caller for the endpoint. */
   recordRequest(endpoint: string, now: number): void {
-    this.windowOf(endpoint).addRequest(now);
+    const bucket = this.fill(endpoint, now);
+    bucket.recentRequests.addRequest(now);
+    bucket.level += USABLE_SHARE * this.policy.ratio;
   }
 
-  /** Takes one retry from the share of one of `gateways` gateways; returns false when the share is used up. */
-  tryAcquire(endpoint: string, gateways: number, now: number): boolean {
-    if (this.left(endpoint, gateways, now) < 1) {
+  /** Whether a repeat may be sent now, or drawn a lot for. */
+  isAvailable(endpoint: string, now: number): boolean {
+    const bucket = this.fill(endpoint, now);
+    return this.drawsLots(bucket, now) ? bucket.level > 0 : bucket.level >= 1;
+  }
+
+  /** Charges a repeat that is about to be sent; returns false if the budget does not allow it. */
+  tryAcquire(endpoint: string, now: number): boolean {
+    if (!this.isAvailable(endpoint, now)) {
       return false;
     }
-    this.windowOf(endpoint).addExtraSend(now);
-    return true;
+    const bucket = this.fill(endpoint, now);
+    if (!this.drawsLots(bucket, now)) {
+      bucket.level--;
+      return true;
+    }
+    const isDrawn = this.random() < bucket.level;
+    bucket.level = 0;
+    return isDrawn;
+  }
+
+  /** Repeats left; not a whole number. */
+  left(endpoint: string, now: number): number {
+    return this.fill(endpoint, now).level;
   }
 
-  /** Retries left in the share of one of `gateways` gateways; not a whole number. */
-  left(endpoint: string, gateways: number, now: number): number {
-    const {requests, extraSends} = this.windowOf(endpoint).totals(now);
-    const share =
-      this.policy.allowance / Math.max(1, gateways) +
-      this.policy.ratio * requests;
-    return share * (1 - SAFETY_SHARE) - extraSends;
+  private allowanceShare(now: number): number {
+    return this.policy.allowance / this.gatewayCount(now);
+  }
+
+  /** Repeats that a full bucket holds. */
+  private capacity({recentRequests}: Bucket, now: number): number {
+    const {requests} = recentRequests.totals(now);
+    const burst = BURST_SHARE * this.allowanceShare(now);
+    return USABLE_SHARE * (burst + this.policy.ratio * requests);
+  }
+
+  /** Whether the bucket can't hold a whole repeat; a lot then decides whether a part of one allows it. */
+  private drawsLots(bucket: Bucket, now: number): boolean {
+    return this.capacity(bucket, now) < 1;
+  }
+
+  private fill(endpoint: string, now: number): Bucket {
+    const bucket = this.bucketOf(endpoint);
+    const perMillisecond =
+      (USABLE_SHARE * (1 - BURST_SHARE) * this.allowanceShare(now)) /
+      this.policy.windowMilliseconds;
+    if (perMillisecond > 0) {
+      const elapsed = Math.max(0, now - bucket.filledAt);
+      bucket.level += elapsed * perMillisecond;
+      bucket.filledAt = now;
+    }
+    bucket.level = Math.min(this.capacity(bucket, now), bucket.level);
+    return bucket;
+  }
+
+  private bucketOf(endpoint: string): Bucket {
+    const bucket = this.buckets.get(endpoint) ?? this.createBucket();
+    this.buckets.delete(endpoint);
+    this.buckets.set(endpoint, bucket);
+    if (this.buckets.size > MAX_ENDPOINTS) {
+      const [oldest, {filledAt}] = this.buckets.entries().next().value!;
+      this.buckets.delete(oldest);
+      this.emptyAt = Math.max(this.emptyAt, filledAt);
+    }
+    return bucket;
   }
 
-  private windowOf(endpoint: string): slidingCounts.SlidingCounts {
-    const window =
-      this.windows.get(endpoint) ??
-      new slidingCounts.SlidingCounts(this.policy.windowMilliseconds);
-    this.windows.set(endpoint, window);
-    return window;
+  private createBucket(): Bucket {
+    return {
+      level: 0,
+      filledAt: this.emptyAt,
+      recentRequests: new slidingCounts.SlidingCounts(
+        this.policy.windowMilliseconds * CARRY_SHARE,
+      ),
+    };
   }
 }
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -215,13 +215,10 @@
   }
 
   private chargeRetry(): boolean {
-    const {retries, members} = this.services;
+    const {retries} = this.services;
     const {RepeatEvent} = retryUsage;
-    const isCharged = retries.tryAcquire(
-      this.call.endpointName,
-      members.gatewayCount(),
-      performance.now(),
-    );
+    const now = performance.now();
+    const isCharged = retries.tryAcquire(this.call.endpointName, now);
     this.recordRepeat(isCharged ? RepeatEvent.Charged : RepeatEvent.Denied);
     return isCharged;
   }
--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -201,7 +201,7 @@
       isFirstStart: settings.instance.bootstrap,
     }),
     limitUsage: new limitUsage.LimitUsage(),
-    retries: gatewayPolicies.createRetryLimiter(settings),
+    retries: gatewayPolicies.createRetryLimiter(settings, members, peers),
     retryUsage: new retryUsage.RetryUsage(),
     hedges: gatewayPolicies.createHedgePolicy(settings),
     buffers: gatewayPolicies.createDeliveryBuffers(settings),
--- a/src/gateway/node/retry_log.ts
+++ b/src/gateway/node/retry_log.ts
@@ -15,7 +15,7 @@
   constructor(
     private readonly services: Pick<
       gatewayServices.GatewayServices,
-      'log' | 'members' | 'retries' | 'retryUsage'
+      'log' | 'retries' | 'retryUsage'
     >,
   ) {
     this.timer = disposable.every(USAGE_INTERVAL_MILLISECONDS, () =>
@@ -28,8 +28,9 @@
   }
 
   private logUsage(): void {
-    const {log, members, retries, retryUsage: usage} = this.services;
-    const gateways = members.gatewayCount();
+    const {log, retries, retryUsage: usage} = this.services;
+    const now = performance.now();
+    const gateways = retries.gatewayCount(now);
     for (const [endpoint, counts] of usage.take()) {
       const countOf = (event: retryUsage.RepeatEvent) => counts.get(event) ?? 0;
       log.write('retry-usage', {
@@ -40,8 +41,8 @@
         sent: countOf(RepeatEvent.Sent),
         continued: countOf(RepeatEvent.Continued),
         continuations_rejected: countOf(RepeatEvent.ContinuationRejected),
-        left: retries.left(endpoint, gateways, performance.now()),
-        gateways,
+        left: retries.left(endpoint, now),
+        gateways: Number.isFinite(gateways) ? gateways : null,
       });
     }
   }
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -36,6 +36,7 @@
   readonly gateways: FleetGateway[] = [];
   private startOne!: (
     index: number,
+    isFirstStart: boolean,
     relayMode?: tcpRelay.RelayMode,
   ) => Promise<FleetGateway>;
 
@@ -51,9 +52,10 @@
     fleet.register('i-1');
     // All gateways use the same port, so it must be known before the first binds it.
     const digestPort = await freePorts.freeDatagramPort();
-    fleet.startOne = async (index, relayMode) => {
+    fleet.startOne = async (index, isFirstStart, relayMode) => {
       const gateway = await startGateway(
         index,
+        isFirstStart,
         store,
         digestPort,
         variationOf(index),
@@ -64,7 +66,7 @@
       return gateway;
     };
     for (let index = 1; index <= count; index++) {
-      fleet.gateways.push(await fleet.startOne(index));
+      fleet.gateways.push(await fleet.startOne(index, true));
     }
     await fleet.until(() => fleet.gateways.every(each => each.process.isReady));
     return fleet;
@@ -77,7 +79,7 @@
   ): Promise<FleetGateway> {
     gateway.process.dispose();
     const position = this.gateways.indexOf(gateway);
-    const restarted = await this.startOne(position + 1, relayMode);
+    const restarted = await this.startOne(position + 1, false, relayMode);
     this.gateways[position] = restarted;
     await this.until(() => restarted.process.isReady);
     return restarted;
@@ -89,7 +91,7 @@
     whileDown();
     const count = this.gateways.length;
     for (let index = 1; index <= count; index++) {
-      this.gateways[index - 1] = await this.startOne(index);
+      this.gateways[index - 1] = await this.startOne(index, false);
     }
     await this.until(() => this.gateways.every(each => each.process.isReady));
   }
@@ -176,6 +178,7 @@
 
 async function startGateway(
   index: number,
+  isFirstStart: boolean,
   store: string,
   digestPort: number,
   {
@@ -198,7 +201,7 @@
         name: `gateway-${index}`,
         data_centre: 'a',
         ip,
-        bootstrap: true,
+        bootstrap: isFirstStart,
         link_megabits: linkMegabits,
         regions,
       },
--- a/test/support/plain_call_bench.ts
+++ b/test/support/plain_call_bench.ts
@@ -196,11 +196,15 @@
       limits: this.limits,
       limitUsage: new limitUsage.LimitUsage(),
       permits: this.permits(),
-      retries: new retryLimiter.RetryLimiter({
-        windowMilliseconds: 10_000,
-        ratio: 0,
-        allowance: retryAllowance,
-      }),
+      retries: new retryLimiter.RetryLimiter(
+        {
+          windowMilliseconds: 10_000,
+          ratio: 0,
+          allowance: retryAllowance,
+        },
+        {startedAt: performance.now(), isFirstStart: true},
+        () => 1,
+      ),
       retryUsage: new retryUsage.RetryUsage(),
       hedges: this.hedges,
       speeds: new measuredSpeeds.MeasuredSpeeds(new runTable.RunTable(), false),
--- a/test/support/retry_arrivals.ts
+++ b/test/support/retry_arrivals.ts
@@ -38,12 +38,12 @@
     return this.repeats.length;
   }
 
-  /** The window that exceeds its budget the most, or comes nearest to it. */
+  /** The window that uses the largest part of its budget. */
   worstWindow(): WindowUsage {
     const windows = this.repeats.map(from => this.usageFrom(from));
     return windows.reduce(
       (worst, each) =>
-        each.repeats - each.allowed > worst.repeats - worst.allowed
+        each.repeats / each.allowed > worst.repeats / worst.allowed
           ? each
           : worst,
       {from: 0, repeats: 0, allowed: this.policy.allowance},
