Retry budget: a repeat is charged when it is sent, not before it waits for an instance

Cause: a repeat was charged when it was decided, and then waited for room at an engine, for the end of a back-off or for a permit. What was charged over several windows could arrive within one; what was refused after the wait had been charged for nothing. Change: the decision asks whether something is left, and the send charges it; if it is used up by then, the call ends as without a repeat. Result: two tests fail before (the level falls while the generation waits; it is sent though the budget was used up meanwhile) and pass.

--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -202,8 +202,8 @@
     this.rejectedSends++;
   }
 
-  /** Accounts for a failed send. Returns whether the call may be sent to another instance; if so, charges the shared retry budget. */
-  tryAcquireRetry(reason: RetryReason): boolean {
+  /** Accounts for a failed send. Returns whether the call may be sent to another instance, which `chargeRepeat` has to allow again when it is sent. */
+  mayRepeat(reason: RetryReason): boolean {
     if (reason === RetryReason.NotRun) {
       this.recordNotRun();
     }
@@ -211,10 +211,20 @@
       reason === RetryReason.NotRun
         ? this.rejectedSends < MAX_REJECTED_SENDS
         : this.isRetryable && this.possibleRuns < this.call.route.attempts;
-    return isAllowed && !this.isOver && this.chargeRetry();
+    if (!isAllowed || this.isOver) {
+      return false;
+    }
+    const {retries} = this.services;
+    const now = performance.now();
+    const isAvailable = retries.isAvailable(this.call.endpointName, now);
+    if (!isAvailable) {
+      this.recordRepeat(retryUsage.RepeatEvent.Denied);
+    }
+    return isAvailable;
   }
 
-  private chargeRetry(): boolean {
+  /** Charges the shared retry budget for a repeat that is sent now, since the budget bounds arrivals; returns false if nothing is left of it. */
+  chargeRepeat(): boolean {
     const {retries} = this.services;
     const {RepeatEvent} = retryUsage;
     const now = performance.now();
--- a/src/gateway/node/hedged_send.ts
+++ b/src/gateway/node/hedged_send.ts
@@ -139,7 +139,8 @@
     // Last, since it charges the budget of retries.
     const isAllowed =
       instance !== undefined &&
-      context.tryAcquireRetry(callContext.RetryReason.MayHaveRun);
+      context.mayRepeat(callContext.RetryReason.MayHaveRun) &&
+      context.chargeRepeat();
     if (!isAllowed) {
       return undefined;
     }
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -31,7 +31,7 @@
   async run(): Promise<void> {
     const {context} = this;
     this.hedges?.recordRequest(performance.now());
-    let isFirst = true;
+    let previous: hedgedSend.SendEnd | undefined;
     for (;;) {
       const {choice, shortage} = await this.place();
       if (context.isOver) {
@@ -43,12 +43,15 @@
         }
         return this.giveUpWithoutInstance(shortage);
       }
+      if (previous !== undefined && !context.chargeRepeat()) {
+        return this.conclude(previous.outcome, previous.retryReason);
+      }
       const end = await this.sendTo(choice.instance);
       if (context.isOver) {
         return;
       }
       const {instance, outcome, retryReason} = end;
-      if (retryReason === undefined || !context.tryAcquireRetry(retryReason)) {
+      if (retryReason === undefined || !context.mayRepeat(retryReason)) {
         return this.conclude(outcome, retryReason);
       }
       // An instance in back-off takes the call again after it.
@@ -61,11 +64,11 @@
           why: retryReason,
           error: outcome.error,
           status: outcome.answer?.status,
-          first: isFirst,
+          first: previous === undefined,
         },
         instance,
       );
-      isFirst = false;
+      previous = end;
     }
   }
 
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -79,9 +79,13 @@
         ? callContext.RetryReason.NotRun
         : callContext.RetryReason.MayHaveRun;
     const isAllowed =
-      context.call.route.isResumable && context.tryAcquireRetry(retryReason);
+      context.call.route.isResumable && context.mayRepeat(retryReason);
     if (isAllowed) {
-      return this.placeOnOtherInstance(previous);
+      const target = await this.placeOnOtherInstance(previous);
+      const from = previous.instance.record.id;
+      if (target === undefined || this.chargeRepeat(target, from)) {
+        return target;
+      }
     }
     const message = `the stream of ${previous.instance.record.id} ended early`;
     if (this.delivery.hasBegun) {
@@ -107,8 +111,14 @@
     const {scheduler} = context.services;
     const mayWait =
       segment.wasTurnedAway && scheduler.recordTurnedAway(this.run);
-    if (context.tryAcquireRetry(retryReason)) {
-      return mayWait ? this.waitForRoom() : this.placeOnOtherInstance(previous);
+    if (context.mayRepeat(retryReason)) {
+      const target = await (mayWait
+        ? this.waitForRoom()
+        : this.placeOnOtherInstance(previous));
+      const from = mayWait ? undefined : previous.instance.record.id;
+      if (target === undefined || this.chargeRepeat(target, from)) {
+        return target;
+      }
     }
     if (end === SegmentEnd.Failed) {
       segment.deliverFailure();
@@ -132,6 +142,18 @@
     return undefined;
   }
 
+  /** Charges the repeat at the target; returns false if the budget does not allow it. */
+  private chargeRepeat(
+    target: instanceClient.RunTarget,
+    from: string | undefined,
+  ): boolean {
+    const isCharged = this.context.chargeRepeat();
+    if (isCharged) {
+      this.context.log('generation-repeated', {from}, target.instance);
+    }
+    return isCharged;
+  }
+
   /** Lets a generation wait again that was turned away by an engine with other runs. */
   private async waitForRoom(): Promise<instanceClient.RunTarget | undefined> {
     const {context, run} = this;
@@ -153,7 +175,6 @@
       }
       return undefined;
     }
-    context.log('generation-repeated', {}, placed.instance);
     return {instance: placed.instance, continuation: undefined};
   }
 
@@ -184,11 +205,6 @@
       }
       return undefined;
     }
-    context.log(
-      'generation-repeated',
-      {from: previous.instance.record.id},
-      choice.instance,
-    );
     return {instance: choice.instance, continuation: undefined};
   }
 
--- /dev/null
+++ b/test/gateway/repeat_charging.test.ts
@@ -0,0 +1,102 @@
+/** When a repeated generation takes from the retry budget. */
+import * as http from 'node:http';
+import * as ava from 'ava';
+import * as metrics from '../../src/base/node/metrics';
+import * as instanceAvailability from '../../src/gateway/common/availability/instance_availability';
+import * as instanceClient from '../../src/gateway/common/instance_client';
+import * as instanceTable from '../../src/gateway/common/instance_table';
+import * as retryLimiter from '../../src/gateway/common/retry_limiter';
+import * as retryUsage from '../../src/gateway/common/retry_usage';
+import * as runTable from '../../src/gateway/common/run_table';
+import * as callContext from '../../src/gateway/node/call_context';
+import * as eventDelivery from '../../src/gateway/node/event_delivery';
+import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
+import * as gatewayServices from '../../src/gateway/node/gateway_services';
+import * as generationScheduler from '../../src/gateway/node/generation_scheduler';
+import * as streamContinuations from '../../src/gateway/node/stream_continuations';
+import * as streamSegment from '../../src/gateway/node/stream_segment';
+import * as gatewayRecords from '../support/gateway_records';
+import * as plainCallBench from '../support/plain_call_bench';
+
+const test = ava.default;
+const ENDPOINT = 'writers';
+
+/** A generation that an engine turned away, and that waits for room until `place` is called. */
+function createWaitingGeneration() {
+  const retries = new retryLimiter.RetryLimiter(
+    {windowMilliseconds: 10_000, ratio: 0, allowance: 10},
+    {startedAt: performance.now(), isFirstStart: true},
+    () => 1,
+  );
+  const [instance] = new instanceTable.InstanceTable().replace(
+    [gatewayRecords.instanceRecord({id: 'i-1'})],
+    0,
+  ).added;
+  const run = {} as runTable.Run;
+  let place!: () => void;
+  const placed = new Promise<void>(resolve => (place = resolve));
+  const context = new callContext.CallContext(
+    {
+      retries,
+      retryUsage: new retryUsage.RetryUsage(),
+      metrics: new gatewayMetrics.GatewayMetrics(
+        new metrics.MetricsRegistry({}),
+      ),
+      log: {write: () => undefined},
+      scheduler: {
+        recordTurnedAway: () => true,
+        async placeAgain() {
+          await placed;
+          return {placed: {run, instance}};
+        },
+      } as unknown as generationScheduler.GenerationScheduler,
+    } as unknown as gatewayServices.GatewayServices,
+    {
+      caller: {} as instanceClient.CallerRequest,
+      body: Buffer.alloc(0),
+      route: gatewayRecords.route('/draft/', {attempts: 1}),
+      endpoint: undefined,
+      endpointName: ENDPOINT,
+      customer: undefined,
+      scope: instanceAvailability.ANY_REGION,
+      arrivedAt: performance.now(),
+      deadlineAt: performance.now() + 4_000,
+      fingerprint: 'f',
+      configurationVersion: 1,
+    },
+    new plainCallBench.FakeResponse() as unknown as http.ServerResponse,
+  );
+  context.recordSend();
+  const continuations = new streamContinuations.StreamContinuations(
+    context,
+    run,
+    streamSegment.DEFAULT_ENGINE,
+    {hasBegun: false} as eventDelivery.EventDelivery,
+  );
+  const next = continuations.runAgain(
+    {instance, continuation: undefined},
+    streamSegment.SegmentEnd.NotRun,
+    {wasTurnedAway: true} as streamSegment.StreamSegment,
+  );
+  const left = () => retries.left(ENDPOINT, performance.now());
+  return {next, place, left, retries, instance};
+}
+
+test('repeat charging: a generation that waits for room takes from the budget when it is sent', async t => {
+  const {next, place, left, instance} = createWaitingGeneration();
+  const before = left();
+  await new Promise(resolve => setImmediate(resolve));
+  t.true(left() >= before);
+  place();
+  t.is((await next)?.instance, instance);
+  t.true(left() < before - 0.5);
+});
+
+test('repeat charging: a generation is not sent if the budget is used up when there is room', async t => {
+  const {next, place, retries} = createWaitingGeneration();
+  while (retries.tryAcquire(ENDPOINT, performance.now())) {
+    // Uses up the budget.
+  }
+  place();
+  t.is(await next, undefined);
+});
