Back-off: a call that finds no instance just before the end of a back-off waits on

Cause: timers end up to a millisecond early. The search for an instance then comes just before the end of the back-off, and the question how long to wait just after it, when no instance is in back-off any more; the call was refused as without instances. Change: the question is asked for the time of the search.

--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -179,14 +179,20 @@
     return Math.min(arrivedAt + patience, deadlineAt);
   }
 
-  /** Waits until an instance in back-off may take the call; returns whether there is one by the latest time. */
-  async awaitBackOff(latest = this.latestBackOffEnd): Promise<boolean> {
-    const now = performance.now();
-    const endsAt = this.backOffEnd(now);
+  /**
+   * Waits until an instance that was in back-off at `chosenAt`, the monotonic
+   * time of a choice without result, may take the call; returns whether there is
+   * one by the latest time.
+   */
+  async awaitBackOff(
+    chosenAt: number,
+    latest = this.latestBackOffEnd,
+  ): Promise<boolean> {
+    const endsAt = this.backOffEnd(chosenAt);
     if (endsAt === undefined || endsAt > latest) {
       return false;
     }
-    await deadline.delay(Math.max(1, endsAt - now));
+    await deadline.delay(Math.max(1, endsAt - performance.now()));
     return !this.isOver;
   }
 
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -33,12 +33,13 @@
     this.hedges?.recordRequest(performance.now());
     let previous: hedgedSend.SendEnd | undefined;
     for (;;) {
+      const chosenAt = performance.now();
       const {choice, shortage} = await this.place();
       if (context.isOver) {
         return;
       }
       if (choice === undefined) {
-        if (await context.awaitBackOff()) {
+        if (await context.awaitBackOff(chosenAt)) {
           continue;
         }
         return this.giveUpWithoutInstance(shortage);
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -217,10 +217,11 @@
       ? performance.now() + PATIENCE_MILLISECONDS
       : context.latestBackOffEnd;
     for (;;) {
+      const chosenAt = performance.now();
       const selection = await this.chooseInstance();
       const isFound =
         selection.choice !== undefined || selection.shortage !== undefined;
-      if (isFound || !(await context.awaitBackOff(latest))) {
+      if (isFound || !(await context.awaitBackOff(chosenAt, latest))) {
         return selection;
       }
     }
