Retry budget: runs that the instance of their copy rejects are charged

Cause: a run that goes on from a copy is the same run and takes nothing from the budget, but an arrival that an instance rejects counts, and the rejections of such runs were not charged either. Change: a rejection is charged after the fact, which later repeats have to make up for, and while more were rejected than a tenth of the allowance covers, no run is sent to a copy. Result: the test fails before (30 rejected one after the other, 10 allowed) and passes.

--- a/src/gateway/common/retry_limiter.ts
+++ b/src/gateway/common/retry_limiter.ts
@@ -9,7 +9,7 @@
  */
 import * as slidingCounts from './sliding_counts';
 
-/** Part of the budget that is used; the rest is for repeats that arrive later than they are charged. */
+/** Part of the budget that is used; the rest is for continuations that instances reject, and for repeats that arrive later than they are charged. */
 const USABLE_SHARE = 0.9;
 /** Part of the allowance that a full bucket holds; the rest flows in over a window. */
 const BURST_SHARE = 0.5;
@@ -36,7 +36,7 @@
 }
 
 interface Bucket {
-  /** Repeats that may be sent. */
+  /** Repeats that may be sent; below 0 after rejected continuations. */
   level: number;
   /** Monotonic milliseconds. */
   filledAt: number;
@@ -96,6 +96,17 @@
     return isDrawn;
   }
 
+  /** Charges a continuation that an instance rejected; it needs no permission, since one that is accepted is no repeat. */
+  chargeRejection(endpoint: string, now: number): void {
+    this.fill(endpoint, now).level--;
+  }
+
+  /** Whether a continuation may be sent; not while the rejected ones exceed what is set aside for them. */
+  mayContinue(endpoint: string, now: number): boolean {
+    const reserve = (1 - USABLE_SHARE) * this.allowanceShare(now);
+    return this.left(endpoint, now) >= -reserve;
+  }
+
   /** Repeats left; not a whole number. */
   left(endpoint: string, now: number): number {
     return this.fill(endpoint, now).level;
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -239,8 +239,21 @@
     return isCharged;
   }
 
+  /** Whether a run may be sent to the instance of its copy. */
+  mayContinue(): boolean {
+    const {retries} = this.services;
+    return retries.mayContinue(this.call.endpointName, performance.now());
+  }
+
+  /** Charges the shared retry budget for a run that the instance of its copy rejected, since rejected arrivals count. */
+  recordRejectedContinuation(): void {
+    const {retries} = this.services;
+    retries.chargeRejection(this.call.endpointName, performance.now());
+    this.recordRepeat(retryUsage.RepeatEvent.ContinuationRejected);
+  }
+
   /** Counts an event of a repeated send. */
-  recordRepeat(event: retryUsage.RepeatEvent): void {
+  private recordRepeat(event: retryUsage.RepeatEvent): void {
     this.services.metrics.repeats.inc({event});
     this.services.retryUsage.record(this.call.endpointName, event);
   }
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -5,7 +5,6 @@
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
-import * as retryUsage from '../common/retry_usage';
 import * as streamOutcome from '../common/stream_outcome';
 import * as runTable from '../common/run_table';
 import * as stallPolicy from '../common/stall_policy';
@@ -235,8 +234,8 @@
     target.instance.openRequests--;
     this.watch.dispose();
     this.recordEnd(target.instance, end);
-    if (target.continuation !== undefined && end === SegmentEnd.NotRun) {
-      context.recordRepeat(retryUsage.RepeatEvent.ContinuationRejected);
+    if (target.continuation !== undefined && this.segment.wasRejected) {
+      context.recordRejectedContinuation();
     }
     return end;
   }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -37,6 +37,10 @@
     if (copied === undefined) {
       return undefined;
     }
+    if (!this.context.mayContinue()) {
+      this.context.log('copy-without-budget', {}, copied.instance);
+      return undefined;
+    }
     const {permits} = this.context.services;
     const {id} = copied.instance.record;
     const {choice} = await permits.selectWithin(
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -41,6 +41,7 @@
   private bodyEnd: BodyEnd | undefined;
   private isStopExpected = false;
   private wasCancelled = false;
+  private isRejected = false;
   /** Whether the instance answered that it does not run the request, as full ones do. */
   wasTurnedAway = false;
   /** Why no answer was received; undefined if one was. */
@@ -74,6 +75,11 @@
     );
   }
 
+  /** Whether the request arrived at an instance that answered that it did not run it. */
+  get wasRejected(): boolean {
+    return this.isRejected;
+  }
+
   /** Whether this gateway closed the connection. */
   get isCancelled(): boolean {
     return this.wasCancelled;
@@ -114,6 +120,7 @@
     }
     const answer = result.value;
     if (answer.isNotExecuted) {
+      this.isRejected = true;
       this.wasTurnedAway = !answer.isFromOtherInstance;
       answer.body.listen(IGNORE_BODY);
       return SegmentEnd.NotRun;
--- a/test/gateway/common/retry_limiter.test.ts
+++ b/test/gateway/common/retry_limiter.test.ts
@@ -143,6 +143,22 @@
   t.is(spendAll(limiter, 'e', 0), 0);
 });
 
+test('retries: rejected continuations are charged, and are not sent while they exceed what is set aside for them', t => {
+  const limiter = createLimiter(0, {isFirstStart: true});
+  const left = limiter.left('e', 0);
+  t.true(limiter.mayContinue('e', 0));
+  limiter.chargeRejection('e', 0);
+  t.is(limiter.left('e', 0), left - 1);
+  let rejected = 1;
+  while (limiter.mayContinue('e', 0)) {
+    limiter.chargeRejection('e', 0);
+    rejected++;
+  }
+  t.false(limiter.tryAcquire('e', 0));
+  t.true(rejected <= POLICY.allowance / GATEWAYS);
+  t.true(limiter.mayContinue('e', 10_000));
+});
+
 test('retries: one endpoint does not use the share of another', t => {
   const limiter = createLimiter(0, {isFirstStart: true});
   spendAll(limiter, 'e', 0);
--- a/test/gateway/repeat_charging.test.ts
+++ b/test/gateway/repeat_charging.test.ts
@@ -1,7 +1,10 @@
 /** When a repeated generation takes from the retry budget. */
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as ava from 'ava';
 import * as metrics from '../../src/base/node/metrics';
+import * as platformObjects from '../../standins/platform_objects';
+import * as replicaStandin from '../../standins/replica_standin';
 import * as instanceAvailability from '../../src/gateway/common/availability/instance_availability';
 import * as instanceClient from '../../src/gateway/common/instance_client';
 import * as instanceTable from '../../src/gateway/common/instance_table';
@@ -17,6 +20,7 @@
 import * as streamSegment from '../../src/gateway/node/stream_segment';
 import * as gatewayRecords from '../support/gateway_records';
 import * as plainCallBench from '../support/plain_call_bench';
+import * as testGateway from '../support/test_gateway';
 
 const test = ava.default;
 const ENDPOINT = 'writers';
@@ -100,3 +104,48 @@
   place();
   t.is(await next, undefined);
 });
+
+test('repeat charging: runs whose copies are rejected one after the other stay within the budget', async t => {
+  const allowance = 10;
+  const streams = 3 * allowance;
+  let rejected = 0;
+  const sockets: net.Socket[] = [];
+  const stream: replicaStandin.ReplicaHandler = (request, response) => {
+    if (request.headers['kv-from'] !== undefined) {
+      rejected++;
+      replicaStandin.shed(request, response);
+      return;
+    }
+    response.writeHead(200, replicaStandin.answerHeaders(request));
+    response.write(replicaStandin.events(1, 3));
+    sockets.push(response.socket!);
+  };
+  const gateway = await testGateway.TestGateway.start(
+    t,
+    {'i-1': ['writers', stream], 'i-2': ['writers', stream]},
+    testGateway.configurationSpec(1, {
+      services: [
+        platformObjects.serviceSpec(
+          'writers',
+          platformObjects.engineSpec({backups: true}),
+        ),
+      ],
+    }),
+    {settings: {retries: {window_seconds: 60, ratio: 0, allowance}}},
+  );
+  await gateway.until(() => gateway.process.state.instances.size === 2);
+  let endedCount = 0;
+  for (let index = 0; index < streams; index++) {
+    const body = `p${index}`;
+    void gateway
+      .call('/draft/a', {method: 'POST', body})
+      .then(() => endedCount++);
+    await gateway.until(() => sockets.length > index);
+  }
+  for (const [index, socket] of sockets.entries()) {
+    socket.resetAndDestroy();
+    await gateway.until(() => endedCount > index);
+  }
+  t.true(rejected > 0);
+  t.true(rejected <= allowance, `${rejected} rejected, allowed ${allowance}`);
+});
