Reports and copies of instances: odd fields no longer end the process

Cause: numbers and texts of reports and of answers to copies were converted, and the conversion of a list that is nested 20,000 levels deep, or of an object with a field named toString, throws. The promise of the reading was not awaited, so the process ended; numbers without bound became loads. Change: fields are read by the reader of stored entries; what is of another type is left out.

--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -3,8 +3,10 @@
 import * as neverthrow from 'neverthrow';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as instanceTable from '../gateway/common/instance_table';
+import * as fieldReader from './field_reader';
 import * as httpExchange from './http_exchange';
 import * as instanceAgent from './instance_agent';
+import * as objectCodec from './object_codec';
 import * as requestCodec from './request_codec';
 import * as wireNames from './wire_names';
 
@@ -92,11 +94,11 @@
     }
     return {
       eventsByRun: decodeRuns(fields.runs),
-      queuedRuns: Number(fields.queued ?? 0),
+      queuedRuns: fieldReader.number(fields.queued),
       // Excludes cached parts of prompts, which are evicted to make room for runs.
-      memoryTokens: Number(fields.kvInUse ?? 0),
+      memoryTokens: fieldReader.number(fields.kvInUse),
       isLeaving:
-        fields.state === 'draining' || typeof fields.leaves_ms === 'number',
+        fields.state === 'draining' || Number.isFinite(fields.leaves_ms),
     };
   }
 
@@ -149,49 +151,47 @@
 interface JsonAnswer {
   readonly status: number;
   /** Undefined if the body is not a whole JSON object. */
-  readonly fields: Fields | undefined;
+  readonly fields: fieldReader.Fields | undefined;
 }
 
-type Fields = Readonly<Record<string, unknown>>;
-
-function parseFields(bytes: Buffer): Fields | undefined {
-  try {
-    const value = JSON.parse(bytes.toString('utf8')) as unknown;
-    return typeof value === 'object' && value !== null
-      ? (value as Fields)
-      : undefined;
-  } catch {
-    // The caller decides by the status what a missing body means.
-    return undefined;
-  }
+function parseFields(bytes: Buffer): fieldReader.Fields | undefined {
+  // The caller decides by the status what a missing body means.
+  const value = objectCodec.parseJson(bytes.toString('utf8'));
+  return fieldReader.isFields(value) ? value : undefined;
 }
 
-/** Runs are listed as [id, tokens in memory, events made, priority]. */
+/** Runs are listed as [id, tokens in memory, events made, priority]; other entries are left out. */
 function decodeRuns(value: unknown): ReadonlyMap<string, number> {
-  const entries = Array.isArray(value) ? value : [];
-  return new Map(
-    entries
-      .filter(entry => Array.isArray(entry))
-      .map(entry => [String(entry[0]), Number(entry[2])] as const),
-  );
+  const runs = new Map<string, number>();
+  for (const entry of fieldReader.list(value)) {
+    const [id, , eventCount] = fieldReader.list(entry);
+    const attemptId = fieldReader.text(id);
+    if (attemptId !== undefined && Number.isFinite(eventCount)) {
+      runs.set(attemptId, Number(eventCount));
+    }
+  }
+  return runs;
 }
 
 function decodeCopy(
   answer: JsonAnswer | undefined,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
   const fields = answer?.fields;
-  const handle =
-    fields?.kvHandle === undefined ? undefined : String(fields.kvHandle);
+  const handle = decodeHandle(fields?.kvHandle);
   if (answer?.status === 200 && handle !== undefined) {
     return neverthrow.ok({
       handle,
       // Number of events generated so far, not a time of creation.
-      eventCount: Number(fields?.created ?? 0),
+      eventCount: fieldReader.number(fields?.created),
     });
   }
   return neverthrow.err({error: copyErrorOf(answer?.status), handle});
 }
 
+function decodeHandle(value: unknown): string | undefined {
+  return Number.isFinite(value) ? String(value) : fieldReader.text(value);
+}
+
 function copyErrorOf(status: number | undefined): instanceClient.CopyError {
   switch (status) {
     case 404:
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -263,3 +263,77 @@
     t.is(await client.readReport(instance), undefined);
   });
 }
+
+const DEPTH = 20_000;
+const NESTED = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
+/** Larger than one read of a socket. */
+const PADDING = `"padding":"${'x'.repeat(200_000)}"`;
+
+function jsonHead(body: string): string[] {
+  return [
+    'HTTP/1.1 200 OK',
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+  ];
+}
+
+/** Values of a field of JSON that no instance means. */
+const ODD_VALUES: readonly (readonly [string, string])[] = [
+  ['nested 20,000 levels deep', NESTED],
+  ['a number beyond all bounds', '1e400'],
+  ['a number of 400 digits', '9'.repeat(400)],
+  ['an object without a value', '{"toString":1,"valueOf":1}'],
+  ['a text', '"many"'],
+  ['null', 'null'],
+];
+
+for (const [title, value] of ODD_VALUES) {
+  test(`replica: a report whose fields are ${title} is read without them`, async t => {
+    const fields = `"queued":${value},"kvInUse":${value},"leaves_ms":${value}`;
+    const runs = `"runs":[${value},[${value},1,${value}],["a",1,7]]`;
+    const body = `{${PADDING},${fields},"state":${value},${runs}}`;
+    const instance = await listen(t, socket =>
+      socket.write(text(jsonHead(body), body)),
+    );
+    const client = new instanceHttpClient.InstanceHttpClient();
+    t.teardown(() => client.dispose());
+    t.deepEqual(await client.readReport(instance), {
+      eventsByRun: new Map([['a', 7]]),
+      queuedRuns: 0,
+      memoryTokens: 0,
+      isLeaving: false,
+    });
+  });
+
+  test(`replica: an answer to a copy whose fields are ${title} does not end the process`, async t => {
+    const body = `{${PADDING},"kvHandle":"h","created":${value}}`;
+    const instance = await listen(t, socket =>
+      socket.write(text(jsonHead(body), body)),
+    );
+    const client = new instanceHttpClient.InstanceHttpClient();
+    t.teardown(() => client.dispose());
+    const copy = await client.copyRun(instance, {
+      attemptId: 'a',
+      target: instance,
+      isFinal: false,
+      timeoutMilliseconds: 4_000,
+    });
+    t.deepEqual(copy._unsafeUnwrap(), {handle: 'h', eventCount: 0});
+  });
+}
+
+test('replica: an answer to a copy whose handle is no text has no handle', async t => {
+  const body = `{"kvHandle":${NESTED},"created":3}`;
+  const instance = await listen(t, socket =>
+    socket.write(text(jsonHead(body), body)),
+  );
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  const copy = await client.copyRun(instance, {
+    attemptId: 'a',
+    target: instance,
+    isFinal: false,
+    timeoutMilliseconds: 4_000,
+  });
+  t.is(copy._unsafeUnwrapErr().handle, undefined);
+});
