Replica connections: one with a refusal without an attempt id is not used again

Cause: full replicas refuse without the attempt id, so a refusal that is written again when the next request is on its way cannot be told from the answer to that request. With an id it was told already, and bytes that arrive while a connection is idle close it. Change: after a refusal without an id the connection is closed. Result: the new test fails before (503 for a request that ran) and passes.

--- a/src/platform/instance_agent.ts
+++ b/src/platform/instance_agent.ts
@@ -1,6 +1,9 @@
 /** Keeps connections to replicas open between requests, and closes those that must not be reused. */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as wireNames from './wire_names';
+
+const {Headers} = wireNames;
 
 /** Maximum time for which an idle connection is kept, in milliseconds. */
 const MAX_IDLE_MILLISECONDS = 4_000;
@@ -31,11 +34,16 @@
 
   /** Called by node:http when a request has ended; false closes the connection. */
   override keepSocketAlive(socket: AgentSocket): boolean {
-    const keepAlive = socket._httpMessage?.res?.headers['keep-alive'];
+    const response = socket._httpMessage?.res;
+    const keepAlive = response?.headers['keep-alive'];
     const idle = idleMilliseconds(
       Array.isArray(keepAlive) ? keepAlive[0] : keepAlive,
     );
-    if (idle < MIN_IDLE_MILLISECONDS || socket.readableLength > 0) {
+    if (
+      idle < MIN_IDLE_MILLISECONDS ||
+      socket.readableLength > 0 ||
+      (response !== undefined && isAnonymousRefusal(response))
+    ) {
       return false;
     }
     socket.setTimeout(idle);
@@ -51,6 +59,15 @@
   }
 }
 
+/** Whether the answer is a refusal without an attempt id, which could not be distinguished from that of the next request if it were written again. */
+function isAnonymousRefusal({
+  headers,
+  statusCode,
+}: http.IncomingMessage): boolean {
+  const isRefusal = headers[Headers.notRun] !== undefined || statusCode === 421;
+  return isRefusal && headers[Headers.attemptId] === undefined;
+}
+
 /** Closes an idle connection on which data arrives: it answers no request, and could not be distinguished from the next answer. */
 function destroyOnUnexpectedData(this: net.Socket): void {
   this.destroy();
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -337,3 +337,34 @@
   });
   t.is(copy._unsafeUnwrapErr().handle, undefined);
 });
+
+/** Full replicas refuse without the attempt id. */
+const REFUSAL = text([
+  'HTTP/1.1 503 Service Unavailable',
+  'X-Rhubarbvane-Not-Executed: 1',
+  'Content-Length: 0',
+]);
+
+test('replica: a refusal that is written again when the next request arrives is not taken for its answer', async t => {
+  let runs = 0;
+  let refused: net.Socket | undefined;
+  const instance = await listen(t, (socket, count) => {
+    if (count === 1) {
+      refused = socket;
+      socket.write(REFUSAL);
+      return;
+    }
+    runs++;
+    const whole = text([...SUCCESS, 'Content-Length: 3'], 'one');
+    socket.write(socket === refused ? REFUSAL + whole : whole);
+  });
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  t.deepEqual(await receive(client.send(instance, request())), {
+    status: 503,
+    body: '',
+  });
+  const outcome = await receive(client.send(instance, request()));
+  t.is(runs, 1);
+  t.deepEqual(outcome, {status: 200, body: 'one'});
+});
