Entries of instances: addresses out of range name no instance, and bodies that are no object end nothing

Cause: an entry with the port 99999 or 0 was taken for an instance. node:http throws on such a port, and where reports are read and copies dropped nobody caught it, so the process ended; requests that were placed there were withdrawn and sent again. A store's answer that is no object (null, a number, a list) threw as well, or was an empty list. Change: ports and parts of an IP are checked when an entry is decoded, an instance has at least one slot, calls to instances that cannot be opened have no answer, and an answer of the store that is no object, or a list without a revision, is malformed.

--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -122,30 +122,40 @@
       headers['content-type'] = 'application/json';
       headers['content-length'] = Buffer.byteLength(body);
     }
-    return new Promise(resolve => {
-      const request = http.request(
-        {hostname, port, method, path, headers, agent: this.agent},
-        response => {
-          const chunks: Buffer[] = [];
-          response.on('data', (chunk: Buffer) => chunks.push(chunk));
-          response.once('error', () => resolve(undefined));
-          response.once('end', () =>
-            resolve({
-              status: response.statusCode ?? 0,
-              fields: parseFields(Buffer.concat(chunks)),
-            }),
-          );
-        },
+    const {agent} = this;
+    let request: http.ClientRequest;
+    try {
+      request = http.request({hostname, port, method, path, headers, agent});
+    } catch {
+      // node:http throws on ports and headers that it cannot use.
+      return Promise.resolve(undefined);
+    }
+    const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
+    request.once('close', () => clearTimeout(timer));
+    request.end(body);
+    return readJson(request);
+  }
+}
+
+/** Resolves with the whole answer; with undefined if there is none. */
+function readJson(
+  request: http.ClientRequest,
+): Promise<JsonAnswer | undefined> {
+  return new Promise(resolve => {
+    request.once('response', response => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.once('error', () => resolve(undefined));
+      response.once('end', () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          fields: parseFields(Buffer.concat(chunks)),
+        }),
       );
-      const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
-      request.once('close', () => {
-        clearTimeout(timer);
-        resolve(undefined);
-      });
-      request.once('error', () => resolve(undefined));
-      request.end(body);
     });
-  }
+    request.once('close', () => resolve(undefined));
+    request.once('error', () => resolve(undefined));
+  });
 }
 
 interface JsonAnswer {
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -147,7 +147,10 @@
       if (read.isErr()) {
         return neverthrow.err(read.error);
       }
-      if (isStrict && !isWholeList(read.value)) {
+      const isReadable = isStrict
+        ? isWholeList(read.value)
+        : typeof read.value.at === 'number';
+      if (!isReadable) {
         return neverthrow.err(stateSource.SourceError.Malformed);
       }
       const page = decodePage(read.value);
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -8,6 +8,7 @@
 
 /** Longest time for which a replica is taken for cold; longer ones are shortened to it. */
 export const MAX_WARM_UP_MILLISECONDS = 3_600_000;
+const MAX_PORT = 65_535;
 
 /** An object of the store. */
 export interface StoredObject {
@@ -50,6 +51,21 @@
     ['draining', instanceTable.InstanceState.Draining],
   ]);
 
+/** Whether the text is an IPv4 address with a port that can be connected to. */
+function isAddress(value: string | undefined): value is string {
+  const match = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/.exec(
+    value ?? '',
+  );
+  if (match === null) {
+    return false;
+  }
+  const [, ...numbers] = match;
+  const port = Number(numbers.pop());
+  return (
+    port > 0 && port <= MAX_PORT && numbers.every(each => Number(each) <= 255)
+  );
+}
+
 /** Decodes one instance; undefined if the entry has missing or wrong fields, or an unknown state. */
 export function decodeInstance(
   stored: StoredObject,
@@ -61,8 +77,8 @@
   const endpoint = text(spec.service);
   const address = text(spec.address);
   const state = INSTANCE_STATES.get(text(spec.state) ?? '');
-  const isAddress = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(address ?? '');
-  if (endpoint === undefined || !isAddress || state === undefined) {
+  const isKnown = endpoint !== undefined && state !== undefined;
+  if (!isKnown || !isAddress(address)) {
     return undefined;
   }
   const warmUpMilliseconds = Math.min(
@@ -72,10 +88,10 @@
   return {
     id: stored.name,
     endpoint,
-    address: address!,
+    address,
     dataCentre: text(spec.zone) ?? '',
     state,
-    slots: number(spec.slots, 1),
+    slots: Math.max(1, number(spec.slots, 1)),
     // Time for which the replica stays slow, not for which it stays warm.
     warmUpMilliseconds,
     // A replica that writes the same time again is cold again.
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -2,6 +2,8 @@
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
 import * as stateSource from '../gateway/common/state_source';
+import * as fieldReader from './field_reader';
+import * as objectCodec from './object_codec';
 
 /** Timeout of a read or write, in milliseconds; the store answers in about 4 ms. */
 export const CALL_TIMEOUT_MILLISECONDS = 600;
@@ -120,13 +122,12 @@
     : stateSource.SourceError.Malformed;
 }
 
-/** Returns the fields of a JSON body; Malformed if it is none. */
+/** Returns the fields of a JSON object; Malformed if the body is none. */
 export function parseBody(
   bytes: Buffer,
 ): neverthrow.Result<Body, stateSource.SourceError> {
-  try {
-    return neverthrow.ok(JSON.parse(bytes.toString('utf8')) as Body);
-  } catch {
-    return neverthrow.err(stateSource.SourceError.Malformed);
-  }
+  const value = objectCodec.parseJson(bytes.toString('utf8'));
+  return fieldReader.isFields(value)
+    ? neverthrow.ok(value)
+    : neverthrow.err(stateSource.SourceError.Malformed);
 }
--- a/test/gateway/common/fleet/fleet_message.test.ts
+++ b/test/gateway/common/fleet/fleet_message.test.ts
@@ -237,3 +237,35 @@
   const {omitted} = fleetMessage.encode({digest: {...digest, speeds}, fleet});
   t.deepEqual(omitted, []);
 });
+
+const DEPTH = 3_500;
+const NESTED = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
+
+// A digest that throws while it is read would end the process that receives it.
+test('fleet messages: fields nested deeply, and numbers without bound, are no message', t => {
+  const whole = JSON.stringify(
+    message({i: {runs: 1, memoryTokens: 2, prefillTokens: 3}}),
+  );
+  const values = [NESTED, '1e400', '9'.repeat(400), '{"toString":1}'];
+  const fields = [
+    ['"name":', '"gateway-1"'],
+    ['"stateAddress":', '"10.0.0.1:8748"'],
+    ['"configurationVersion":', '7'],
+    ['"instancesPosition":', '12.5'],
+    ['"runs":', '1'],
+    ['"crashes":', '[]'],
+    ['"incarnation":', '3'],
+    ['"members":[[', '"10.0.0.2"'],
+  ];
+  t.not(fleetMessage.parse(Buffer.from(whole)), undefined);
+  for (const [before, field] of fields) {
+    t.true(whole.includes(before + field), before);
+    for (const value of values) {
+      const odd = whole.replace(before + field, before + value);
+      const bytes = Buffer.from(odd);
+      t.true(bytes.length <= fleetMessage.MAX_MESSAGE_BYTES);
+      t.is(fleetMessage.parse(bytes), undefined, before + value.slice(0, 20));
+    }
+  }
+  t.is(fleetMessage.parse(Buffer.from(NESTED)), undefined);
+});
--- a/test/gateway/gateway_settings.test.ts
+++ b/test/gateway/gateway_settings.test.ts
@@ -122,3 +122,23 @@
     t.regex(parsed._unsafeUnwrapErr().message, message);
   });
 }
+
+for (const value of [
+  '['.repeat(20_000) + ']'.repeat(20_000),
+  '{"a":'.repeat(20_000) + '1' + '}'.repeat(20_000),
+  `{"galle":${'['.repeat(20_000)}${']'.repeat(20_000)}}`,
+  '{"galle":1e400}',
+  `{"galle":"${'x'.repeat(300_000)}"}`,
+]) {
+  test(`gateway settings: regions of ${value.length} characters like ${value.slice(0, 12)} are read or refused`, t => {
+    t.notThrows(() => parse(`${TEXT}\n[instance]\nregions = ${value}\n`));
+  });
+}
+
+for (const port of ['-1', '99999', '1e400', '9'.repeat(400), 'NaN']) {
+  test(`gateway settings: the digest port ${port.slice(0, 8)} of ${port.length} characters is refused`, t => {
+    const text = TEXT.replace(/digest_port = \d+/, `digest_port = ${port}`);
+    t.not(text, TEXT);
+    t.true(parse(text).isErr());
+  });
+}
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -338,6 +338,15 @@
   t.is(copy._unsafeUnwrapErr().handle, undefined);
 });
 
+test('replica: calls to a port that does not exist fail without ending the process', async t => {
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  const instance = instanceAt(99_999);
+  t.is(await client.readReport(instance), undefined);
+  const outcome = await receive(client.send(instance, request()));
+  t.deepEqual(outcome, {error: SendError.Withdrawn});
+});
+
 /** Full replicas refuse without the attempt id. */
 const REFUSAL = text([
   'HTTP/1.1 503 Service Unavailable',
--- a/test/platform/metadata_store.test.ts
+++ b/test/platform/metadata_store.test.ts
@@ -1,4 +1,6 @@
 /** The client of the metadata store: lists, watches and failures. */
+import * as http from 'node:http';
+import * as net from 'node:net';
 import * as ava from 'ava';
 import * as stateSource from '../../src/gateway/common/state_source';
 import * as metadataStore from '../../src/platform/metadata_store';
@@ -159,3 +161,110 @@
   const read = await store.readConfiguration();
   t.is(read._unsafeUnwrapErr(), SourceError.Missing);
 });
+
+const DEPTH = 20_000;
+const NESTED = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
+const SPEC = JSON.stringify(entry('a'));
+/** Larger than one read of a socket. */
+const PADDING = 'x'.repeat(300_000);
+
+/** Entries of other writers, as JSON. */
+const ODD_ENTRIES: readonly (readonly [string, string])[] = [
+  ['nested 20,000 levels deep', NESTED],
+  ['with a spec nested 20,000 levels deep', object('i-odd', NESTED)],
+  ['with a name nested 20,000 levels deep', object(NESTED, SPEC)],
+  [
+    'with a spec as a text nested 20,000 levels deep',
+    object('i-odd', JSON.stringify(NESTED)),
+  ],
+  ['of 300,000 characters', object('i-odd', JSON.stringify(PADDING))],
+  ['with the port 99999', object('i-odd', SPEC.replace(':80', ':99999'))],
+  ['with the port -1', object('i-odd', SPEC.replace(':80', ':-1'))],
+  ['without a spec', '{"meta":{"name":"i-odd","revision":2}}'],
+  ['without a name', `{"meta":{},"spec":${SPEC}}`],
+  ['that is a number without bound', '1e400'],
+  ['that is null', 'null'],
+];
+
+/** Numbers without bound, in an entry that still names a replica. */
+const HUGE_NUMBERS = SPEC.replace('"slots":1', '"slots":1e400').replace(
+  '"seq":1',
+  `"seq":${'9'.repeat(400)},"born":1e400,"warmLeftMs":1e400`,
+);
+
+function object(name: string, spec: string): string {
+  const quoted = name.startsWith('[') ? name : `"${name}"`;
+  return `{"meta":{"name":${quoted},"revision":2},"spec":${spec}}`;
+}
+
+/** A store that answers lists and watches with an odd entry between two sound ones. */
+async function startWithEntry(
+  t: ava.ExecutionContext,
+  odd: string,
+): Promise<metadataStore.MetadataStore> {
+  const entries = [object('i-1', SPEC), odd, object('i-2', SPEC)];
+  const events = entries.map(each => `{"object":${each},"deleted":false}`);
+  const server = http.createServer((request, response) => {
+    response.end(
+      request.url!.includes('watch=')
+        ? `{"events":[${events.join()}],"at":9}`
+        : `{"entries":[${entries.join()}],"hasMore":false,"at":9}`,
+    );
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const store = new metadataStore.MetadataStore({address: `127.0.0.1:${port}`});
+  t.teardown(() => {
+    store.dispose();
+    server.close();
+  });
+  return store;
+}
+
+for (const [title, odd] of ODD_ENTRIES) {
+  test(`store: beside an entry ${title}, the others are listed and watched`, async t => {
+    const store = await startWithEntry(t, odd);
+    const listed = (await store.listInstances())._unsafeUnwrap();
+    t.deepEqual(
+      listed.value.map(({id}) => id),
+      ['i-1', 'i-2'],
+    );
+    const watched = (await store.watchInstances(1))._unsafeUnwrap();
+    t.deepEqual(
+      watched.value.filter(({record}) => record).map(({id}) => id),
+      ['i-1', 'i-2'],
+    );
+    t.is(watched.revision, 9);
+  });
+}
+
+test('store: numbers without bound in an entry are replaced', async t => {
+  const store = await startWithEntry(t, object('i-odd', HUGE_NUMBERS));
+  const {value} = (await store.listInstances())._unsafeUnwrap();
+  const record = value.find(({id}) => id === 'i-odd')!;
+  t.is(record.slots, 1);
+  t.is(record.startedAt, 0);
+  t.is(record.warmUpMilliseconds, 0);
+});
+
+for (const body of ['null', '7', '[]', NESTED] as const) {
+  test(`store: an answer ${body.slice(0, 8)} of ${body.length} characters is malformed or empty, and ends nothing`, async t => {
+    const server = http.createServer((_, response) => response.end(body));
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as net.AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const store = new metadataStore.MetadataStore({address});
+    t.teardown(() => {
+      store.dispose();
+      server.close();
+    });
+    t.is(
+      (await store.watchInstances(1))._unsafeUnwrapErr(),
+      SourceError.Malformed,
+    );
+    t.is(
+      (await store.listInstances())._unsafeUnwrapErr(),
+      SourceError.Malformed,
+    );
+  });
+}
--- a/test/platform/object_codec.test.ts
+++ b/test/platform/object_codec.test.ts
@@ -41,11 +41,21 @@
   });
 });
 
+for (const slots of [0, -3, '24', null]) {
+  test(`registration: an entry with ${JSON.stringify(slots)} slots has one`, t => {
+    t.is(decode({...ENTRY, slots})?.slots, 1);
+  });
+}
+
 for (const [title, spec] of [
   ['no service', {...ENTRY, service: undefined}],
   ['a service of another type', {...ENTRY, service: 7}],
   ['no address', {...ENTRY, address: undefined}],
   ['an invalid address', {...ENTRY, address: 'replica-1'}],
+  ['the port 0', {...ENTRY, address: '10.0.0.1:0'}],
+  ['a port below 0', {...ENTRY, address: '10.0.0.1:-1'}],
+  ['the port 99999', {...ENTRY, address: '10.0.0.1:99999'}],
+  ['an IP out of range', {...ENTRY, address: '10.0.0.256:80'}],
   ['an unknown state', {...ENTRY, state: 'resting'}],
   // Looked up in an object, the name of a prototype member would be a state.
   ['the state "constructor"', {...ENTRY, state: 'constructor'}],
