Streams: events without an id do not continue a stream at another instance

Cause: the answer of the next replica was compared with what was delivered by its event ids alone, and events without an id, or with one that is no number, passed. A text with an empty line is such an event. Errors with another status than 200, under another request's id or without HTTP were not delivered before either. Change: in a part of a stream that goes on after events with ids, each event needs a numeric id; otherwise that part is broken off, and the stream goes on elsewhere or ends visibly incomplete.

--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -2,7 +2,8 @@
  * Delivers the events of a generation to its caller, whichever instances they
  * come from. An incomplete event is never delivered.
  * Events with numeric ids are neither repeated nor skipped when the stream
- * continues at another instance; events without ids cannot be compared.
+ * continues at another instance. Events of a continuation without such an id are
+ * not delivered: they may be the text of an error.
  */
 import * as eventSplitter from '../common/event_splitter';
 import * as instanceClient from '../common/instance_client';
@@ -18,6 +19,8 @@
   private isHeadWritten = false;
   private hasReceivedEvents = false;
   private lastId: string | undefined;
+  /** Whether the segment continues a stream whose events have ids. */
+  private isContinuation = false;
   private firstEventAt = 0;
   private lastEventAt = 0;
   private longestPause = 0;
@@ -70,11 +73,12 @@
   startSegment(instance: instanceTable.Instance): void {
     this.observer = this.context.services.speeds.observe(instance, this.run);
     this.isGapOfInstance = false;
+    this.isContinuation = this.isHeadWritten && this.lastId !== undefined;
     this.splitter = new eventSplitter.EventSplitter();
     this.hasReceivedEvents = false;
   }
 
-  /** Delivers the events that the chunk completes, without those already delivered; false if an event between them is missing. */
+  /** Delivers the events that the chunk completes, without those already delivered; false if they do not continue the stream. */
   push(answer: instanceClient.InstanceResponse, chunk: Buffer): boolean {
     const events = this.splitter.push(chunk);
     if (events === undefined) {
@@ -127,11 +131,14 @@
     this.isGapOfInstance &&= isOpen;
   }
 
-  /** Number of leading events that the caller already has; undefined if an event is missing. */
+  /** Number of leading events that the caller already has; undefined if the events do not continue those delivered. */
   private countDelivered(ids: readonly string[]): number | undefined {
     let skipped = 0;
     let last = this.lastId;
     for (const id of ids) {
+      if (this.isContinuation && !/^\d+$/.test(id)) {
+        return undefined;
+      }
       if (last !== undefined && id !== '') {
         const step = Number(id) - Number(last);
         if (step <= 0) {
