Soak: repeats of all gateways are checked against the retry budget

The soak killed and restarted gateways beside replicas that reject, reset and lose answers, but counted no repeats. Arrivals are now checked by the users' rule for each service, whatever faults there are. A restarted gateway is told that it is no first start.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -110,6 +110,8 @@
       : wait + 1_000;
     this.history.recordSent(attempt, kind, key, gateway.name, resumed);
     const startedAt = performance.now();
+    const service = requestHistory.serviceOf(kind);
+    this.history.budget.recordRequest(service, startedAt);
     await new Promise<void>(resolve => {
       const request = http.request(
         {
--- a/soak/gateway_child.ts
+++ b/soak/gateway_child.ts
@@ -5,8 +5,11 @@
 import * as path from 'node:path';
 import * as freePorts from '../standins/free_ports';
 import * as tcpRelay from '../standins/tcp_relay';
+import * as budgetRule from './budget_rule';
 import * as requestHistory from './request_history';
 
+const {RETRY_POLICY} = budgetRule;
+
 const PROGRAM = path.join(__dirname, '..', 'src', 'daemon', 'gateway_main.js');
 
 /** Addresses and files of a gateway. */
@@ -26,6 +29,8 @@
   private readonly settingsFile: string;
   private ports = {callers: 0, readiness: 0, peers: 0};
   private isExitExpected = false;
+  private isClosed = false;
+  private storeAddress = '';
   storeRelay: tcpRelay.TcpRelay;
   callerRelay!: tcpRelay.TcpRelay;
   /** Address that callers use. */
@@ -60,10 +65,8 @@
     };
     this.callerRelay = new tcpRelay.TcpRelay(this.ports.callers, ip);
     this.address = await this.callerRelay.listen();
-    fs.writeFileSync(
-      this.settingsFile,
-      this.settings(await this.storeRelay.listen()),
-    );
+    this.storeAddress = await this.storeRelay.listen();
+    this.writeSettings(true);
     this.start();
   }
 
@@ -83,6 +86,7 @@
     this.isExitExpected = false;
     child.once('exit', (code, signal) => {
       this.process = undefined;
+      this.writeSettings(false);
       if (!this.isExitExpected) {
         this.onUnexpectedExit(`${this.name} exited with ${code ?? signal}`);
       }
@@ -110,6 +114,7 @@
 
   async close(): Promise<void> {
     const ended = this.whenExited();
+    this.isClosed = true;
     this.signal('SIGKILL');
     await ended;
     this.storeRelay.dispose();
@@ -117,7 +122,13 @@
     fs.rmSync(path.dirname(this.settingsFile), {recursive: true});
   }
 
-  private settings(store: string): string {
+  private writeSettings(isFirstStart: boolean): void {
+    if (!this.isClosed) {
+      fs.writeFileSync(this.settingsFile, this.settings(isFirstStart));
+    }
+  }
+
+  private settings(isFirstStart: boolean): string {
     const {name, ip, seeds, digestPort} = this.options;
     const {callers, readiness, peers} = this.ports;
     return [
@@ -125,6 +136,7 @@
       `name = ${name}`,
       'data_centre = a',
       `ip = ${ip}`,
+      `bootstrap = ${isFirstStart}`,
       '[listen]',
       `callers = ${ip}:${callers}`,
       `readiness = ${ip}:${readiness}`,
@@ -134,7 +146,7 @@
       `seeds = ${seeds.join(',')}`,
       `digest_port = ${digestPort}`,
       '[platform]',
-      `store = ${store}`,
+      `store = ${this.storeAddress}`,
       '[shutdown]',
       'grace_seconds = 6',
       '[evacuation]',
@@ -148,9 +160,9 @@
       '[limits]',
       'memory_megabytes = 96',
       '[retries]',
-      'window_seconds = 10',
-      'ratio = 0.2',
-      'allowance = 50',
+      `window_seconds = ${RETRY_POLICY.windowMilliseconds / 1_000}`,
+      `ratio = ${RETRY_POLICY.ratio}`,
+      `allowance = ${RETRY_POLICY.allowance}`,
     ].join('\n');
   }
 }
--- a/soak/probe.ts
+++ b/soak/probe.ts
@@ -15,11 +15,11 @@
 ): Promise<number> {
   const attempt = `f${(++probeCount).toString(16).padStart(15, '0')}`;
   const [host, port] = gateway.address.split(':');
-  history.recordSent(
-    attempt,
-    requestHistory.RequestKind.Read,
-    key,
-    gateway.name,
+  const kind = requestHistory.RequestKind.Read;
+  history.recordSent(attempt, kind, key, gateway.name);
+  history.budget.recordRequest(
+    requestHistory.serviceOf(kind),
+    performance.now(),
   );
   return new Promise(resolve => {
     const request = http.get(
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -130,10 +130,14 @@
     response: http.ServerResponse,
     body: string,
   ): void {
+    const {url = '', headers} = request;
+    const attempt = headers['x-rhubarbvane-attempt-id'];
+    if (attempt !== undefined && headers['kv-from'] === undefined) {
+      this.recordArrival(String(attempt));
+    }
     if (this.mode === ReplicaMode.Silent) {
       return;
     }
-    const {url = '', headers} = request;
     if (url === '/report') {
       const runs = [...this.streams.values()].map(run => [
         run.attempt,
@@ -164,6 +168,7 @@
     const attempt = String(headers['x-rhubarbvane-attempt-id']);
     const isMisaddressed = headers['x-rhubarbvane-expect-replica'] !== this.id;
     if (isMisaddressed || this.mode === ReplicaMode.Shedding) {
+      this.recordRejectedContinuation(attempt, headers);
       response.writeHead(isMisaddressed ? 421 : 503, {
         'X-Rhubarbvane-Not-Executed': '1',
       });
@@ -188,6 +193,20 @@
     );
   }
 
+  private recordArrival(attempt: string): void {
+    const {budget} = this.history;
+    budget.recordArrival(this.service, attempt, performance.now());
+  }
+
+  private recordRejectedContinuation(
+    attempt: string,
+    headers: http.IncomingHttpHeaders,
+  ): void {
+    if (headers['kv-from'] !== undefined) {
+      this.recordArrival(attempt);
+    }
+  }
+
   private answerPlain(attempt: string, response: http.ServerResponse): void {
     const body = answers.plainBody(attempt, this.id);
     const {socket} = response;
@@ -215,6 +234,7 @@
         ? undefined
         : this.copies.get(String(from).split('/')[1]);
     if (from !== undefined && copy === undefined) {
+      this.recordRejectedContinuation(attempt, headers);
       response.writeHead(503, {'X-Rhubarbvane-Not-Executed': '1'}).end();
       return;
     }
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -6,6 +6,7 @@
 
 import * as requestLimit from '../standins/request_limit';
 import * as answers from './answers';
+import * as budgetRule from './budget_rule';
 import * as placeRules from './place_rules';
 
 /** Kinds of requests that the soak test sends. */
@@ -20,6 +21,12 @@
   Tag = 'tag',
 }
 
+/** Service that answers requests of the kind. */
+export function serviceOf(kind: RequestKind): string {
+  const isStream = kind === RequestKind.Draft || kind === RequestKind.Tag;
+  return isStream ? 'writers' : 'ledger';
+}
+
 /** One violated guarantee. */
 export interface Violation {
   readonly promise: string;
@@ -70,6 +77,7 @@
 /** Holds what callers and replicas observed in one soak test. */
 export class RequestHistory {
   readonly places = new placeRules.PlaceRules();
+  readonly budget = new budgetRule.BudgetRule();
   private readonly sent = new Map<string, SentRequest>();
   private readonly runs = new Map<string, Run[]>();
   private readonly faults: {gateway: string | undefined; range: TimeRange}[] =
@@ -161,6 +169,11 @@
     }
     violations.push(...this.limited.flatMap(each => this.checkLimit(each)));
     violations.push(...this.places.violations(this.arrivedRequests()));
+    violations.push(
+      ...this.budget
+        .violations()
+        .map(detail => ({promise: 'budget', attempt: '', detail})),
+    );
     for (const attempt of this.runs.keys()) {
       if (!this.sent.has(attempt)) {
         violations.push({
--- a/test/support/retry_arrivals.ts
+++ b/standins/retry_arrivals.ts
@@ -1,5 +1,5 @@
-/** Checks arrivals at the instances of one endpoint against the retry budget that all gateways share. */
-import * as retryLimiter from '../../src/gateway/common/retry_limiter';
+/** The users' rule on the repeats of all gateways together, for one endpoint. */
+import * as retryLimiter from '../src/gateway/common/retry_limiter';
 
 /** Arrivals within one window of the budget. */
 export interface WindowUsage {
--- a/test/gateway/common/retry_limiter.test.ts
+++ b/test/gateway/common/retry_limiter.test.ts
@@ -1,8 +1,8 @@
 /** The retry budget, which gateways share without communicating. */
 import * as ava from 'ava';
 import * as fastCheck from 'fast-check';
+import * as retryArrivals from '../../../standins/retry_arrivals';
 import * as retryLimiter from '../../../src/gateway/common/retry_limiter';
-import * as retryArrivals from '../../support/retry_arrivals';
 
 const test = ava.default;
 const POLICY = {windowMilliseconds: 10_000, ratio: 0.2, allowance: 54};
--- a/test/gateway/retry_budget.test.ts
+++ b/test/gateway/retry_budget.test.ts
@@ -1,8 +1,8 @@
 /** Repeats of a fleet of gateways, counted where they arrive. */
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
+import * as retryArrivals from '../../standins/retry_arrivals';
 import * as gatewayFleet from '../support/gateway_fleet';
-import * as retryArrivals from '../support/retry_arrivals';
 import * as testGateway from '../support/test_gateway';
 
 const test = ava.default;
--- a/test/soak/request_history.test.ts
+++ b/test/soak/request_history.test.ts
@@ -204,3 +204,28 @@
     );
   });
 }
+
+for (const [title, repeats, isViolation] of [
+  [
+    'more repeats of a service than its requests and the allowance permit',
+    55,
+    true,
+  ],
+  ['repeats within the budget', 53, false],
+] as const) {
+  test(`soak checks: ${title} are ${isViolation ? 'a violation' : 'allowed'}`, t => {
+    const history = new requestHistory.RequestHistory();
+    for (let index = 0; index < 20; index++) {
+      history.recordSent(`a${index}`, RequestKind.Read, 'key', 'g1');
+      history.budget.recordRequest('ledger', 1_000 + index);
+      history.budget.recordArrival('ledger', `a${index}`, 1_000 + index);
+    }
+    for (let index = 0; index < repeats; index++) {
+      history.budget.recordArrival('ledger', 'a0', 2_000 + index);
+    }
+    t.deepEqual(
+      history.violations().map(({promise}) => promise),
+      isViolation ? ['budget'] : [],
+    );
+  });
+}
