--- a/src/gateway/common/retry_limiter.ts
+++ b/src/gateway/common/retry_limiter.ts
@@ -4,8 +4,8 @@
  * requests that it receives fill. What a bucket gives in a window is bounded by
  * its capacity and by what flows in, so that the sum of all gateways keeps to
  * the budget in every window, also when gateways restart: their buckets are
- * empty then. Meant for budgets of about one repeat or more per gateway; with
- * less, gateways draw lots. Stepped by the caller's clock.
+ * empty then. Where a bucket holds less than one repeat, as with hundreds of
+ * gateways, repeats are allowed at random. Stepped by the caller's clock.
  */
 import * as slidingCounts from './sliding_counts';
 
@@ -75,10 +75,12 @@
     bucket.level += USABLE_SHARE * this.policy.ratio;
   }
 
-  /** Whether a repeat may be sent now, or drawn a lot for. */
+  /** Whether `tryAcquire` may allow a repeat now. */
   isAvailable(endpoint: string, now: number): boolean {
     const bucket = this.fill(endpoint, now);
-    return this.drawsLots(bucket, now) ? bucket.level > 0 : bucket.level >= 1;
+    return this.isProbabilistic(bucket, now)
+      ? bucket.level > 0
+      : bucket.level >= 1;
   }
 
   /** Charges a repeat that is about to be sent; returns false if the budget does not allow it. */
@@ -87,13 +89,13 @@
       return false;
     }
     const bucket = this.fill(endpoint, now);
-    if (!this.drawsLots(bucket, now)) {
+    if (!this.isProbabilistic(bucket, now)) {
       bucket.level--;
       return true;
     }
-    const isDrawn = this.random() < bucket.level;
+    const isAllowed = this.random() < bucket.level;
     bucket.level = 0;
-    return isDrawn;
+    return isAllowed;
   }
 
   /** Charges a continuation that an instance rejected; it needs no permission, since one that is accepted is no repeat. */
@@ -123,8 +125,8 @@
     return USABLE_SHARE * (burst + this.policy.ratio * requests);
   }
 
-  /** Whether the bucket can't hold a whole repeat; a lot then decides whether a part of one allows it. */
-  private drawsLots(bucket: Bucket, now: number): boolean {
+  /** Whether the bucket can't hold a whole repeat; one is then allowed with its level as the probability, which empties it. */
+  private isProbabilistic(bucket: Bucket, now: number): boolean {
     return this.capacity(bucket, now) < 1;
   }
 
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -287,6 +287,21 @@
   ['null', 'null'],
 ];
 
+/** Copies a run at an instance that answers with the body. */
+async function copyFrom(t: ava.ExecutionContext, body: string) {
+  const instance = await listen(t, socket =>
+    socket.write(text(jsonHead(body), body)),
+  );
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  return client.copyRun(instance, {
+    attemptId: 'a',
+    target: instance,
+    isFinal: false,
+    timeoutMilliseconds: 4_000,
+  });
+}
+
 for (const [title, value] of ODD_VALUES) {
   test(`replica: a report whose fields are ${title} is read without them`, async t => {
     const fields = `"queued":${value},"kvInUse":${value},"leaves_ms":${value}`;
@@ -307,34 +322,13 @@
 
   test(`replica: an answer to a copy whose fields are ${title} does not end the process`, async t => {
     const body = `{${PADDING},"kvHandle":"h","created":${value}}`;
-    const instance = await listen(t, socket =>
-      socket.write(text(jsonHead(body), body)),
-    );
-    const client = new instanceHttpClient.InstanceHttpClient();
-    t.teardown(() => client.dispose());
-    const copy = await client.copyRun(instance, {
-      attemptId: 'a',
-      target: instance,
-      isFinal: false,
-      timeoutMilliseconds: 4_000,
-    });
+    const copy = await copyFrom(t, body);
     t.deepEqual(copy._unsafeUnwrap(), {handle: 'h', eventCount: 0});
   });
 }
 
 test('replica: an answer to a copy whose handle is no text has no handle', async t => {
-  const body = `{"kvHandle":${NESTED},"created":3}`;
-  const instance = await listen(t, socket =>
-    socket.write(text(jsonHead(body), body)),
-  );
-  const client = new instanceHttpClient.InstanceHttpClient();
-  t.teardown(() => client.dispose());
-  const copy = await client.copyRun(instance, {
-    attemptId: 'a',
-    target: instance,
-    isFinal: false,
-    timeoutMilliseconds: 4_000,
-  });
+  const copy = await copyFrom(t, `{"kvHandle":${NESTED},"created":3}`);
   t.is(copy._unsafeUnwrapErr().handle, undefined);
 });
 
