--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -13,14 +13,18 @@
 const {Headers, Paths} = wireNames;
 const {CopyError} = instanceClient;
 
-/** Timeout for reading a report or freeing a copy, in milliseconds. */
+/** Usual timeout for reading a report or freeing a copy, in milliseconds. */
 const CONTROL_TIMEOUT_MILLISECONDS = 300;
 
 /** Sends over node:http with pooled connections. */
 export class InstanceHttpClient extends instanceClient.InstanceClient {
   private readonly agent = new instanceAgent.InstanceAgent();
 
-  constructor(private readonly onDidConnect: () => void = () => undefined) {
+  /** @param controlTimeoutMilliseconds Timeout for reading a report or freeing a copy. */
+  constructor(
+    private readonly onDidConnect: () => void = () => undefined,
+    private readonly controlTimeoutMilliseconds = CONTROL_TIMEOUT_MILLISECONDS,
+  ) {
     super();
   }
 
@@ -74,7 +78,7 @@
       'DELETE',
       path,
       '',
-      CONTROL_TIMEOUT_MILLISECONDS,
+      this.controlTimeoutMilliseconds,
     );
   }
 
@@ -86,7 +90,7 @@
       'GET',
       Paths.report,
       '',
-      CONTROL_TIMEOUT_MILLISECONDS,
+      this.controlTimeoutMilliseconds,
     );
     const fields = answer?.fields;
     if (answer?.status !== 200 || fields === undefined) {
