Retry budget: a repeat after a send that never arrived is not charged

Cause: every repeat was charged, but the budget bounds arrivals beyond the first, and a request whose connection was refused has not arrived anywhere. Change: a repeat is charged only if an earlier send arrived or may still arrive.

--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -11,6 +11,7 @@
 import * as callerAnswer from './caller_answer';
 import * as gatewayServices from './gateway_services';
 
+const {RepeatEvent} = retryUsage;
 /** Maximum number of sends of one attempt that instances reject or never receive. */
 const MAX_REJECTED_SENDS = 4;
 
@@ -59,6 +60,8 @@
   /** Version of the software that began the stream; undefined before its first event. */
   softwareVersion: string | undefined;
   private sends = 0;
+  /** Sends that arrived at an instance, or may still arrive. */
+  private arrivals = 0;
   private possibleRuns = 0;
   private rejectedSends = 0;
   private isFinished = false;
@@ -132,11 +135,12 @@
     if (this.sends > 0) {
       this.recordRepeat(
         options.continuation === undefined
-          ? retryUsage.RepeatEvent.Sent
-          : retryUsage.RepeatEvent.Continued,
+          ? RepeatEvent.Sent
+          : RepeatEvent.Continued,
       );
     }
     this.sends++;
+    this.arrivals++;
     const exchange = services.client.send(instance, {
       caller: call.caller,
       body: call.body,
@@ -152,6 +156,8 @@
           sentAt,
           (event, fields) => this.log(event, fields, instance),
         );
+      } else if (instanceClient.wasNeverSent(result.error)) {
+        this.arrivals--;
       }
     });
     return exchange;
@@ -222,34 +228,37 @@
     }
     const {retries} = this.services;
     const now = performance.now();
-    const isAvailable = retries.isAvailable(this.call.endpointName, now);
+    const isAvailable =
+      this.arrivals === 0 || retries.isAvailable(this.call.endpointName, now);
     if (!isAvailable) {
-      this.recordRepeat(retryUsage.RepeatEvent.Denied);
+      this.recordRepeat(RepeatEvent.Denied);
     }
     return isAvailable;
   }
 
-  /** Charges the shared retry budget for a repeat that is sent now, since the budget bounds arrivals; returns false if nothing is left of it. */
+  /** Charges the shared retry budget for a repeat that is sent now, since the budget bounds arrivals beyond the first; returns false if nothing is left of it. */
   chargeRepeat(): boolean {
-    const {retries} = this.services;
-    const {RepeatEvent} = retryUsage;
+    if (this.arrivals === 0) {
+      return true;
+    }
     const now = performance.now();
-    const isCharged = retries.tryAcquire(this.call.endpointName, now);
+    const {endpointName} = this.call;
+    const isCharged = this.services.retries.tryAcquire(endpointName, now);
     this.recordRepeat(isCharged ? RepeatEvent.Charged : RepeatEvent.Denied);
     return isCharged;
   }
 
   /** Whether a run may be sent to the instance of its copy. */
   mayContinue(): boolean {
-    const {retries} = this.services;
-    return retries.mayContinue(this.call.endpointName, performance.now());
+    const {endpointName} = this.call;
+    return this.services.retries.mayContinue(endpointName, performance.now());
   }
 
   /** Charges the shared retry budget for a run that the instance of its copy rejected, since rejected arrivals count. */
   recordRejectedContinuation(): void {
     const {retries} = this.services;
     retries.chargeRejection(this.call.endpointName, performance.now());
-    this.recordRepeat(retryUsage.RepeatEvent.ContinuationRejected);
+    this.recordRepeat(RepeatEvent.ContinuationRejected);
   }
 
   /** Counts an event of a repeated send. */
@@ -260,11 +269,9 @@
 
   /** Records the loss of an instance as caused by the request; not to be called for an instance that was about to leave. */
   recordCrash(instance: instanceTable.Instance): void {
+    const {fingerprint} = this.call;
     const life = instanceTable.lifeOf(instance.record);
-    this.services.crashes.add(
-      {fingerprint: this.call.fingerprint, life},
-      performance.now(),
-    );
+    this.services.crashes.add({fingerprint, life}, performance.now());
   }
 
   /** Ends the call if its request, or a part of its prompt, crashed the instances that ran it. Returns whether it has ended. */
--- a/test/gateway/repeat_charging.test.ts
+++ b/test/gateway/repeat_charging.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as ava from 'ava';
+import * as neverthrow from 'neverthrow';
 import * as metrics from '../../src/base/node/metrics';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
@@ -26,7 +27,9 @@
 const ENDPOINT = 'writers';
 
 /** A generation that an engine turned away, and that waits for room until `place` is called. */
-function createWaitingGeneration() {
+function createWaitingGeneration(
+  arrival: instanceClient.Exchange['response'] = new Promise(() => undefined),
+) {
   const retries = new retryLimiter.RetryLimiter(
     {windowMilliseconds: 10_000, ratio: 0, allowance: 10},
     {startedAt: performance.now(), isFirstStart: true},
@@ -47,6 +50,8 @@
         new metrics.MetricsRegistry({}),
       ),
       log: {write: () => undefined},
+      limits: {get: () => undefined},
+      client: {send: () => ({response: arrival, cancel: () => undefined})},
       scheduler: {
         recordTurnedAway: () => true,
         async placeAgain() {
@@ -71,6 +76,12 @@
     new plainCallBench.FakeResponse() as unknown as http.ServerResponse,
   );
   context.recordSend();
+  context.send(instance, {
+    urgency: undefined,
+    lastEventId: undefined,
+    continuation: undefined,
+    backupAddress: undefined,
+  });
   const continuations = new streamContinuations.StreamContinuations(
     context,
     run,
@@ -105,6 +116,18 @@
   t.is(await next, undefined);
 });
 
+test('repeat charging: a generation that never arrived at an engine is sent again without the budget', async t => {
+  const {NeverSent} = instanceClient.SendError;
+  const {next, place, retries, instance} = createWaitingGeneration(
+    Promise.resolve(neverthrow.err(NeverSent)),
+  );
+  while (retries.tryAcquire(ENDPOINT, performance.now())) {
+    // Uses up the budget.
+  }
+  place();
+  t.is((await next)?.instance, instance);
+});
+
 test('repeat charging: runs whose copies are rejected one after the other stay within the budget', async t => {
   const allowance = 10;
   const streams = 3 * allowance;
