Tests: a run whose runner crashed fails, also beside a known red test

Cause: the runner's reporter crashes when a test does not end, and prints neither that test nor the number of tests. Change: the number of tests that ended has to be the number that the runner planned. Result: with a test that does not end beside one that fails the script exits with 1 and says that the run is incomplete; a complete run passes as before.

--- a/scripts/run_tests.js
+++ b/scripts/run_tests.js
@@ -19,6 +19,8 @@
 const failures = [];
 const seen = new Set();
 let passed = 0;
+// The runner prints the number of tests last, and not at all if it crashes, as on a test that does not end.
+let planned;
 
 const ava = childProcess.spawn(
   process.execPath,
@@ -27,6 +29,10 @@
 );
 readline.createInterface({input: ava.stdout}).on('line', line => {
   process.stdout.write(`${line}\n`);
+  const plan = /^1\.\.(\d+)$/.exec(line);
+  if (plan !== null) {
+    planned = Number(plan[1]);
+  }
   const match = /^(not ok|ok) \d+ - (.*?)( # SKIP| # TODO.*)?$/.exec(line);
   if (match === null) {
     return;
@@ -51,5 +57,9 @@
   }
   process.stdout.write(`${passed} passed, ${unknown.length} failed\n`);
   const isCrashWithoutFailure = code !== 0 && failures.length === 0;
-  process.exit(unknown.length > 0 || isCrashWithoutFailure || passed === 0 ? 1 : 0);
+  const isComplete = planned === passed + failures.length;
+  if (!isComplete) {
+    process.stdout.write(`incomplete: ${planned ?? 'no number of'} tests planned, ${passed + failures.length} ended\n`);
+  }
+  process.exit(unknown.length > 0 || isCrashWithoutFailure || !isComplete || passed === 0 ? 1 : 0);
 });
