Retry budget: the charges of a call, and counts for the log, are modules of their own

Read as a newcomer would: the call context held the account of repeats beside everything else, the counts of repeats repeated those of limited instances, and each request asked several times for the number of gateways, over all members. Repeats of a call are in repeat_charges, both counts share usage_counts, and a bucket is filled and asked once. Comments name the header instead of describing it. Log lines, metrics and behaviour are unchanged; 323 tests of limits, calls, streams, hedging and the adapter pass.

--- a/src/gateway/common/fleet/budget_gateways.ts
+++ b/src/gateway/common/fleet/budget_gateways.ts
@@ -16,9 +16,9 @@
     if (!this.hasSeeds) {
       return this.members.gatewayCount();
     }
-    const isAlone = this.members.all().length === 0;
-    const hasHeard = this.members.lastHeardAt() > -Infinity;
-    return (isAlone || hasHeard) && !this.peers.isSettling(now)
+    const known = this.members.all();
+    const hasHeard = known.some(({lastHeardAt}) => lastHeardAt > -Infinity);
+    return (known.length === 0 || hasHeard) && !this.peers.isSettling(now)
       ? this.members.gatewayCount()
       : Infinity;
   }
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -195,7 +195,7 @@
   ): Promise<neverthrow.Result<RunCopy, CopyFailure>>;
   /** Releases a copy that will not be used. */
   abstract dropCopy(source: instanceTable.Instance, handle: string): void;
-  /** Reads the status report; undefined when none was received. The platform charges for each read as for a health probe. */
+  /** Reads the status report; undefined when none was received. Each read costs as much as a health check. */
   abstract readReport(
     instance: instanceTable.Instance,
   ): Promise<InstanceReport | undefined>;
--- a/src/gateway/common/retry_limiter.ts
+++ b/src/gateway/common/retry_limiter.ts
@@ -35,9 +35,14 @@
   readonly isFirstStart: boolean;
 }
 
+/** Token bucket of one endpoint, as of `filledAt`. */
 interface Bucket {
   /** Repeats that may be sent; below 0 after rejected continuations. */
   level: number;
+  /** Repeats that the full bucket holds. */
+  capacity: number;
+  /** Part of the allowance that this gateway has. */
+  allowanceShare: number;
   /** Monotonic milliseconds. */
   filledAt: number;
   readonly recentRequests: slidingCounts.SlidingCounts;
@@ -77,19 +82,16 @@
 
   /** Whether `tryAcquire` may allow a repeat now. */
   isAvailable(endpoint: string, now: number): boolean {
-    const bucket = this.fill(endpoint, now);
-    return this.isProbabilistic(bucket, now)
-      ? bucket.level > 0
-      : bucket.level >= 1;
+    return hasRepeat(this.fill(endpoint, now));
   }
 
   /** Charges a repeat that is about to be sent; returns false if the budget does not allow it. */
   tryAcquire(endpoint: string, now: number): boolean {
-    if (!this.isAvailable(endpoint, now)) {
+    const bucket = this.fill(endpoint, now);
+    if (!hasRepeat(bucket)) {
       return false;
     }
-    const bucket = this.fill(endpoint, now);
-    if (!this.isProbabilistic(bucket, now)) {
+    if (!isProbabilistic(bucket)) {
       bucket.level--;
       return true;
     }
@@ -105,8 +107,8 @@
 
   /** Whether a continuation may be sent; not while the rejected ones exceed what is set aside for them. */
   mayContinue(endpoint: string, now: number): boolean {
-    const reserve = (1 - USABLE_SHARE) * this.allowanceShare(now);
-    return this.left(endpoint, now) >= -reserve;
+    const {level, allowanceShare} = this.fill(endpoint, now);
+    return level >= -(1 - USABLE_SHARE) * allowanceShare;
   }
 
   /** Repeats left; not a whole number. */
@@ -114,33 +116,20 @@
     return this.fill(endpoint, now).level;
   }
 
-  private allowanceShare(now: number): number {
-    return this.policy.allowance / this.gatewayCount(now);
-  }
-
-  /** Repeats that a full bucket holds. */
-  private capacity({recentRequests}: Bucket, now: number): number {
-    const {requests} = recentRequests.totals(now);
-    const burst = BURST_SHARE * this.allowanceShare(now);
-    return USABLE_SHARE * (burst + this.policy.ratio * requests);
-  }
-
-  /** Whether the bucket can't hold a whole repeat; one is then allowed with its level as the probability, which empties it. */
-  private isProbabilistic(bucket: Bucket, now: number): boolean {
-    return this.capacity(bucket, now) < 1;
-  }
-
   private fill(endpoint: string, now: number): Bucket {
     const bucket = this.bucketOf(endpoint);
-    const perMillisecond =
-      (USABLE_SHARE * (1 - BURST_SHARE) * this.allowanceShare(now)) /
-      this.policy.windowMilliseconds;
-    if (perMillisecond > 0) {
-      const elapsed = Math.max(0, now - bucket.filledAt);
-      bucket.level += elapsed * perMillisecond;
+    const {windowMilliseconds, ratio, allowance} = this.policy;
+    const {requests} = bucket.recentRequests.totals(now);
+    bucket.allowanceShare = allowance / this.gatewayCount(now);
+    const usableShare = USABLE_SHARE * bucket.allowanceShare;
+    if (usableShare > 0) {
+      const windows = Math.max(0, now - bucket.filledAt) / windowMilliseconds;
+      bucket.level += (1 - BURST_SHARE) * usableShare * windows;
       bucket.filledAt = now;
     }
-    bucket.level = Math.min(this.capacity(bucket, now), bucket.level);
+    bucket.capacity =
+      BURST_SHARE * usableShare + USABLE_SHARE * ratio * requests;
+    bucket.level = Math.min(bucket.capacity, bucket.level);
     return bucket;
   }
 
@@ -159,6 +148,8 @@
   private createBucket(): Bucket {
     return {
       level: 0,
+      capacity: 0,
+      allowanceShare: 0,
       filledAt: this.emptyAt,
       recentRequests: new slidingCounts.SlidingCounts(
         this.policy.windowMilliseconds * CARRY_SHARE,
@@ -166,3 +157,13 @@
     };
   }
 }
+
+/** Whether the bucket can't hold a whole repeat; one is then allowed with its level as the probability, which empties it. */
+function isProbabilistic({capacity}: Bucket): boolean {
+  return capacity < 1;
+}
+
+/** Whether a repeat may be allowed, certainly or with a probability. */
+function hasRepeat(bucket: Bucket): boolean {
+  return isProbabilistic(bucket) ? bucket.level > 0 : bucket.level >= 1;
+}
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -7,11 +7,12 @@
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
-import * as retryUsage from '../common/retry_usage';
+import * as limitedSend from '../common/limits/limited_send';
 import * as callerAnswer from './caller_answer';
 import * as gatewayServices from './gateway_services';
+import * as repeatCharges from './repeat_charges';
 
-const {RepeatEvent} = retryUsage;
+const {LimitedSend} = limitedSend;
 /** Maximum number of sends of one attempt that instances reject or never receive. */
 const MAX_REJECTED_SENDS = 4;
 
@@ -57,11 +58,10 @@
 /** State and operations shared by calls of all kinds. */
 export class CallContext {
   readonly excluded = new Set<string>();
+  /** Repeated sends and the retry budget. */
+  readonly repeats: repeatCharges.RepeatCharges;
   /** Version of the software that began the stream; undefined before its first event. */
   softwareVersion: string | undefined;
-  private sends = 0;
-  /** Sends that arrived at an instance, or may still arrive. */
-  private arrivals = 0;
   private possibleRuns = 0;
   private rejectedSends = 0;
   private isFinished = false;
@@ -74,6 +74,7 @@
     readonly call: AcceptedCall,
     readonly response: http.ServerResponse,
   ) {
+    this.repeats = new repeatCharges.RepeatCharges(services, call.endpointName);
     services.metrics.openRequests.inc();
     response.once('close', () => {
       const isGone = !this.isFinished;
@@ -130,17 +131,12 @@
     const life = instanceTable.lifeOf(instance.record);
     const sentAt = performance.now();
     if (services.limits.get(life) !== undefined) {
-      services.limitUsage.recordSend(life, this.sends > 0);
-    }
-    if (this.sends > 0) {
-      this.recordRepeat(
-        options.continuation === undefined
-          ? RepeatEvent.Sent
-          : RepeatEvent.Continued,
-      );
+      services.limitUsage.record(life, LimitedSend.Sent);
+      if (this.repeats.hasSent) {
+        services.limitUsage.record(life, LimitedSend.Repeated);
+      }
     }
-    this.sends++;
-    this.arrivals++;
+    this.repeats.recordSend(options.continuation !== undefined);
     const exchange = services.client.send(instance, {
       caller: call.caller,
       body: call.body,
@@ -157,7 +153,7 @@
           (event, fields) => this.log(event, fields, instance),
         );
       } else if (instanceClient.wasNeverSent(result.error)) {
-        this.arrivals--;
+        this.repeats.recordNeverSent();
       }
     });
     return exchange;
@@ -214,7 +210,7 @@
     this.rejectedSends++;
   }
 
-  /** Accounts for a failed send. Returns whether the call may be sent to another instance, which `chargeRepeat` has to allow again when it is sent. */
+  /** Accounts for a failed send. Returns whether the call may be sent to another instance; the send itself is charged to `repeats`. */
   mayRepeat(reason: RetryReason): boolean {
     if (reason === RetryReason.NotRun) {
       this.recordNotRun();
@@ -223,48 +219,7 @@
       reason === RetryReason.NotRun
         ? this.rejectedSends < MAX_REJECTED_SENDS
         : this.isRetryable && this.possibleRuns < this.call.route.attempts;
-    if (!isAllowed || this.isOver) {
-      return false;
-    }
-    const {retries} = this.services;
-    const now = performance.now();
-    const isAvailable =
-      this.arrivals === 0 || retries.isAvailable(this.call.endpointName, now);
-    if (!isAvailable) {
-      this.recordRepeat(RepeatEvent.Denied);
-    }
-    return isAvailable;
-  }
-
-  /** Charges the shared retry budget for a repeat that is sent now, since the budget bounds arrivals beyond the first; returns false if nothing is left of it. */
-  chargeRepeat(): boolean {
-    if (this.arrivals === 0) {
-      return true;
-    }
-    const now = performance.now();
-    const {endpointName} = this.call;
-    const isCharged = this.services.retries.tryAcquire(endpointName, now);
-    this.recordRepeat(isCharged ? RepeatEvent.Charged : RepeatEvent.Denied);
-    return isCharged;
-  }
-
-  /** Whether a run may be sent to the instance of its copy. */
-  mayContinue(): boolean {
-    const {endpointName} = this.call;
-    return this.services.retries.mayContinue(endpointName, performance.now());
-  }
-
-  /** Charges the shared retry budget for a run that the instance of its copy rejected, since rejected arrivals count. */
-  recordRejectedContinuation(): void {
-    const {retries} = this.services;
-    retries.chargeRejection(this.call.endpointName, performance.now());
-    this.recordRepeat(RepeatEvent.ContinuationRejected);
-  }
-
-  /** Counts an event of a repeated send. */
-  private recordRepeat(event: retryUsage.RepeatEvent): void {
-    this.services.metrics.repeats.inc({event});
-    this.services.retryUsage.record(this.call.endpointName, event);
+    return isAllowed && !this.isOver && this.repeats.isAvailable();
   }
 
   /** Records the loss of an instance as caused by the request; not to be called for an instance that was about to leave. */
--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -16,10 +16,11 @@
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
 import * as instanceRates from '../common/limits/instance_rates';
-import * as limitUsage from '../common/limits/limit_usage';
+import * as limitedSend from '../common/limits/limited_send';
 import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
-import * as retryUsage from '../common/retry_usage';
+import * as repeatEvent from '../common/repeat_event';
+import * as usageCounts from '../common/usage_counts';
 import * as runTable from '../common/run_table';
 import * as stateSource from '../common/state_source';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
@@ -200,9 +201,13 @@
       gatewayName: name,
       isFirstStart: settings.instance.bootstrap,
     }),
-    limitUsage: new limitUsage.LimitUsage(),
+    limitUsage: new usageCounts.UsageCounts(
+      Object.values(limitedSend.LimitedSend),
+    ),
     retries: gatewayPolicies.createRetryLimiter(settings, members, peers),
-    retryUsage: new retryUsage.RetryUsage(),
+    retryUsage: new usageCounts.UsageCounts(
+      Object.values(repeatEvent.RepeatEvent),
+    ),
     hedges: gatewayPolicies.createHedgePolicy(settings),
     buffers: gatewayPolicies.createDeliveryBuffers(settings),
     members,
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -9,14 +9,15 @@
 import * as hedgePolicy from '../common/hedging/hedge_policy';
 import * as instanceClient from '../common/instance_client';
 import * as instanceLimits from '../common/limits/instance_limits';
-import * as limitUsage from '../common/limits/limit_usage';
+import * as limitedSend from '../common/limits/limited_send';
 import * as warmUps from '../common/limits/warm_ups';
 import * as promptPartTable from '../common/prompt_part_table';
+import * as repeatEvent from '../common/repeat_event';
 import * as retryLimiter from '../common/retry_limiter';
-import * as retryUsage from '../common/retry_usage';
 import * as runTable from '../common/run_table';
 import * as measuredSpeeds from '../common/speeds/measured_speeds';
 import * as tokenPace from '../common/token_pace';
+import * as usageCounts from '../common/usage_counts';
 import * as answerRecorder from './answer_recorder';
 import * as evacuationManager from './evacuation_manager';
 import * as gatewayMetrics from './gateway_metrics';
@@ -46,10 +47,11 @@
   /** Limits that instances name, and the requests sent to such instances. */
   readonly limits: instanceLimits.InstanceLimits;
   readonly permits: permitService.PermitService;
-  readonly limitUsage: limitUsage.LimitUsage;
+  readonly limitUsage: usageCounts.UsageCounts<limitedSend.LimitedSend>;
   readonly origins: streamOrigins.StreamOrigins;
   readonly retries: retryLimiter.RetryLimiter;
-  readonly retryUsage: retryUsage.RetryUsage;
+  /** Repeated sends by endpoint. */
+  readonly retryUsage: usageCounts.UsageCounts<repeatEvent.RepeatEvent>;
   /** Undefined if calls are not hedged. */
   readonly hedges: hedgePolicy.HedgePolicy | undefined;
   /** Undefined if instances are read only as fast as their callers read. */
--- a/src/gateway/node/hedged_send.ts
+++ b/src/gateway/node/hedged_send.ts
@@ -140,7 +140,7 @@
     const isAllowed =
       instance !== undefined &&
       context.mayRepeat(callContext.RetryReason.MayHaveRun) &&
-      context.chargeRepeat();
+      context.repeats.tryCharge();
     if (!isAllowed) {
       return undefined;
     }
--- a/src/gateway/node/limits/limit_log.ts
+++ b/src/gateway/node/limits/limit_log.ts
@@ -3,7 +3,8 @@
 import * as disposable from '../../../base/common/disposable';
 import * as jsonLog from '../../../base/node/json_log';
 import * as instanceLimits from '../../common/limits/instance_limits';
-import * as limitUsage from '../../common/limits/limit_usage';
+import * as limitedSend from '../../common/limits/limited_send';
+import * as usageCounts from '../../common/usage_counts';
 
 /** Interval of the lines about requests sent, in milliseconds. */
 const USAGE_INTERVAL_MILLISECONDS = 4_000;
@@ -15,7 +16,7 @@
 
   constructor(
     private readonly limits: instanceLimits.InstanceLimits,
-    private readonly usage: limitUsage.LimitUsage,
+    private readonly usage: usageCounts.UsageCounts<limitedSend.LimitedSend>,
     private readonly log: jsonLog.JsonLog,
   ) {
     this.subscription = limits.onDidChange.subscribe(change =>
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -44,7 +44,7 @@
         }
         return this.giveUpWithoutInstance(shortage);
       }
-      if (previous !== undefined && !context.chargeRepeat()) {
+      if (previous !== undefined && !context.repeats.tryCharge()) {
         return this.conclude(previous.outcome, previous.retryReason);
       }
       const end = await this.sendTo(choice.instance);
--- a/src/gateway/node/retry_log.ts
+++ b/src/gateway/node/retry_log.ts
@@ -1,12 +1,12 @@
 /** Logs the repeated sends of this gateway, and what is left of its share of the retry budget. */
 import * as disposable from '../../base/common/disposable';
-import * as retryUsage from '../common/retry_usage';
+import * as repeatEvent from '../common/repeat_event';
 import * as gatewayServices from './gateway_services';
 
 /** Interval of the lines, in milliseconds; a fraction of the usual window of the budget. */
 const USAGE_INTERVAL_MILLISECONDS = 1_000;
 
-const {RepeatEvent} = retryUsage;
+const {RepeatEvent} = repeatEvent;
 
 /** Writes a line for each endpoint with repeated sends. */
 export class RetryLog implements disposable.Disposable {
@@ -32,15 +32,14 @@
     const now = performance.now();
     const gateways = retries.gatewayCount(now);
     for (const [endpoint, counts] of usage.take()) {
-      const countOf = (event: retryUsage.RepeatEvent) => counts.get(event) ?? 0;
       log.write('retry-usage', {
         endpoint,
         interval_ms: USAGE_INTERVAL_MILLISECONDS,
-        charged: countOf(RepeatEvent.Charged),
-        denied: countOf(RepeatEvent.Denied),
-        sent: countOf(RepeatEvent.Sent),
-        continued: countOf(RepeatEvent.Continued),
-        continuations_rejected: countOf(RepeatEvent.ContinuationRejected),
+        charged: counts[RepeatEvent.Charged],
+        denied: counts[RepeatEvent.Denied],
+        sent: counts[RepeatEvent.Sent],
+        continued: counts[RepeatEvent.Continued],
+        continuations_rejected: counts[RepeatEvent.ContinuationRejected],
         left: retries.left(endpoint, now),
         gateways: Number.isFinite(gateways) ? gateways : null,
       });
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -235,7 +235,7 @@
     this.watch.dispose();
     this.recordEnd(target.instance, end);
     if (target.continuation !== undefined && this.segment.wasRejected) {
-      context.recordRejectedContinuation();
+      context.repeats.recordRejectedContinuation();
     }
     return end;
   }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -37,7 +37,7 @@
     if (copied === undefined) {
       return undefined;
     }
-    if (!this.context.mayContinue()) {
+    if (!this.context.repeats.mayContinue()) {
       this.context.log('copy-without-budget', {}, copied.instance);
       return undefined;
     }
@@ -151,7 +151,7 @@
     target: instanceClient.RunTarget,
     from: string | undefined,
   ): boolean {
-    const isCharged = this.context.chargeRepeat();
+    const isCharged = this.context.repeats.tryCharge();
     if (isCharged) {
       this.context.log('generation-repeated', {from}, target.instance);
     }
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -41,8 +41,9 @@
   private bodyEnd: BodyEnd | undefined;
   private isStopExpected = false;
   private wasCancelled = false;
-  private isRejected = false;
-  /** Whether the instance answered that it does not run the request, as full ones do. */
+  /** Whether the request arrived at an instance that answered that it did not run it. */
+  wasRejected = false;
+  /** Whether it was the intended instance that answered so, as full ones do. */
   wasTurnedAway = false;
   /** Why no answer was received; undefined if one was. */
   error: instanceClient.SendError | undefined;
@@ -75,11 +76,6 @@
     );
   }
 
-  /** Whether the request arrived at an instance that answered that it did not run it. */
-  get wasRejected(): boolean {
-    return this.isRejected;
-  }
-
   /** Whether this gateway closed the connection. */
   get isCancelled(): boolean {
     return this.wasCancelled;
@@ -120,7 +116,7 @@
     }
     const answer = result.value;
     if (answer.isNotExecuted) {
-      this.isRejected = true;
+      this.wasRejected = true;
       this.wasTurnedAway = !answer.isFromOtherInstance;
       answer.body.listen(IGNORE_BODY);
       return SegmentEnd.NotRun;
--- a/test/gateway/common/availability/back_off.test.ts
+++ b/test/gateway/common/availability/back_off.test.ts
@@ -1,4 +1,4 @@
-/** Instances that turn requests away and say when to come back. */
+/** Back-offs of instances that reject requests with a `Retry-After` header. */
 import * as ava from 'ava';
 import * as backOff from '../../../../src/gateway/common/availability/back_off';
 import * as instanceAvailability from '../../../../src/gateway/common/availability/instance_availability';
--- a/test/gateway/repeat_charging.test.ts
+++ b/test/gateway/repeat_charging.test.ts
@@ -10,7 +10,8 @@
 import * as instanceClient from '../../src/gateway/common/instance_client';
 import * as instanceTable from '../../src/gateway/common/instance_table';
 import * as retryLimiter from '../../src/gateway/common/retry_limiter';
-import * as retryUsage from '../../src/gateway/common/retry_usage';
+import * as repeatEvent from '../../src/gateway/common/repeat_event';
+import * as usageCounts from '../../src/gateway/common/usage_counts';
 import * as runTable from '../../src/gateway/common/run_table';
 import * as callContext from '../../src/gateway/node/call_context';
 import * as eventDelivery from '../../src/gateway/node/event_delivery';
@@ -45,7 +46,9 @@
   const context = new callContext.CallContext(
     {
       retries,
-      retryUsage: new retryUsage.RetryUsage(),
+      retryUsage: new usageCounts.UsageCounts(
+        Object.values(repeatEvent.RepeatEvent),
+      ),
       metrics: new gatewayMetrics.GatewayMetrics(
         new metrics.MetricsRegistry({}),
       ),
--- a/test/gateway/state_follower.test.ts
+++ b/test/gateway/state_follower.test.ts
@@ -23,7 +23,7 @@
   });
 }
 
-/** Answers reads of the configuration with `next`; watches never answer. */
+/** A source whose reads of the configuration return `next`; its watches stay open without a result. */
 class ScriptedSource extends stateSource.StateSource {
   next: neverthrow.Result<
     stateSource.Snapshot<configuration.Configuration>,
--- a/test/gateway/stream_continuations.test.ts
+++ b/test/gateway/stream_continuations.test.ts
@@ -41,7 +41,7 @@
       },
     },
     call: {scope: instanceAvailability.ANY_REGION},
-    mayContinue: () => true,
+    repeats: {mayContinue: () => true},
     log: (event: string, fields: object) => logged.push([event, fields]),
   } as unknown as callContext.CallContext;
   const run = {} as runTable.Run;
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -289,8 +289,8 @@
   ['null', 'null'],
 ];
 
-/** Copies a run at an instance that answers with the body. */
-async function copyFrom(t: ava.ExecutionContext, body: string) {
+/** An instance that answers with the body, and a patient client. */
+async function connect(t: ava.ExecutionContext, body: string) {
   const instance = await listen(t, socket =>
     socket.write(text(jsonHead(body), body)),
   );
@@ -299,6 +299,12 @@
     PATIENCE_MILLISECONDS,
   );
   t.teardown(() => client.dispose());
+  return {instance, client};
+}
+
+/** Copies a run at an instance that answers with the body. */
+async function copyFrom(t: ava.ExecutionContext, body: string) {
+  const {instance, client} = await connect(t, body);
   return client.copyRun(instance, {
     attemptId: 'a',
     target: instance,
@@ -312,14 +318,7 @@
     const fields = `"queued":${value},"kvInUse":${value},"leaves_ms":${value}`;
     const runs = `"runs":[${value},[${value},1,${value}],["a",1,7]]`;
     const body = `{${PADDING},${fields},"state":${value},${runs}}`;
-    const instance = await listen(t, socket =>
-      socket.write(text(jsonHead(body), body)),
-    );
-    const client = new instanceHttpClient.InstanceHttpClient(
-      () => undefined,
-      PATIENCE_MILLISECONDS,
-    );
-    t.teardown(() => client.dispose());
+    const {instance, client} = await connect(t, body);
     t.deepEqual(await client.readReport(instance), {
       eventsByRun: new Map([['a', 7]]),
       queuedRuns: 0,
--- a/test/support/plain_call_bench.ts
+++ b/test/support/plain_call_bench.ts
@@ -10,9 +10,10 @@
 import * as instanceClient from '../../src/gateway/common/instance_client';
 import * as instanceTable from '../../src/gateway/common/instance_table';
 import * as instanceLimits from '../../src/gateway/common/limits/instance_limits';
-import * as limitUsage from '../../src/gateway/common/limits/limit_usage';
+import * as limitedSend from '../../src/gateway/common/limits/limited_send';
 import * as retryLimiter from '../../src/gateway/common/retry_limiter';
-import * as retryUsage from '../../src/gateway/common/retry_usage';
+import * as repeatEvent from '../../src/gateway/common/repeat_event';
+import * as usageCounts from '../../src/gateway/common/usage_counts';
 import * as callContext from '../../src/gateway/node/call_context';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 import * as backOff from '../../src/gateway/common/availability/back_off';
@@ -194,7 +195,9 @@
       ]),
       crashes: new crashTable.CrashTable(),
       limits: this.limits,
-      limitUsage: new limitUsage.LimitUsage(),
+      limitUsage: new usageCounts.UsageCounts(
+        Object.values(limitedSend.LimitedSend),
+      ),
       permits: this.permits(),
       retries: new retryLimiter.RetryLimiter(
         {
@@ -205,7 +208,9 @@
         {startedAt: performance.now(), isFirstStart: true},
         () => 1,
       ),
-      retryUsage: new retryUsage.RetryUsage(),
+      retryUsage: new usageCounts.UsageCounts(
+        Object.values(repeatEvent.RepeatEvent),
+      ),
       hedges: this.hedges,
       speeds: new measuredSpeeds.MeasuredSpeeds(new runTable.RunTable(), false),
       backOffs: new backOff.BackOffs(),
--- a/test/support/replica_statements.ts
+++ b/test/support/replica_statements.ts
@@ -21,7 +21,7 @@
   };
 }
 
-/** Rejects each request and says when to come back. */
+/** Rejects each request with the `Retry-After` header. */
 export function rejecting(
   retryAfter: string,
   headers: http.OutgoingHttpHeaders = {},
