Tests of several gateways keep the gateways' log and fail by title if a condition does not come about

Cause: a test of peers that did not end once left no logs, since the gateways of tests wrote to the null device, and the runner ended without its title. Change: the lines go to a file, of which the last 200 are printed if the test fails, and a test without an assertion for 110 s fails before the runner gives up. No wait or bound of a test is loosened.

--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -1,5 +1,8 @@
 /** Several gateways of one deployment on loopback addresses, with one store. */
+import * as fs from 'node:fs';
 import * as http from 'node:http';
+import * as os from 'node:os';
+import * as path from 'node:path';
 import * as ava from 'ava';
 import * as jsonLog from '../../src/base/node/json_log';
 import * as metrics from '../../src/base/node/metrics';
@@ -20,6 +23,11 @@
   readonly hasFairShares?: boolean;
 }
 
+/** Time without an assertion after which a test fails, in milliseconds; below the runner's own, which ends without the logs. */
+const TEST_TIMEOUT_MILLISECONDS = 110_000;
+/** Log lines that are printed of a test that failed. */
+const PRINTED_LINES = 200;
+
 /** Interval at which conditions are polled, in milliseconds. */
 const POLL_INTERVAL_MILLISECONDS = 10;
 
@@ -46,6 +54,8 @@
     variationOf: (index: number) => FleetVariation = () => ({}),
   ): Promise<GatewayFleet> {
     const fleet = new GatewayFleet();
+    t.timeout(TEST_TIMEOUT_MILLISECONDS, 'a condition did not come about');
+    const logFile = createLogFile(t);
     const store = await fleet.store.listen();
     t.teardown(() => fleet.store.close());
     fleet.store.put('config', 'main', testGateway.configurationSpec(1));
@@ -58,6 +68,7 @@
         isFirstStart,
         store,
         digestPort,
+        logFile,
         variationOf(index),
         relayMode,
       );
@@ -176,11 +187,28 @@
   }
 }
 
+/** Creates a file for the lines of all gateways, which are printed if the test fails. */
+function createLogFile(t: ava.ExecutionContext): string {
+  const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'fleet-'));
+  const file = path.join(directory, 'gateways.log');
+  fs.writeFileSync(file, '');
+  t.teardown(() => {
+    if (!t.passed) {
+      const lines = fs.readFileSync(file, 'utf8').split('\n');
+      const tail = lines.slice(-PRINTED_LINES).join('\n');
+      process.stderr.write(`log of "${t.title}":\n${tail}\n`);
+    }
+    fs.rmSync(directory, {recursive: true});
+  });
+  return file;
+}
+
 async function startGateway(
   index: number,
   isFirstStart: boolean,
   store: string,
   digestPort: number,
+  logFile: string,
   {
     evacuationBound = 0,
     regions = {},
@@ -221,7 +249,7 @@
     },
     registry,
     metrics: new gatewayMetrics.GatewayMetrics(registry),
-    log: new jsonLog.JsonLog({}, '/dev/null'),
+    log: new jsonLog.JsonLog({gateway: `gateway-${index}`}, logFile),
     source: platformAdapter.createStateSource(storeAddress, () => undefined),
     versionStore: platformAdapter.createVersionStore(
       storeAddress,
