--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -659,7 +659,7 @@
     const finish = end => {
       clearTimeout(timer);
       Object.assign(result, {end, endedAt: record.now()});
-      record.write('end', {attempt, status: result.status, end, ms: Math.round(result.endedAt - startedAt)});
+      record.write('end', {attempt, status: result.status, end, kept: result.isKept === true, ms: Math.round(result.endedAt - startedAt)});
       resolve(result);
     };
     const timer = setTimeout(() => {
@@ -693,6 +693,7 @@
         response.once('error', () => finish('cut off'));
       },
     );
+    sent.once('socket', () => (result.isKept = sent.reusedSocket));
     sent.once('error', error => result.end === undefined && finish(`closed (${error.code})`));
     sent.end(options.body ?? (options.method === 'GET' ? undefined : 'body'));
   });
