--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -359,6 +359,10 @@
         response.setHeader('Server-Leaving', '1');
       }
       response.setHeader('X-Rhubarbvane-Replica-Id', this.id);
+      const body = Buffer.concat(chunks).toString();
+      if (this.control?.(request, response, body, this)) {
+        return;
+      }
       if (method === 'GET' && url === '/healthz') {
         return response.writeHead(this.isLeaving ? 503 : 200).end();
       }
@@ -389,7 +393,7 @@
         method,
         url,
         headers,
-        body: Buffer.concat(chunks).toString(),
+        body,
       };
       this.arrivals.push(arrival);
       this.record.write('run', {replica: this.id, attempt, url});
