--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -307,6 +307,11 @@
       this.handle(request, response),
     );
     this.server.keepAliveTimeout = 5_000;
+    this.sockets = new Set();
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   async start() {
@@ -406,7 +411,32 @@
     });
   }
 
+  /** Ends all connections with a reset and says nothing more; its entry lapses after three intervals. */
+  crash() {
+    clearInterval(this.beats);
+    this.state = 'gone';
+    const {id} = this;
+    this.sockets.forEach(socket => socket.resetAndDestroy());
+    this.server.close();
+    setTimeout(() => this.store.remove('servers', id, 'platform'), 3 * SITE.heartbeatMs);
+  }
+
+  /** Starts again at its address: a new lifetime with a new id. */
+  async comeBack() {
+    if (this.isClosed) {
+      return;
+    }
+    this.id = `i-${crypto.randomBytes(5).toString('hex')}`;
+    this.born = Date.now();
+    this.state = 'ready';
+    this.isLeaving = false;
+    await new Promise(resolve => this.server.listen(this.port, this.ip, resolve));
+    this.register();
+    this.beats = setInterval(() => this.register(), SITE.heartbeatMs);
+  }
+
   close() {
+    this.isClosed = true;
     clearInterval(this.beats);
     this.state = 'gone';
     this.server.close();
