--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -666,7 +666,7 @@
       ...(overrides.routes ?? []),
     ],
     services: [
-      {name: 'writers', healthPath: '/healthz', maxConns: 272, protocol: 'h1', tls: false, runtime: {slots: 24, kvCap: 34_286, kvBytes: 35_136, linkMbps: 5_100, moves: true, backups: true, stride: 4, most: 12, pinMs: 4_000, holdMs: 2_000, handleTtlS: 5, models: [{name: 'm'}]}},
+      {name: 'writers', healthPath: '/healthz', maxConns: 272, protocol: 'h1', tls: false, runtime: {...{slots: 24, kvCap: 34_286, kvBytes: 35_136, linkMbps: 5_100, moves: true, backups: true, stride: 4, most: 12, pinMs: 4_000, holdMs: 2_000, handleTtlS: 5, models: [{name: 'm'}]}, ...overrides.runtime}},
       {name: 'ledger', healthPath: '/healthz', maxConns: 100, protocol: 'h1', tls: false},
     ],
     limits: {maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000},
