--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,7 +1,8 @@
 /**
- * One of three model replicas is in trouble: the body of its streams is bytes
- * that are no answer, without end, until its caller closes. Do requests that
- * sound replicas work on lose their connections?
+ * Two model replicas are full for a moment, by calls that others make there, and
+ * turn drafts away as not run, with `Retry-After`. One of these answers is written
+ * twice; the second one arrives late, where the next answer is expected. Does a
+ * draft run twice, or is it refused as not run although it has run?
  */
 import * as http from 'node:http';
 import * as path from 'node:path';
@@ -9,117 +10,131 @@
 import * as bed from '../lib/bed.mjs';
 
 const {delay} = bed;
-/** Events of a stream, one each 100 ms. */
-const EVENTS = 20;
-/** Rate at which the replica in trouble sends, in bytes a second; its link carries 250 MB. */
-const RATE = 25e6;
-const BLOCK = Buffer.alloc(65_536, 'x');
+/** Time for which the replicas are full. */
+const FULL_MS = 900;
+const EVENT_MS = 100;
 
-function stream(arrival, response) {
-  response.writeHead(200, {'Content-Type': 'text/event-stream'});
-  let id = 0;
-  const timer = setInterval(() => {
-    response.write(`id: ${++id}\ndata: piece ${id}\n\n`);
-    if (id === EVENTS) {
-      clearInterval(timer);
-      response.end();
+/** A model replica that turns requests away while it is full. */
+class Engine {
+  constructor(record) {
+    Object.assign(this, {record, isFull: false});
+    this.begun = [];
+    this.answers = 0;
+    this.secondAnswers = 0;
+    this.isGarbling = false;
+  }
+
+  /** "An extra response may arrive late, at the point where the next response is expected." */
+  writeSecondAnswer(socket, what, replica) {
+    const second = socket.secondAnswer;
+    if (second !== undefined) {
+      socket.secondAnswer = undefined;
+      this.secondAnswers++;
+      this.record.write('second-answer', {replica: replica.id, of: second.attempt, before: what});
+      socket.write(second.raw);
     }
-  }, 100);
-  response.once('close', () => clearInterval(timer));
-}
+  }
 
-await bed.runCase(path.dirname(fileURLToPath(import.meta.url)), async b => {
-  const {store, record} = b;
-  let troubled;
-  const answer = (arrival, response, replica) => {
-    if (!bed.IS_TROUBLED || replica !== troubled) {
-      return stream(arrival, response);
+  control(request, response, body, replica) {
+    this.writeSecondAnswer(request.socket, request.headers['x-rhubarbvane-attempt-id'] ?? request.url, replica);
+    return false;
+  }
+
+  answer(arrival, response, replica) {
+    const {attempt, headers} = arrival;
+    this.answers++;
+    const {socket} = response;
+    if (this.isFull) {
+      this.record.write('full', {replica: replica.id, attempt});
+      response.removeHeader('X-Rhubarbvane-Server-Stamp');
+      const raw = `HTTP/1.1 503 Service Unavailable\r\nX-Rhubarbvane-Not-Executed: 1\r\nRetry-After: 1\r\nX-Rhubarbvane-Attempt-Id: ${attempt}\r\nContent-Length: 0\r\n\r\n`;
+      response.writeHead(503, {'X-Rhubarbvane-Not-Executed': '1', 'Retry-After': '1', 'Content-Length': 0}).end();
+      if (this.isGarbling && bed.IS_TROUBLED) {
+        this.isGarbling = false;
+        socket.secondAnswer = {attempt, raw};
+      }
+      return;
     }
-    record.write('endless-body', {replica: replica.id, attempt: arrival.attempt});
+        this.begun.push({attempt, at: this.record.now(), replica: replica.id});
+    this.record.write('run-begins', {replica: replica.id, attempt, socket: socket.remotePort});
+    const events = Number(headers['x-rhubarbvane-token-count'].split(',')[1]) / 4;
+    let id = 0;
+    const finish = () => {
+      clearInterval(timer);
+      if (!finish.isDone) {
+        finish.isDone = true;
+      }
+    };
     response.writeHead(200, {'Content-Type': 'text/event-stream'});
-    const startedAt = performance.now();
-    let sent = 0;
     const timer = setInterval(() => {
-      const due = ((performance.now() - startedAt) / 1000) * RATE;
-      while (sent < due && response.writableLength < 1e6) {
-        response.write(BLOCK);
-        sent += BLOCK.length;
-      }
-      if (response.writableLength >= 1e6) {
-        // The caller doesn't read; no bytes are owed for that time.
-        sent = Math.max(sent, due);
+      id++;
+      response.write(`id: ${id}\ndata: ${attempt} ${id}\n\n`);
+      if (id >= events) {
+        finish();
+        response.end();
       }
-    }, 5);
-    response.once('close', () => {
-      clearInterval(timer);
-      record.write('endless-body-closed', {replica: replica.id, attempt: arrival.attempt, mb: Math.round(sent / 1e6)});
-    });
-  };
-  const file = (arrival, response) =>
-    setTimeout(() => response.end(`filed ${arrival.attempt}`), 40);
-  for (const zone of Object.keys(b.zones)) {
-    await b.addReplica('writers', zone, 24, answer);
-    await b.addReplica('ledger', zone, 6, file);
+    }, EVENT_MS);
+    response.once('close', finish);
+  }
+}
+
+await bed.runCase(path.dirname(fileURLToPath(import.meta.url)), async b => {
+  const {store, record} = b;
+  const engines = [];
+  const zones = Object.keys(b.zones);
+  for (let count = 0; count < 2; count++) {
+    const engine = new Engine(record);
+    engines.push(engine);
+    const replica = await b.addReplica('writers', zones[count], 24, (...all) => engine.answer(...all));
+    replica.control = (...all) => engine.control(...all);
   }
-  [troubled] = b.replicas;
   store.put('config', 'main', bed.desiredState(7));
   await b.startGateways(2);
   const agent = new http.Agent({keepAlive: true});
   const results = [];
-  const send = async (gateway, options) =>
-    results.push(await bed.request(record, gateway, {agent, ...options}));
-  const prompt = (tokensIn, tokensOut) => ({
-    'X-Rhubarbvane-Model': 'm',
-    'X-Rhubarbvane-Token-Count': `${tokensIn},${tokensOut}`,
-    'X-Rhubarbvane-Prompt-Prefix': `5c1e07a2:79,${bed.newAttemptId()}:${tokensIn - 79}`,
-  });
-  // The traffic of the site, as it falls to two of its gateways: 3 drafts, 4 tags and 16 notices a second.
-  const open = [];
-  const traffic = setInterval(() => {
-    const gateway = b.gateways[Math.floor(Math.random() * b.gateways.length)];
-    const draw = Math.random() * 23;
-    if (draw < 3) {
-      open.push(send(gateway, {path: `/draft/${bed.newAttemptId()}`, waitMs: 39_000, headers: prompt(3000, 80)}));
-    } else if (draw < 7) {
-      open.push(send(gateway, {path: `/tag/${bed.newAttemptId()}`, waitMs: 6_000, headers: prompt(2200, 80)}));
-    } else {
-      open.push(send(gateway, {path: `/file/${bed.newAttemptId()}`}));
+  const stream = async (gateway, kind, events) =>
+    results.push(
+      await bed.request(record, gateway, {
+        agent,
+        path: `/${kind}/${bed.newAttemptId()}`,
+        waitMs: kind === 'draft' ? 39_000 : 6_000,
+        headers: {
+          'X-Rhubarbvane-Model': 'm',
+          'X-Rhubarbvane-Token-Count': `1000,${events * 4}`,
+          'X-Rhubarbvane-Prompt-Prefix': `5c1e07a2:79,${bed.newAttemptId()}:921`,
+        },
+      }),
+    );
+  for (let round = 0; round < 3; round++) {
+    const open = [];
+    for (let count = 0; count < 64; count++) {
+      open.push(stream(b.gateways[count % 2], 'tag', 2));
+      await delay(50);
     }
-  }, 1000 / 23);
-  await delay(30_000);
-  clearInterval(traffic);
-  await Promise.race([Promise.all(open), delay(20_000)]);
-
-  // Requests on kept connections that only a sound replica got, and that ended without an answer.
-  const sound = new Set(
-    b.replicas
-      .filter(each => each !== troubled)
-      .flatMap(each => each.arrivals.map(({attempt}) => attempt)),
-  );
-  const atTroubled = new Set(troubled.arrivals.map(({attempt}) => attempt));
-  const lost = results.filter(
-    each =>
-      each.isKept &&
-      sound.has(each.attempt) &&
-      !atTroubled.has(each.attempt) &&
-      each.status === undefined &&
-      each.end.startsWith('closed'),
-  );
-  const cut = results.filter(
-    each => sound.has(each.attempt) && !atTroubled.has(each.attempt) && each.end === 'cut off',
-  );
-  const count = name =>
-    results.filter(name).length;
-  record.write('summary', {
-    sent: results.length,
-    served: count(each => each.status === 200 && each.end === 'whole'),
-    lost_without_answer: lost.length,
-    streams_cut_off: cut.length,
-    gave_up: count(each => each.end === 'client gave up'),
-    ends: b.gateways.map(each => each.ends),
-    peak_mb: b.gateways.map(each => Math.round(each.peakMb)),
-  });
-  return lost.length > 3
-    ? `LOST: ${lost.length} requests that sound replicas worked on ended with a closed kept connection and no answer; the gateways exceeded their memory ${b.gateways.reduce((sum, each) => sum + each.ends.length, 0)} times`
-    : undefined;
+    await Promise.all(open);
+    engines[0].isGarbling = true;
+    engines.forEach(each => (each.isFull = true));
+    open.push(...b.gateways.map(each => stream(each, 'draft', 20)));
+    await delay(FULL_MS);
+    engines.forEach(each => (each.isFull = false));
+    await Promise.all(open);
+    engines[0].isGarbling = false;
+    await delay(2_000);
+  }
+  const begun = engines.flatMap(each => each.begun);
+  const counts = new Map();
+  // Tags may run again, drafts may not.
+  const drafts = new Set(results.filter(each => each.url.startsWith('/draft/')).map(each => each.attempt));
+  begun.filter(each => drafts.has(each.attempt)).forEach(({attempt}) => counts.set(attempt, (counts.get(attempt) ?? 0) + 1));
+  const twice = [...counts].filter(([, count]) => count > 1).map(([attempt]) => attempt);
+  const refused = results.filter(each => [429, 503].includes(each.status) && counts.has(each.attempt)).map(each => each.attempt);
+  const by = {};
+  results.forEach(each => (by[`${each.status} ${each.end}`] = (by[`${each.status} ${each.end}`] ?? 0) + 1));
+  record.write('summary', {by, twice, refused, second: engines.map(each => each.secondAnswers), answers: engines.map(each => each.answers)});
+  if (results.filter(each => each.status === 200).length < results.length * 0.9) {
+    throw new Error('too few requests were served to judge');
+  }
+  return twice.length === 0
+    ? undefined
+    : `TWICE: ${twice.length} drafts, which may run once, ran at two replicas`;
 });
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# One model replica in trouble sends bytes without end in the body of a stream.
+# A refusal of a full model replica is written twice.
 cd "$(dirname "$0")" && exec node run.mjs
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A model replica turns slow for some seconds; its runs go on although its callers leave.
+# One model replica in trouble sends bytes without end in the body of a stream.
 cd "$(dirname "$0")" && exec node run.mjs
