--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -593,6 +593,7 @@
     this.gateways = [];
     this.zones = {galle: 'south-coast', matara: 'south-coast', hambantota: 'south-coast'};
     this.timers = [];
+    ['SIGINT', 'SIGTERM'].forEach(each => process.once(each, () => process.exit(2)));
     process.once('exit', () => {
       this.gateways.forEach(each => each.child?.kill('SIGKILL'));
       fs.rmSync(this.folder, {recursive: true, force: true});
