Bounded reads: bytes without end from an instance no longer fill a gateway's memory

Cause: EventSplitter kept an incomplete event without a bound, joined it to each chunk and searched it from its start again; the account of held bytes did not include it. The same on related paths: bodies of refusals were read for ever and their connections never closed, plain refusals waited for their bodies, reports, copies, answers of the store and states of peers were collected whatever their size, interim answers were read without end, and bodies in chunks of one byte were kept as one object each.

A refusal counts by its head, and its body is discarded within 64 KiB and a second.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -1,6 +1,10 @@
 /** HTTP requests over node:http with time limits. */
 import * as http from 'node:http';
 import * as deadline from '../common/deadline';
+import * as boundedBody from './bounded_body';
+
+/** Maximum size of a response that is read as a whole, in bytes. */
+const DEFAULT_MAX_BODY_BYTES = 67_108_864;
 
 /** Parameters of a request. */
 export interface HttpRequest {
@@ -9,6 +13,8 @@
   readonly headers?: http.OutgoingHttpHeaders;
   readonly body?: string | Buffer;
   readonly timeoutMilliseconds: number;
+  /** Maximum size of a response that is read as a whole; 64 MiB if not given. */
+  readonly maxBodyBytes?: number;
   readonly agent?: http.Agent;
 }
 
@@ -57,30 +63,33 @@
     1,
     call.timeoutMilliseconds - (performance.now() - startedAt),
   );
-  const body = await readBody(response, remainingMilliseconds);
+  const body = await readBody(
+    response,
+    remainingMilliseconds,
+    call.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+  );
   return {status: response.statusCode ?? 0, headers: response.headers, body};
 }
 
-function readBody(
+async function readBody(
   response: http.IncomingMessage,
   milliseconds: number,
+  maxBytes: number,
 ): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    const timer = setTimeout(
-      () => response.destroy(new deadline.DeadlineError(milliseconds)),
-      milliseconds,
-    );
-    response.on('data', (chunk: Buffer) => chunks.push(chunk));
-    response.once('end', () => resolve(Buffer.concat(chunks)));
-    response.once('error', reject);
-    response.once('close', () => {
-      clearTimeout(timer);
-      reject(
-        new Error('the connection closed before the response was complete'),
-      );
-    });
-  });
+  let hasExpired = false;
+  const timer = setTimeout(() => {
+    hasExpired = true;
+    response.destroy();
+  }, milliseconds);
+  const body = await boundedBody.collect(response, maxBytes);
+  clearTimeout(timer);
+  if (hasExpired) {
+    throw new deadline.DeadlineError(milliseconds);
+  }
+  if (body === undefined) {
+    throw new Error(`the response ended early or exceeds ${maxBytes} bytes`);
+  }
+  return body;
 }
 
 const CONNECT_ERRORS: readonly (string | undefined)[] = [
--- a/src/gateway/node/caller_sink.ts
+++ b/src/gateway/node/caller_sink.ts
@@ -1,10 +1,11 @@
 /** Writes an answer to its caller, who may read it more slowly than the instance sends it. */
 import * as http from 'node:http';
+import * as growingBuffer from '../../base/common/growing_buffer';
 import * as deliveryBuffers from '../common/delivery_buffers';
 import * as instanceClient from '../common/instance_client';
 import * as callContext from './call_context';
 
-/** Size to which held chunks are joined, in bytes; many small buffers take several times the memory of their content. */
+/** Size to which held chunks are joined, in bytes. */
 const BLOCK_BYTES = 65_536;
 
 /** Receives the body of an answer. */
@@ -13,16 +14,21 @@
   abstract readonly isPaused: boolean;
   /** Writes bytes that come from the body. Returns false if the body was paused. */
   abstract write(body: instanceClient.ResponseBody, bytes: Buffer): boolean;
+  /** Accounts for bytes that are received but cannot be written yet, since their event is incomplete. */
+  abstract updatePending(): void;
   /** Ends the answer after all bytes. */
   abstract end(): void;
 }
 
-/** Creates the sink that the settings of the gateway call for. */
-export function createSink(context: callContext.CallContext): CallerSink {
+/** Creates the sink that the settings of the gateway call for. `pendingBytes` returns the number of bytes of an incomplete event. */
+export function createSink(
+  context: callContext.CallContext,
+  pendingBytes: () => number,
+): CallerSink {
   const {buffers} = context.services;
   return buffers === undefined
     ? new PausingSink(context.response)
-    : new BufferingSink(context, buffers);
+    : new BufferingSink(context, buffers, pendingBytes);
 }
 
 /** Pauses the instance's answer as soon as the caller's socket is full. */
@@ -42,6 +48,10 @@
     return canWriteMore;
   }
 
+  updatePending(): void {
+    // Without an account, only the maximum size of an event bounds them.
+  }
+
   end(): void {
     this.response.end();
   }
@@ -51,8 +61,8 @@
 class BufferingSink extends CallerSink {
   private readonly held: HeldBytes;
   private readonly blocks: Buffer[] = [];
-  private chunks: Buffer[] = [];
-  private chunkBytes = 0;
+  /** Chunks that do not fill a block yet. */
+  private readonly chunks = new growingBuffer.GrowingBuffer();
   private blockBytes = 0;
   /** Whether a callback of the socket is awaited. */
   private isBlocked = false;
@@ -61,11 +71,12 @@
   constructor(
     private readonly context: callContext.CallContext,
     private readonly buffers: deliveryBuffers.DeliveryBuffers,
+    pendingBytes: () => number,
   ) {
     super();
     this.held = new HeldBytes(
       context,
-      () => this.queuedBytes + context.response.writableLength,
+      () => this.queuedBytes + context.response.writableLength + pendingBytes(),
     );
   }
 
@@ -91,6 +102,10 @@
     return !this.isPaused;
   }
 
+  updatePending(): void {
+    holdUntilEnd(this.buffers, this.held, this.context.response);
+  }
+
   end(): void {
     const {response} = this.context;
     this.joinChunks();
@@ -101,7 +116,7 @@
   }
 
   private get queuedBytes(): number {
-    return this.blockBytes + this.chunkBytes;
+    return this.blockBytes + this.chunks.length;
   }
 
   private holdFor(body: instanceClient.ResponseBody): void {
@@ -113,19 +128,17 @@
   }
 
   private enqueue(bytes: Buffer): void {
-    this.chunks.push(bytes);
-    this.chunkBytes += bytes.length;
-    if (this.chunkBytes >= BLOCK_BYTES) {
+    this.chunks.append(bytes);
+    if (this.chunks.length >= BLOCK_BYTES) {
       this.joinChunks();
     }
   }
 
   private joinChunks(): void {
-    if (this.chunkBytes > 0) {
-      this.blocks.push(Buffer.concat(this.chunks));
-      this.blockBytes += this.chunkBytes;
-      this.chunks = [];
-      this.chunkBytes = 0;
+    const {length} = this.chunks;
+    if (length > 0) {
+      this.blocks.push(this.chunks.take());
+      this.blockBytes += length;
     }
   }
 
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -13,6 +13,9 @@
 import * as callContext from './call_context';
 import * as callerSink from './caller_sink';
 
+/** Size from which an incomplete event counts as held, in bytes; most events are smaller. */
+const MIN_HELD_BYTES = 16_384;
+
 /** The event stream to one caller. */
 export class EventDelivery {
   private splitter = new eventSplitter.EventSplitter();
@@ -28,6 +31,8 @@
   private observer: measuredSpeeds.StreamObserver | undefined;
   /** Whether the time since the last events says something of the instance. */
   private isGapOfInstance = false;
+  /** Whether the account of held bytes includes an incomplete event. */
+  private isPendingHeld = false;
   private readonly sink: callerSink.CallerSink;
 
   constructor(
@@ -36,7 +41,7 @@
     private readonly onDidDeliver: () => void,
   ) {
     this.lastId = context.call.caller.lastEventId;
-    this.sink = callerSink.createSink(context);
+    this.sink = callerSink.createSink(context, () => this.pendingBytes);
   }
 
   /** Whether anything was written to the caller. */
@@ -75,12 +80,21 @@
     this.isGapOfInstance = false;
     this.isContinuation = this.isHeadWritten && this.lastId !== undefined;
     this.splitter = new eventSplitter.EventSplitter();
+    this.updatePending();
     this.hasReceivedEvents = false;
   }
 
   /** Delivers the events that the chunk completes, without those already delivered; false if they do not continue the stream. */
   push(answer: instanceClient.InstanceResponse, chunk: Buffer): boolean {
     const events = this.splitter.push(chunk);
+    this.updatePending();
+    if (this.splitter.isOversized) {
+      this.context.log('event-too-large', {
+        instance: this.run.instanceId,
+        max_bytes: eventSplitter.MAX_EVENT_BYTES,
+      });
+      return false;
+    }
     if (events === undefined) {
       return true;
     }
@@ -99,6 +113,14 @@
     return true;
   }
 
+  private updatePending(): void {
+    const isHeld = this.pendingBytes >= MIN_HELD_BYTES;
+    if (isHeld || this.isPendingHeld) {
+      this.isPendingHeld = isHeld;
+      this.sink.updatePending();
+    }
+  }
+
   /** Ends the caller's answer. */
   finish(answer: instanceClient.InstanceResponse): void {
     this.writeHead(answer);
--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -14,6 +14,8 @@
 /** Time allowed for instances that a peer already has to arrive in a datagram, in milliseconds. */
 const RELAY_WAIT_MILLISECONDS = 20;
 const FETCH_TIMEOUT_MILLISECONDS = 800;
+/** Maximum size of a peer's state, in bytes: a configuration, and records of some thousand instances. */
+const MAX_STATE_BYTES = 8_388_608;
 /** Interval of reads of a configuration that a peer of an older build relayed incompletely, in milliseconds. */
 const COMPLETION_INTERVAL_MILLISECONDS = 1_000;
 const STATE_PATH = '/v1/state';
@@ -118,6 +120,7 @@
         method: 'GET',
         url: `http://${digest.stateAddress}${STATE_PATH}`,
         timeoutMilliseconds: FETCH_TIMEOUT_MILLISECONDS,
+        maxBodyBytes: MAX_STATE_BYTES,
       });
       const state = JSON.parse(
         answer.body.toString('utf8'),
--- a/src/gateway/node/plain_send.ts
+++ b/src/gateway/node/plain_send.ts
@@ -1,8 +1,10 @@
 /** One send of a call to an instance of a plain service. */
+import * as growingBuffer from '../../base/common/growing_buffer';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as callContext from './call_context';
 import * as callerSink from './caller_sink';
+import * as discardedBody from './discarded_body';
 
 const {SendError} = instanceClient;
 
@@ -93,21 +95,25 @@
       return {error: result.error};
     }
     const answer = result.value;
-    const chunks: Buffer[] = [];
-    let length = 0;
-    const held = new callerSink.HeldBytes(context, () => length);
+    if (answer.isNotExecuted) {
+      discardedBody.discard(answer.body, exchange);
+      return {answer};
+    }
+    const body = new growingBuffer.GrowingBuffer();
+    const held = new callerSink.HeldBytes(context, () => body.length);
     const outcome = await new Promise<SendOutcome>(resolve => {
       answer.body.listen({
         onData(chunk) {
-          chunks.push(chunk);
-          length += chunk.length;
-          if (length > MAX_ANSWER_BYTES) {
+          if (body.length + chunk.length > MAX_ANSWER_BYTES) {
             exchange.cancel();
-          } else if (length > MIN_HELD_BYTES) {
+            return;
+          }
+          body.append(chunk);
+          if (body.length > MIN_HELD_BYTES) {
             buffers?.update(held);
           }
         },
-        onDidEnd: () => resolve({answer, body: Buffer.concat(chunks)}),
+        onDidEnd: () => resolve({answer, body: body.take()}),
         onDidFail: () => resolve({error: SendError.ConnectionLost}),
       });
     });
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -1,7 +1,9 @@
 /** The part of a generation's stream that comes from one instance. */
+import * as growingBuffer from '../../base/common/growing_buffer';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as callContext from './call_context';
+import * as discardedBody from './discarded_body';
 import * as eventDelivery from './event_delivery';
 
 /** Maximum size of a failure answer, in bytes. */
@@ -118,7 +120,7 @@
     if (answer.isNotExecuted) {
       this.wasRejected = true;
       this.wasTurnedAway = !answer.isFromOtherInstance;
-      answer.body.listen(IGNORE_BODY);
+      discardedBody.discard(answer.body, this.exchange);
       return SegmentEnd.NotRun;
     }
     return answer.status === 200
@@ -183,18 +185,17 @@
     answer: instanceClient.InstanceResponse,
   ): Promise<SegmentEnd> {
     return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let length = 0;
+      const body = new growingBuffer.GrowingBuffer();
       answer.body.listen({
         onData: chunk => {
-          length += chunk.length;
-          chunks.push(chunk);
-          if (length > MAX_FAILURE_BYTES) {
+          if (body.length + chunk.length > MAX_FAILURE_BYTES) {
             this.cancel();
+            return;
           }
+          body.append(chunk);
         },
         onDidEnd: () => {
-          this.failure = {answer, body: Buffer.concat(chunks)};
+          this.failure = {answer, body: body.take()};
           resolve(SegmentEnd.Failed);
         },
         onDidFail: () => resolve(SegmentEnd.Broken),
@@ -203,12 +204,6 @@
   }
 }
 
-const IGNORE_BODY: instanceClient.BodyListener = {
-  onData: () => undefined,
-  onDidEnd: () => undefined,
-  onDidFail: () => undefined,
-};
-
 /** Profile for an endpoint whose configuration describes no engine. */
 export const DEFAULT_ENGINE: configuration.EngineProfile = {
   memoryTokens: 0,
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as neverthrow from 'neverthrow';
+import * as boundedBody from '../base/node/bounded_body';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as answerCodec from './answer_codec';
 import * as callerCodec from './caller_codec';
@@ -46,6 +47,7 @@
       return;
     }
     const {request} = this;
+    boundedBody.limitInterimResponses(request);
     request.once('socket', socket => this.attachSocket(socket, onDidConnect));
     request.once('response', response => this.handleResponse(response));
     request.once('error', () => this.fail());
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -1,6 +1,7 @@
 /** HTTP client of the replicas: sends callers' requests, and calls that control running generations. */
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
+import * as boundedBody from '../base/node/bounded_body';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as instanceTable from '../gateway/common/instance_table';
 import * as fieldReader from './field_reader';
@@ -15,6 +16,8 @@
 
 /** Usual timeout for reading a report or freeing a copy, in milliseconds. */
 const CONTROL_TIMEOUT_MILLISECONDS = 300;
+/** Maximum size of the answer to a call of the system's own, in bytes; a report lists some hundred runs. */
+const MAX_JSON_BYTES = 1_048_576;
 
 /** Sends over node:http with pooled connections. */
 export class InstanceHttpClient extends instanceClient.InstanceClient {
@@ -145,20 +148,19 @@
 function readJson(
   request: http.ClientRequest,
 ): Promise<JsonAnswer | undefined> {
+  boundedBody.limitInterimResponses(request);
   return new Promise(resolve => {
+    // Its end is reported later than the end of the request.
+    let hasResponse = false;
     request.once('response', response => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.once('error', () => resolve(undefined));
-      response.once('end', () =>
-        resolve({
-          status: response.statusCode ?? 0,
-          fields: parseFields(Buffer.concat(chunks)),
-        }),
-      );
+      hasResponse = true;
+      const status = response.statusCode ?? 0;
+      void boundedBody
+        .collect(response, MAX_JSON_BYTES)
+        .then(body => resolve(body && {status, fields: parseFields(body)}));
     });
-    request.once('close', () => resolve(undefined));
-    request.once('error', () => resolve(undefined));
+    request.once('close', () => hasResponse || resolve(undefined));
+    request.once('error', () => hasResponse || resolve(undefined));
   });
 }
 
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -1,6 +1,7 @@
 /** Calls to the platform's metadata store over HTTP. */
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
+import * as boundedBody from '../base/node/bounded_body';
 import * as stateSource from '../gateway/common/state_source';
 import * as fieldReader from './field_reader';
 import * as objectCodec from './object_codec';
@@ -11,6 +12,9 @@
 /** Maximum number of connections: one for each watch, the others for reads and writes in between. */
 const MAX_CONNECTIONS = 6;
 
+/** Maximum size of an answer, in bytes; the store limits its pages and objects to about a megabyte. */
+const MAX_ANSWER_BYTES = 8_388_608;
+
 /** Address of the store, and a listener that is notified of each call. */
 export interface StoreOptions {
   /** IP and port. */
@@ -81,17 +85,13 @@
                 },
         },
         response => {
-          const chunks: Buffer[] = [];
-          response.on('data', (chunk: Buffer) => chunks.push(chunk));
-          response.once('end', () =>
-            finish({
-              status: response.statusCode ?? 0,
-              body: Buffer.concat(chunks),
-            }),
-          );
-          response.once('error', () => finish(undefined));
+          const status = response.statusCode ?? 0;
+          void boundedBody
+            .collect(response, MAX_ANSWER_BYTES)
+            .then(body => finish(body && {status, body}));
         },
       );
+      boundedBody.limitInterimResponses(request);
       const timer = setTimeout(() => {
         finish(undefined);
         request.destroy();
--- a/test/gateway/common/event_splitter.test.ts
+++ b/test/gateway/common/event_splitter.test.ts
@@ -56,3 +56,52 @@
   t.is(completed.bytes.toString(), 'id: 2\ndata: b\n\n');
   t.is(splitter.pendingBytes, 0);
 });
+
+// Guards against an instance that sends bytes without an event boundary until memory runs out.
+test('events: an event beyond the maximum size is given up, and none of its bytes are held', t => {
+  const splitter = new eventSplitter.EventSplitter();
+  const chunk = Buffer.alloc(65_536, 'x');
+  let held = 0;
+  for (let count = 0; count < 64; count++) {
+    t.is(splitter.push(chunk), undefined);
+    held = Math.max(held, splitter.pendingBytes);
+  }
+  t.true(splitter.isOversized);
+  t.true(held <= eventSplitter.MAX_EVENT_BYTES);
+  t.is(splitter.pendingBytes, 0);
+  t.is(splitter.push(Buffer.from('\n\nid: 1\n\n')), undefined);
+});
+
+// Guards against a search that starts anew at each chunk, whose work grows with the square of an event's size.
+test('events: an event that arrives byte by byte is examined and copied a bounded number of times', t => {
+  const splitter = new eventSplitter.EventSplitter();
+  const byte = Buffer.from('x');
+  let copied = 0;
+  const original = byte.copy.bind(byte);
+  byte.copy = ((...target: Parameters<typeof original>) => {
+    copied++;
+    return original(...target);
+  }) as typeof byte.copy;
+  const length = eventSplitter.MAX_EVENT_BYTES - 2;
+  for (let count = 0; count < length; count++) {
+    t.is(splitter.push(byte), undefined);
+  }
+  t.is(copied, length);
+  const events = splitter.push(Buffer.from('\n\n'))!;
+  t.is(events.bytes.length, eventSplitter.MAX_EVENT_BYTES);
+});
+
+test('events: an empty line may begin in one chunk and end in another', t => {
+  for (const [chunks, count] of [
+    [['id: 1\n', '\n'], 1],
+    [['id: 1\r\n\r', '\n'], 1],
+    [['id: 1\n\r', 'x\n', '\n'], 1],
+    [['id: 1\n', 'x', '\n'], 0],
+  ] as const) {
+    const splitter = new eventSplitter.EventSplitter();
+    const events = chunks
+      .map(chunk => splitter.push(Buffer.from(chunk)))
+      .filter(each => each !== undefined);
+    t.is(events.length, count, JSON.stringify(chunks));
+  }
+});
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -3,14 +3,14 @@
 import * as net from 'node:net';
 import * as ava from 'ava';
 import * as instanceClient from '../../src/gateway/common/instance_client';
-import * as instanceTable from '../../src/gateway/common/instance_table';
 import * as instanceHttpClient from '../../src/platform/instance_http_client';
 import * as freePorts from '../../standins/free_ports';
-import * as gatewayRecords from '../support/gateway_records';
+import * as rawInstance from '../support/raw_instance';
 
 const test = ava.default;
 const ATTEMPT = '00000000000000a1';
 const {SendError} = instanceClient;
+const {text, listen, instanceAt} = rawInstance;
 
 const SUCCESS = [
   'HTTP/1.1 200 OK',
@@ -18,34 +18,6 @@
   'X-Rhubarbvane-Server-Stamp: s',
 ];
 
-function text(lines: readonly string[], body = ''): string {
-  return [...lines, '', body].join('\r\n');
-}
-
-/** Listens on a free port; `answer` is called with the socket and a running count whenever data arrives. */
-async function listen(
-  t: ava.ExecutionContext,
-  answer: (socket: net.Socket, count: number) => void,
-): Promise<instanceTable.Instance> {
-  let count = 0;
-  const server = net.createServer(socket => {
-    socket.on('error', () => undefined);
-    socket.on('data', () => answer(socket, ++count));
-  });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  t.teardown(() => server.close());
-  return instanceAt((server.address() as net.AddressInfo).port);
-}
-
-function instanceAt(port: number): instanceTable.Instance {
-  const table = new instanceTable.InstanceTable();
-  const record = gatewayRecords.instanceRecord({
-    id: 'i-1',
-    address: `127.0.0.1:${port}`,
-  });
-  return table.replace([record], 0).added[0];
-}
-
 function request(): instanceClient.InstanceRequest {
   return {
     caller: {
--- a/test/platform/metadata_store.test.ts
+++ b/test/platform/metadata_store.test.ts
@@ -271,3 +271,33 @@
     );
   });
 }
+
+// Guards against an answer of the store that is collected without a bound.
+test('store: a list without end is given up, and its connection closed', async t => {
+  const block = Buffer.alloc(65_536, 'x');
+  let isClosed = false;
+  const server = http.createServer((_, response) => {
+    response.writeHead(200);
+    const timer = setInterval(() => {
+      while (response.writableLength < 1_000_000) {
+        response.write(block);
+      }
+    }, 1);
+    response.once('close', () => {
+      clearInterval(timer);
+      isClosed = true;
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const store = new metadataStore.MetadataStore({address: `127.0.0.1:${port}`});
+  t.teardown(() => {
+    store.dispose();
+    server.close();
+  });
+  const listed = await store.listInstances();
+  t.is(listed._unsafeUnwrapErr(), SourceError.Unreachable);
+  while (!isClosed) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+});
