Replica connections: sends whose answers can't be told apart never share a connection

Cause: an answer is matched to a send by its connection and its attempt id. Two sends of one attempt to an instance, after a back-off or a wait for room, share both, so a copy of the earlier refusal was taken for the answer to the later send. Calls of the system's own have no id, so a second answer to one copy was taken for that of the next.

Change: an attempt that is sent to an address again, and each call of the system's own, gets a connection that is used once. An answer to a copy that names another run is no answer.

--- a/bench/naive/naive_gateway.ts
+++ b/bench/naive/naive_gateway.ts
@@ -83,6 +83,7 @@
     lastEventId: caller.lastEventId,
     continuation: undefined,
     backupAddress: undefined,
+    isSentAgain: false,
   });
   instance.openRequests++;
   response.once('close', () => exchange.cancel());
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -40,6 +40,8 @@
   readonly caller: CallerRequest;
   readonly body: Buffer;
   readonly remainingMilliseconds: number;
+  /** Whether the caller's attempt was sent to this address before, so that an answer to that send could be taken for one to this send. */
+  readonly isSentAgain: boolean;
   readonly customer: string | undefined;
   /** 0 is admitted first; undefined for plain services. */
   readonly urgency: number | undefined;
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -62,6 +62,8 @@
   readonly repeats: repeatCharges.RepeatCharges;
   /** Version of the software that began the stream; undefined before its first event. */
   softwareVersion: string | undefined;
+  /** Addresses to which the call was sent. */
+  private readonly sentTo = new Set<string>();
   private possibleRuns = 0;
   private rejectedSends = 0;
   private isFinished = false;
@@ -137,10 +139,14 @@
       }
     }
     this.repeats.recordSend(options.continuation !== undefined);
+    const {address} = instance.record;
+    const isSentAgain = this.sentTo.has(address);
+    this.sentTo.add(address);
     const exchange = services.client.send(instance, {
       caller: call.caller,
       body: call.body,
       remainingMilliseconds: this.remainingMilliseconds,
+      isSentAgain,
       customer: call.customer?.name,
       ...options,
     });
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -22,6 +22,12 @@
 /** Sends over node:http with pooled connections. */
 export class InstanceHttpClient extends instanceClient.InstanceClient {
   private readonly agent = new instanceAgent.InstanceAgent();
+  /**
+   * Makes a connection for each request. For requests whose answer could not be
+   * distinguished from a late copy of an earlier answer on the same connection:
+   * an attempt that is sent again, and calls of the system's own, which have no id.
+   */
+  private readonly singleUseAgent = new http.Agent({noDelay: true});
 
   /** @param controlTimeoutMilliseconds Timeout for reading a report or freeing a copy. */
   constructor(
@@ -44,7 +50,7 @@
         method: request.caller.method,
         path: request.caller.target,
         headers: requestCodec.encodeHeaders(instance.record.id, request),
-        agent: this.agent,
+        agent: request.isSentAgain ? this.singleUseAgent : this.agent,
       },
       request.body,
       this.onDidConnect,
@@ -70,7 +76,11 @@
       body,
       request.timeoutMilliseconds,
     );
-    return decodeCopy(answer);
+    // Some instances name the run in the answer.
+    const isForOtherRun = ![undefined, request.attemptId].includes(
+      answer?.attemptId,
+    );
+    return decodeCopy(isForOtherRun ? undefined : answer);
   }
 
   dropCopy(source: instanceTable.Instance, handle: string): void {
@@ -112,6 +122,7 @@
   /** Closes all connections. */
   dispose(): void {
     this.agent.destroy();
+    this.singleUseAgent.destroy();
   }
 
   private callJson(
@@ -129,7 +140,7 @@
       headers['content-type'] = 'application/json';
       headers['content-length'] = Buffer.byteLength(body);
     }
-    const {agent} = this;
+    const agent = this.singleUseAgent;
     let request: http.ClientRequest;
     try {
       request = http.request({hostname, port, method, path, headers, agent});
@@ -137,6 +148,9 @@
       // node:http throws on ports and headers that it cannot use.
       return Promise.resolve(undefined);
     }
+    request.once('socket', socket =>
+      socket.once('connect', () => this.onDidConnect()),
+    );
     const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
     request.once('close', () => clearTimeout(timer));
     request.end(body);
@@ -155,9 +169,12 @@
     request.once('response', response => {
       hasResponse = true;
       const status = response.statusCode ?? 0;
+      const attemptId = response.headersDistinct[Headers.attemptId]?.[0];
       void boundedBody
         .collect(response, MAX_JSON_BYTES)
-        .then(body => resolve(body && {status, fields: parseFields(body)}));
+        .then(body =>
+          resolve(body && {status, attemptId, fields: parseFields(body)}),
+        );
     });
     request.once('close', () => hasResponse || resolve(undefined));
     request.once('error', () => hasResponse || resolve(undefined));
@@ -166,6 +183,8 @@
 
 interface JsonAnswer {
   readonly status: number;
+  /** Undefined if the answer names none. */
+  readonly attemptId: string | undefined;
   /** Undefined if the body is not a whole JSON object. */
   readonly fields: fieldReader.Fields | undefined;
 }
--- a/test/gateway/repeated_refusals.test.ts
+++ b/test/gateway/repeated_refusals.test.ts
@@ -1,4 +1,5 @@
 /** Refusals of earlier requests that replicas write again in place of an answer. */
+import * as net from 'node:net';
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
 import * as testGateway from '../support/test_gateway';
@@ -60,3 +61,64 @@
   t.deepEqual(new Set(statuses), new Set([502]));
   t.true(runs.every(count => count === 1));
 });
+
+/** Refuses its first requests, one for each of the callers, and writes each refusal again when the next request arrives on its connection. */
+function createFullReplica(
+  runs: Map<string, number>,
+  refusals: number,
+): replicaStandin.ReplicaHandler {
+  const late = new WeakMap<net.Socket, string>();
+  let refused = 0;
+  return (request, response) => {
+    const socket = response.socket!;
+    const earlier = late.get(socket);
+    if (earlier !== undefined) {
+      late.delete(socket);
+      socket.write(earlier);
+    }
+    const attempt = String(request.headers['x-rhubarbvane-attempt-id']);
+    if (refused < refusals) {
+      refused++;
+      const head = [
+        'HTTP/1.1 503 Service Unavailable',
+        'X-Rhubarbvane-Not-Executed: 1',
+        `X-Rhubarbvane-Attempt-Id: ${attempt}`,
+        'Retry-After: 0.2',
+        'Content-Length: 0',
+      ];
+      late.set(socket, [...head, '', ''].join('\r\n'));
+      response.writeHead(503, {
+        'X-Rhubarbvane-Not-Executed': '1',
+        'X-Rhubarbvane-Attempt-Id': attempt,
+        'Retry-After': '0.2',
+      });
+      response.end();
+      return;
+    }
+    runs.set(attempt, (runs.get(attempt) ?? 0) + 1);
+    response.writeHead(200, {
+      ...replicaStandin.answerHeaders(request),
+      'Content-Type': 'text/event-stream',
+    });
+    setTimeout(() => response.end(replicaStandin.events(1, 2)), 20);
+  };
+}
+
+// Guards against a refusal that, written twice, makes the same attempt run at a second instance, or lets it be called "not run" while it runs.
+for (const path of ['/draft/a', '/file/a']) {
+  test(`repeated refusals: ${path} that is sent again to an instance after its back-off runs once`, async t => {
+    const runs = new Map<string, number>();
+    const service = path === '/file/a' ? 'ledger' : 'writers';
+    const replica = createFullReplica(runs, 2);
+    const gateway = await testGateway.TestGateway.start(
+      t,
+      {'i-1': [service, replica], 'i-2': [service, replica]},
+      testGateway.configurationSpec(1),
+      {settings: {retries: RETRIES}},
+    );
+    await gateway.until(() => gateway.process.state.instances.size === 2);
+    const answer = await gateway.call(path, {method: 'POST'});
+    t.is(answer.status, 200);
+    t.deepEqual([...runs.values()], [1]);
+  });
+}
