Store eras: revisions of a restored store are never compared with those of before

Cause: no code read the store's era. Lists, changes, watches, peers' positions and evacuations with a lower revision were dropped as outdated until the store had given out as many revisions as before; journals of streams and records of endpoint versions counted as stored although they were lost.

Change: StoreEra holds the latest era; each place that keeps a revision or position forgets it when a later era is seen, and compares those of peers only within one era. Departures of the lost seconds are not brought back by the copy. Lists have the revision of their first page. Log line store-era-changed, metric rhubarbvane_gateway_store_era. Two tests of the store client now expect the era too. The loop's pauses and the bounded refresh are modules of their own.

--- a/src/gateway/common/availability/evacuated_data_centres.ts
+++ b/src/gateway/common/availability/evacuated_data_centres.ts
@@ -80,6 +80,13 @@
     return this.reopened.get(dataCentre);
   }
 
+  /** Forgets the position, since the source was restored from a copy and counts anew; what is in force stays so until it is read again. */
+  enterEra(): void {
+    if (this.lastPosition !== undefined) {
+      this.lastPosition = 0;
+    }
+  }
+
   /** Replaces the set unless it is known as of the position or a later one; returns whether it was applied. */
   applyList(
     position: number,
--- a/src/gateway/common/fleet/fleet_message.ts
+++ b/src/gateway/common/fleet/fleet_message.ts
@@ -117,6 +117,7 @@
     stateAddress: zod.z.string().max(256),
     configurationVersion: finite,
     instancesPosition: finite,
+    storeEra: zod.z.int().optional(),
     isSourceAway: zod.z.boolean(),
     sourceAgeMilliseconds: finite.optional(),
     loads: zod.z.record(zod.z.string(), loadSchema),
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -23,6 +23,8 @@
   /** Address at which the gateway serves its state; empty when it serves none. */
   readonly stateAddress: string;
   readonly configurationVersion: number;
+  /** Era of the state source to which its positions belong; absent before it is known, and from older builds. */
+  readonly storeEra?: number;
   /** Position of its registry of instances. */
   readonly instancesPosition: number;
   /** Whether its last call to the state source failed. */
@@ -59,6 +61,8 @@
 
 /** Full state of a gateway, for peers that are behind. */
 export interface PeerState {
+  /** Era of the state source, as in digests. */
+  readonly storeEra?: number;
   readonly configurationRevision: number;
   readonly configuration: configuration.Configuration | undefined;
   readonly instancesPosition: number;
--- a/src/gateway/common/instance_registry.ts
+++ b/src/gateway/common/instance_registry.ts
@@ -13,6 +13,15 @@
  * departure was seen.
  */
 export const RECOVERY_GRACE_MILLISECONDS = 1_800;
+/**
+ * Time after the source was restored from a copy for which its lists are not
+ * believed where they contradict a departure that is known here, in
+ * milliseconds. By then instances have written their state again, and the
+ * entries of those that have left have lapsed.
+ */
+export const DISTRUST_MILLISECONDS = 8_000;
+/** Maximum number of departures that are remembered; the oldest are forgotten first. */
+const MAX_DEPARTED = 4_096;
 /**
  * Step of the position when kept entries expire without a new revision; less
  * than one, so that the next revision is still greater.
@@ -34,8 +43,13 @@
     string,
     instanceTable.InstanceRecord | undefined
   >();
+  /** Incarnations that were removed. */
+  private readonly departed = new Set<string>();
   private lastRevision = 0;
   private lastPosition = 0;
+  /** Whether nothing has been committed in this era of the source. */
+  private isEraNew = false;
+  private distrustUntil = -Infinity;
   private isSourceUnreachable = false;
   private graceUntil = 0;
 
@@ -62,6 +76,19 @@
     return [...this.records.values()];
   }
 
+  /**
+   * Forgets the revision and the position, since the source was restored from a
+   * copy and counts anew. Records are kept until the source has been read again.
+   */
+  enterEra(now: number): void {
+    this.lastRevision = 0;
+    this.lastPosition = 0;
+    this.isEraNew = true;
+    this.isSourceUnreachable = false;
+    this.graceUntil = now + RECOVERY_GRACE_MILLISECONDS;
+    this.distrustUntil = now + DISTRUST_MILLISECONDS;
+  }
+
   /** Records that the source does not respond. */
   markSourceUnreachable(): void {
     this.isSourceUnreachable = true;
@@ -146,12 +173,15 @@
 
   /** Advances the position past the pending changes and returns them; undefined when there are none. */
   commit(): RegistryChange | undefined {
-    const from = this.lastPosition;
-    const isFirst = from === 0 && this.lastRevision > 0;
+    const position = this.lastPosition;
+    const isFirst = position === 0 && this.lastRevision > 0;
     if (this.changed.size === 0 && !isFirst) {
       return undefined;
     }
-    const to = Math.max(this.lastRevision, from + EXPIRY_STEP);
+    const to = Math.max(this.lastRevision, position + EXPIRY_STEP);
+    // What changed since the previous era adds to no position of this one.
+    const from = this.isEraNew ? to : position;
+    this.isEraNew = false;
     const changes = [...this.changed].map(([id, record]) => ({id, record}));
     this.changed.clear();
     this.lastPosition = to;
@@ -160,6 +190,7 @@
 
   private advance(position: number): void {
     this.changed.clear();
+    this.isEraNew = false;
     this.lastPosition = position;
     this.lastRevision = Math.max(this.lastRevision, Math.floor(position));
   }
@@ -174,7 +205,30 @@
         this.handleMissing(id, now);
       }
     }
-    listed.forEach(record => this.upsert(record));
+    for (const record of listed.values()) {
+      if (this.isRevivedByCopy(record, now)) {
+        this.missing.delete(record.id);
+      } else {
+        this.upsert(record);
+      }
+    }
+  }
+
+  /** Whether a list shows an instance as ready that is known to have left, since the copy that the source was restored from is older. */
+  private isRevivedByCopy(
+    record: instanceTable.InstanceRecord,
+    now: number,
+  ): boolean {
+    const isReady = record.state === instanceTable.InstanceState.Ready;
+    if (!isReady || now >= this.distrustUntil) {
+      return false;
+    }
+    const current = this.records.get(record.id);
+    const isDraining =
+      current !== undefined &&
+      current.state === instanceTable.InstanceState.Draining &&
+      instanceTable.lifeOf(current) === instanceTable.lifeOf(record);
+    return isDraining || this.departed.has(instanceTable.lifeOf(record));
   }
 
   private markSourceReachable(now: number): void {
@@ -186,6 +240,7 @@
 
   private upsert(record: instanceTable.InstanceRecord): void {
     const current = this.records.get(record.id);
+    this.departed.delete(instanceTable.lifeOf(record));
     if (JSON.stringify(current) !== JSON.stringify(record)) {
       this.changed.set(record.id, record);
     }
@@ -204,9 +259,19 @@
   }
 
   private delete(id: string): void {
-    if (this.records.delete(id)) {
+    const record = this.records.get(id);
+    if (record !== undefined) {
+      this.records.delete(id);
       this.changed.set(id, undefined);
+      this.recordDeparture(record);
     }
     this.missing.delete(id);
   }
+
+  private recordDeparture(record: instanceTable.InstanceRecord): void {
+    this.departed.add(instanceTable.lifeOf(record));
+    if (this.departed.size > MAX_DEPARTED) {
+      this.departed.delete(this.departed.keys().next().value!);
+    }
+  }
 }
--- a/src/gateway/common/limits/warm_ups.ts
+++ b/src/gateway/common/limits/warm_ups.ts
@@ -113,6 +113,13 @@
     );
   }
 
+  /** Forgets the revisions of registrations, since the source was restored from a copy and counts anew. */
+  enterEra(): void {
+    for (const [life, statement] of this.statements) {
+      this.statements.set(life, {...statement, revision: 0});
+    }
+  }
+
   /** Records the time that an answer of the instance names. */
   recordAnswer(life: string, leftMilliseconds: number, now: number): void {
     const known = this.statements.get(life);
--- a/src/gateway/common/state_source.ts
+++ b/src/gateway/common/state_source.ts
@@ -21,6 +21,8 @@
 /** State as of a revision. */
 export interface Snapshot<T> {
   readonly revision: number;
+  /** Era of the source to which the revision belongs; absent if the source names none. */
+  readonly era?: number;
   readonly value: T;
 }
 
--- a/src/gateway/common/versions/stream_journal.ts
+++ b/src/gateway/common/versions/stream_journal.ts
@@ -93,6 +93,11 @@
       : undefined;
   }
 
+  /** Forgets which streams are stored, since the store was restored from a copy and may have lost them. */
+  enterEra(): void {
+    this.stored = new Set();
+  }
+
   /** Records that the streams are stored. */
   markStored(streams: readonly StoredStream[]): void {
     this.stored = new Set(streams.map(([id]) => id));
--- a/src/gateway/node/evacuation_follower.ts
+++ b/src/gateway/node/evacuation_follower.ts
@@ -6,23 +6,23 @@
 import * as evacuatedDataCentres from '../common/availability/evacuated_data_centres';
 import * as evacuationDuty from '../common/availability/evacuation_duty';
 import * as peerDigest from '../common/fleet/peer_digest';
+import * as instanceRegistry from '../common/instance_registry';
 import * as stateSource from '../common/state_source';
+import * as storeEra from '../common/store_era';
 import * as gatewayMetrics from './gateway_metrics';
+import * as sourceBackOff from './source_back_off';
 import * as sourceHealth from './source_health';
 
-/** Pause after the second failed call since the last successful watch, in milliseconds; doubled with each further failure. */
-const MIN_BACKOFF_MILLISECONDS = 100;
-const MAX_BACKOFF_MILLISECONDS = 1_000;
 /** Interval of checks whether this gateway has to read evacuations, in milliseconds. */
 const DUTY_CHECK_INTERVAL_MILLISECONDS = 200;
-/** Logged origin of evacuations that this gateway read itself. */
-const SOURCE_ORIGIN = 'store';
 
 const {Evacuations} = sourceHealth.SourceKind;
+const {SOURCE_ORIGIN} = storeEra;
 
-/** Whether this gateway watches the source for others. */
+/** Whether this gateway watches the source for others, and the era of the source. */
 export interface WatchDuty {
   readonly isWatching: boolean;
+  readonly era: storeEra.StoreEra;
 }
 
 /** Follows evacuations of data centres; does nothing unless it is enabled. */
@@ -33,6 +33,8 @@
   private readonly health: sourceHealth.SourceHealth;
   private readonly duty: evacuationDuty.EvacuationDuty;
   private isDisposed = false;
+  /** Monotonic milliseconds from which lists are believed. */
+  private listableFrom = -Infinity;
 
   constructor(
     /** Time within which an evacuation is in force, in milliseconds; 0 to follow none. */
@@ -45,6 +47,12 @@
   ) {
     this.health = new sourceHealth.SourceHealth(log);
     this.duty = new evacuationDuty.EvacuationDuty(ownName, performance.now());
+    watchDuty.era.onDidChange.subscribe(() => {
+      this.dataCentres.enterEra();
+      // Operators write again what a restored source has lost.
+      this.listableFrom =
+        performance.now() + instanceRegistry.RECOVERY_GRACE_MILLISECONDS;
+    });
     this.dataCentres.onDidChange.subscribe(update => {
       this.logUpdate(update);
       metrics.evacuatedDataCentres.set(this.dataCentres.size);
@@ -136,11 +144,8 @@
         isCurrent = await this.list();
         failures += isCurrent ? 0 : 1;
       }
-      if (!isCurrent && failures > 1) {
-        const pause = MIN_BACKOFF_MILLISECONDS * 2 ** Math.min(failures - 2, 8);
-        await deadline.delay(
-          deadline.jittered(Math.min(MAX_BACKOFF_MILLISECONDS, pause)),
-        );
+      if (!isCurrent) {
+        await sourceBackOff.backOff(failures);
       }
     }
   }
@@ -153,7 +158,8 @@
 
   /** Lists the evacuations; returns whether that succeeded. */
   private async list(): Promise<boolean> {
-    const listed = await this.source.listEvacuations();
+    await deadline.delay(Math.max(0, this.listableFrom - performance.now()));
+    const listed = await this.watchDuty.era.read(this.source.listEvacuations());
     if (listed.isErr()) {
       return this.recordFailure(listed.error);
     }
@@ -166,8 +172,8 @@
 
   /** Waits for changes; returns whether that succeeded. */
   private async watch(): Promise<boolean> {
-    const watched = await this.source.watchEvacuations(
-      this.dataCentres.position,
+    const watched = await this.watchDuty.era.watch(
+      this.source.watchEvacuations(this.dataCentres.position),
     );
     if (watched.isErr()) {
       return this.recordFailure(watched.error);
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -243,6 +243,7 @@
       stateAddress: this.settings.stateAddress,
       configurationVersion: follower.configurationVersion,
       instancesPosition: follower.instancesPosition,
+      storeEra: follower.era.current,
       isSourceAway: follower.isSourceUnavailable,
       sourceAgeMilliseconds:
         sourceAge === undefined ? undefined : Math.round(sourceAge),
@@ -302,7 +303,11 @@
     const {digest, change} = message;
     const {runs, demand, reports, crashes, promptParts, limits, speeds} =
       this.tables;
-    this.evacuations.applyDigest(digest, now);
+    this.follower.era.observe(digest.storeEra, digest.name);
+    const isComparable = this.follower.era.isCurrent(digest.storeEra);
+    if (isComparable) {
+      this.evacuations.applyDigest(digest, now);
+    }
     runs.setPeerLoads(digest.name, digest.loads, now);
     demand.setPeerDemand(digest.name, digest.demand ?? [], now);
     reports.addRelayed(digest.reports ?? [], now);
@@ -316,7 +321,8 @@
       .mergeLeaving(digest.leaving ?? [], now)
       .forEach(each => this.follower.markLeaving(each, digest.name));
     speeds.merge(digest.speeds ?? [], now);
-    if (change !== undefined && !this.follower.isWatching) {
+    const isChangeDue = isComparable && !this.follower.isWatching;
+    if (change !== undefined && isChangeDue) {
       this.follower.applyRelayedChange(change, digest.name);
     }
     if (digest.sourceAgeMilliseconds !== undefined) {
--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -103,6 +103,7 @@
       (!follower.isWatching && digest.sourceAgeMilliseconds !== undefined);
     return (
       mayFetch &&
+      follower.era.isCurrent(digest.storeEra) &&
       digest.instancesPosition > follower.instancesPosition &&
       this.instancesFetchDelay.hasElapsed(
         digest.instancesPosition,
@@ -125,8 +126,11 @@
       const state = JSON.parse(
         answer.body.toString('utf8'),
       ) as peerDigest.PeerState;
+      this.follower.era.observe(state.storeEra, digest.name);
       // First, so that no request meets instances of an evacuated data centre.
-      this.evacuations.applyPeerState(state, digest.name);
+      if (this.follower.era.isCurrent(state.storeEra)) {
+        this.evacuations.applyPeerState(state, digest.name);
+      }
       this.follower.applyPeerState(state, digest.name);
       void this.completeConfiguration();
     } catch (error) {
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -26,6 +26,7 @@
   readonly fleetMessages: promClient.Counter<'direction' | 'kind'>;
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
   readonly openRequests: promClient.Gauge;
+  readonly storeEra: promClient.Gauge;
   readonly waiting: promClient.Gauge;
   readonly evacuatedDataCentres: promClient.Gauge;
   readonly measuredInstances: promClient.Gauge;
@@ -105,6 +106,10 @@
       'Bytes of datagrams between gateways, without headers',
       ['direction', 'kind'],
     );
+    this.storeEra = registry.gauge(
+      'rhubarbvane_gateway_store_era',
+      'Era of the state source, which rises each time it comes back from a copy; 0 before it is known',
+    );
     this.openRequests = registry.gauge(
       'rhubarbvane_gateway_open_requests',
       'Requests of callers without a whole answer',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -234,6 +234,7 @@
     const {scheduler, speeds, buffers} = this.services;
     this.options.metrics.waiting.set(scheduler.waitingCount);
     this.options.metrics.measuredInstances.set(speeds.speeds.size);
+    this.options.metrics.storeEra.set(this.services.follower.era.current ?? 0);
     this.options.metrics.heldBytes.set(buffers?.totalBytes ?? 0);
     const gap = this.suspensions.check(performance.now(), Date.now());
     if (gap === undefined) {
--- a/src/gateway/node/limits/cold_instances.ts
+++ b/src/gateway/node/limits/cold_instances.ts
@@ -36,6 +36,9 @@
           .forEach(({dataCentre}) => this.extendAll(dataCentre)),
       ),
     );
+    this.subscription.add(
+      follower.era.onDidChange.subscribe(() => cold.enterEra()),
+    );
     this.subscription.add(
       cold.onDidChange.subscribe(change => this.report(change)),
     );
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -10,22 +10,16 @@
 import * as routeIndex from '../common/route_index';
 import * as stateSource from '../common/state_source';
 import * as watcherElection from '../common/fleet/watcher_election';
+import * as storeEra from '../common/store_era';
+import * as boundedRefresh from './bounded_refresh';
+import * as sourceBackOff from './source_back_off';
 import * as sourceHealth from './source_health';
 
 const {SourceKind} = sourceHealth;
-
-/** Pause after the second failed call since the last successful watch, in milliseconds; doubled with each further failure. */
-const MIN_BACKOFF_MILLISECONDS = 100;
-const MAX_BACKOFF_MILLISECONDS = 1_000;
-/** Maximum time to wait for a refresh, in milliseconds. */
-const REFRESH_WAIT_MILLISECONDS = 400;
-/** Minimum time between two refreshes, in milliseconds. */
-const MIN_REFRESH_INTERVAL_MILLISECONDS = 300;
+const {SOURCE_ORIGIN} = storeEra;
 
 /** Interval of checks whether this gateway has to watch the source again, in milliseconds. */
 const WATCHER_CHECK_INTERVAL_MILLISECONDS = 200;
-/** Logged origin of state that this gateway read itself. */
-const SOURCE_ORIGIN = 'store';
 
 /** Holds the newest known configuration and instances. */
 export class StateFollower implements disposable.Disposable {
@@ -38,6 +32,8 @@
     new rxjs.Subject<instanceRegistry.RegistryChange>();
   readonly instances = new instanceTable.InstanceTable();
   readonly retired = new retiredNames.RetiredNames();
+  /** History of the source to which all revisions and positions belong. */
+  readonly era = new storeEra.StoreEra();
   private readonly registry = new instanceRegistry.InstanceRegistry();
   private index: routeIndex.RouteIndex | undefined;
   private configurationRevision = 0;
@@ -46,8 +42,9 @@
   private isWatchingSource = true;
   private isDisposed = false;
   private readonly health: sourceHealth.SourceHealth;
-  private pendingRefresh: Promise<void> | undefined;
-  private lastRefreshAt = -Infinity;
+  private readonly refresh = new boundedRefresh.BoundedRefresh(() =>
+    this.readConfiguration(),
+  );
 
   constructor(
     private readonly source: stateSource.StateSource,
@@ -55,6 +52,7 @@
     private readonly log: jsonLog.JsonLog,
   ) {
     this.health = new sourceHealth.SourceHealth(log);
+    this.era.onDidChange.subscribe(change => this.enterEra(change));
   }
 
   /** Routes in force; undefined before the first configuration. */
@@ -104,23 +102,9 @@
   /** Reads the configuration again unless it was confirmed within the given age; returns after a bounded wait. */
   async refreshConfiguration(maxAgeMilliseconds: number): Promise<void> {
     const now = performance.now();
-    if (this.configurationAge(now) <= maxAgeMilliseconds) {
-      return;
+    if (this.configurationAge(now) > maxAgeMilliseconds) {
+      await this.refresh.run(now);
     }
-    const isDue = now - this.lastRefreshAt > MIN_REFRESH_INTERVAL_MILLISECONDS;
-    if (this.pendingRefresh === undefined && isDue) {
-      this.lastRefreshAt = now;
-      this.pendingRefresh = this.readConfiguration().then(() => {
-        this.pendingRefresh = undefined;
-      });
-    }
-    if (this.pendingRefresh === undefined) {
-      return;
-    }
-    await Promise.race([
-      this.pendingRefresh,
-      deadline.delay(REFRESH_WAIT_MILLISECONDS),
-    ]);
   }
 
   /** Marks an instance as draining that says itself that it is about to stop. */
@@ -144,6 +128,7 @@
   /** Complete state, for a peer that lacks it. */
   peerState(): peerDigest.PeerState {
     return {
+      storeEra: this.era.current,
       configurationRevision: this.configurationRevision,
       configuration: this.index?.configuration,
       instancesPosition: this.registry.position,
@@ -153,11 +138,14 @@
 
   /** Applies the parts of a peer's state that are newer. */
   applyPeerState(state: peerDigest.PeerState, peer: string): void {
+    this.era.observe(state.storeEra, peer);
+    const isComparable = this.era.isCurrent(state.storeEra);
     if (state.configuration !== undefined) {
-      this.applyConfiguration(
-        {revision: state.configurationRevision, value: state.configuration},
-        peer,
-      );
+      const revision = isComparable ? state.configurationRevision : 0;
+      this.applyConfiguration({revision, value: state.configuration}, peer);
+    }
+    if (!isComparable) {
+      return;
     }
     const {instancesPosition, instances} = state;
     const now = performance.now();
@@ -229,7 +217,7 @@
         failures = isCurrent ? 0 : failures + 1;
       }
       if (!isCurrent) {
-        await this.backOff(failures);
+        await sourceBackOff.backOff(failures);
       }
     }
   }
@@ -244,32 +232,23 @@
     return isWatcher;
   }
 
-  private async backOff(failures: number): Promise<void> {
-    if (failures <= 1) {
-      return;
-    }
-    const pause = MIN_BACKOFF_MILLISECONDS * 2 ** Math.min(failures - 2, 8);
-    await deadline.delay(
-      deadline.jittered(Math.min(MAX_BACKOFF_MILLISECONDS, pause)),
-    );
-  }
-
   /** Reads the configuration now; false if that failed. */
   async readConfiguration(): Promise<boolean> {
-    const read = await this.source.readConfiguration();
+    const read = await this.era.read(this.source.readConfiguration());
     if (read.isErr()) {
       this.health.recordFailure(SourceKind.Configuration, read.error);
       return false;
     }
     this.health.recordSuccess(SourceKind.Configuration);
     this.confirmedAt = performance.now();
+    this.advanceConfiguration(read.value.revision);
     this.applyConfiguration(read.value, SOURCE_ORIGIN);
     return true;
   }
 
   private async watchConfiguration(): Promise<boolean> {
-    const watched = await this.source.watchConfiguration(
-      this.configurationRevision,
+    const watched = await this.era.watch(
+      this.source.watchConfiguration(this.configurationRevision),
     );
     if (watched.isErr()) {
       this.health.recordFailure(SourceKind.Configuration, watched.error);
@@ -278,17 +257,17 @@
     this.health.recordSuccess(SourceKind.Configuration);
     this.confirmedAt = performance.now();
     const {revision, value} = watched.value;
-    if (value === undefined) {
-      this.configurationRevision = Math.max(
-        this.configurationRevision,
-        revision,
-      );
-      return true;
+    this.advanceConfiguration(revision);
+    if (value !== undefined) {
+      this.applyConfiguration({revision, value}, SOURCE_ORIGIN);
     }
-    this.applyConfiguration({revision, value}, SOURCE_ORIGIN);
     return true;
   }
 
+  private advanceConfiguration(revision: number): void {
+    this.configurationRevision = Math.max(this.configurationRevision, revision);
+  }
+
   private applyConfiguration(
     snapshot: stateSource.Snapshot<routeIndex.RouteIndex['configuration']>,
     origin: string,
@@ -298,10 +277,7 @@
       return;
     }
     const previous = this.index?.configuration.version;
-    this.configurationRevision = Math.max(
-      this.configurationRevision,
-      snapshot.revision,
-    );
+    this.advanceConfiguration(snapshot.revision);
     if (this.index !== undefined) {
       this.retired.update(this.index.configuration, snapshot.value);
     }
@@ -321,7 +297,7 @@
   }
 
   private async listInstances(): Promise<boolean> {
-    const listed = await this.source.listInstances();
+    const listed = await this.era.read(this.source.listInstances());
     if (listed.isErr()) {
       return this.recordInstancesFailure(listed.error);
     }
@@ -333,7 +309,9 @@
   }
 
   private async watchInstances(): Promise<boolean> {
-    const watched = await this.source.watchInstances(this.registry.revision);
+    const watched = await this.era.watch(
+      this.source.watchInstances(this.registry.revision),
+    );
     if (watched.isErr()) {
       return this.recordInstancesFailure(watched.error);
     }
@@ -344,6 +322,29 @@
     return true;
   }
 
+  /** Keeps what is in force, and reads everything again: the source was restored from a copy. */
+  private enterEra({from, to, origin}: storeEra.EraChange): void {
+    this.log.write(
+      'store-era-changed',
+      {
+        from,
+        to,
+        origin,
+        configuration_revision: this.configurationRevision,
+        instances_position: this.registry.position,
+      },
+      true,
+    );
+    this.configurationRevision = 0;
+    this.registry.enterEra(performance.now());
+    // Lists that were not believed meanwhile.
+    setTimeout(() => {
+      if (this.isWatchingSource && !this.isDisposed) {
+        void this.refreshInstances();
+      }
+    }, instanceRegistry.DISTRUST_MILLISECONDS).unref();
+  }
+
   private applyInstances(origin: string): void {
     const now = performance.now();
     this.registry.expire(now);
--- a/src/gateway/node/versions/endpoint_records.ts
+++ b/src/gateway/node/versions/endpoint_records.ts
@@ -31,6 +31,13 @@
     this.subscription = follower.onDidChangeInstances.subscribe(
       () => void this.writeAll(),
     );
+    this.subscription.add(
+      follower.era.onDidChange.subscribe(() => {
+        // What was written may be lost.
+        this.recorded.clear();
+        void this.writeAll();
+      }),
+    );
   }
 
   dispose(): void {
--- a/src/gateway/node/versions/stream_journal_store.ts
+++ b/src/gateway/node/versions/stream_journal_store.ts
@@ -50,6 +50,14 @@
     this.timer.dispose();
   }
 
+  /** Writes all streams again, since the store was restored from a copy. */
+  enterEra(): void {
+    this.journal.enterEra();
+    this.revision = undefined;
+    this.hasRestored = false;
+    this.listedAt = -Infinity;
+  }
+
   add(attemptId: string, softwareVersion: string): void {
     this.journal.add(attemptId, softwareVersion, Date.now());
   }
--- a/src/gateway/node/versions/stream_origins.ts
+++ b/src/gateway/node/versions/stream_origins.ts
@@ -74,6 +74,7 @@
         this.versions.update(follower.instances.all(), performance.now()),
       ),
       this.versions.onDidMix.subscribe(() => this.share()),
+      follower.era.onDidChange.subscribe(() => this.journal.enterEra()),
       exchange.onDidReceiveDirect.subscribe(({ip, message}) =>
         this.directory.receive(ip, message, performance.now()),
       ),
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -35,12 +35,12 @@
       path,
       storeConnection.CALL_TIMEOUT_MILLISECONDS,
     );
-    return read.andThen(body => {
-      const stored = objectCodec.decodeObject(body);
+    return read.andThen(({fields, era}) => {
+      const stored = objectCodec.decodeObject(fields);
       const value = stored && objectCodec.decodeConfiguration(stored);
       return value === undefined
         ? neverthrow.err(stateSource.SourceError.Malformed)
-        : neverthrow.ok({revision: stored!.revision, value});
+        : neverthrow.ok({revision: stored!.revision, era, value});
     });
   }
 
@@ -50,7 +50,7 @@
     stateSource.Snapshot<configuration.Configuration | undefined>
   > {
     const watched = await this.watch(wireNames.Kinds.configuration, revision);
-    return watched.map(({revision: at, value: events}) => {
+    return watched.map(({revision: at, era, value: events}) => {
       const latest = events
         .filter(event => event.name === wireNames.CONFIGURATION_NAME)
         .map(
@@ -59,7 +59,7 @@
         )
         .filter(value => value !== undefined)
         .pop();
-      return {revision: at, value: latest};
+      return {revision: at, era, value: latest};
     });
   }
 
@@ -67,8 +67,9 @@
     stateSource.Snapshot<instanceTable.InstanceRecord[]>
   > {
     const listed = await this.listPages(wireNames.Kinds.instances, false);
-    return listed.map(({revision, objects}) => ({
-      revision: revision.last,
+    return listed.map(({revision, era, objects}) => ({
+      revision,
+      era,
       value: objects
         .map(objectCodec.decodeInstance)
         .filter(record => record !== undefined),
@@ -81,8 +82,9 @@
     stateSource.Snapshot<stateSource.InstanceChange[]>
   > {
     const watched = await this.watch(wireNames.Kinds.instances, revision);
-    return watched.map(({revision: at, value: events}) => ({
+    return watched.map(({revision: at, era, value: events}) => ({
       revision: at,
+      era,
       value: events.map(event => ({
         id: event.name,
         record: event.stored && objectCodec.decodeInstance(event.stored),
@@ -94,9 +96,9 @@
     stateSource.Snapshot<string[]>
   > {
     const listed = await this.listPages(wireNames.Kinds.evacuations, true);
-    return listed.map(({revision, objects}) => ({
-      // Changes between two pages are among those that a watch from the first page returns.
-      revision: revision.first,
+    return listed.map(({revision, era, objects}) => ({
+      revision,
+      era,
       value: objects.map(each => each.name),
     }));
   }
@@ -112,12 +114,13 @@
       EVACUATION_WAIT_MILLISECONDS,
       EVACUATION_MARGIN_MILLISECONDS,
     );
-    return watched.andThen(({revision: at, value: events, unreadableCount}) =>
-      unreadableCount > 0
+    return watched.andThen(watch =>
+      watch.unreadableCount > 0
         ? neverthrow.err(stateSource.SourceError.Malformed)
         : neverthrow.ok({
-            revision: at,
-            value: events.map(({name, stored}) => ({
+            revision: watch.revision,
+            era: watch.era,
+            value: watch.value.map(({name, stored}) => ({
               dataCentre: name,
               isEvacuated: stored !== undefined,
             })),
@@ -136,7 +139,7 @@
     isStrict: boolean,
   ): stateSource.SourceResult<PageList> {
     const objects: objectCodec.StoredObject[] = [];
-    let first: number | undefined;
+    let first: PageHead | undefined;
     let query = '';
     for (;;) {
       const read = await this.call(
@@ -147,20 +150,21 @@
       if (read.isErr()) {
         return neverthrow.err(read.error);
       }
+      const {fields, era} = read.value;
       const isReadable = isStrict
-        ? isWholeList(read.value)
-        : typeof read.value.at === 'number';
+        ? isWholeList(fields)
+        : typeof fields.at === 'number';
       if (!isReadable) {
         return neverthrow.err(stateSource.SourceError.Malformed);
       }
-      const page = decodePage(read.value);
-      first ??= page.revision;
+      const page = decodePage(fields);
+      first ??= {revision: page.revision, era};
+      if (first.era !== era) {
+        return neverthrow.err(stateSource.SourceError.HistoryLost);
+      }
       objects.push(...page.objects);
       if (!page.hasMore || page.lastName === undefined) {
-        return neverthrow.ok({
-          objects,
-          revision: {first, last: page.revision},
-        });
+        return neverthrow.ok({...first, objects});
       }
       // The parameter is named after a revision, but lists continue from an object's name.
       query = `?sinceRev=${encodeURIComponent(page.lastName)}`;
@@ -179,16 +183,21 @@
       path,
       waitMilliseconds + marginMilliseconds,
     );
-    return answer.andThen(body => {
-      if (typeof body.at !== 'number') {
+    return answer.andThen(({fields, era}) => {
+      if (typeof fields.at !== 'number') {
         return neverthrow.err(stateSource.SourceError.Malformed);
       }
-      const events = Array.isArray(body.events) ? body.events : [];
+      const events = Array.isArray(fields.events) ? fields.events : [];
       const value = events
         .map(decodeEvent)
         .filter(event => event !== undefined);
       const unreadableCount = events.length - value.length;
-      return neverthrow.ok({revision: body.at, value, unreadableCount});
+      return neverthrow.ok({
+        revision: Number(fields.at),
+        era,
+        value,
+        unreadableCount,
+      });
     });
   }
 
@@ -196,7 +205,7 @@
     operation: string,
     path: string,
     timeoutMilliseconds: number,
-  ): stateSource.SourceResult<storeConnection.Body> {
+  ): stateSource.SourceResult<storeConnection.StoreRead> {
     return this.connection.read({operation, path, timeoutMilliseconds});
   }
 }
@@ -235,11 +244,15 @@
   );
 }
 
-/** All pages of a list. */
-interface PageList {
+/** Revision and era of a page. */
+interface PageHead {
+  readonly revision: number;
+  readonly era: number | undefined;
+}
+
+/** All pages of a list, with the head of the first one: changes between two pages are among those that a watch from the first page returns. */
+interface PageList extends PageHead {
   readonly objects: objectCodec.StoredObject[];
-  /** Revisions of the first and the last page. */
-  readonly revision: {readonly first: number; readonly last: number};
 }
 
 /** One page of a list. */
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -5,6 +5,7 @@
 import * as stateSource from '../gateway/common/state_source';
 import * as fieldReader from './field_reader';
 import * as objectCodec from './object_codec';
+import * as wireNames from './wire_names';
 
 /** Timeout of a read or write, in milliseconds; the store answers in about 4 ms. */
 export const CALL_TIMEOUT_MILLISECONDS = 600;
@@ -25,6 +26,13 @@
 /** Fields of a JSON body. */
 export type Body = Readonly<Record<string, unknown>>;
 
+/** Fields of a successful answer. */
+export interface StoreRead {
+  readonly fields: Body;
+  /** Era of the store, which rises by one each time it comes back from a copy; undefined if the answer names none. */
+  readonly era: number | undefined;
+}
+
 /** One call. */
 export interface StoreCall {
   /** Name in metrics. */
@@ -39,6 +47,7 @@
 /** Status and body of an answer. */
 export interface StoreAnswer {
   readonly status: number;
+  readonly era: number | undefined;
   readonly body: Buffer;
 }
 
@@ -52,13 +61,13 @@
   constructor(private readonly options: StoreOptions) {}
 
   /** Returns the JSON fields of a successful answer. */
-  async read(call: StoreCall): stateSource.SourceResult<Body> {
+  async read(call: StoreCall): stateSource.SourceResult<StoreRead> {
     const answer = await this.send(call);
     const error = answer && errorOfStatus(answer.status);
     if (answer === undefined || error !== undefined) {
       return neverthrow.err(error ?? stateSource.SourceError.Unreachable);
     }
-    return parseBody(answer.body);
+    return parseBody(answer.body).map(fields => ({fields, era: answer.era}));
   }
 
   /** Returns the answer whatever its status; undefined if there was none in time. */
@@ -86,9 +95,10 @@
         },
         response => {
           const status = response.statusCode ?? 0;
+          const era = decodeEra(response.headers[wireNames.Headers.storeEra]);
           void boundedBody
             .collect(response, MAX_ANSWER_BYTES)
-            .then(body => finish(body && {status, body}));
+            .then(body => finish(body && {status, era, body}));
         },
       );
       boundedBody.limitInterimResponses(request);
@@ -107,6 +117,11 @@
   }
 }
 
+function decodeEra(value: string | string[] | undefined): number | undefined {
+  const era = typeof value === 'string' && value !== '' ? Number(value) : NaN;
+  return Number.isSafeInteger(era) ? era : undefined;
+}
+
 function errorOfStatus(status: number): stateSource.SourceError | undefined {
   if (status === 200) {
     return undefined;
--- a/src/platform/version_object_store.ts
+++ b/src/platform/version_object_store.ts
@@ -37,7 +37,7 @@
         ? neverthrow.ok(undefined)
         : neverthrow.err(answer.error);
     }
-    const stored = objectCodec.decodeObject(answer.value);
+    const stored = objectCodec.decodeObject(answer.value.fields);
     return stored === undefined
       ? neverthrow.err(stateSource.SourceError.Malformed)
       : neverthrow.ok(decode(stored));
@@ -56,7 +56,7 @@
       if (answer.isErr()) {
         return neverthrow.err(answer.error);
       }
-      const page = metadataStore.decodePage(answer.value);
+      const page = metadataStore.decodePage(answer.value.fields);
       found.push(...page.objects.map(decode));
       if (!page.hasMore || page.lastName === undefined) {
         break;
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -35,6 +35,8 @@
   continueFrom: 'kv-from',
   authorization: 'authorization',
   retryAfter: 'retry-after',
+  /** In all answers of the store; rises by one each time it comes back from a copy. */
+  storeEra: 'store-era',
 } as const;
 
 /** Headers that are removed from callers' requests: only the system may set them, or it replaces them. */
--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -39,6 +39,12 @@
   readonly response: http.ServerResponse;
 }
 
+/** State of the store at some moment. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+}
+
 const ENTRIES_PER_PAGE = 3;
 
 /** Serves objects, lists and watches over HTTP. */
@@ -52,9 +58,11 @@
   /** Runs after each call that was answered without a fault. */
   onDidServe: () => void = () => undefined;
   readonly calls: string[] = [];
+  /** Rises by one each time the store comes back from a copy; in the header `Store-Era` of all answers. */
+  private era = 1;
   private revision = 1;
   private compactedRevision = 0;
-  private readonly objects = new Map<string, Map<string, StoredObject>>();
+  private objects = new Map<string, Map<string, StoredObject>>();
   private events: ChangeEvent[] = [];
   private pendingWatches: PendingWatch[] = [];
   private readonly server = http.createServer((request, response) =>
@@ -100,6 +108,21 @@
     waiting.forEach(watch => watch.response.writeHead(410).end());
   }
 
+  /** Returns a copy from which the store can be restored. */
+  copy(): StoreCopy {
+    return {revision: this.revision, objects: copyObjects(this.objects)};
+  }
+
+  /** Comes back from a copy: what was written since is lost, revisions go back, and all connections end. */
+  restore({revision, objects}: StoreCopy): void {
+    this.era++;
+    this.revision = revision;
+    this.objects = copyObjects(objects);
+    this.events = this.events.filter(event => event.revision <= revision);
+    this.pendingWatches = [];
+    this.server.closeAllConnections();
+  }
+
   private publish(event: ChangeEvent): void {
     this.events.push(event);
     const due = this.pendingWatches.filter(watch => watch.kind === event.kind);
@@ -114,6 +137,7 @@
     response: http.ServerResponse,
   ): void {
     const method = request.method ?? 'GET';
+    response.setHeader('Store-Era', String(this.era));
     this.calls.push(
       method === 'GET' ? (request.url ?? '') : `${method} ${request.url}`,
     );
@@ -219,7 +243,9 @@
   }
 
   private serveWatch(watch: PendingWatch, url: URL): void {
-    if (watch.since < this.compactedRevision) {
+    const isKnown =
+      watch.since >= this.compactedRevision && watch.since <= this.revision;
+    if (!isKnown) {
       watch.response.writeHead(410).end();
       return;
     }
@@ -252,6 +278,12 @@
   }
 }
 
+function copyObjects(objects: StoreCopy['objects']) {
+  return new Map(
+    [...objects].map(([kind, byName]) => [kind, new Map(byName)] as const),
+  );
+}
+
 function sendJson(
   response: http.ServerResponse,
   value: unknown,
--- a/test/gateway/common/instance_registry.test.ts
+++ b/test/gateway/common/instance_registry.test.ts
@@ -185,3 +185,51 @@
   t.true(follower.applyRelayed({from: 9, to: 11, changes: []}));
   t.is(follower.position, 13);
 });
+
+// Guards against a list of a restored source that is taken for an outdated one.
+test('registry: in a new era a list with a lower revision is applied, and its changes are not relayed as an addition', t => {
+  const registry = registryWith('a', 'b');
+  registry.commit();
+  registry.enterEra(100);
+  t.is(registry.position, 0);
+  t.true(
+    registry.applyList({revision: 4, value: [record('b'), record('c')]}, 100),
+  );
+  t.deepEqual(ids(registry), ['a', 'b', 'c']);
+  const change = registry.commit()!;
+  t.is(change.from, change.to);
+  t.is(registry.position, 4);
+  t.true(registry.expire(100 + GRACE));
+  t.deepEqual(ids(registry), ['b', 'c']);
+});
+
+// Guards against a copy in which an instance is ready that has left since.
+test('registry: lists of a new era do not bring back departures, but a registration after the restoration does', t => {
+  const registry = registryWith('a', 'b', 'c');
+  const drained = record('b', instanceTable.InstanceState.Draining);
+  registry.applyChanges(
+    {
+      revision: 11,
+      value: [
+        {id: 'a', record: undefined},
+        {id: 'b', record: drained},
+      ],
+    },
+    5,
+  );
+  registry.enterEra(100);
+  const all = ['a', 'b', 'c'].map(id => record(id));
+  registry.applyList({revision: 4, value: all}, 100);
+  t.deepEqual(ids(registry), ['b', 'c']);
+  const stateOf = (id: string) =>
+    registry.values().find(each => each.id === id)?.state;
+  t.is(stateOf('b'), instanceTable.InstanceState.Draining);
+  registry.applyChanges(
+    {revision: 5, value: [{id: 'a', record: record('a')}]},
+    200,
+  );
+  t.deepEqual(ids(registry), ['a', 'b', 'c']);
+  const trustedAt = 100 + instanceRegistry.DISTRUST_MILLISECONDS;
+  registry.applyList({revision: 6, value: all}, trustedAt);
+  t.is(stateOf('b'), instanceTable.InstanceState.Ready);
+});
--- a/test/gateway/evacuation_reads.test.ts
+++ b/test/gateway/evacuation_reads.test.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../../src/base/node/metrics';
 import * as peerDigest from '../../src/gateway/common/fleet/peer_digest';
 import * as stateSource from '../../src/gateway/common/state_source';
+import * as storeEra from '../../src/gateway/common/store_era';
 import * as evacuationFollower from '../../src/gateway/node/evacuation_follower';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
 
@@ -83,7 +84,7 @@
   source: ScriptedSource,
   isWatching = true,
 ) {
-  const duty = {isWatching};
+  const duty = {isWatching, era: new storeEra.StoreEra()};
   const registry = new metrics.MetricsRegistry({});
   const follower = new evacuationFollower.EvacuationFollower(
     5_000,
--- a/test/platform/metadata_store.test.ts
+++ b/test/platform/metadata_store.test.ts
@@ -82,6 +82,7 @@
   const watched = await store.watchEvacuations(listed.revision);
   t.deepEqual(watched._unsafeUnwrap(), {
     revision: revision + 1,
+    era: 1,
     value: [{dataCentre: 'zone-0', isEvacuated: false}],
   });
 });
@@ -91,6 +92,7 @@
   standin.put('config', 'main', {version: 1});
   t.deepEqual((await store.listEvacuations())._unsafeUnwrap(), {
     revision: 2,
+    era: 1,
     value: [],
   });
 });
