Prompt parts: what is beyond a bound is judged too, and told to peers

Cause: lists cut off at a bound without a defined behaviour beyond it. Only 16 parts and ids of 32 digits were decoded; 64 suspects were kept by age, so that a long prompt pushed out its own culprit; digests told of 8, which with more parts of equal suspicion never included it. On a related path, digests told of 16 requests lost with an engine and never of the others.

Change: all parts are decoded and long ids hashed; suspects are bounded above what one prompt can have and forgotten by suspicion; each digest tells of four most suspicious parts and four others, those of new crashes first, and digests follow until all were told. The same for single requests that crash instances.

Tests of the decoder that asserted the bounds themselves are replaced by ones that all parts of the longest list are decoded and ids of every form are told apart.

--- a/src/gateway/common/crash_table.ts
+++ b/src/gateway/common/crash_table.ts
@@ -33,11 +33,25 @@
 export class CrashTable {
   private readonly crashes = new Map<string, Map<string, SeenCrash>>();
   private readonly clearedAt = new Map<string, number>();
-  private additions = 0;
+  /** Requests with crashes seen here of which no message to all peers has told yet. */
+  private readonly untold = new Set<string>();
 
-  /** Number of crashes added so far. */
-  get additionCount(): number {
-    return this.additions;
+  /** Whether a further message to all peers is needed. */
+  get hasUntold(): boolean {
+    return this.untold.size > 0;
+  }
+
+  /** Adds a crash seen by this gateway, of which peers are to be told. */
+  addOwn(crash: Crash, now: number): void {
+    this.add(crash, now);
+    if (this.crashes.has(crash.fingerprint)) {
+      this.untold.add(crash.fingerprint);
+    }
+  }
+
+  /** Records that all peers were sent what `recent` returns. */
+  markTold(): void {
+    this.nextUntold().forEach(fingerprint => this.untold.delete(fingerprint));
   }
 
   /** Adds a crash seen by this gateway or by a peer; the crash of one instance counts once. */
@@ -57,7 +71,6 @@
     }
     const {fingerprint, life} = crash;
     seen.set(life, {crash: {fingerprint, life}, at});
-    this.additions++;
     this.crashes.delete(crash.fingerprint);
     this.crashes.set(crash.fingerprint, seen);
     if (this.crashes.size > MAX_FINGERPRINTS) {
@@ -95,10 +108,12 @@
     }
   }
 
-  /** Returns the latest crashes, to be sent to peers. */
+  /** Returns the crashes that were not told yet, or else the latest, to be sent to peers. */
   recent(now: number): RelayedCrash[] {
-    return [...this.crashes.values()]
-      .slice(-MAX_CRASHES_PER_DIGEST)
+    const seen = this.hasUntold
+      ? this.nextUntold().map(fingerprint => this.crashes.get(fingerprint)!)
+      : [...this.crashes.values()].slice(-MAX_CRASHES_PER_DIGEST);
+    return seen
       .flatMap(seen => [...seen.values()])
       .filter(({at}) => !isExpired(at, now))
       .slice(-MAX_CRASHES_PER_DIGEST)
@@ -107,6 +122,24 @@
         ageMilliseconds: Math.round(now - at),
       }));
   }
+
+  private nextUntold(): string[] {
+    const next: string[] = [];
+    let count = 0;
+    for (const fingerprint of this.untold) {
+      const seen = this.crashes.get(fingerprint);
+      if (seen === undefined) {
+        this.untold.delete(fingerprint);
+        continue;
+      }
+      count += seen.size;
+      if (next.length > 0 && count > MAX_CRASHES_PER_DIGEST) {
+        break;
+      }
+      next.push(fingerprint);
+    }
+    return next;
+  }
 }
 
 function isExpired(at: number, now: number): boolean {
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -17,7 +17,7 @@
   readonly key: string | undefined;
   readonly promptTokens: number;
   readonly maxTokens: number;
-  /** Ids of the prompt's parts that other requests may share, in order; without the last part, which is the request's own. */
+  /** Keys, of at most 32 characters, of the prompt's parts that other requests may share, in order; without the last part, which is the request's own. */
   readonly sharedParts: readonly string[];
   /** The caller's own estimate of the output length in tokens. */
   readonly lengthHint: number | undefined;
--- a/src/gateway/common/prompt_part_table.ts
+++ b/src/gateway/common/prompt_part_table.ts
@@ -16,12 +16,14 @@
 export const COMMON_CAUSE_MILLISECONDS = 100;
 /** Parts on which answers began; those of the longest ago are forgotten first. */
 const MAX_BEGUN_PARTS = 8_192;
-/** Parts with crashes; those whose last crash is the oldest are forgotten first. */
-const MAX_SUSPECTS = 64;
+/** Parts with crashes, more than one prompt can have; the least suspicious are forgotten first. */
+const MAX_SUSPECTS = 8_192;
 /** Crashes kept for one part, the latest. */
 const MAX_CRASHES_PER_SUSPECT = 8;
-/** Maximum number of parts, and of crashes of each, that peers are told. */
-const MAX_RELAYED_SUSPECTS = 8;
+/** Number of parts in a message to peers: the most suspicious ones, and further ones in turn. */
+const MAX_RELAYED_FIRST = 4;
+const MAX_RELAYED_FURTHER = 4;
+/** Maximum number of crashes of a part that peers are told. */
 const MAX_RELAYED_CRASHES = 6;
 
 /** A crash while a request was about to be answered. */
@@ -79,41 +81,45 @@
   private readonly begun = new Map<string, number>();
   private readonly suspects = new Map<string, Suspect>();
   private blocked: ReadonlySet<string> = new Set();
-  private recorded = 0;
+  /** Parts of crashes seen here of which no message to all peers has told yet. */
+  private readonly untold = new Set<string>();
+  /** Position from which parts are told in turn. */
+  private turn = 0;
   /** Monotonic milliseconds at which the next crash expires. */
   private nextExpiryAt = Infinity;
 
-  /** Number of crashes recorded so far, without those that peers told of. */
-  get recordedCount(): number {
-    return this.recorded;
+  /** Whether a further message to all peers is needed. */
+  get hasUntold(): boolean {
+    return this.untold.size > 0;
   }
 
   /** Records that an engine has begun to write an answer on the parts, and survived it. */
   recordBegun(ids: readonly string[], now: number): void {
-    let isSuspect = false;
+    let isCleared = false;
     for (const id of ids) {
       this.begun.delete(id);
       this.begun.set(id, now);
       const suspect = this.suspects.get(id);
       if (suspect !== undefined) {
+        isCleared ||= validCrashes(suspect).length > 0;
         suspect.begunAt = now;
-        isSuspect = true;
       }
     }
     while (this.begun.size > MAX_BEGUN_PARTS) {
       this.begun.delete(this.begun.keys().next().value!);
     }
-    if (isSuspect) {
+    if (isCleared) {
       this.updateBlocked(now);
     }
   }
 
   /** Records the crash of an engine that was about to answer a prompt with these shared parts, in their order. */
   recordCrash(ids: readonly string[], crash: PartCrash, now: number): void {
-    this.recorded++;
-    ids.forEach((id, position) =>
-      this.addCrash(this.suspectOf(id, position), {...crash, at: now}),
-    );
+    const seen = {...crash, at: now};
+    ids.forEach((id, position) => {
+      this.addCrash(this.suspectOf(id, position), seen);
+      this.untold.add(id);
+    });
     this.updateBlocked(now);
   }
 
@@ -125,38 +131,66 @@
     return ids.find(id => this.blocked.has(id));
   }
 
-  /** Returns the parts with the most crashes, the latest first, to be sent to peers. */
+  /** Returns the most suspicious parts, then those of crashes that were not told yet or others in turn, to be sent to peers. */
   toRelay(now: number): RelayedSuspect[] {
-    const rank = (suspect: Suspect) =>
-      Math.min(MAX_CRASHES, suspect.crashes.size);
-    return [...this.suspects.values()]
-      .sort(
-        (left, right) =>
-          rank(right) - rank(left) || lastCrashAt(right) - lastCrashAt(left),
-      )
-      .slice(0, MAX_RELAYED_SUSPECTS)
-      .map(({id, position, begunAt, crashes}) => [
+    const ordered = bySuspicion(this.suspects.values());
+    const first = ordered.slice(0, MAX_RELAYED_FIRST);
+    const further = this.hasUntold
+      ? this.nextUntold()
+      : this.nextInTurn(ordered.slice(MAX_RELAYED_FIRST));
+    return [...new Set([...first, ...further])].map(
+      ({id, position, begunAt, crashes}) => [
         id,
         position,
         begunAt === -Infinity ? null : Math.round(now - begunAt),
         latestFirst(crashes.values())
           .slice(0, MAX_RELAYED_CRASHES)
           .map(each => [each.life, each.request, Math.round(now - each.at)]),
-      ]);
+      ],
+    );
+  }
+
+  /** Records that all peers were sent what `toRelay` returns. */
+  markTold(): void {
+    this.nextUntold().forEach(({id}) => this.untold.delete(id));
+  }
+
+  private nextUntold(): Suspect[] {
+    const next: Suspect[] = [];
+    for (const id of this.untold) {
+      const suspect = this.suspects.get(id);
+      if (suspect === undefined) {
+        this.untold.delete(id);
+        continue;
+      }
+      next.push(suspect);
+      if (next.length >= MAX_RELAYED_FURTHER) {
+        break;
+      }
+    }
+    return next;
+  }
+
+  private nextInTurn(suspects: readonly Suspect[]): Suspect[] {
+    const from = this.turn < suspects.length ? this.turn : 0;
+    this.turn = from + MAX_RELAYED_FURTHER;
+    return suspects.slice(from, this.turn);
   }
 
   /** Adds what a peer knows. */
   merge(relayed: readonly RelayedSuspect[], now: number): void {
+    let isNew = false;
     for (const [id, position, begunAge, crashes] of relayed) {
       const suspect = this.suspectOf(id, position);
-      if (begunAge !== null) {
-        suspect.begunAt = Math.max(suspect.begunAt, now - begunAge);
+      if (begunAge !== null && now - begunAge > suspect.begunAt) {
+        isNew ||= validCrashes(suspect).length > 0;
+        suspect.begunAt = now - begunAge;
       }
       for (const [life, request, age] of crashes) {
-        this.addCrash(suspect, {life, request, at: now - age});
+        isNew = this.addCrash(suspect, {life, request, at: now - age}) || isNew;
       }
     }
-    if (relayed.length > 0) {
+    if (isNew) {
       this.updateBlocked(now);
     }
   }
@@ -172,17 +206,19 @@
     return suspect;
   }
 
-  private addCrash(suspect: Suspect, crash: SeenCrash): void {
+  /** Adds a crash; returns whether it was not known. */
+  private addCrash(suspect: Suspect, crash: SeenCrash): boolean {
     const key = `${crash.life} ${crash.request}`;
     const {crashes} = suspect;
     if (crashes.has(key)) {
-      return;
+      return false;
     }
     crashes.set(key, crash);
     if (crashes.size > MAX_CRASHES_PER_SUSPECT) {
       const oldest = latestFirst(crashes.values()).pop()!;
       crashes.delete(`${oldest.life} ${oldest.request}`);
     }
+    return true;
   }
 
   private updateBlocked(now: number): void {
@@ -220,18 +256,32 @@
     if (this.suspects.size <= MAX_SUSPECTS) {
       return;
     }
-    [...this.suspects.values()]
-      .sort((left, right) => lastCrashAt(left) - lastCrashAt(right))
-      .slice(0, this.suspects.size - MAX_SUSPECTS)
-      .forEach(suspect => this.suspects.delete(suspect.id));
+    bySuspicion(this.suspects.values())
+      .slice(MAX_SUSPECTS)
+      .forEach(({id}) => this.suspects.delete(id));
   }
 }
 
+/** Sorts parts by the number of crashes since an answer last began on them, then by the last crash; the most suspicious first. */
+function bySuspicion(suspects: Iterable<Suspect>): Suspect[] {
+  return [...suspects]
+    .map(suspect => ({
+      suspect,
+      count: Math.min(MAX_CRASHES, validCrashes(suspect).length),
+      lastAt: lastCrashAt(suspect),
+    }))
+    .sort(
+      (left, right) => right.count - left.count || right.lastAt - left.lastAt,
+    )
+    .map(({suspect}) => suspect);
+}
+
 /** Explains the crashes by as few parts as possible; returns these with their crashes. */
 function findCulprits(
   suspects: readonly Suspect[],
 ): Map<string, readonly SeenCrash[]> {
   const ordered = suspects
+    .filter(({crashes}) => crashes.size >= MAX_CRASHES)
     .map(suspect => {
       const crashes = validCrashes(suspect);
       return {suspect, crashes, count: countCrashes(crashes)};
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -232,7 +232,7 @@
   recordCrash(instance: instanceTable.Instance): void {
     const {fingerprint} = this.call;
     const life = instanceTable.lifeOf(instance.record);
-    this.services.crashes.add({fingerprint, life}, performance.now());
+    this.services.crashes.addOwn({fingerprint, life}, performance.now());
   }
 
   /** Ends the call if its request, or a part of its prompt, crashed the instances that ran it. Returns whether it has ended. */
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -70,10 +70,6 @@
   private pagedAt = -Infinity;
   private beaconAt = -Infinity;
   private wasSourceAway = false;
-  /** Number of crashes added so far that peers told of or were told of. */
-  private knownCrashes = 0;
-  /** Number of crashes recorded against parts of prompts that peers were told of. */
-  private toldPartCrashes = 0;
   /** Number of limits that peers were told of. */
   private toldLimits = 0;
   /** Number of statements on warm-ups that peers were told of. */
@@ -162,19 +158,23 @@
       this.send(this.gossip.step(now), 'page');
     }
     const hasNews =
-      crashes.additionCount > this.knownCrashes ||
-      promptParts.recordedCount > this.toldPartCrashes ||
+      crashes.hasUntold ||
+      promptParts.hasUntold ||
       limits.ownChangeCount > this.toldLimits ||
       this.tables.warmUps.ownChangeCount > this.toldWarmUps ||
       this.follower.instances.leaving.ownChangeCount > this.toldLeaving;
     if (this.isBeaconDue(now) || hasNews) {
       this.beaconAt = now;
-      this.knownCrashes = crashes.additionCount;
-      this.toldPartCrashes = promptParts.recordedCount;
       this.toldLimits = limits.ownChangeCount;
       this.toldWarmUps = this.tables.warmUps.ownChangeCount;
       this.toldLeaving = this.follower.instances.leaving.ownChangeCount;
-      this.send(this.gossip.spread(now, hasNews), 'rumor');
+      const omitted = this.send(this.gossip.spread(now, hasNews), 'rumor');
+      if (!omitted.has('crashes')) {
+        crashes.markTold();
+      }
+      if (!omitted.has('promptParts')) {
+        promptParts.markTold();
+      }
     }
     if (this.loads.isDue(this.loadSignature(), liveCount, now)) {
       this.send(this.gossip.broadcast(now), 'loads');
@@ -204,7 +204,12 @@
       .join();
   }
 
-  private send(outgoing: readonly gossip.Outgoing[], kind: string): void {
+  /** Sends messages; returns the parts that were left out of them. */
+  private send(
+    outgoing: readonly gossip.Outgoing[],
+    kind: string,
+  ): ReadonlySet<string> {
+    const allOmitted = new Set<string>();
     for (const {message, ips} of outgoing) {
       if (ips.length === 0) {
         continue;
@@ -212,6 +217,7 @@
       const {bytes, omitted} = fleetMessage.encode(message);
       if (omitted.length > 0) {
         this.log.write('fleet-message-reduced', {kind, omitted});
+        omitted.forEach(part => allOmitted.add(part));
       }
       this.countSent(kind, ips.length, bytes);
       for (const ip of ips) {
@@ -219,6 +225,7 @@
         this.socket.send(bytes, this.settings.digestPort, ip, () => undefined);
       }
     }
+    return allOmitted;
   }
 
   private countSent(kind: string, count: number, bytes: Buffer): void {
@@ -311,9 +318,7 @@
     runs.setPeerLoads(digest.name, digest.loads, now);
     demand.setPeerDemand(digest.name, digest.demand ?? [], now);
     reports.addRelayed(digest.reports ?? [], now);
-    const crashesBefore = crashes.additionCount;
     digest.crashes.forEach(crash => crashes.add(crash, now));
-    this.knownCrashes += crashes.additionCount - crashesBefore;
     promptParts.merge(digest.promptParts ?? [], now);
     limits.merge(digest.limits ?? [], now);
     this.tables.warmUps.merge(digest.warmUps ?? [], now);
--- a/src/gateway/node/placement_log.ts
+++ b/src/gateway/node/placement_log.ts
@@ -3,6 +3,9 @@
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
 
+/** Number of parts of a prompt that a line names. */
+const MAX_LOGGED_PARTS = 16;
+
 type LogFields = Readonly<Record<string, unknown>>;
 
 /** What was to be placed. */
@@ -13,7 +16,8 @@
   return {
     expected_tokens: Math.round(run.expectedTokens),
     prompt_tokens: run.promptTokens,
-    prompt_parts: caller.sharedParts,
+    prompt_parts: caller.sharedParts.slice(0, MAX_LOGGED_PARTS),
+    prompt_part_count: caller.sharedParts.length,
     resumes: caller.resumedAttemptId,
     last_event_id: caller.lastEventId,
   };
--- a/src/platform/caller_codec.ts
+++ b/src/platform/caller_codec.ts
@@ -1,4 +1,5 @@
 /** Decodes the requests of callers. */
+import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as wireNames from './wire_names';
@@ -16,18 +17,26 @@
     : undefined;
 }
 
-/** Number of parts of a prompt that are decoded; the first ones are shared by the most requests. */
-const MAX_SHARED_PARTS = 16;
-const PART_ID = /^[0-9a-f]{1,32}$/;
+/** Length of a key of a part, in characters. */
+const MAX_PART_KEY_LENGTH = 32;
+const SHORT_PART_ID = /^[0-9a-f]{1,32}$/;
+/** Precedes the hash of any other id; not a hexadecimal digit. */
+const HASHED_PREFIX = 'x';
 
-/** Ids from a list of ID:TOKENS entries without the last, which belongs to the request or its session. Entries without a valid id are left out. */
+/** Keys of a list of ID:TOKENS entries without the last, which belongs to the request or its session. The limit of all headers bounds their number. */
 function sharedParts(value: string | undefined): readonly string[] {
-  return (value ?? '')
-    .split(',')
-    .slice(0, -1)
-    .map(entry => entry.split(':', 1)[0].trim().toLowerCase())
-    .filter(id => PART_ID.test(id))
-    .slice(0, MAX_SHARED_PARTS);
+  const entries = (value ?? '').split(',').slice(0, -1);
+  return [...new Set(entries.map(partKey))];
+}
+
+/** The id of an entry, or a hash of an id that is long or not hexadecimal, so that each part is told from the others. */
+function partKey(entry: string): string {
+  const id = entry.split(':', 1)[0].trim().toLowerCase();
+  if (SHORT_PART_ID.test(id)) {
+    return id;
+  }
+  const digest = crypto.createHash('sha256').update(id).digest('hex');
+  return (HASHED_PREFIX + digest).slice(0, MAX_PART_KEY_LENGTH);
 }
 
 function bearerKey(value: string | undefined): string | undefined {
--- a/test/gateway/common/crash_table.test.ts
+++ b/test/gateway/common/crash_table.test.ts
@@ -53,3 +53,24 @@
     t.is(asked.isBlocked('f', now), now <= 120_000, `after ${now} ms`);
   }
 });
+
+// Guards against a request that crashes instances but is left out of the digest, since each instance was running many others.
+test('crashes: peers are told of all requests that were lost at the same time', t => {
+  const [own, peer] = [
+    new crashTable.CrashTable(),
+    new crashTable.CrashTable(),
+  ];
+  const names = Array.from({length: 200}, (_, index) => `f${index}`);
+  names.forEach(fingerprint => own.addOwn({fingerprint, life: 'a'}, 0));
+  let digests = 0;
+  while (own.hasUntold) {
+    const digest = own.recent(10);
+    t.true(digest.length <= 16);
+    digest.forEach(crash => peer.add(crash, 10));
+    own.markTold();
+    digests++;
+  }
+  t.true(digests <= Math.ceil(names.length / 16));
+  t.true(names.every(name => peer.count(name, 10) === 1));
+  t.true(own.recent(10).length > 0);
+});
--- a/test/gateway/common/prompt_part_table.test.ts
+++ b/test/gateway/common/prompt_part_table.test.ts
@@ -206,3 +206,57 @@
   crash(table, ['a'], 3, 40_000, 'new');
   t.is(table.findBlocked(['a'], 50_000), 'a');
 });
+
+/** Parts of a long prompt, of which one is deadly. */
+const LONG_PROMPT = Array.from({length: 1_000}, (_, index) =>
+  index === 700 ? 'd' : `p${index}`,
+);
+
+// Guards against a culprit that is forgotten or not told since its prompt has more parts than a bound.
+test('prompt parts: crashes of long prompts that each another gateway sees block their common part everywhere', t => {
+  const tables = Array.from({length: 5}, () => new PromptPartTable());
+  tables.forEach((table, index) => {
+    const parts = LONG_PROMPT.map(part =>
+      part === 'd' ? part : `${part}/${index}`,
+    );
+    const id = `c${index}`;
+    table.recordCrash(parts, {life: id, request: id}, index * 1_000);
+  });
+  const now = 10_000;
+  let messages = 0;
+  while (tables.some(table => table.hasUntold)) {
+    for (const table of tables.filter(each => each.hasUntold)) {
+      const relayed = table.toRelay(now);
+      t.true(relayed.length <= 8);
+      table.markTold();
+      messages++;
+      tables
+        .filter(each => each !== table)
+        .forEach(each => each.merge(relayed, now));
+    }
+  }
+  t.true(messages <= (5 * LONG_PROMPT.length) / 4);
+  for (const table of tables) {
+    t.is(table.findBlocked(['d'], now), 'd');
+    t.is(table.findBlocked(['p1/1', 'p2/2'], now), undefined);
+  }
+});
+
+// Guards against a sound part that stays suspect at gateways where no answer began on it, because others are told first.
+test('prompt parts: what is known of each of many parts is told in turn', t => {
+  const parts = Array.from({length: 40}, (_, index) => `p${index}`);
+  const [first, second] = [new PromptPartTable(), new PromptPartTable()];
+  for (const table of [first, second]) {
+    crash(table, parts, 2);
+  }
+  first.recordBegun(parts.slice(0, -1), 5_000);
+  first.markTold();
+  while (first.hasUntold) {
+    first.markTold();
+  }
+  for (let count = 0; count < parts.length; count++) {
+    second.merge(first.toRelay(6_000), 6_000);
+  }
+  crash(second, parts, 1, 7_000, 'later');
+  t.is(second.findBlocked(parts, 8_000), 'p39');
+});
--- a/test/gateway/prompt_parts.test.ts
+++ b/test/gateway/prompt_parts.test.ts
@@ -93,6 +93,32 @@
   });
 }
 
+/** Prompts with a deadly part that a short list or a short id leaves out. */
+const UNUSUAL_PROMPTS: readonly (readonly [string, number, string])[] = [
+  ['behind 17 others', 17, DEADLY],
+  ['behind 100 others', 100, DEADLY],
+  ['with an id of 40 digits', 1, DEADLY + '0'.repeat(34)],
+  ['with an id that is not hexadecimal', 1, `${DEADLY}-part`],
+];
+
+// Guards against a part that is let through because its place or its id is beyond a bound.
+for (const [title, position, id] of UNUSUAL_PROMPTS) {
+  test(`prompt parts: requests with a deadly part ${title} stop reaching engines`, async t => {
+    const gateway = await startGateway(t);
+    const sound = Array.from({length: position}, (_, index) =>
+      (index + 0x1000).toString(16),
+    );
+    t.true((await draft(gateway, sound)).isComplete);
+    for (let count = 0; count < 5; count++) {
+      await draft(gateway, [...sound, id]);
+      await nextMoment();
+    }
+    t.is((await draft(gateway, [...sound, id])).status, 503);
+    t.true(crashCount(gateway) <= 3, `${crashCount(gateway)} engines`);
+    t.is((await draft(gateway, sound)).status, 200);
+  });
+}
+
 test('prompt parts: a request that may be repeated does not take its deadly part to further engines once it is known', async t => {
   const gateway = await startGateway(t);
   t.true((await draft(gateway, ['aa01'], '/tag/a')).isComplete);
--- a/test/platform/caller_codec.test.ts
+++ b/test/platform/caller_codec.test.ts
@@ -33,14 +33,9 @@
     ['5c1e', '91bd'],
   ],
   [
-    'entries without a valid id are left out',
-    ':8,xyz:3,91bd:4,:,e4:2',
-    ['91bd'],
-  ],
-  [
-    'an id of more than 32 digits is left out',
-    `${'a'.repeat(33)}:1,${'b'.repeat(32)}:1,c:1`,
-    ['b'.repeat(32)],
+    'a part that is listed twice counts once, at its first position',
+    'a:1,b:1,a:1,c:1',
+    ['a', 'b'],
   ],
 ];
 
@@ -50,8 +45,20 @@
   });
 }
 
-test('prompt parts: at most sixteen are decoded', t => {
-  const ids = Array.from({length: 200}, (_, index) => index.toString(16));
+// Guards against a part that is never judged because of where it stands.
+test('prompt parts: all of the longest list are decoded', t => {
+  const ids = Array.from({length: 4_000}, (_, index) => index.toString(16));
   const value = ids.map(id => `${id}:1`).join();
-  t.deepEqual(decodeParts(value), ids.slice(0, 16));
+  t.deepEqual(decodeParts(value), ids.slice(0, -1));
+});
+
+// Guards against a part that is never judged because of what its id is like.
+test('prompt parts: ids that are long, empty or not hexadecimal have keys of bounded length that tell them apart', t => {
+  const odd = ['a'.repeat(33), 'a'.repeat(34), 'xyz', '', 'x'.repeat(4_000)];
+  const value = [...odd, 'c'].map(id => `${id}:1`).join();
+  const keys = decodeParts(value);
+  t.is(new Set(keys).size, odd.length);
+  t.true(keys.every(key => key.length === 32 && key.startsWith('x')));
+  t.deepEqual(decodeParts(value.toUpperCase()), keys);
+  t.deepEqual(decodeParts(`0:1,${value}`), ['0', ...keys]);
 });
