Planned stop: late requests are sent on only if their callers stop waiting before the exit

Callers saw streams, and requests that may not be repeated, cut without an answer at the end of a gateway's grace period.

Cause: late generations were accepted by an estimate that leaves out the queue of the engine, plain calls by three times their objective, and waiting generations were not judged again before they were sent.

Change: from 2.8 s after the signal on, a request is sent only if its caller stops waiting before the exit, as long as another gateway stays or it must not be sent twice; it is refused as not run otherwise, and runs elsewhere. Without another gateway the estimate includes an engine that just meets the objectives. Waiting generations are judged again.

--- a/src/gateway/common/shutdown_policy.ts
+++ b/src/gateway/common/shutdown_policy.ts
@@ -39,6 +39,17 @@
   readonly maxTokens: number;
   /** Generation speed of the engines. */
   readonly millisecondsPerToken: number;
+  /** Time that an engine takes for the maximum length if it just meets the objectives of the route; 0 if there are none. */
+  readonly slowestMilliseconds?: number;
+}
+
+/** A request that arrives during the grace period, or still waits to be sent. */
+export interface LateRequest {
+  /** Time that its caller waits for the answer, in milliseconds. */
+  readonly waitMilliseconds: number;
+  readonly isRetryable: boolean;
+  /** Whether it is likely to complete within the grace period. */
+  readonly isLikelyInTime: boolean;
 }
 
 /** Time elapsed and remaining between the stop signal and the exit of a gateway. */
@@ -61,11 +72,33 @@
     grace.sinceSignalMilliseconds <= EXPECTED_LENGTH_WINDOW_MILLISECONDS;
   const longest = maxTokens > 0 ? maxTokens : Infinity;
   const tokens = isEarly ? expectedTokens : Math.max(expectedTokens, longest);
-  const needed =
+  const expected =
     FIRST_TOKEN_MILLISECONDS + tokens * millisecondsPerToken * LENGTH_MARGIN;
+  const slowest = isEarly ? 0 : (generation.slowestMilliseconds ?? 0);
+  const needed = Math.max(expected, slowest);
   return needed <= grace.leftMilliseconds;
 }
 
+/**
+ * Whether a request may be sent to an instance. Late in the grace period, a
+ * request that goes elsewhere at once, or must not be sent twice, is accepted
+ * only if its caller stops waiting before the exit: how long an instance takes
+ * is not known, and an answer that the exit cuts off is lost.
+ */
+export function mayBeSent(
+  request: LateRequest,
+  grace: GracePeriod,
+  peers: PeerAvailability,
+): boolean {
+  const isEarly =
+    grace.sinceSignalMilliseconds <= EXPECTED_LENGTH_WINDOW_MILLISECONDS;
+  const isLikelyEnough =
+    isEarly || (peers.stayingCount === 0 && request.isRetryable);
+  return isLikelyEnough
+    ? request.isLikelyInTime
+    : request.waitMilliseconds <= grace.leftMilliseconds;
+}
+
 /** Whether a short call is likely to complete within the remaining time. */
 export function callEndsInTime(
   objectiveMilliseconds: number,
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -68,6 +68,7 @@
   private rejectedSends = 0;
   private isFinished = false;
   private onDisconnect: () => void = () => undefined;
+  private endBeforeShutdown: () => boolean = () => false;
   /** Monotonic time by which this process must have answered, in milliseconds. */
   private answerDeadlineAt = Infinity;
 
@@ -110,6 +111,16 @@
     this.onDisconnect = action;
   }
 
+  /** Sets a check that refuses a call that was not sent yet and would not end before this process does. */
+  setShutdownCheck(check: () => boolean): void {
+    this.endBeforeShutdown = check;
+  }
+
+  /** Ends the call if this process is shutting down and the call could be cut off; returns whether it has ended. */
+  endIfTooLate(): boolean {
+    return this.possibleRuns === 0 && this.endBeforeShutdown();
+  }
+
   get isRetryable(): boolean {
     return configuration.isRetryable(this.call.route);
   }
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -15,6 +15,7 @@
 import * as generationScheduler from './generation_scheduler';
 import * as plainCall from './plain_call';
 import * as streamCall from './stream_call';
+import * as streamSegment from './stream_segment';
 
 const {ResultCode} = resultCode;
 
@@ -123,8 +124,9 @@
     if (context.endIfPoisoned()) {
       return;
     }
-    if (!this.finishesBeforeShutdown(context)) {
-      return this.refuseBeforeShutdown(context);
+    context.setShutdownCheck(() => this.endBeforeShutdown(context));
+    if (context.endIfTooLate()) {
+      return;
     }
     if (this.endsAt !== undefined) {
       context.setAnswerDeadline(this.endsAt - ANSWER_MARGIN_MILLISECONDS);
@@ -134,28 +136,50 @@
       : new plainCall.PlainCall(context).run());
   }
 
-  /** Whether the call is likely to end before this process does. */
-  private finishesBeforeShutdown(context: callContext.CallContext): boolean {
+  /** Refuses a call that has not been sent if it may not end before this process does; returns whether it was refused. */
+  private endBeforeShutdown(context: callContext.CallContext): boolean {
     if (this.endsAt === undefined) {
-      return true;
+      return false;
     }
-    const {route, endpointName} = context.call;
     const now = performance.now();
-    const left = this.endsAt - ANSWER_MARGIN_MILLISECONDS - now;
+    const grace = {
+      sinceSignalMilliseconds: now - this.stopSignalAt,
+      leftMilliseconds: this.endsAt - ANSWER_MARGIN_MILLISECONDS - now,
+    };
+    const request = {
+      waitMilliseconds: context.call.deadlineAt - now,
+      isRetryable: context.isRetryable,
+      isLikelyInTime: this.isLikelyInTime(context, grace),
+    };
+    const peers = this.services.members.availability(now);
+    if (shutdownPolicy.mayBeSent(request, grace, peers)) {
+      return false;
+    }
+    this.refuseBeforeShutdown(context);
+    return true;
+  }
+
+  private isLikelyInTime(
+    context: callContext.CallContext,
+    grace: shutdownPolicy.GracePeriod,
+  ): boolean {
+    const {route, endpoint, endpointName, caller} = context.call;
     if (route.kind !== configuration.RequestKind.Streaming) {
-      return shutdownPolicy.callEndsInTime(route.objectiveMilliseconds, left);
+      const {objectiveMilliseconds: objective} = route;
+      return shutdownPolicy.callEndsInTime(objective, grace.leftMilliseconds);
     }
     const {predictor, pace} = this.services;
+    const {tokensPerEvent} = endpoint?.engine ?? streamSegment.DEFAULT_ENGINE;
+    const maxEvents = Math.ceil(caller.maxTokens / tokensPerEvent);
     return shutdownPolicy.generationEndsInTime(
       {
         expectedTokens: generationScheduler.expectedTokens(context, predictor),
-        maxTokens: context.call.caller.maxTokens,
+        maxTokens: caller.maxTokens,
         millisecondsPerToken: pace.get(endpointName),
+        slowestMilliseconds:
+          route.objectiveMilliseconds + maxEvents * route.maxPauseMilliseconds,
       },
-      {
-        sinceSignalMilliseconds: now - this.stopSignalAt,
-        leftMilliseconds: left,
-      },
+      grace,
     );
   }
 
--- a/src/gateway/node/waiting_calls.ts
+++ b/src/gateway/node/waiting_calls.ts
@@ -79,7 +79,7 @@
     const reserved = new Map<string, number>();
     const {Reserve} = generationGate.HoldReason;
     const {started, refused} = this.queue.step(performance.now(), waiting => {
-      if (waiting.context.isOver) {
+      if (waiting.context.isOver || waiting.context.endIfTooLate()) {
         return true;
       }
       const {call, softwareVersion = ''} = waiting.context;
--- a/test/gateway/common/shutdown_policy.test.ts
+++ b/test/gateway/common/shutdown_policy.test.ts
@@ -101,3 +101,74 @@
     }
   }
 });
+
+const STAYING = {stayingCount: 1, firstEndMilliseconds: Infinity};
+const ALONE = {stayingCount: 0, firstEndMilliseconds: Infinity};
+
+// Guards against requests that are sent to an instance late and cut off by the exit.
+for (const [title, since, wait, isRetryable, isLikely, peers, expected] of [
+  ['early, by what is likely', 1_000, 9_000, false, true, STAYING, true],
+  ['early, not if unlikely', 1_000, 100, false, false, STAYING, false],
+  [
+    'late, if its caller waits longer',
+    5_000,
+    3_000,
+    true,
+    true,
+    STAYING,
+    false,
+  ],
+  [
+    'late, if its caller stops waiting before',
+    5_000,
+    2_000,
+    true,
+    false,
+    STAYING,
+    true,
+  ],
+  [
+    'late, without another gateway, if it may be repeated',
+    5_000,
+    3_000,
+    true,
+    true,
+    ALONE,
+    true,
+  ],
+  [
+    'late, without another gateway, if it may not',
+    5_000,
+    3_000,
+    false,
+    true,
+    ALONE,
+    false,
+  ],
+] as const) {
+  test(`shutdown: whether a request is sent ${title}`, t => {
+    const mayBeSent = shutdownPolicy.mayBeSent(
+      {waitMilliseconds: wait, isRetryable, isLikelyInTime: isLikely},
+      {sinceSignalMilliseconds: since, leftMilliseconds: 2_500},
+      peers,
+    );
+    t.is(mayBeSent, expected);
+  });
+}
+
+test('shutdown: a late generation is refused if an engine that just meets its objectives takes too long', t => {
+  const generation = {
+    expectedTokens: 12,
+    maxTokens: 12,
+    millisecondsPerToken: 12,
+  };
+  const grace = {sinceSignalMilliseconds: 6_000, leftMilliseconds: 1_600};
+  t.true(shutdownPolicy.generationEndsInTime(generation, grace));
+  const slowestMilliseconds = 1_500 + 3 * 180;
+  t.false(
+    shutdownPolicy.generationEndsInTime(
+      {...generation, slowestMilliseconds},
+      grace,
+    ),
+  );
+});
