--- a/test/gateway/software_versions.test.ts
+++ b/test/gateway/software_versions.test.ts
@@ -2,6 +2,7 @@
 import * as ava from 'ava';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
+import * as tcpRelay from '../../standins/tcp_relay';
 import * as gatewayFleet from '../support/gateway_fleet';
 import * as testGateway from '../support/test_gateway';
 import * as versionedReplica from '../support/versioned_replica';
@@ -82,26 +83,38 @@
   return gateway;
 }
 
+/** Starts a replica of the version; resolves when the gateways know it. */
+async function addReplica(
+  t: ava.ExecutionContext,
+  fleet: gatewayFleet.GatewayFleet,
+  id: string,
+  version: string,
+  gateways = fleet.gateways,
+): Promise<void> {
+  const replica = new replicaStandin.ReplicaStandin(
+    id,
+    versionedReplica.breakOnce(version),
+  );
+  t.teardown(() => replica.close());
+  fleet.register(id, 'ready', 'writers', await replica.listen(), version);
+  await fleet.until(() =>
+    gateways.every(
+      each =>
+        each.process.state.instances.get(id)?.record.endpoint === 'writers',
+    ),
+  );
+}
+
 /** Starts several gateways before replicas of the versions. */
 async function startFleet(
   t: ava.ExecutionContext,
   gateways: number,
+  versions: Versions = VERSIONS,
 ): Promise<gatewayFleet.GatewayFleet> {
   const fleet = await GatewayFleet.start(t, gateways);
   fleet.store.put('config', 'main', {...CONFIGURATION, version: 2});
-  for (const [id, version] of Object.entries(VERSIONS)) {
-    const replica = new replicaStandin.ReplicaStandin(
-      id,
-      versionedReplica.breakOnce(version),
-    );
-    t.teardown(() => replica.close());
-    fleet.register(id, 'ready', 'writers', await replica.listen(), version);
-    await fleet.until(() =>
-      fleet.gateways.every(
-        each =>
-          each.process.state.instances.get(id)?.record.endpoint === 'writers',
-      ),
-    );
+  for (const [id, version] of Object.entries(versions)) {
+    await addReplica(t, fleet, id, version);
   }
   await fleet.until(() =>
     fleet.gateways.every(
@@ -210,6 +223,26 @@
   t.true(Number(answer.headers['retry-after']) < 1);
 });
 
+// Guards against streams that go on at another version at a gateway that missed the arrival of theirs.
+test('versions: streams of a version that joined while a gateway was cut off from the store do not go on at another version there', async t => {
+  const fleet = await startFleet(t, 3, {'i-1': 'v1', 'i-2': 'v1'});
+  const [first, second, cutOff] = fleet.gateways;
+  cutOff.relay.setMode(tcpRelay.RelayMode.SilenceAll);
+  await addReplica(t, fleet, 'i-3', 'v1.2', [first, second]);
+  await addReplica(t, fleet, 'i-4', 'v1.2', [first, second]);
+  const resumed = [];
+  for (const {attempt, body} of await beginStreams(fleet, first)) {
+    resumed.push({body, answer: await resumeAt(fleet, cutOff, attempt)});
+  }
+  t.true(resumed.some(({body}) => body.includes('v1.2')));
+  for (const {body, answer} of resumed) {
+    const isRefused = answer.status === 503;
+    t.true(
+      isRefused || versionedReplica.versionsIn(body + answer.body).length === 1,
+    );
+  }
+});
+
 test('versions: a stream that began before the second version came is resumed at its version', async t => {
   const gateway = await startGateway(t, {'i-1': 'v1', 'i-2': 'v1'});
   const attempts = Array.from({length: STREAMS}, newAttempt);
