--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -337,7 +337,7 @@
     );
     this.configurationRevision = 0;
     this.registry.enterEra(performance.now());
-    // Lists that were not believed meanwhile.
+    // Reads entries again that were not believed until now.
     setTimeout(() => {
       if (this.isWatchingSource && !this.isDisposed) {
         void this.refreshInstances();
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -164,7 +164,7 @@
 ): Promise<JsonAnswer | undefined> {
   boundedBody.limitInterimResponses(request);
   return new Promise(resolve => {
-    // Its end is reported later than the end of the request.
+    // The request is reported as closed before the body of its response has ended.
     let hasResponse = false;
     request.once('response', response => {
       hasResponse = true;
