--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -29,7 +29,7 @@
 /** Fields of a successful answer. */
 export interface StoreRead {
   readonly fields: Body;
-  /** Era of the store, which rises by one each time it comes back from a copy; undefined if the answer names none. */
+  /** Era of the store, which rises by one with each restore from a copy; undefined if the answer names none. */
   readonly era: number | undefined;
 }
 
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -35,7 +35,7 @@
   continueFrom: 'kv-from',
   authorization: 'authorization',
   retryAfter: 'retry-after',
-  /** In all answers of the store; rises by one each time it comes back from a copy. */
+  /** Era of the store, in all of its answers; rises by one with each restore from a copy. */
   storeEra: 'store-era',
 } as const;
 
--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -58,7 +58,7 @@
   /** Runs after each call that was answered without a fault. */
   onDidServe: () => void = () => undefined;
   readonly calls: string[] = [];
-  /** Rises by one each time the store comes back from a copy; in the header `Store-Era` of all answers. */
+  /** Rises by one with each restore from a copy; sent as `Store-Era` in all answers. */
   private era = 1;
   private revision = 1;
   private compactedRevision = 0;
--- a/test/gateway/restored_store.test.ts
+++ b/test/gateway/restored_store.test.ts
@@ -1,4 +1,4 @@
-/** Several gateways whose store comes back from an older copy: its revisions go back and are given out again. */
+/** Gateways whose store is restored from an older copy, after which it assigns earlier revisions a second time. */
 import * as ava from 'ava';
 import * as storeStandin from '../../standins/store_standin';
 import * as gatewayFleet from '../support/gateway_fleet';
