Streams: the log says when and from which copy a stream goes on

Between the end of a segment and the start of the next one nothing told whether a generation was sent on as a new run or from a copy, how old the copy was, and whether its run had been seen at work. The line stream-continued names the origin of the copy, its age and the time between the events of the segment that broke.

--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -20,7 +20,8 @@
 export class EventDelivery {
   private splitter = new eventSplitter.EventSplitter();
   private isHeadWritten = false;
-  private hasReceivedEvents = false;
+  /** Monotonic milliseconds of the segment's first and latest events; undefined before the first. */
+  private segmentTimes: {readonly first: number; latest: number} | undefined;
   private lastId: string | undefined;
   /** Whether the segment continues a stream whose events have ids. */
   private isContinuation = false;
@@ -56,7 +57,13 @@
 
   /** Whether the current segment has had a whole event. */
   get hasSegmentEvents(): boolean {
-    return this.hasReceivedEvents;
+    return this.segmentTimes !== undefined;
+  }
+
+  /** Time for which the segment's instance has been seen at work, from its first event to the latest, in milliseconds; undefined before the first. */
+  get segmentMilliseconds(): number | undefined {
+    const {segmentTimes} = this;
+    return segmentTimes && segmentTimes.latest - segmentTimes.first;
   }
 
   /** Number of bytes received of an event that is not complete. */
@@ -81,7 +88,7 @@
     this.isContinuation = this.isHeadWritten && this.lastId !== undefined;
     this.splitter = new eventSplitter.EventSplitter();
     this.updatePending();
-    this.hasReceivedEvents = false;
+    this.segmentTimes = undefined;
   }
 
   /** Delivers the events that the chunk completes, without those already delivered; false if they do not continue the stream. */
@@ -98,7 +105,9 @@
     if (events === undefined) {
       return true;
     }
-    this.hasReceivedEvents = true;
+    const now = performance.now();
+    this.segmentTimes ??= {first: now, latest: now};
+    this.segmentTimes.latest = now;
     const skipped = this.countDelivered(events.ids);
     if (skipped === undefined) {
       this.context.log('event-ids-not-contiguous', {
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -15,10 +15,25 @@
  */
 const DRAINING_COPY_MILLISECONDS = 1_000;
 
+/** How a copy came about. */
+export enum CopyOrigin {
+  /** The engine keeps it up to date by itself; nothing confirms that it exists. */
+  Backup = 'backup',
+  /** Made on order; an engine has confirmed it. */
+  Ordered = 'ordered',
+}
+
+/** A copy that was asked for. */
+export interface RequestedCopy {
+  readonly target: instanceClient.RunTarget;
+  readonly origin: CopyOrigin;
+  /** Monotonic milliseconds at which a backup was asked for, or a copy confirmed. */
+  readonly at: number;
+}
+
 /** The copies of one run. */
 export class RunCopies {
-  private copy: instanceClient.RunTarget | undefined;
-  private hasBackup = false;
+  private copy: RequestedCopy | undefined;
   private source: instanceTable.Instance | undefined;
 
   constructor(
@@ -34,13 +49,14 @@
 
   /** Whether the run has no backup and would be lost with its instance; a resumable stream continues at any instance by event id. */
   get needsCopy(): boolean {
-    const isBackedUp = this.hasBackup && this.target !== undefined;
+    const hasBackup = this.copy?.origin === CopyOrigin.Backup;
+    const isBackedUp = hasBackup && this.target !== undefined;
     return !this.context.call.route.isResumable && !isBackedUp;
   }
 
   /** Instance that holds a copy and accepts requests; undefined if there is none. */
   get target(): instanceTable.Instance | undefined {
-    const target = this.copy?.instance;
+    const target = this.copy?.target.instance;
     const {services, call} = this.context;
     const isUsable =
       target !== undefined &&
@@ -49,9 +65,9 @@
   }
 
   /** Sets the copy made on request; undefined if there is none any more. */
-  setCopy(copy: instanceClient.RunTarget | undefined): void {
-    this.hasBackup = false;
-    this.copy = copy;
+  setCopy(target: instanceClient.RunTarget | undefined): void {
+    const at = performance.now();
+    this.copy = target && {target, origin: CopyOrigin.Ordered, at};
   }
 
   /** Discards the copies of the previous segment; returns the instance that keeps a backup of the next one. */
@@ -67,12 +83,15 @@
     }
     const {record} = backup;
     const {attemptId} = this.run;
-    this.hasBackup = true;
     this.run.copyInstanceId = record.id;
     this.copy = {
-      instance: backup,
-      // A backup is identified by the attempt id of its run, and fetched from the instance that keeps it.
-      continuation: {sourceAddress: record.address, handle: attemptId},
+      target: {
+        instance: backup,
+        // A backup is identified by the attempt id of its run, and fetched from the instance that keeps it.
+        continuation: {sourceAddress: record.address, handle: attemptId},
+      },
+      origin: CopyOrigin.Backup,
+      at: performance.now(),
     };
     this.context.log('backup-chosen', {backup: record.id}, source);
     return backup;
@@ -82,26 +101,29 @@
   dropUnused(): void {
     const {copy, source} = this;
     this.copy = undefined;
-    const handle = copy?.continuation?.handle;
+    const handle = copy?.target.continuation?.handle;
     // Engines free backups themselves when their run has ended.
-    if (handle === undefined || source === undefined || this.hasBackup) {
+    const isFreedByEngine = copy?.origin === CopyOrigin.Backup;
+    if (handle === undefined || source === undefined || isFreedByEngine) {
       return;
     }
     const {client, follower} = this.context.services;
     const isSourceKnown = follower.instances.get(source.record.id) === source;
     // The source frees the copy at both instances; if it is gone, the target frees its own.
-    client.dropCopy(isSourceKnown ? source : copy!.instance, handle);
+    client.dropCopy(isSourceKnown ? source : copy!.target.instance, handle);
   }
 
   /** Removes and returns the copy to continue from; undefined if its instance is gone or accepts no more work. */
-  take(now: number): instanceClient.RunTarget | undefined {
+  take(now: number): RequestedCopy | undefined {
     const {copy} = this;
     this.copy = undefined;
+    if (copy === undefined) {
+      return undefined;
+    }
+    const {instance} = copy.target;
     const {instances} = this.context.services.follower;
-    const isKnown =
-      copy !== undefined &&
-      instances.get(copy.instance.record.id) === copy.instance;
-    return isKnown && this.acceptsContinuation(copy.instance, now)
+    const isKnown = instances.get(instance.record.id) === instance;
+    return isKnown && this.acceptsContinuation(instance, now)
       ? copy
       : undefined;
   }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -33,10 +33,11 @@
   async takeCopy(
     copies: runCopies.RunCopies,
   ): Promise<instanceClient.RunTarget | undefined> {
-    const copied = copies.take(performance.now());
-    if (copied === undefined) {
+    const copy = copies.take(performance.now());
+    if (copy === undefined) {
       return undefined;
     }
+    const {target: copied, origin, at} = copy;
     if (!this.context.repeats.mayContinue()) {
       this.context.log('copy-without-budget', {}, copied.instance);
       return undefined;
@@ -57,7 +58,17 @@
         {unavailable: copies.whyUnusable(copied.instance)},
         copied.instance,
       );
+      return undefined;
     }
+    this.context.log(
+      'stream-continued',
+      {
+        origin,
+        copy_age_ms: Math.round(performance.now() - at),
+        segment_ms: this.delivery.segmentMilliseconds,
+      },
+      copied.instance,
+    );
     return choice;
   }
 
