Streams: a generation that may run once goes on only from a copy that is known to exist

Cause: after a broken segment the stream was sent to the engine that the gateway itself had chosen for the backup, some 5 ms after the first send, when nothing can have arrived there, and then to the backup of that send. An engine without the copy answers that it runs nothing; one that loses its answers runs it.

Change: a backup counts as existing once its run was seen at work for as long as engines take to send its first part (the interval, and the time of the transfer by the configured link), while it is kept, and if its engine reports the same incarnation and as much memory in use beside its listed runs. A copy made on order is confirmed, and disproved only by its age or another incarnation. Anything else ends the draft at once. The send that goes on stays uncounted, since it is the same run; it can no longer follow from a send that was answered by nothing.

--- a/src/gateway/common/configuration.ts
+++ b/src/gateway/common/configuration.ts
@@ -56,6 +56,10 @@
   readonly canMoveRuns: boolean;
   readonly canBackUpRuns: boolean;
   readonly tokensPerEvent: number;
+  /** Time that the copy of one token to an engine of the same data centre takes; 0 or absent if unknown. */
+  readonly copyMillisecondsPerToken?: number;
+  /** Time for which copies are kept; 0 or absent if unknown. */
+  readonly copyLifetimeMilliseconds?: number;
 }
 
 /** A named group of interchangeable instances. */
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -144,12 +144,16 @@
 export enum CopyError {
   /** The instance has no such run. */
   NoSuchRun = 'no-such-run',
+  /** Another instance has the address. */
+  OtherInstance = 'other-instance',
   /** Another copy of the run is in progress. */
   Busy = 'busy',
   /** The target has no memory or is unreachable; if the copy was final, the run has stopped and can resume at its source. */
   NoRoom = 'no-room',
-  /** The source did not respond. */
+  /** No connection to the source could be made. */
   Unreachable = 'unreachable',
+  /** The source was reached, and gave no usable answer; the run may have been copied and stopped. */
+  NoAnswer = 'no-answer',
 }
 
 /** A copy of a run's memory at another instance. */
@@ -181,6 +185,10 @@
   readonly queuedRuns: number;
   /** Memory in use that cannot be freed, in tokens. */
   readonly memoryTokens: number;
+  /** Memory in use that no listed run accounts for, in tokens: copies, and prompts that are being read. */
+  readonly unlistedMemoryTokens: number;
+  /** Start of the incarnation that reports, in Unix milliseconds; 0 when not given. */
+  readonly startedAt: number;
   /** Whether the instance is about to terminate. */
   readonly isLeaving: boolean;
 }
--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -26,6 +26,13 @@
 /** Time after which an evacuation ends even if its instance is still running, in milliseconds. */
 const MAX_DURATION_MILLISECONDS = 30_000;
 
+/** Errors after which a run is not copied again. */
+const ENDING_ERRORS: ReadonlySet<instanceClient.CopyError> = new Set([
+  CopyError.Unreachable,
+  CopyError.NoAnswer,
+  CopyError.OtherInstance,
+]);
+
 /** A generation that can be moved to another instance. */
 export abstract class MovableCall {
   abstract readonly run: runTable.Run;
@@ -223,7 +230,7 @@
     if (call.run.instanceId === instance.record.id) {
       call.run.copyInstanceId = undefined;
     }
-    if (copied.error.error === CopyError.Unreachable) {
+    if (ENDING_ERRORS.has(copied.error.error)) {
       evacuated.state = EvacuationState.Done;
       return;
     }
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -20,8 +20,8 @@
 export class EventDelivery {
   private splitter = new eventSplitter.EventSplitter();
   private isHeadWritten = false;
-  /** Monotonic milliseconds of the segment's first and latest events; undefined before the first. */
   private segmentTimes: {readonly first: number; latest: number} | undefined;
+  private deliveredBefore = 0;
   private lastId: string | undefined;
   /** Whether the segment continues a stream whose events have ids. */
   private isContinuation = false;
@@ -60,10 +60,15 @@
     return this.segmentTimes !== undefined;
   }
 
-  /** Time for which the segment's instance has been seen at work, from its first event to the latest, in milliseconds; undefined before the first. */
-  get segmentMilliseconds(): number | undefined {
-    const {segmentTimes} = this;
-    return segmentTimes && segmentTimes.latest - segmentTimes.first;
+  /** Monotonic milliseconds at which the segment's first and latest events arrived; undefined before the first. */
+  get eventTimes():
+    {readonly first: number; readonly latest: number} | undefined {
+    return this.segmentTimes;
+  }
+
+  /** Number of events that were delivered before the segment. */
+  get earlierEvents(): number {
+    return this.deliveredBefore;
   }
 
   /** Number of bytes received of an event that is not complete. */
@@ -89,6 +94,7 @@
     this.splitter = new eventSplitter.EventSplitter();
     this.updatePending();
     this.segmentTimes = undefined;
+    this.deliveredBefore = this.run.eventsDelivered;
   }
 
   /** Delivers the events that the chunk completes, without those already delivered; false if they do not continue the stream. */
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -22,6 +22,7 @@
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
   readonly copies: promClient.Counter<'outcome'>;
+  readonly unprovenCopies: promClient.Counter<'gap'>;
   readonly fleetMembers: promClient.Gauge;
   readonly fleetMessages: promClient.Counter<'direction' | 'kind'>;
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
@@ -92,6 +93,11 @@
       'Copies of running generations by outcome',
       ['outcome'],
     );
+    this.unprovenCopies = registry.counter(
+      'rhubarbvane_gateway_unproven_copies_total',
+      'Copies from which a broken generation did not go on, by what is not known of them',
+      ['gap'],
+    );
     this.fleetMembers = registry.gauge(
       'rhubarbvane_gateway_fleet_members',
       'Other gateways with a recent sign of life',
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -1,12 +1,14 @@
 /** Tracks the copies of one running generation, and decides where to keep a backup, a copy that is continuously updated. */
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
+import * as copyEvidence from '../common/copy_evidence';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
 
 const {UnavailableReason} = instanceAvailability;
+const {CopyOrigin} = copyEvidence;
 
 /**
  * Time after the notice that an instance is leaving in which a run may still
@@ -15,18 +17,10 @@
  */
 const DRAINING_COPY_MILLISECONDS = 1_000;
 
-/** How a copy came about. */
-export enum CopyOrigin {
-  /** The engine keeps it up to date by itself; nothing confirms that it exists. */
-  Backup = 'backup',
-  /** Made on order; an engine has confirmed it. */
-  Ordered = 'ordered',
-}
-
 /** A copy that was asked for. */
 export interface RequestedCopy {
   readonly target: instanceClient.RunTarget;
-  readonly origin: CopyOrigin;
+  readonly origin: copyEvidence.CopyOrigin;
   /** Monotonic milliseconds at which a backup was asked for, or a copy confirmed. */
   readonly at: number;
 }
@@ -42,9 +36,9 @@
     private readonly engine: configuration.EngineProfile,
   ) {}
 
-  /** Whether there is a copy to continue from. */
-  get hasCopy(): boolean {
-    return this.copy !== undefined;
+  /** The copy to continue from; undefined if none was asked for. */
+  get current(): RequestedCopy | undefined {
+    return this.copy;
   }
 
   /** Whether the run has no backup and would be lost with its instance; a resumable stream continues at any instance by event id. */
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -297,7 +297,7 @@
       hasStarted: this.run.hasStarted,
       eventsDelivered: this.run.eventsDelivered,
       mayRepeat: this.context.isRetryable,
-      hasCopy: this.copies.hasCopy,
+      hasCopy: this.continuations.hasUsableCopy(this.copies, this.source!),
     };
   }
 
@@ -333,7 +333,10 @@
     }
     if (end === SegmentEnd.Broken) {
       await Promise.all([this.pendingMove, this.judgement]);
-      const copied = await this.continuations.takeCopy(this.copies);
+      const copied = await this.continuations.takeCopy(
+        this.copies,
+        previous.instance,
+      );
       if (copied !== undefined) {
         return copied;
       }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -3,10 +3,12 @@
 import * as resultCode from '../../base/common/result_code';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
+import * as instanceTable from '../common/instance_table';
 import * as instancePermits from '../common/limits/instance_permits';
 import * as placement from '../common/placement';
 import * as runTable from '../common/run_table';
 import * as callContext from './call_context';
+import * as copyCheck from './copy_check';
 import * as eventDelivery from './event_delivery';
 import * as runCopies from './run_copies';
 import * as streamSegment from './stream_segment';
@@ -22,22 +24,36 @@
 
 /** Continuations of one call. */
 export class StreamContinuations {
+  private readonly check: copyCheck.CopyCheck;
+
   constructor(
     private readonly context: callContext.CallContext,
     private readonly run: runTable.Run,
     private readonly engine: configuration.EngineProfile,
     private readonly delivery: eventDelivery.EventDelivery,
-  ) {}
+  ) {
+    this.check = new copyCheck.CopyCheck(context, run, engine, delivery);
+  }
+
+  /** Whether the generation could go on elsewhere from its copy, as far as this gateway can tell by itself. */
+  hasUsableCopy(
+    {current}: runCopies.RunCopies,
+    source: instanceTable.Instance,
+  ): boolean {
+    return current !== undefined && this.check.mayExist(current, source);
+  }
 
-  /** Returns the copy to continue from, once its instance takes a request; undefined if there is none or that takes too long. */
+  /** Returns the copy to continue from, once its instance takes a request; undefined if none is known to exist or that takes too long. */
   async takeCopy(
     copies: runCopies.RunCopies,
+    source: instanceTable.Instance,
   ): Promise<instanceClient.RunTarget | undefined> {
     const copy = copies.take(performance.now());
-    if (copy === undefined) {
+    if (copy === undefined || !(await this.check.isProven(copy, source))) {
       return undefined;
     }
     const {target: copied, origin, at} = copy;
+    const {eventTimes} = this.delivery;
     if (!this.context.repeats.mayContinue()) {
       this.context.log('copy-without-budget', {}, copied.instance);
       return undefined;
@@ -65,7 +81,7 @@
       {
         origin,
         copy_age_ms: Math.round(performance.now() - at),
-        segment_ms: this.delivery.segmentMilliseconds,
+        segment_ms: eventTimes && eventTimes.latest - eventTimes.first,
       },
       copied.instance,
     );
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -13,7 +13,7 @@
 const {SendError} = instanceClient;
 
 /** Timeout for making a connection, in milliseconds; replicas accept within a few milliseconds. */
-const CONNECT_TIMEOUT_MILLISECONDS = 400;
+export const CONNECT_TIMEOUT_MILLISECONDS = 400;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 type SendResult = neverthrow.Result<
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -77,10 +77,10 @@
       request.timeoutMilliseconds,
     );
     // Some instances name the run in the answer.
-    const isForOtherRun = ![undefined, request.attemptId].includes(
-      answer?.attemptId,
-    );
-    return decodeCopy(isForOtherRun ? undefined : answer);
+    const isForOtherRun =
+      typeof answer === 'object' &&
+      ![undefined, request.attemptId].includes(answer.attemptId);
+    return decodeCopy(isForOtherRun ? NoAnswer.Unusable : answer);
   }
 
   dropCopy(source: instanceTable.Instance, handle: string): void {
@@ -105,15 +105,25 @@
       '',
       this.controlTimeoutMilliseconds,
     );
-    const fields = answer?.fields;
-    if (answer?.status !== 200 || fields === undefined) {
+    if (typeof answer !== 'object' || answer.status !== 200) {
+      return undefined;
+    }
+    const {fields} = answer;
+    if (fields === undefined) {
       return undefined;
     }
+    const runs = decodeRuns(fields.runs);
+    // Excludes cached parts of prompts, which are evicted to make room for runs.
+    const memoryTokens = fieldReader.number(fields.kvInUse);
     return {
-      eventsByRun: decodeRuns(fields.runs),
+      eventsByRun: new Map(runs.map(run => [run.attemptId, run.eventCount])),
       queuedRuns: fieldReader.number(fields.queued),
-      // Excludes cached parts of prompts, which are evicted to make room for runs.
-      memoryTokens: fieldReader.number(fields.kvInUse),
+      memoryTokens,
+      unlistedMemoryTokens: runs.reduce(
+        (rest, run) => rest - run.memoryTokens,
+        memoryTokens,
+      ),
+      startedAt: fieldReader.number(fields.born),
       isLeaving:
         fields.state === 'draining' || Number.isFinite(fields.leaves_ms),
     };
@@ -131,7 +141,7 @@
     path: string,
     body: string,
     timeoutMilliseconds: number,
-  ): Promise<JsonAnswer | undefined> {
+  ): Promise<JsonAnswer | NoAnswer> {
     const {hostname, port} = splitAddress(instance.record.address);
     const headers: http.OutgoingHttpHeaders = {
       [Headers.expectedInstance]: instance.record.id,
@@ -146,24 +156,36 @@
       request = http.request({hostname, port, method, path, headers, agent});
     } catch {
       // node:http throws on ports and headers that it cannot use.
-      return Promise.resolve(undefined);
+      return Promise.resolve(NoAnswer.NotConnected);
     }
+    const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
+    const connectTimer = setTimeout(
+      () => request.destroy(),
+      httpExchange.CONNECT_TIMEOUT_MILLISECONDS,
+    );
     request.once('socket', socket =>
-      socket.once('connect', () => this.onDidConnect()),
+      socket.once('connect', () => {
+        clearTimeout(connectTimer);
+        this.onDidConnect();
+      }),
     );
-    const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
-    request.once('close', () => clearTimeout(timer));
+    request.once('close', () => {
+      clearTimeout(timer);
+      clearTimeout(connectTimer);
+    });
     request.end(body);
     return readJson(request);
   }
 }
 
-/** Resolves with the whole answer; with undefined if there is none. */
-function readJson(
-  request: http.ClientRequest,
-): Promise<JsonAnswer | undefined> {
+/** Resolves with the whole answer, or with the reason why there is none. */
+function readJson(request: http.ClientRequest): Promise<JsonAnswer | NoAnswer> {
   boundedBody.limitInterimResponses(request);
   return new Promise(resolve => {
+    let isConnected = false;
+    request.once('socket', socket =>
+      socket.once('connect', () => (isConnected = true)),
+    );
     // The request is reported as closed before the body of its response has ended.
     let hasResponse = false;
     request.once('response', response => {
@@ -173,14 +195,31 @@
       void boundedBody
         .collect(response, MAX_JSON_BYTES)
         .then(body =>
-          resolve(body && {status, attemptId, fields: parseFields(body)}),
+          resolve(
+            body === undefined
+              ? NoAnswer.Unusable
+              : {status, attemptId, fields: parseFields(body)},
+          ),
         );
     });
-    request.once('close', () => hasResponse || resolve(undefined));
-    request.once('error', () => hasResponse || resolve(undefined));
+    const fail = () => {
+      if (!hasResponse) {
+        resolve(isConnected ? NoAnswer.Unusable : NoAnswer.NotConnected);
+      }
+    };
+    request.once('close', fail);
+    request.once('error', fail);
   });
 }
 
+/** Why a call has no answer. */
+enum NoAnswer {
+  /** No connection was made, so the call never arrived. */
+  NotConnected = 'not-connected',
+  /** The call may have arrived. */
+  Unusable = 'unusable',
+}
+
 interface JsonAnswer {
   readonly status: number;
   /** Undefined if the answer names none. */
@@ -195,40 +234,56 @@
   return fieldReader.isFields(value) ? value : undefined;
 }
 
+interface ReportedRun {
+  readonly attemptId: string;
+  readonly memoryTokens: number;
+  readonly eventCount: number;
+}
+
 /** Runs are listed as [id, tokens in memory, events made, priority]; other entries are left out. */
-function decodeRuns(value: unknown): ReadonlyMap<string, number> {
-  const runs = new Map<string, number>();
+function decodeRuns(value: unknown): ReportedRun[] {
+  const runs: ReportedRun[] = [];
   for (const entry of fieldReader.list(value)) {
-    const [id, , eventCount] = fieldReader.list(entry);
+    const [id, tokens, eventCount] = fieldReader.list(entry);
     const attemptId = fieldReader.text(id);
     if (attemptId !== undefined && Number.isFinite(eventCount)) {
-      runs.set(attemptId, Number(eventCount));
+      const memoryTokens = fieldReader.number(tokens);
+      runs.push({attemptId, memoryTokens, eventCount: Number(eventCount)});
     }
   }
   return runs;
 }
 
 function decodeCopy(
-  answer: JsonAnswer | undefined,
+  answer: JsonAnswer | NoAnswer,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
-  const fields = answer?.fields;
+  if (typeof answer !== 'object') {
+    const error =
+      answer === NoAnswer.NotConnected
+        ? CopyError.Unreachable
+        : CopyError.NoAnswer;
+    return neverthrow.err({error, handle: undefined});
+  }
+  const {fields, status} = answer;
   const handle = decodeHandle(fields?.kvHandle);
-  if (answer?.status === 200 && handle !== undefined) {
+  if (status === 200 && handle !== undefined) {
     return neverthrow.ok({
       handle,
       // Number of events generated so far, not a time of creation.
       eventCount: fieldReader.number(fields?.created),
     });
   }
-  return neverthrow.err({error: copyErrorOf(answer?.status), handle});
+  return neverthrow.err({error: copyErrorOf(status), handle});
 }
 
 function decodeHandle(value: unknown): string | undefined {
   return Number.isFinite(value) ? String(value) : fieldReader.text(value);
 }
 
-function copyErrorOf(status: number | undefined): instanceClient.CopyError {
+function copyErrorOf(status: number): instanceClient.CopyError {
   switch (status) {
+    case 421:
+      return CopyError.OtherInstance;
     case 404:
       return CopyError.NoSuchRun;
     case 409:
@@ -236,7 +291,7 @@
     case 503:
       return CopyError.NoRoom;
     default:
-      return CopyError.Unreachable;
+      return CopyError.NoAnswer;
   }
 }
 
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -230,9 +230,19 @@
     canBackUpRuns: runtime.flag('backups'),
     // Tokens that one event of a stream holds.
     tokensPerEvent: runtime.number('stride', {fallback: 1, minimum: 1}),
+    copyMillisecondsPerToken: decodeCopyTime(runtime),
+    copyLifetimeMilliseconds:
+      runtime.number('handleTtlS', {minimum: 0}) * 1_000,
   };
 }
 
+/** Milliseconds that one token's memory takes on the link of a replica; 0 if not given. */
+function decodeCopyTime(runtime: fieldReader.FieldReader): number {
+  const bitsPerToken = runtime.number('kvBytes', {minimum: 0}) * 8;
+  const bitsPerMillisecond = runtime.number('linkMbps', {minimum: 0}) * 1_000;
+  return bitsPerMillisecond > 0 ? bitsPerToken / bitsPerMillisecond : 0;
+}
+
 function decodeEndpoint(
   reader: fieldReader.FieldReader,
 ): configuration.Endpoint | undefined {
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -35,6 +35,12 @@
   runs: unknown[] = [];
   /** State in the report. */
   state = 'ready';
+  /** Memory in use in the report, in tokens. */
+  memoryTokens = 0;
+  /** Start of the incarnation in the report, in Unix milliseconds. */
+  startedAt = 1;
+  /** Whether reports are answered. */
+  isReporting = true;
   private readonly callWaiters: (() => void)[] = [];
   private readonly server = http.createServer(
     (request, response) => void this.handleRequest(request, response),
@@ -72,9 +78,14 @@
     }
     const body = Buffer.concat(chunks).toString();
     const {method = 'GET', url = '/', headers} = request;
+    if (url === '/report' && !this.isReporting) {
+      return;
+    }
     if (url === '/report') {
       return this.sendJson(response, {
         queued: 0,
+        kvInUse: this.memoryTokens,
+        born: this.startedAt,
         state: this.state,
         runs: this.runs,
       });
--- a/test/gateway/common/stall_policy.test.ts
+++ b/test/gateway/common/stall_policy.test.ts
@@ -15,6 +15,8 @@
     eventsByRun: new Map(runs),
     queuedRuns,
     memoryTokens: 0,
+    unlistedMemoryTokens: 0,
+    startedAt: 0,
     isLeaving: false,
   };
 }
--- a/test/gateway/single_runs.test.ts
+++ b/test/gateway/single_runs.test.ts
@@ -1,4 +1,5 @@
-/** Drafts, which may run once, at engines that break off: where they may go on, and where they may not. */
+/** Drafts, which may run once, at engines that break off: where they go on, and where they may not. */
+import * as http from 'node:http';
 import * as ava from 'ava';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
@@ -6,6 +7,7 @@
 
 const test = ava.default;
 const {TestGateway, configurationSpec} = testGateway;
+const {answerHeaders, events, reset} = replicaStandin;
 
 /** Engines that keep backups of their runs. */
 const CONFIGURATION = configurationSpec(1, {
@@ -16,23 +18,121 @@
     ),
   ],
 });
+const PROMPT_TOKENS = 900;
+const EVENT_MILLISECONDS = 20;
+/** Events of a draft that runs for long enough for its backup to arrive. */
+const LONG_EVENTS = 40;
 
-const resetInsteadOfAnswer: replicaStandin.ReplicaHandler = (_, response) => {
-  response.socket!.resetAndDestroy();
-};
+type Response = http.ServerResponse;
 
-test('single runs: a draft whose engine loses its answer does not run at the engine of its backup too', async t => {
+/** Sends events, then resets the connection. */
+function breakOffAfter(count: number): replicaStandin.ReplicaHandler {
+  return (request, response) => {
+    response.writeHead(200, answerHeaders(request));
+    let sent = 0;
+    const timer = setInterval(() => {
+      if (sent === count) {
+        clearInterval(timer);
+        response.socket?.resetAndDestroy();
+        return;
+      }
+      sent++;
+      response.write(events(sent, sent));
+    }, EVENT_MILLISECONDS);
+  };
+}
+
+function goOn(request: replicaStandin.ReceivedRequest, response: Response) {
+  const next = Number(request.headers['last-event-id']) + 1;
+  response.writeHead(200, answerHeaders(request));
+  response.end(events(next, next + 1));
+}
+
+/** Answers first sends and continuations by different handlers. */
+function engine(
+  first: replicaStandin.ReplicaHandler,
+  continued: replicaStandin.ReplicaHandler,
+): replicaStandin.ReplicaHandler {
+  return (request, response) =>
+    (request.headers['kv-from'] === undefined ? first : continued)(
+      request,
+      response,
+    );
+}
+
+interface Outcome {
+  readonly answer: testGateway.CallerAnswer;
+  /** Number of requests that arrived at engines. */
+  readonly arrivals: number;
+}
+
+/** Plays one draft at three engines that behave alike. */
+async function playDraft(
+  t: ava.ExecutionContext,
+  behaviour: replicaStandin.ReplicaHandler,
+  prepare: (replica: replicaStandin.ReplicaStandin) => void = () => undefined,
+): Promise<Outcome> {
+  const ids = ['i-1', 'i-2', 'i-3'];
   const gateway = await TestGateway.start(
     t,
-    {
-      'i-1': ['writers', resetInsteadOfAnswer],
-      'i-2': ['writers', resetInsteadOfAnswer],
-      'i-3': ['writers', resetInsteadOfAnswer],
-    },
+    Object.fromEntries(ids.map(id => [id, ['writers', behaviour]])),
     CONFIGURATION,
   );
   await gateway.until(() => gateway.process.state.instances.size === 3);
-  const answer = await gateway.call('/draft/a', {method: 'POST', body: 'p'});
-  t.is(gateway.requestCount, 1);
+  gateway.replicas.forEach(replica => {
+    replica.memoryTokens = PROMPT_TOKENS;
+    prepare(replica);
+  });
+  const answer = await gateway.call('/draft/a', {
+    method: 'POST',
+    body: 'p',
+    headers: {'X-Rhubarbvane-Token-Count': `${PROMPT_TOKENS},400`},
+  });
+  return {answer, arrivals: gateway.requestCount};
+}
+
+test('single runs: a draft whose engine loses its answer does not run at the engine of its backup too', async t => {
+  const {answer, arrivals} = await playDraft(t, reset);
+  t.is(arrivals, 1);
   t.is(answer.status, 502);
 });
+
+test('single runs: a draft that has run for long enough goes on from its backup', async t => {
+  const behaviour = engine(breakOffAfter(LONG_EVENTS), goOn);
+  const {answer, arrivals} = await playDraft(t, behaviour);
+  t.is(arrivals, 2);
+  t.true(answer.isComplete);
+  t.is(answer.body, events(1, LONG_EVENTS + 2));
+});
+
+test('single runs: a draft whose backup cannot have arrived yet ends with its engine', async t => {
+  const behaviour = engine(breakOffAfter(2), goOn);
+  const {answer, arrivals} = await playDraft(t, behaviour);
+  t.is(arrivals, 1);
+  t.false(answer.isComplete);
+});
+
+test('single runs: a draft that went on from its backup does not run again if that answer is lost', async t => {
+  const behaviour = engine(breakOffAfter(LONG_EVENTS), reset);
+  const {answer, arrivals} = await playDraft(t, behaviour);
+  t.is(arrivals, 2);
+  t.false(answer.isComplete);
+});
+
+const MISSING_BACKUPS: readonly (readonly [
+  string,
+  (replica: replicaStandin.ReplicaStandin) => void,
+])[] = [
+  ['had no room for it', replica => (replica.memoryTokens = 800)],
+  ['has started again', replica => (replica.startedAt = 2)],
+  ['does not report', replica => (replica.isReporting = false)],
+];
+
+for (const [title, prepare] of MISSING_BACKUPS) {
+  test(`single runs: a draft does not go on at an engine of its backup that ${title}`, async t => {
+    const behaviour = engine(breakOffAfter(LONG_EVENTS), goOn);
+    const {answer, arrivals} = await playDraft(t, behaviour, prepare);
+    t.is(arrivals, 1);
+    t.false(answer.isComplete);
+  });
+}
--- a/test/gateway/stream_continuations.test.ts
+++ b/test/gateway/stream_continuations.test.ts
@@ -30,6 +30,7 @@
     services: {
       availability,
       follower: {instances},
+      client: {readReport: async () => undefined},
       permits: {
         async selectWithin(
           excluded: ReadonlySet<string>,
@@ -53,16 +54,19 @@
     context,
     run,
     engine,
-    {} as eventDelivery.EventDelivery,
+    {eventTimes: undefined, earlierEvents: 0} as eventDelivery.EventDelivery,
   );
-  return {continuations, copies, copy, dataCentres, logged};
+  return {continuations, copies, copy, dataCentres, logged, instance};
 }
 
 test('stream continuations: a copy whose data centre is evacuated while the stream waits for a permit is not used', async t => {
   const call = createCall(() =>
     call.dataCentres.applyList(2, ['a'], 'store', 1),
   );
-  t.is(await call.continuations.takeCopy(call.copies), undefined);
+  t.is(
+    await call.continuations.takeCopy(call.copies, call.instance),
+    undefined,
+  );
   t.deepEqual(call.logged, [
     ['copy-without-permit', {unavailable: 'evacuated'}],
   ]);
@@ -70,5 +74,8 @@
 
 test('stream continuations: a copy whose instance begins to drain while the stream waits for a permit is still used', async t => {
   const call = createCall(instance => (instance.drainingAt = 1));
-  t.is(await call.continuations.takeCopy(call.copies), call.copy);
+  t.is(
+    await call.continuations.takeCopy(call.copies, call.instance),
+    call.copy,
+  );
 });
