--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -205,8 +205,9 @@
   ): Promise<neverthrow.Result<RunCopy, CopyFailure>>;
   /** Releases a copy that will not be used. */
   abstract dropCopy(source: instanceTable.Instance, handle: string): void;
-  /** Reads the status report; undefined when none was received. Each read costs as much as a health check. */
+  /** Reads the status report, by default within the timeout of control calls; undefined when none was received. Each read costs as much as a health check. */
   abstract readReport(
     instance: instanceTable.Instance,
+    timeoutMilliseconds?: number,
   ): Promise<InstanceReport | undefined>;
 }
--- a/src/gateway/node/copy_check.ts
+++ b/src/gateway/node/copy_check.ts
@@ -8,6 +8,9 @@
 import * as eventDelivery from './event_delivery';
 import * as runCopies from './run_copies';
 
+/** Timeout for the report of a copy's engine, in milliseconds; crowded engines take some hundred, and callers abandon a stream after a pause of two seconds. */
+const REPORT_TIMEOUT_MILLISECONDS = 1_000;
+
 /** Checks the copies of one run. */
 export class CopyCheck {
   constructor(
@@ -46,7 +49,10 @@
     {instance}: instanceClient.RunTarget,
   ): Promise<copyEvidence.EvidenceGap | undefined> {
     const {client} = this.context.services;
-    const report = await client.readReport(instance);
+    const report = await client.readReport(
+      instance,
+      REPORT_TIMEOUT_MILLISECONDS,
+    );
     return copyEvidence.findReportedGap(facts, report);
   }
 
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -97,13 +97,14 @@
 
   async readReport(
     instance: instanceTable.Instance,
+    timeoutMilliseconds = this.controlTimeoutMilliseconds,
   ): Promise<instanceClient.InstanceReport | undefined> {
     const answer = await this.callJson(
       instance,
       'GET',
       Paths.report,
       '',
-      this.controlTimeoutMilliseconds,
+      timeoutMilliseconds,
     );
     if (typeof answer !== 'object' || answer.status !== 200) {
       return undefined;
