Streams: a broken or stalled run is stopped at its engine before it goes on elsewhere

When only the connection broke, or the engine was too slow to report in 300 ms, nothing told the engine to stop, and not all engines drop a run with its connection.

Change: before a stream goes on from a copy, its engine is ordered to stop the run and to hand over its memory; the answer is the copy to go on from. "No such run", and an engine that accepts no connection, allow the backup. Any other outcome lets a stalled stream wait and ends a broken one. The stall policy orders the stop instead of leaving at once where an engine does not report; its test says so, and a resumable run still leaves at once.

--- a/src/gateway/common/copy_evidence.ts
+++ b/src/gateway/common/copy_evidence.ts
@@ -32,6 +32,8 @@
 
 /** Engines send the parts of a backup several times a second, in milliseconds. */
 const BACKUP_INTERVAL_MILLISECONDS = 350;
+/** Maximum age of the state that an engine's report shows when it is read, in milliseconds. */
+const MAX_REPORT_AGE_MILLISECONDS = 500;
 /** Factor by which transfers between data centres take longer. */
 const REMOTE_FACTOR = 2;
 
@@ -82,6 +84,14 @@
   return isEarly ? EvidenceGap.TooEarly : undefined;
 }
 
+/** Whether a report of the copy's engine may tell more; one that is read now does not know of a copy confirmed just before. */
+export function needsReport(copy: CopyFacts, now: number): boolean {
+  return (
+    copy.origin === CopyOrigin.Backup ||
+    now - copy.confirmedAt > MAX_REPORT_AGE_MILLISECONDS
+  );
+}
+
 /** Returns what is missing by the report of the copy's engine, which may be some hundred milliseconds old. */
 export function findReportedGap(
   copy: CopyFacts,
--- a/src/gateway/common/stall_policy.ts
+++ b/src/gateway/common/stall_policy.ts
@@ -42,9 +42,11 @@
   attemptId: string,
 ): StallDecision {
   const {report} = stream;
-  const canContinue = stream.mayRepeat || stream.hasCopy;
+  if (report === undefined && stream.mayRepeat) {
+    return StallDecision.FailOver;
+  }
   if (report === undefined) {
-    return canContinue ? StallDecision.FailOver : StallDecision.Wait;
+    return stream.hasCopy ? StallDecision.Move : StallDecision.Wait;
   }
   const generated = report.eventsByRun.get(attemptId);
   if (generated === undefined) {
--- a/src/gateway/node/copy_check.ts
+++ b/src/gateway/node/copy_check.ts
@@ -29,14 +29,17 @@
     return copyEvidence.findOwnGap(facts, performance.now()) === undefined;
   }
 
-  /** Returns whether the copy is known to exist; asks the copy's engine unless that would not help. */
+  /** Returns whether the copy is known to exist while its run is at work no more; asks the copy's engine unless that would not help. */
   async isProven(
     copy: runCopies.RequestedCopy,
     source: instanceTable.Instance,
+    isSourceStopped: boolean,
   ): Promise<boolean> {
     const facts = this.factsOf(copy, source);
+    const {SourceAtWork} = copyEvidence.EvidenceGap;
     const gap =
       copyEvidence.findOwnGap(facts, performance.now()) ??
+      (isSourceStopped ? undefined : SourceAtWork) ??
       (await this.findReportedGap(facts, copy.target));
     if (gap !== undefined) {
       this.recordGap(gap, facts, copy);
@@ -48,6 +51,9 @@
     facts: copyEvidence.CopyFacts,
     {instance}: instanceClient.RunTarget,
   ): Promise<copyEvidence.EvidenceGap | undefined> {
+    if (!copyEvidence.needsReport(facts, performance.now())) {
+      return undefined;
+    }
     const {client} = this.context.services;
     const report = await client.readReport(
       instance,
--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -1,5 +1,6 @@
 /** Copies running generations away from instances that are about to stop. */
 import * as rxjs from 'rxjs';
+import * as deadline from '../../base/common/deadline';
 import * as disposable from '../../base/common/disposable';
 import * as jsonLog from '../../base/node/json_log';
 import * as instanceAvailability from '../common/availability/instance_availability';
@@ -33,6 +34,35 @@
   CopyError.OtherInstance,
 ]);
 
+/** What is known of a run that was told to stop. */
+export enum StopOutcome {
+  /** It has stopped, or its instance has no such run. */
+  Stopped = 'stopped',
+  /** Its instance cannot be reached. */
+  Unreachable = 'unreachable',
+  /** It may still be at work. */
+  MayRun = 'may-run',
+}
+
+/** Result of an order to stop a run. */
+export interface StopResult {
+  readonly outcome: StopOutcome;
+  /** Where the run goes on; undefined if the order made no copy. */
+  readonly copy: instanceClient.RunTarget | undefined;
+}
+
+function outcomeOf(error: instanceClient.CopyError): StopOutcome {
+  switch (error) {
+    case CopyError.NoSuchRun:
+    case CopyError.OtherInstance:
+      return StopOutcome.Stopped;
+    case CopyError.Unreachable:
+      return StopOutcome.Unreachable;
+    default:
+      return StopOutcome.MayRun;
+  }
+}
+
 /** A generation that can be moved to another instance. */
 export abstract class MovableCall {
   abstract readonly run: runTable.Run;
@@ -100,33 +130,64 @@
     this.calls.delete(call.run);
   }
 
-  /** Stops a run whose stream is stalled and copies its memory to another instance. Returns where the run continues; undefined if there is nothing to continue from. */
-  async moveStalledRun(
+  /** Stops a run whose stream is stalled or broken, and has its memory copied to the instance of its backup or to another one; `event` names the line of the log. */
+  async stopRun(
     call: MovableCall,
     source: instanceTable.Instance,
-  ): Promise<instanceClient.RunTarget | undefined> {
+    event: string,
+  ): Promise<StopResult> {
+    if (!call.engine.canMoveRuns) {
+      // Closing its connection is the only way to stop such a run.
+      return {outcome: StopOutcome.Stopped, copy: undefined};
+    }
     const target = call.copyTarget ?? this.chooseTarget(source, call);
-    if (target === undefined || !call.engine.canMoveRuns) {
-      return undefined;
+    if (target === undefined) {
+      return {outcome: StopOutcome.MayRun, copy: undefined};
     }
-    const copied = await this.client.copyRun(source, {
-      attemptId: call.run.attemptId,
-      target,
-      isFinal: true,
-      timeoutMilliseconds: COPY_TIMEOUT_MILLISECONDS,
-    });
-    const handle = copied.isOk() ? copied.value.handle : copied.error.handle;
-    call.log('silent-run-moved', {
+    const startedAt = performance.now();
+    const copied = await this.orderStop(call, source, target);
+    call.log(event, {
+      instance: source.record.id,
       target: target.record.id,
       outcome: copied.isOk() ? 'ok' : copied.error.error,
+      took_ms: Math.round(performance.now() - startedAt),
     });
+    const handle = copied.isOk() ? copied.value.handle : copied.error.handle;
     if (handle === undefined) {
-      return undefined;
+      const outcome = copied.match(
+        () => StopOutcome.Stopped,
+        ({error}) => outcomeOf(error),
+      );
+      return {outcome, copy: undefined};
     }
     // If the target has no room, the run continues at its source over a new connection.
     const instance = copied.isOk() ? target : source;
     const continuation = {sourceAddress: source.record.address, handle};
-    return {instance, continuation};
+    return {outcome: StopOutcome.Stopped, copy: {instance, continuation}};
+  }
+
+  /** Orders the final copy of a run, again while another copy of it is in progress. */
+  private async orderStop(
+    call: MovableCall,
+    source: instanceTable.Instance,
+    target: instanceTable.Instance,
+  ): ReturnType<instanceClient.InstanceClient['copyRun']> {
+    const endsAt = performance.now() + COPY_TIMEOUT_MILLISECONDS;
+    for (;;) {
+      const copied = await this.client.copyRun(source, {
+        attemptId: call.run.attemptId,
+        target,
+        isFinal: true,
+        timeoutMilliseconds: endsAt - performance.now(),
+      });
+      const isBusy = copied.isErr() && copied.error.error === CopyError.Busy;
+      const mayRetry =
+        performance.now() + RETRY_PAUSE_MILLISECONDS < endsAt && !call.isOver;
+      if (!isBusy || !mayRetry) {
+        return copied;
+      }
+      await deadline.delay(RETRY_PAUSE_MILLISECONDS);
+    }
   }
 
   dispose(): void {
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -29,6 +29,7 @@
 export class RunCopies {
   private copy: RequestedCopy | undefined;
   private source: instanceTable.Instance | undefined;
+  private isStopped = false;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -41,6 +42,19 @@
     return this.copy;
   }
 
+  /** Whether the run of the current segment is known to be at work no more. */
+  get isSourceStopped(): boolean {
+    return this.isStopped;
+  }
+
+  /** Records that the run of the segment has stopped or is out of reach, with the copy that was made then, if any. */
+  recordStop(copy: instanceClient.RunTarget | undefined): void {
+    this.isStopped = true;
+    if (copy !== undefined) {
+      this.setCopy(copy);
+    }
+  }
+
   /** Whether the run has no backup and would be lost with its instance; a resumable stream continues at any instance by event id. */
   get needsCopy(): boolean {
     const hasBackup = this.copy?.origin === CopyOrigin.Backup;
@@ -69,6 +83,7 @@
     source: instanceTable.Instance,
   ): instanceTable.Instance | undefined {
     this.setCopy(undefined);
+    this.isStopped = false;
     this.source = source;
     this.run.copyInstanceId = undefined;
     const backup = this.chooseBackup(source);
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -34,6 +34,7 @@
   private judgement: Promise<void> | undefined;
   /** Ends when a run that was stopped has been moved; its stream may break before that. */
   private pendingMove: Promise<void> | undefined;
+  private isStopping = false;
   /** Instance of the current segment. */
   private source: instanceTable.Instance | undefined;
   private segmentCount = 0;
@@ -307,20 +308,43 @@
     decision: stallPolicy.StallDecision,
   ): Promise<void> {
     const {segment} = this;
-    if (this.delivery.isPaused) {
+    if (this.delivery.isPaused || this.isStopping) {
       return;
     }
     if (decision === stallPolicy.StallDecision.Move) {
       segment?.expectStop();
-      this.pendingMove = this.moveRun(instance);
+      this.pendingMove = this.stopRun(instance, 'silent-run-moved');
       await this.pendingMove;
+      if (!this.copies.isSourceStopped) {
+        return;
+      }
     }
     segment?.cancel();
   }
 
-  private async moveRun(source: instanceTable.Instance): Promise<void> {
+  private async stopRun(
+    source: instanceTable.Instance,
+    event: string,
+  ): Promise<void> {
     const {evacuations} = this.context.services;
-    this.copies.setCopy(await evacuations.moveStalledRun(this, source));
+    this.isStopping = true;
+    const {outcome, copy} = await evacuations.stopRun(this, source, event);
+    this.isStopping = false;
+    if (outcome !== evacuationManager.StopOutcome.MayRun) {
+      this.copies.recordStop(copy);
+    }
+  }
+
+  /** Returns the copy to go on from; undefined if none is known to exist, or if the run may still be at work at the source. */
+  private async takeCopy(
+    source: instanceTable.Instance,
+  ): Promise<instanceClient.RunTarget | undefined> {
+    const {copies, continuations} = this;
+    const isUsable = continuations.hasUsableCopy(copies, source);
+    if (isUsable && !copies.isSourceStopped) {
+      await this.stopRun(source, 'broken-run-stopped');
+    }
+    return continuations.takeCopy(copies, source);
   }
 
   /** Returns where the stream continues; undefined if the call has ended. */
@@ -333,10 +357,7 @@
     }
     if (end === SegmentEnd.Broken) {
       await Promise.all([this.pendingMove, this.judgement]);
-      const copied = await this.continuations.takeCopy(
-        this.copies,
-        previous.instance,
-      );
+      const copied = await this.takeCopy(previous.instance);
       if (copied !== undefined) {
         return copied;
       }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -48,8 +48,12 @@
     copies: runCopies.RunCopies,
     source: instanceTable.Instance,
   ): Promise<instanceClient.RunTarget | undefined> {
+    const {isSourceStopped} = copies;
     const copy = copies.take(performance.now());
-    if (copy === undefined || !(await this.check.isProven(copy, source))) {
+    if (copy === undefined) {
+      return undefined;
+    }
+    if (!(await this.check.isProven(copy, source, isSourceStopped))) {
       return undefined;
     }
     const {target: copied, origin, at} = copy;
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -29,6 +29,8 @@
   readonly copies: CopyOrder[] = [];
   /** Awaited before a copy is answered; a test may delay it. */
   beforeCopyAnswer: Promise<void> = Promise.resolve();
+  /** Status with which orders to copy a run are answered; undefined to give no answer. */
+  copyStatus: number | undefined = 200;
   /** Handles of copies that were freed. */
   readonly freedHandles: string[] = [];
   /** Runs in the report, each as [id, tokens, events, priority]. */
@@ -94,7 +96,12 @@
       const order = JSON.parse(body) as CopyOrder;
       this.copies.push(order);
       await this.beforeCopyAnswer;
-      this.sendJson(response, {kvHandle: `h${this.copies.length}`, created: 0});
+      if (this.copyStatus === 200) {
+        const kvHandle = `h${this.copies.length}`;
+        this.sendJson(response, {kvHandle, created: 0});
+      } else if (this.copyStatus !== undefined) {
+        response.writeHead(this.copyStatus).end('{}');
+      }
       return this.notifyCallWaiters();
     }
     if (method === 'DELETE' && url.startsWith('/kv-handle/')) {
--- a/test/gateway/common/stall_policy.test.ts
+++ b/test/gateway/common/stall_policy.test.ts
@@ -38,10 +38,19 @@
     expected: StallDecision.Wait,
   },
   {
-    title: 'a run at an unreachable instance fails over to its copy',
+    title:
+      'a run at an instance that does not report is stopped before it goes on from its copy',
     mayRepeat: false,
     hasCopy: true,
     report: undefined,
+    expected: StallDecision.Move,
+  },
+  {
+    title:
+      'a resumable run at an instance that does not report is resumed, also if it has a copy',
+    mayRepeat: true,
+    hasCopy: true,
+    report: undefined,
     expected: StallDecision.FailOver,
   },
   {
--- a/test/gateway/single_runs.test.ts
+++ b/test/gateway/single_runs.test.ts
@@ -64,6 +64,10 @@
   readonly answer: testGateway.CallerAnswer;
   /** Number of requests that arrived at engines. */
   readonly arrivals: number;
+  /** Last copy from which the draft went on. */
+  readonly copy: string | undefined;
+  /** Orders to stop a run. */
+  readonly stops: number;
 }
 
 /** Plays one draft at three engines that behave alike. */
@@ -81,14 +85,28 @@
   await gateway.until(() => gateway.process.state.instances.size === 3);
   gateway.replicas.forEach(replica => {
     replica.memoryTokens = PROMPT_TOKENS;
+    replica.copyStatus = 404;
     prepare(replica);
   });
   const answer = await gateway.call('/draft/a', {
     method: 'POST',
     body: 'p',
-    headers: {'X-Rhubarbvane-Token-Count': `${PROMPT_TOKENS},400`},
+    headers: {
+      'X-Rhubarbvane-Attempt-Id': '00000000000000a1',
+      'X-Rhubarbvane-Token-Count': `${PROMPT_TOKENS},400`,
+    },
   });
-  return {answer, arrivals: gateway.requestCount};
+  const replicas = [...gateway.replicas.values()];
+  const requests = replicas.flatMap(replica => replica.requests);
+  const orders = replicas.flatMap(replica => replica.copies);
+  return {
+    answer,
+    arrivals: requests.length,
+    copy: requests
+      .map(({headers}) => headers['kv-from']?.toString())
+      .findLast(copy => copy !== undefined),
+    stops: orders.filter(({last}) => last === true).length,
+  };
 }
 
 test('single runs: a draft whose engine loses its answer does not run at the engine of its backup too', async t => {
@@ -99,12 +117,65 @@
 
 test('single runs: a draft that has run for long enough goes on from its backup', async t => {
   const behaviour = engine(breakOffAfter(LONG_EVENTS), goOn);
-  const {answer, arrivals} = await playDraft(t, behaviour);
+  const {answer, arrivals, copy} = await playDraft(t, behaviour);
   t.is(arrivals, 2);
+  t.regex(copy!, /\/00000000000000a1$/);
   t.true(answer.isComplete);
   t.is(answer.body, events(1, LONG_EVENTS + 2));
 });
 
+test('single runs: a draft whose connection broke is stopped at its engine before it goes on elsewhere', async t => {
+  const behaviour = engine(breakOffAfter(LONG_EVENTS), goOn);
+  const {answer, stops, copy} = await playDraft(
+    t,
+    behaviour,
+    replica => (replica.copyStatus = 200),
+  );
+  t.is(stops, 1);
+  t.regex(copy!, /\/h1$/);
+  t.is(answer.body, events(1, LONG_EVENTS + 2));
+});
+
+test('single runs: a draft does not go on elsewhere while its engine does not say that it has stopped', async t => {
+  const behaviour = engine(breakOffAfter(LONG_EVENTS), goOn);
+  const {answer, arrivals, stops} = await playDraft(
+    t,
+    behaviour,
+    replica => (replica.copyStatus = undefined),
+  );
+  t.is(arrivals, 1);
+  t.is(stops, 1);
+  t.false(answer.isComplete);
+});
+
+test('single runs: a silent engine that may still work on a draft is not replaced by its backup', async t => {
+  const silentAfter: replicaStandin.ReplicaHandler = (request, response) => {
+    response.writeHead(200, answerHeaders(request));
+    let sent = 0;
+    const timer = setInterval(() => {
+      if (sent < LONG_EVENTS) {
+        sent++;
+        response.write(events(sent, sent));
+      }
+    }, EVENT_MILLISECONDS);
+    setTimeout(() => {
+      clearInterval(timer);
+      response.end(events(LONG_EVENTS + 1, LONG_EVENTS + 1));
+    }, 3_500);
+  };
+  const {answer, arrivals, stops} = await playDraft(
+    t,
+    engine(silentAfter, goOn),
+    replica => {
+      replica.isReporting = false;
+      replica.copyStatus = undefined;
+    },
+  );
+  t.is(arrivals, 1);
+  t.is(stops, 1);
+  t.is(answer.body, events(1, LONG_EVENTS + 1));
+});
+
 test('single runs: a draft whose backup cannot have arrived yet ends with its engine', async t => {
   const behaviour = engine(breakOffAfter(2), goOn);
   const {answer, arrivals} = await playDraft(t, behaviour);
--- a/test/gateway/stream_continuations.test.ts
+++ b/test/gateway/stream_continuations.test.ts
@@ -49,7 +49,7 @@
   const engine = streamSegment.DEFAULT_ENGINE;
   const copies = new runCopies.RunCopies(context, run, engine);
   const copy = {instance, continuation: undefined};
-  copies.setCopy(copy);
+  copies.recordStop(copy);
   const continuations = new streamContinuations.StreamContinuations(
     context,
     run,
