--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -120,9 +120,9 @@
       eventsByRun: new Map(runs.map(run => [run.attemptId, run.eventCount])),
       queuedRuns: fieldReader.number(fields.queued),
       memoryTokens,
-      unlistedMemoryTokens: runs.reduce(
-        (rest, run) => rest - run.memoryTokens,
-        memoryTokens,
+      unlistedMemoryTokens: Math.max(
+        0,
+        runs.reduce((rest, run) => rest - run.memoryTokens, memoryTokens),
       ),
       startedAt: fieldReader.number(fields.born),
       isLeaving:
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -3,12 +3,13 @@
 import * as net from 'node:net';
 import * as ava from 'ava';
 import * as instanceClient from '../../src/gateway/common/instance_client';
+import * as instanceTable from '../../src/gateway/common/instance_table';
 import * as instanceHttpClient from '../../src/platform/instance_http_client';
 import * as freePorts from '../../standins/free_ports';
 import * as rawInstance from '../support/raw_instance';
 
 const test = ava.default;
-const {SendError} = instanceClient;
+const {CopyError, SendError} = instanceClient;
 const {SUCCESS, instanceAt, jsonHead, listen, receive, request, text} =
   rawInstance;
 
@@ -143,6 +144,84 @@
   });
 }
 
+interface CopyCase {
+  readonly title: string;
+  readonly answer: (socket: net.Socket) => void;
+  readonly expected: instanceClient.CopyError;
+}
+
+function writeStatus(status: string): (socket: net.Socket) => void {
+  return socket => socket.write(text([status, 'Content-Length: 0']));
+}
+
+const COPY_CASES: readonly CopyCase[] = [
+  {
+    title: 'whose connection breaks may have been carried out',
+    answer: socket => socket.resetAndDestroy(),
+    expected: CopyError.NoAnswer,
+  },
+  {
+    title: 'that is not answered in time may have been carried out',
+    answer: () => undefined,
+    expected: CopyError.NoAnswer,
+  },
+  {
+    title: 'that fails may have been carried out',
+    answer: writeStatus('HTTP/1.1 500 Internal Server Error'),
+    expected: CopyError.NoAnswer,
+  },
+  {
+    title: 'without a handle in its answer may have been carried out',
+    answer: writeStatus('HTTP/1.1 200 OK'),
+    expected: CopyError.NoAnswer,
+  },
+  {
+    title: 'for a run that is not there says so',
+    answer: writeStatus('HTTP/1.1 404 Not Found'),
+    expected: CopyError.NoSuchRun,
+  },
+  {
+    title: 'at the address of another instance says so',
+    answer: writeStatus('HTTP/1.1 421 Misdirected Request'),
+    expected: CopyError.OtherInstance,
+  },
+];
+
+function orderCopy(
+  t: ava.ExecutionContext,
+  instance: instanceTable.Instance,
+): Promise<instanceClient.CopyError> {
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  const copied = client.copyRun(instance, {
+    attemptId: 'a',
+    target: instance,
+    isFinal: true,
+    timeoutMilliseconds: 300,
+  });
+  return copied.then(result => result._unsafeUnwrapErr().error);
+}
+
+for (const {title, answer, expected} of COPY_CASES) {
+  test(`replica: an order to copy ${title}`, async t => {
+    t.is(await orderCopy(t, await listen(t, answer)), expected);
+  });
+}
+
+test('replica: an order to copy that finds no connection was not carried out', async t => {
+  const port = await freePorts.freeStreamPort();
+  t.is(await orderCopy(t, instanceAt(port)), CopyError.Unreachable);
+});
+
+test('replica: memory that no listed run accounts for is told apart', async t => {
+  const report = {kvInUse: 5_000, born: 7, runs: [['a', 1_200, 9, 5]]};
+  const {instance, client} = await connect(t, JSON.stringify(report));
+  const {unlistedMemoryTokens, startedAt} =
+    (await client.readReport(instance))!;
+  t.is(unlistedMemoryTokens, 3_800);
+  t.is(startedAt, 7);
+});
+
 const DEPTH = 20_000;
 const NESTED = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
 /** Longer than these answers take on a busy machine, in milliseconds. */
@@ -186,7 +265,7 @@
 
 for (const [title, value] of ODD_VALUES) {
   test(`replica: a report whose fields are ${title} is read without them`, async t => {
-    const fields = `"queued":${value},"kvInUse":${value},"leaves_ms":${value}`;
+    const fields = `"queued":${value},"kvInUse":${value},"leaves_ms":${value},"born":${value}`;
     const runs = `"runs":[${value},[${value},1,${value}],["a",1,7]]`;
     const body = `{${PADDING},${fields},"state":${value},${runs}}`;
     const {instance, client} = await connect(t, body);
@@ -194,6 +273,8 @@
       eventsByRun: new Map([['a', 7]]),
       queuedRuns: 0,
       memoryTokens: 0,
+      unlistedMemoryTokens: 0,
+      startedAt: 0,
       isLeaving: false,
     });
   });
