Streams: an order to stop whose answer is lost is repeated

An engine that is about to exit may lose the answer to the order; the draft then ended although its backup was sound. The next order tells: the run is no longer there, or no connection is made. At most five orders within the time for one.

--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -22,6 +22,8 @@
 const RETRY_PAUSE_MILLISECONDS = 80;
 /** Timeout for copying a whole run, in milliseconds. */
 const COPY_TIMEOUT_MILLISECONDS = 2_500;
+/** Maximum number of orders to stop one run. */
+const MAX_STOP_ORDERS = 5;
 /** Penalty for a target in another data centre, in milliseconds: copies take twice as long there. */
 const REMOTE_COPY_COST_MILLISECONDS = 200;
 /** Time after which an evacuation ends even if its instance is still running, in milliseconds. */
@@ -34,6 +36,12 @@
   CopyError.OtherInstance,
 ]);
 
+/** Errors that do not tell whether a run has stopped. */
+const OPEN_ERRORS: ReadonlySet<instanceClient.CopyError> = new Set([
+  CopyError.Busy,
+  CopyError.NoAnswer,
+]);
+
 /** What is known of a run that was told to stop. */
 export enum StopOutcome {
   /** It has stopped, or its instance has no such run. */
@@ -166,24 +174,26 @@
     return {outcome: StopOutcome.Stopped, copy: {instance, continuation}};
   }
 
-  /** Orders the final copy of a run, again while another copy of it is in progress. */
+  /** Orders the final copy of a run; again while another copy of it is in progress, or if the answer is lost, since the next one tells whether the run is still there. */
   private async orderStop(
     call: MovableCall,
     source: instanceTable.Instance,
     target: instanceTable.Instance,
   ): ReturnType<instanceClient.InstanceClient['copyRun']> {
     const endsAt = performance.now() + COPY_TIMEOUT_MILLISECONDS;
-    for (;;) {
+    for (let orders = 1; ; orders++) {
       const copied = await this.client.copyRun(source, {
         attemptId: call.run.attemptId,
         target,
         isFinal: true,
         timeoutMilliseconds: endsAt - performance.now(),
       });
-      const isBusy = copied.isErr() && copied.error.error === CopyError.Busy;
+      const isOpen = copied.isErr() && OPEN_ERRORS.has(copied.error.error);
       const mayRetry =
-        performance.now() + RETRY_PAUSE_MILLISECONDS < endsAt && !call.isOver;
-      if (!isBusy || !mayRetry) {
+        orders < MAX_STOP_ORDERS &&
+        performance.now() + RETRY_PAUSE_MILLISECONDS < endsAt &&
+        !call.isOver;
+      if (!isOpen || !mayRetry) {
         return copied;
       }
       await deadline.delay(RETRY_PAUSE_MILLISECONDS);
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -31,6 +31,8 @@
   beforeCopyAnswer: Promise<void> = Promise.resolve();
   /** Status with which orders to copy a run are answered; undefined to give no answer. */
   copyStatus: number | undefined = 200;
+  /** Statuses of the next answers to such orders, before `copyStatus`. */
+  nextCopyStatuses: number[] = [];
   /** Handles of copies that were freed. */
   readonly freedHandles: string[] = [];
   /** Runs in the report, each as [id, tokens, events, priority]. */
@@ -96,11 +98,12 @@
       const order = JSON.parse(body) as CopyOrder;
       this.copies.push(order);
       await this.beforeCopyAnswer;
-      if (this.copyStatus === 200) {
+      const status = this.nextCopyStatuses.shift() ?? this.copyStatus;
+      if (status === 200) {
         const kvHandle = `h${this.copies.length}`;
         this.sendJson(response, {kvHandle, created: 0});
-      } else if (this.copyStatus !== undefined) {
-        response.writeHead(this.copyStatus).end('{}');
+      } else if (status !== undefined) {
+        response.writeHead(status).end('{}');
       }
       return this.notifyCallWaiters();
     }
--- a/test/gateway/single_runs.test.ts
+++ b/test/gateway/single_runs.test.ts
@@ -148,6 +148,18 @@
   t.false(answer.isComplete);
 });
 
+test('single runs: a draft whose order to stop was not answered goes on once its engine no longer knows the run', async t => {
+  const behaviour = engine(breakOffAfter(LONG_EVENTS), goOn);
+  const {answer, stops, copy} = await playDraft(
+    t,
+    behaviour,
+    replica => (replica.nextCopyStatuses = [500, 409]),
+  );
+  t.is(stops, 3);
+  t.regex(copy!, /\/00000000000000a1$/);
+  t.is(answer.body, events(1, LONG_EVENTS + 2));
+});
+
 test('single runs: a silent engine that may still work on a draft is not replaced by its backup', async t => {
   const silentAfter: replicaStandin.ReplicaHandler = (request, response) => {
     response.writeHead(200, answerHeaders(request));
