Replica answers: a refusal that names no request is no proof on a kept connection

Cause: such a refusal was taken for the answer to any request. On a connection that was used before it may answer an earlier request or none, like that of an idle connection, and cross a request that runs. A 421 without an id was taken so too. Change: a refusal without an id is proof only as the first answer on a new connection.

--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -91,7 +91,8 @@
 
   private handleResponse(response: http.IncomingMessage): void {
     const answer = decodeAnswer(response, () => this.hasSocketFailed);
-    if (!isValidAnswer(response, this.attemptId, answer)) {
+    const {reusedSocket} = this.request!;
+    if (!isValidAnswer(response, this.attemptId, reusedSocket, answer)) {
       this.settle(neverthrow.err(SendError.WrongAnswer));
       this.request!.destroy();
       return;
@@ -137,15 +138,19 @@
 function isValidAnswer(
   response: http.IncomingMessage,
   attemptId: string | undefined,
+  isOnUsedConnection: boolean,
   answer: instanceClient.InstanceResponse,
 ): boolean {
   const echoed = response.headers[Headers.attemptId];
-  const isForOtherAttempt = echoed !== undefined && echoed !== attemptId;
-  const lacksAttemptId = echoed === undefined && attemptId !== undefined;
-  const isSuccess = answer.status >= 200 && answer.status < 300;
-  if (isForOtherAttempt || (lacksAttemptId && !answer.isNotExecuted)) {
-    return false;
+  if (echoed !== attemptId) {
+    // An instance may refuse without an id. On a connection that was used
+    // before, that may answer an earlier request, while this one runs.
+    const isAnonymousRefusal = echoed === undefined && answer.isNotExecuted;
+    if (!isAnonymousRefusal || isOnUsedConnection) {
+      return false;
+    }
   }
+  const isSuccess = answer.status >= 200 && answer.status < 300;
   const isEncoded = response.headers['content-encoding'] !== undefined;
   return !isEncoded && (!isSuccess || answer.hasServerStamp);
 }
--- a/test/gateway/repeated_refusals.test.ts
+++ b/test/gateway/repeated_refusals.test.ts
@@ -122,3 +122,46 @@
     t.deepEqual([...runs.values()], [1]);
   });
 }
+
+/** Runs each request; the second one on a connection is answered with a refusal that names no request. */
+function createCrossingReplica(
+  runs: Map<string, number>,
+): replicaStandin.ReplicaHandler {
+  const used = new WeakSet<net.Socket>();
+  return (request, response) => {
+    const attempt = String(request.headers['x-rhubarbvane-attempt-id']);
+    runs.set(attempt, (runs.get(attempt) ?? 0) + 1);
+    if (used.has(response.socket!)) {
+      replicaStandin.shed(request, response);
+      return;
+    }
+    used.add(response.socket!);
+    response.writeHead(200, {
+      ...replicaStandin.answerHeaders(request),
+      'Content-Type': 'text/event-stream',
+    });
+    response.end(replicaStandin.events(1, 2));
+  };
+}
+
+// Guards against a refusal that answers an earlier request, or none, and is taken for the answer to a request that runs.
+for (const path of ['/draft/a', '/file/a']) {
+  test(`repeated refusals: ${path} runs once and is not called "not run" after a refusal that names no request`, async t => {
+    const runs = new Map<string, number>();
+    const service = path === '/file/a' ? 'ledger' : 'writers';
+    const replica = createCrossingReplica(runs);
+    const gateway = await testGateway.TestGateway.start(
+      t,
+      {'i-1': [service, replica], 'i-2': [service, replica]},
+      testGateway.configurationSpec(1),
+      {settings: {retries: RETRIES}},
+    );
+    await gateway.until(() => gateway.process.state.instances.size === 2);
+    const statuses: number[] = [];
+    for (let count = 0; count < 10; count++) {
+      statuses.push((await gateway.call(path, {method: 'POST'})).status);
+    }
+    t.deepEqual(new Set(runs.values()), new Set([1]));
+    t.deepEqual(new Set(statuses), new Set([200, 502]));
+  });
+}
