Replica answers: the statement "not run" counts only with the statuses of a refusal

What callers could see: a request whose answer says that it ran, a success or a failure like 500, and bears the statement "not run" as well, was sent to another replica or called "not run". Cause: the header alone was the proof, with any status. Evidence: six of the new tests fail before (200, 206, 404, 500, 502 and 504 with the header are proof) and pass now. Replicas refuse with 400, 421, 429 and 503; their own 500 and 504 have run. Change: with another status the header proves nothing, and the answer is taken by its status.

--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -15,6 +15,15 @@
 /** Timeout for making a connection, in milliseconds; replicas accept within a few milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 const NO_HEADERS: ReadonlySet<string> = new Set();
+/** Status of an instance that is not the intended one, which does not run the request. */
+const MISDIRECTED = 421;
+/** Statuses of refusals; with others an instance answers that ran the request, whatever else it states. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([
+  400,
+  MISDIRECTED,
+  429,
+  503,
+]);
 
 type SendResult = neverthrow.Result<
   instanceClient.InstanceResponse,
@@ -121,11 +130,12 @@
   hasSocketFailed: () => boolean,
 ): instanceClient.InstanceResponse {
   const status = response.statusCode ?? 0;
-  const isFromOtherInstance = status === 421;
+  const isFromOtherInstance = status === MISDIRECTED;
+  const hasStatement = response.headers[Headers.notRun] !== undefined;
   return {
     status,
     isNotExecuted:
-      response.headers[Headers.notRun] !== undefined || isFromOtherInstance,
+      isFromOtherInstance || (hasStatement && REFUSAL_STATUSES.has(status)),
     isFromOtherInstance,
     hasServerStamp: response.headers[Headers.stamp] !== undefined,
     ...answerCodec.decodeStatements(response.headers),
--- a/test/platform/http_exchange.test.ts
+++ b/test/platform/http_exchange.test.ts
@@ -133,6 +133,16 @@
   });
 }
 
+// Instances refuse with other statuses; with these an instance that ran the request answers.
+for (const status of [200, 206, 404, 500, 502, 504]) {
+  test(`refusal: the statement on ${status} is no proof`, async t => {
+    const stamp = 'X-Rhubarbvane-Server-Stamp: s';
+    const answer = emptyAnswer(status, NOT_RUN, OWN_ID, stamp);
+    const proof = await sendOnNew(t, answer);
+    t.deepEqual(proof, {status, isNotExecuted: false});
+  });
+}
+
 test('refusal: the statement on an interim answer is no proof', async t => {
   const interim = text(['HTTP/1.1 103 Early Hints', NOT_RUN, OWN_ID]);
   const proof = await sendOnNew(t, interim + '\r\n' + WHOLE);
