Calls: a status that promises "not run" is not passed on without the instance's statement

What callers could see: a request that may run once was answered 408, 429 or 503, which promises that it did not run and never will, though its replica had not stated that and may have run it; a caller that relies on it sends the request again. Cause: an answer without the statement "not run" counts as one of a request that ran, and was delivered with its status. Evidence: six of the new tests fail before ('/draft/a' and '/file/a' with each of the three statuses got it, 502 expected) and pass now. Change: such an answer ends a call that may run once with 502, as of unknown outcome. Calls that may be repeated get the answer as it is; a test holds that too.

--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -106,6 +106,8 @@
   readonly status: number;
   /** Whether the instance states that it did not execute the request. */
   readonly isNotExecuted: boolean;
+  /** Whether callers take the status as a promise that the request did not run and never will. */
+  readonly promisesNotRun: boolean;
   /** Whether another instance has the address and answered that it did not execute the request. */
   readonly isFromOtherInstance: boolean;
   /** Whether the response carries the server stamp that a success requires. */
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -331,6 +331,22 @@
     callerAnswer.answerFailure(this.response, cause, status);
   }
 
+  /**
+   * Fails the call if the status of the instance's answer would promise that
+   * the request did not run, which the instance did not state; returns whether
+   * the call has ended. Calls that may run again get the answer as it is.
+   */
+  endIfUnproven(answer: instanceClient.InstanceResponse): boolean {
+    const {promisesNotRun, isNotExecuted, status} = answer;
+    if (!promisesNotRun || isNotExecuted || this.isRetryable) {
+      return false;
+    }
+    const message = `the instance answered ${status}, but not that the request did not run`;
+    const {EndpointLost} = resultCode.ResultCode;
+    this.fail(failure.unknownOutcome(EndpointLost, message), 502);
+    return true;
+  }
+
   /** Aborts a started answer, so that the caller sees that it is incomplete. */
   abortStream(reason: string): void {
     if (this.isOver) {
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -243,7 +243,7 @@
     const {response} = this.context;
     const {answer, body} = outcome;
     const {services, call} = this.context;
-    if (this.context.isOver) {
+    if (this.context.isOver || this.context.endIfUnproven(answer!)) {
       return;
     }
     services.metrics.latency.observe(
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -97,6 +97,9 @@
   deliverFailure(): void {
     const {context} = this;
     const {answer, body} = this.failure!;
+    if (context.endIfUnproven(answer)) {
+      return;
+    }
     context.log('instance-failure-delivered', {status: answer.status});
     context.finish('instance-failure');
     context.response.writeHead(answer.status, [
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -24,6 +24,13 @@
   429,
   503,
 ]);
+/** Statuses by which callers are promised that their request did not run. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([
+  408,
+  MISDIRECTED,
+  429,
+  503,
+]);
 
 type SendResult = neverthrow.Result<
   instanceClient.InstanceResponse,
@@ -136,6 +143,7 @@
     status,
     isNotExecuted:
       isFromOtherInstance || (hasStatement && REFUSAL_STATUSES.has(status)),
+    promisesNotRun: PROMISE_STATUSES.has(status),
     isFromOtherInstance,
     hasServerStamp: response.headers[Headers.stamp] !== undefined,
     ...answerCodec.decodeStatements(response.headers),
--- a/test/gateway/repeated_refusals.test.ts
+++ b/test/gateway/repeated_refusals.test.ts
@@ -165,3 +165,39 @@
     t.deepEqual(new Set(statuses), new Set([200, 502]));
   });
 }
+
+/** Runs each request, and answers with the status but without the statement that it was not run. */
+function answerUnproven(status: number): replicaStandin.ReplicaHandler {
+  return (request, response) =>
+    response
+      .writeHead(status, {
+        ...replicaStandin.answerHeaders(request),
+        'Retry-After': '0.2',
+      })
+      .end('busy');
+}
+
+// Guards against statuses that callers take as a promise, upon which they send the request again.
+for (const status of [408, 429, 503]) {
+  for (const path of ['/draft/a', '/file/a']) {
+    test(`repeated refusals: ${status} without the statement is not passed on for ${path}`, async t => {
+      const service = path === '/file/a' ? 'ledger' : 'writers';
+      const gateway = await testGateway.TestGateway.start(t, {
+        'i-1': [service, answerUnproven(status)],
+      });
+      const answer = await gateway.call(path, {method: 'POST'});
+      t.is(answer.status, 502);
+      t.is(answer.headers['x-rhubarbvane-server-stamp'], undefined);
+      t.is(gateway.requestCount, 1);
+    });
+  }
+
+  test(`repeated refusals: ${status} without the statement is passed on for a call that may be repeated`, async t => {
+    const gateway = await testGateway.TestGateway.start(t, {
+      'i-1': ['ledger', answerUnproven(status)],
+    });
+    const answer = await gateway.call('/read/a');
+    t.is(answer.status, status);
+    t.is(answer.body, 'busy');
+  });
+}
--- a/test/support/plain_call_bench.ts
+++ b/test/support/plain_call_bench.ts
@@ -84,6 +84,7 @@
       neverthrow.ok({
         status,
         isNotExecuted,
+        promisesNotRun: status === 503,
         isFromOtherInstance: false,
         hasServerStamp: true,
         limit: undefined,
