Replica client: only an answer that fits the order of a copy confirms it

What callers could see: a stream that goes on from a copy that was not made, or at a source that does not keep its memory, and so ends or is sent once more than it may run. Cause: a handle was taken from an answer with any status; the statement that nothing was done was not read; of several runs that an answer names only the first was compared. Evidence: eight of the new tests fail before (a handle was taken with 202, 404, 409, 421, 500, with 503 to an order that does not stop the run, with 200 and the statement "not run", and with 200 for two runs) and pass now. Right before, and tested now: a 200 for the run, a 503 for a run that stopped, and an answer whose end comes after the timeout. Change: 200 confirms a copy unless it states that nothing was done or names another run; 503 to an order that stops the run has the handle of the memory that its source keeps.

--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -77,10 +77,10 @@
       request.timeoutMilliseconds,
     );
     // Some instances name the run in the answer.
-    const isForOtherRun = ![undefined, request.attemptId].includes(
-      answer?.attemptId,
+    const isForOtherRun = answer?.attemptIds.some(
+      id => id !== request.attemptId,
     );
-    return decodeCopy(isForOtherRun ? undefined : answer);
+    return decodeCopy(isForOtherRun ? undefined : answer, request.isFinal);
   }
 
   dropCopy(source: instanceTable.Instance, handle: string): void {
@@ -169,12 +169,19 @@
     request.once('response', response => {
       hasResponse = true;
       const status = response.statusCode ?? 0;
-      const attemptId = response.headersDistinct[Headers.attemptId]?.[0];
-      void boundedBody
-        .collect(response, MAX_JSON_BYTES)
-        .then(body =>
-          resolve(body && {status, attemptId, fields: parseFields(body)}),
-        );
+      const {headersDistinct} = response;
+      const attemptIds = headersDistinct[Headers.attemptId] ?? [];
+      const isNotExecuted = headersDistinct[Headers.notRun] !== undefined;
+      void boundedBody.collect(response, MAX_JSON_BYTES).then(body =>
+        resolve(
+          body && {
+            status,
+            attemptIds,
+            isNotExecuted,
+            fields: parseFields(body),
+          },
+        ),
+      );
     });
     request.once('close', () => hasResponse || resolve(undefined));
     request.once('error', () => hasResponse || resolve(undefined));
@@ -183,8 +190,10 @@
 
 interface JsonAnswer {
   readonly status: number;
-  /** Undefined if the answer names none. */
-  readonly attemptId: string | undefined;
+  /** Attempts that the answer names. */
+  readonly attemptIds: readonly string[];
+  /** Whether the answer states that the call was not executed. */
+  readonly isNotExecuted: boolean;
   /** Undefined if the body is not a whole JSON object. */
   readonly fields: fieldReader.Fields | undefined;
 }
@@ -208,19 +217,24 @@
   return runs;
 }
 
+/** @param isFinal Whether the run was to be stopped; only then does a source that found no room keep its memory. */
 function decodeCopy(
   answer: JsonAnswer | undefined,
+  isFinal: boolean,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
   const fields = answer?.fields;
   const handle = decodeHandle(fields?.kvHandle);
-  if (answer?.status === 200 && handle !== undefined) {
+  const isCopied = answer?.status === 200 && !answer.isNotExecuted;
+  if (isCopied && handle !== undefined) {
     return neverthrow.ok({
       handle,
       // Number of events generated so far, not a time of creation.
       eventCount: fieldReader.number(fields?.created),
     });
   }
-  return neverthrow.err({error: copyErrorOf(answer?.status), handle});
+  const error = copyErrorOf(answer?.status);
+  const isMemoryKept = isFinal && error === CopyError.NoRoom;
+  return neverthrow.err({error, handle: isMemoryKept ? handle : undefined});
 }
 
 function decodeHandle(value: unknown): string | undefined {
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -218,3 +218,90 @@
   const outcome = await receive(client.send(instance, request()));
   t.deepEqual(outcome, {error: SendError.Withdrawn});
 });
+
+/** Orders a copy of run `a` from an instance that answers with the text. */
+async function orderCopy(
+  t: ava.ExecutionContext,
+  answer: string,
+  isFinal: boolean,
+) {
+  const instance = await listen(t, socket => socket.write(answer));
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  return client.copyRun(instance, {
+    attemptId: 'a',
+    target: instance,
+    isFinal,
+    timeoutMilliseconds: PATIENCE_MILLISECONDS,
+  });
+}
+
+const COPY = '{"kvHandle":"h","created":3}';
+
+/** Text of an answer to the order of a copy. */
+function copyAnswer(status: number, ...headers: string[]): string {
+  const [, ...framing] = jsonHead(COPY);
+  return text([`HTTP/1.1 ${status} Any`, ...headers, ...framing], COPY);
+}
+
+// Guards against a stream that goes on from a copy that was not made, or from memory that is not kept.
+for (const [title, answer, isFinal] of [
+  ['404', copyAnswer(404), true],
+  ['409', copyAnswer(409), true],
+  ['421', copyAnswer(421), true],
+  ['500', copyAnswer(500), true],
+  ['202', copyAnswer(202), true],
+  ['503 to an order that does not stop the run', copyAnswer(503), false],
+  [
+    '200 that says that nothing was done',
+    copyAnswer(200, 'X-Rhubarbvane-Not-Executed: 1'),
+    true,
+  ],
+  [
+    '200 for this run and another one',
+    copyAnswer(
+      200,
+      'X-Rhubarbvane-Attempt-Id: a',
+      'X-Rhubarbvane-Attempt-Id: other',
+    ),
+    true,
+  ],
+] as const) {
+  test(`replica: an answer to a copy with a handle and ${title} confirms nothing`, async t => {
+    const copy = await orderCopy(t, answer, isFinal);
+    t.is(copy._unsafeUnwrapErr().handle, undefined);
+  });
+}
+
+test('replica: an answer to a copy that names its run, and one of a run that stopped, have handles', async t => {
+  const named = copyAnswer(200, 'X-Rhubarbvane-Attempt-Id: a');
+  const copy = await orderCopy(t, named, false);
+  t.is(copy._unsafeUnwrap().handle, 'h');
+  const stopped = await orderCopy(t, copyAnswer(503), true);
+  t.deepEqual(stopped._unsafeUnwrapErr(), {
+    error: instanceClient.CopyError.NoRoom,
+    handle: 'h',
+  });
+});
+
+test('replica: an answer to a copy whose end comes too late confirms nothing', async t => {
+  const answer = copyAnswer(200);
+  let closed: Promise<unknown> | undefined;
+  const instance = await listen(t, socket => {
+    closed = new Promise(resolve => socket.once('close', resolve));
+    socket.write(answer.slice(0, -1));
+  });
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  const copy = await client.copyRun(instance, {
+    attemptId: 'a',
+    target: instance,
+    isFinal: false,
+    timeoutMilliseconds: 300,
+  });
+  t.deepEqual(copy._unsafeUnwrapErr(), {
+    error: instanceClient.CopyError.Unreachable,
+    handle: undefined,
+  });
+  await closed;
+});
