Replica client: a call without an attempt id has a connection of its own

What callers could see: the answer to another call, where neither has an id and a replica writes an answer once more on a kept connection. Cause: calls of callers without an id shared kept connections, on which nothing tells their answers apart. Evidence: the new test fails before (the second call gets the first answer) and passes. Change: such calls get a new connection each, as the system's own calls do. Callers that keep to the contract name each attempt, so nothing changes for them.

--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -25,7 +25,7 @@
   /**
    * Makes a connection for each request. For requests whose answer could not be
    * distinguished from a late copy of an earlier answer on the same connection:
-   * an attempt that is sent again, and calls of the system's own, which have no id.
+   * an attempt that is sent again, and calls without an id, as the system's own.
    */
   private readonly singleUseAgent = new http.Agent({noDelay: true});
 
@@ -41,7 +41,9 @@
     instance: instanceTable.Instance,
     request: instanceClient.InstanceRequest,
   ): instanceClient.Exchange {
-    const exchange = new httpExchange.HttpExchange(request.caller.attemptId);
+    const {attemptId} = request.caller;
+    const exchange = new httpExchange.HttpExchange(attemptId);
+    const isAmbiguous = request.isSentAgain || attemptId === undefined;
     const {hostname, port} = splitAddress(instance.record.address);
     exchange.start(
       {
@@ -50,7 +52,7 @@
         method: request.caller.method,
         path: request.caller.target,
         headers: requestCodec.encodeHeaders(instance.record.id, request),
-        agent: request.isSentAgain ? this.singleUseAgent : this.agent,
+        agent: isAmbiguous ? this.singleUseAgent : this.agent,
       },
       request.body,
       this.onDidConnect,
--- a/test/platform/late_answers.test.ts
+++ b/test/platform/late_answers.test.ts
@@ -143,3 +143,22 @@
   });
   t.is(copy._unsafeUnwrapErr().handle, undefined);
 });
+
+// Guards against an answer to a call without an id that is matched to the next such call on the same connection.
+test('replica: an answer without an id that is written again is not taken for that to the next call without one', async t => {
+  const {caller, ...rest} = request();
+  const anonymous = {...rest, caller: {...caller, attemptId: undefined}};
+  const late = new Map<net.Socket, string>();
+  const instance = await listen(t, (socket, count) => {
+    const head = ['HTTP/1.1 200 OK', 'X-Rhubarbvane-Server-Stamp: s'];
+    const whole = text([...head, 'Content-Length: 1'], String(count));
+    socket.write((late.get(socket) ?? '') + whole);
+    late.set(socket, whole);
+  });
+  const client = new instanceHttpClient.InstanceHttpClient();
+  t.teardown(() => client.dispose());
+  for (let count = 1; count <= 3; count++) {
+    const outcome = await receive(client.send(instance, anonymous));
+    t.deepEqual(outcome, {status: 200, body: String(count)});
+  }
+});
