--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -15,6 +15,22 @@
 /** Timeout for making a connection, in milliseconds; replicas accept within a few milliseconds. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 400;
 const NO_HEADERS: ReadonlySet<string> = new Set();
+/** Status of an instance that is not the intended one, which does not run the request. */
+const MISDIRECTED = 421;
+/** Statuses of refusals; with others an instance answers that ran the request, whatever else it states. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([
+  400,
+  MISDIRECTED,
+  429,
+  503,
+]);
+/** Statuses by which callers are promised that their request did not run. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([
+  408,
+  MISDIRECTED,
+  429,
+  503,
+]);
 
 type SendResult = neverthrow.Result<
   instanceClient.InstanceResponse,
@@ -91,7 +107,8 @@
 
   private handleResponse(response: http.IncomingMessage): void {
     const answer = decodeAnswer(response, () => this.hasSocketFailed);
-    if (!isValidAnswer(response, this.attemptId, answer)) {
+    const {reusedSocket} = this.request!;
+    if (!isValidAnswer(response, this.attemptId, reusedSocket, answer)) {
       this.settle(neverthrow.err(SendError.WrongAnswer));
       this.request!.destroy();
       return;
@@ -120,11 +137,13 @@
   hasSocketFailed: () => boolean,
 ): instanceClient.InstanceResponse {
   const status = response.statusCode ?? 0;
-  const isFromOtherInstance = status === 421;
+  const isFromOtherInstance = status === MISDIRECTED;
+  const hasStatement = response.headers[Headers.notRun] !== undefined;
   return {
     status,
     isNotExecuted:
-      response.headers[Headers.notRun] !== undefined || isFromOtherInstance,
+      isFromOtherInstance || (hasStatement && REFUSAL_STATUSES.has(status)),
+    promisesNotRun: PROMISE_STATUSES.has(status),
     isFromOtherInstance,
     hasServerStamp: response.headers[Headers.stamp] !== undefined,
     ...answerCodec.decodeStatements(response.headers),
@@ -137,15 +156,19 @@
 function isValidAnswer(
   response: http.IncomingMessage,
   attemptId: string | undefined,
+  isOnUsedConnection: boolean,
   answer: instanceClient.InstanceResponse,
 ): boolean {
   const echoed = response.headers[Headers.attemptId];
-  const isForOtherAttempt = echoed !== undefined && echoed !== attemptId;
-  const lacksAttemptId = echoed === undefined && attemptId !== undefined;
-  const isSuccess = answer.status >= 200 && answer.status < 300;
-  if (isForOtherAttempt || (lacksAttemptId && !answer.isNotExecuted)) {
-    return false;
+  if (echoed !== attemptId) {
+    // An instance may refuse without an id. On a connection that was used
+    // before, that may answer an earlier request, while this one runs.
+    const isAnonymousRefusal = echoed === undefined && answer.isNotExecuted;
+    if (!isAnonymousRefusal || isOnUsedConnection) {
+      return false;
+    }
   }
+  const isSuccess = answer.status >= 200 && answer.status < 300;
   const isEncoded = response.headers['content-encoding'] !== undefined;
   return !isEncoded && (!isSuccess || answer.hasServerStamp);
 }
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -25,7 +25,7 @@
   /**
    * Makes a connection for each request. For requests whose answer could not be
    * distinguished from a late copy of an earlier answer on the same connection:
-   * an attempt that is sent again, and calls of the system's own, which have no id.
+   * an attempt that is sent again, and calls without an id, as the system's own.
    */
   private readonly singleUseAgent = new http.Agent({noDelay: true});
 
@@ -41,7 +41,9 @@
     instance: instanceTable.Instance,
     request: instanceClient.InstanceRequest,
   ): instanceClient.Exchange {
-    const exchange = new httpExchange.HttpExchange(request.caller.attemptId);
+    const {attemptId} = request.caller;
+    const exchange = new httpExchange.HttpExchange(attemptId);
+    const isAmbiguous = request.isSentAgain || attemptId === undefined;
     const {hostname, port} = splitAddress(instance.record.address);
     exchange.start(
       {
@@ -50,7 +52,7 @@
         method: request.caller.method,
         path: request.caller.target,
         headers: requestCodec.encodeHeaders(instance.record.id, request),
-        agent: request.isSentAgain ? this.singleUseAgent : this.agent,
+        agent: isAmbiguous ? this.singleUseAgent : this.agent,
       },
       request.body,
       this.onDidConnect,
@@ -79,8 +81,11 @@
     // Some instances name the run in the answer.
     const isForOtherRun =
       typeof answer === 'object' &&
-      ![undefined, request.attemptId].includes(answer.attemptId);
-    return decodeCopy(isForOtherRun ? NoAnswer.Unusable : answer);
+      answer.attemptIds.some(id => id !== request.attemptId);
+    return decodeCopy(
+      isForOtherRun ? NoAnswer.Unusable : answer,
+      request.isFinal,
+    );
   }
 
   dropCopy(source: instanceTable.Instance, handle: string): void {
@@ -192,14 +197,16 @@
     request.once('response', response => {
       hasResponse = true;
       const status = response.statusCode ?? 0;
-      const attemptId = response.headersDistinct[Headers.attemptId]?.[0];
+      const {headersDistinct} = response;
+      const attemptIds = headersDistinct[Headers.attemptId] ?? [];
+      const isNotExecuted = headersDistinct[Headers.notRun] !== undefined;
       void boundedBody
         .collect(response, MAX_JSON_BYTES)
         .then(body =>
           resolve(
             body === undefined
               ? NoAnswer.Unusable
-              : {status, attemptId, fields: parseFields(body)},
+              : {status, attemptIds, isNotExecuted, fields: parseFields(body)},
           ),
         );
     });
@@ -223,8 +230,10 @@
 
 interface JsonAnswer {
   readonly status: number;
-  /** Undefined if the answer names none. */
-  readonly attemptId: string | undefined;
+  /** Attempts that the answer names. */
+  readonly attemptIds: readonly string[];
+  /** Whether the answer states that the call was not executed. */
+  readonly isNotExecuted: boolean;
   /** Undefined if the body is not a whole JSON object. */
   readonly fields: fieldReader.Fields | undefined;
 }
@@ -255,8 +264,10 @@
   return runs;
 }
 
+/** @param isFinal Whether the run was to be stopped; only then does a source that found no room keep its memory. */
 function decodeCopy(
   answer: JsonAnswer | NoAnswer,
+  isFinal: boolean,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
   if (typeof answer !== 'object') {
     const error =
@@ -267,14 +278,17 @@
   }
   const {fields, status} = answer;
   const handle = decodeHandle(fields?.kvHandle);
-  if (status === 200 && handle !== undefined) {
+  const isCopied = status === 200 && !answer.isNotExecuted;
+  if (isCopied && handle !== undefined) {
     return neverthrow.ok({
       handle,
       // Number of events generated so far, not a time of creation.
       eventCount: fieldReader.number(fields?.created),
     });
   }
-  return neverthrow.err({error: copyErrorOf(status), handle});
+  const error = copyErrorOf(status);
+  const isMemoryKept = isFinal && error === CopyError.NoRoom;
+  return neverthrow.err({error, handle: isMemoryKept ? handle : undefined});
 }
 
 function decodeHandle(value: unknown): string | undefined {
