Soak: replicas keep backups, lose answers of streams, work on and start again

The soak did not find that a draft ran at two engines: its replicas kept no backups, and those that lost answers lost no streams.

Engines now copy runs to the backup that a request names, and use a copy once. Answers of streams and of continuations can be lost, without a copy too, which counts as a new run. One of three engines works on when a connection breaks. Reports tell start, memory and runs with a delay; an engine may be full, or start again under its id.

`once` breaks when a run goes on elsewhere while the one before works on 400 ms later. A draft that goes on after an event without a copy now counts as a new run; it was taken for the same one.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -2,6 +2,8 @@
 import * as freePorts from '../standins/free_ports';
 import * as platformObjects from '../standins/platform_objects';
 import * as storeStandin from '../standins/store_standin';
+import * as copies from './copies';
+import * as engine from './engine';
 import * as replicas from './replica';
 import * as gatewayChild from './gateway_child';
 import * as requestHistory from './request_history';
@@ -15,6 +17,10 @@
 export const DATA_CENTRES = ['a', 'b'];
 /** Speeds of the engines relative to the common one, in turn. */
 const SPEEDS = [1, 0.6, 1.6];
+/** One of so many replicas works on when the connection of a run has broken. */
+const WORKS_ON_EVERY = 3;
+/** Times until the first part of a backup has arrived, in turn, in milliseconds. */
+const TRANSFER_MILLISECONDS = [100, 200, 300];
 /** Generations that an engine runs at once by its registration, few enough that callers compete for them. */
 const SLOTS = 4;
 /** Requests a second that a cold replica takes. */
@@ -36,7 +42,6 @@
   readonly replicas: replicas.Replica[] = [];
   /** API keys in force. */
   readonly keys = new Set(['key-0', 'key-1', 'key-2', 'key-3']);
-  private readonly copies = new Map();
   /** Key of a customer whose callers send most of the requests; undefined for equal customers. */
   floodingKey: string | undefined;
   private version = 0;
@@ -89,9 +94,13 @@
             Math.floor(count / VERSIONS.length) % DATA_CENTRES.length
           ],
         speed: SPEEDS[count % SPEEDS.length],
+        worksOn: count % WORKS_ON_EVERY === 0,
+        transferMilliseconds:
+          TRANSFER_MILLISECONDS[count % TRANSFER_MILLISECONDS.length],
       },
       this.history,
-      this.copies,
+      address =>
+        this.replicas.find(each => each.address === address)?.reachableCopies,
     );
     await replica.start();
     this.replicas.push(replica);
@@ -112,6 +121,7 @@
   /** Writes the registration of the replica. */
   register(replica: replicas.Replica, state: string, warmLeftMs = 0): void {
     const {service, address, version, dataCentre} = replica;
+    replica.state = state;
     this.store.put('servers', replica.id, {
       ...platformObjects.registrationSpec(
         service,
@@ -122,6 +132,7 @@
       ),
       slots: SLOTS,
       warmLeftMs,
+      born: replica.engine.born,
     });
   }
 
@@ -147,7 +158,14 @@
       ],
       services: [
         platformObjects.serviceSpec('ledger'),
-        platformObjects.serviceSpec('writers', platformObjects.engineSpec()),
+        platformObjects.serviceSpec(
+          'writers',
+          platformObjects.engineSpec({
+            kvCap: engine.MEMORY_TOKENS,
+            backups: true,
+            handleTtlS: copies.COPY_LIFETIME_MILLISECONDS / 1000,
+          }),
+        ),
       ].map(each => ({
         ...each,
         rampPerS: RAMP_PER_SECOND,
--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -20,6 +20,9 @@
 /** Time for which a draining replica still serves, in milliseconds. */
 const DRAIN_MILLISECONDS = 1_800;
 
+/** Share of answers that are lost while all replicas lose answers. */
+const LOSS_SHARE = 0.6;
+
 /** Shortest time for which a replica names a limit, in milliseconds. */
 const MIN_LIMIT_MILLISECONDS = 4_000;
 /** Largest limit, in tenths of a request a second. */
@@ -53,6 +56,10 @@
     store: time => this.storeFault(time),
     compact: () => this.compact(),
     replica: time => this.replicaFault(time),
+    'lose-answers': time => this.loseAnswers(time),
+    break: () => this.breakConnections(),
+    full: time => this.fillMemory(time),
+    'start-again': time => this.startAgain(time),
     limit: time => this.limit(time),
     evacuate: time => this.evacuate(time),
     cold: () => this.returnCold(),
@@ -206,16 +213,61 @@
       ReplicaMode.Shedding,
       ReplicaMode.DuplicatingAnswers,
       ReplicaMode.Unframed,
+      ReplicaMode.Stalling,
     ]);
     const event = {fault: `replica ${mode}`, replica: replica.id, time};
     return this.inject(replica, replica.id, event, async () => {
       replica.mode = mode;
       await timers.setTimeout(time);
-      replica.breakUnframedStreams();
+      replica.engine.breakUnframedStreams();
       replica.mode = ReplicaMode.Normal;
     });
   }
 
+  /** Lets all replicas run requests and reset some of the connections in place of the answers. */
+  private loseAnswers(time: number): Promise<void> {
+    const event = {fault: 'lose-answers', time};
+    return this.inject(this.loseAnswers, '', event, async () => {
+      const losing = [...this.target.replicas];
+      losing.forEach(replica => (replica.lossShare = LOSS_SHARE));
+      await timers.setTimeout(time);
+      losing.forEach(replica => (replica.lossShare = 0));
+    });
+  }
+
+  /** Breaks the connections of all runs of a replica, which may work on. */
+  private breakConnections(): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'break', replica: replica.id};
+    return this.inject(replica, replica.id, event, async () =>
+      replica.engine.breakConnections(),
+    );
+  }
+
+  /** Leaves a replica no memory for copies. */
+  private fillMemory(time: number): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'full', replica: replica.id, time};
+    return this.inject(replica, replica.id, event, async () => {
+      replica.engine.copies.isFull = true;
+      await timers.setTimeout(time);
+      replica.engine.copies.isFull = false;
+    });
+  }
+
+  /** Crashes a replica, and starts it again under its id; gateways learn of it later. */
+  private startAgain(time: number): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'start-again', replica: replica.id};
+    return this.inject(replica, replica.id, event, async () => {
+      replica.crash();
+      await timers.setTimeout(time / 8);
+      await replica.start();
+      await timers.setTimeout(time / 8);
+      this.target.register(replica, 'ready');
+    });
+  }
+
   /** Lets a replica name a limit. */
   private limit(time: number): Promise<void> {
     const replica = this.random.pick(this.target.replicas);
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -1,14 +1,18 @@
 /** Replicas of the soak test: plain services, and engines whose runs can be copied. */
+import * as events from 'node:events';
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as answers from './answers';
+import * as copies from './copies';
+import * as engine from './engine';
 import * as requestHistory from './request_history';
+import * as runRules from './run_rules';
+
+const {RunOrigin} = runRules;
 
-/** Interval between the pieces of a stream, in milliseconds. */
-const PIECE_INTERVAL_MILLISECONDS = 20;
 const PLAIN_ANSWER_MILLISECONDS = 10;
-/** Maximum number of pieces of a stream; a request may ask for fewer. */
-const MAX_PIECES = 120;
+/** Times after which a connection is reset in place of the answer of a stream, in turn, in milliseconds. */
+const LOSS_MILLISECONDS = [0, 0, 150, 400];
 
 /** Behaviour of a replica. */
 export enum ReplicaMode {
@@ -25,31 +29,8 @@
   DuplicatingAnswers = 'doubling',
   /** Sends streams without length or chunks. */
   Unframed = 'unframed',
-}
-
-interface StreamRun {
-  readonly attempt: string;
-  sentPieces: number;
-  timer: NodeJS.Timeout | undefined;
-  response: http.ServerResponse;
-  readonly isUnframed: boolean;
-}
-
-/** Progress of copied runs by handle, shared by all replicas. */
-type Copies = Map<
-  string,
-  {readonly attempt: string; readonly sentPieces: number}
->;
-
-/** What distinguishes a replica from others. */
-export interface ReplicaProfile {
-  readonly id: string;
-  readonly service: string;
-  /** Version of its software. */
-  readonly version: string;
-  readonly dataCentre: string;
-  /** Speed relative to the common one. */
-  readonly speed: number;
+  /** Makes the events of its streams and does not deliver them. */
+  Stalling = 'stalling',
 }
 
 /** Serves requests of gateways over HTTP. */
@@ -58,60 +39,77 @@
   readonly service: string;
   readonly version: string;
   readonly dataCentre: string;
-  private readonly speed: number;
-  mode = ReplicaMode.Normal;
   /** Requests a second that the replica names as its limit; undefined to name none. */
   limit: number | undefined;
+  /** Share of requests that run and whose answers are lost. */
+  lossShare = 0;
+  state = 'ready';
   address = '';
-  private readonly streams = new Map<string, StreamRun>();
+  readonly engine: engine.Engine;
+  private currentMode = ReplicaMode.Normal;
+  private endUnreachable: ((at: number) => void) | undefined;
+  private lossCount = 0;
+  private port = 0;
   private readonly server = http.createServer((request, response) =>
     this.receive(request, response),
   );
 
   constructor(
-    profile: ReplicaProfile,
+    private readonly profile: engine.ReplicaProfile,
     private readonly history: requestHistory.RequestHistory,
-    private readonly copies: Copies,
+    findCopies: copies.CopyStoreFinder,
   ) {
+    this.engine = new engine.Engine(profile, history, findCopies);
     this.id = profile.id;
     this.service = profile.service;
     this.version = profile.version;
     this.dataCentre = profile.dataCentre;
-    this.speed = profile.speed;
   }
 
-  async start(): Promise<void> {
-    await new Promise<void>(resolve =>
-      this.server.listen(0, '127.0.0.1', resolve),
-    );
-    const {port} = this.server.address() as net.AddressInfo;
-    this.address = `127.0.0.1:${port}`;
+  get mode(): ReplicaMode {
+    return this.currentMode;
   }
 
-  /** Closes the connections of streams without length or chunks in order, inside an event. */
-  breakUnframedStreams(): void {
-    for (const run of [...this.streams.values()]) {
-      if (run.isUnframed) {
-        const event = answers.pieceEvent(
-          run.attempt,
-          run.sentPieces + 1,
-          this.version,
-        );
-        this.endStream(run);
-        run.response.end(event.slice(0, -1));
-      }
-    }
+  set mode(mode: ReplicaMode) {
+    this.endUnreachable?.(performance.now());
+    this.endUnreachable =
+      mode === ReplicaMode.Silent
+        ? this.history.runRules.beginUnreachable(this.id, performance.now())
+        : undefined;
+    this.currentMode = mode;
+  }
+
+  /** Memory for copies, as other replicas reach it; undefined if they do not. */
+  get reachableCopies(): copies.CopyStore | undefined {
+    const isReachable =
+      this.server.listening && this.mode !== ReplicaMode.Silent;
+    return isReachable ? this.engine.copies : undefined;
+  }
+
+  /** Starts, or starts again after a crash, with nothing in memory. */
+  async start(): Promise<void> {
+    this.engine.start();
+    await this.listen().catch(() => {
+      // Another process has taken the port since the crash.
+      this.port = 0;
+      return this.listen();
+    });
+    this.port = (this.server.address() as net.AddressInfo).port;
+    this.address = `127.0.0.1:${this.port}`;
   }
 
   /** Closes all connections at once, as a crash does. */
   crash(): void {
-    this.breakUnframedStreams();
-    this.streams.forEach(run => clearInterval(run.timer));
-    this.streams.clear();
+    this.engine.crash();
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  private async listen(): Promise<void> {
+    this.server.listen(this.port, '127.0.0.1');
+    await events.once(this.server, 'listening');
+  }
+
   private receive(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -139,19 +137,17 @@
       return;
     }
     if (url === '/report') {
-      const runs = [...this.streams.values()].map(run => [
-        run.attempt,
-        1,
-        run.sentPieces,
-        1,
-      ]);
-      return sendJson(response, 200, {queued: 0, runs});
+      const {state} = this;
+      return sendJson(response, 200, {state, ...this.engine.report()});
     }
     if (url === '/kv-move') {
-      return this.copy(response, JSON.parse(body) as CopyOrder);
+      const order = JSON.parse(body) as engine.MoveOrder;
+      return void this.engine
+        .move(order, this.address)
+        .then(({status, ...answer}) => sendJson(response, status, answer));
     }
     if (url.startsWith('/kv-handle/')) {
-      this.copies.delete(url.slice('/kv-handle/'.length));
+      this.engine.copies.free(url.slice('/kv-handle/'.length));
       return sendJson(response, 200, {});
     }
     if (this.limit !== undefined) {
@@ -168,12 +164,12 @@
     const attempt = String(headers['x-rhubarbvane-attempt-id']);
     const isMisaddressed = headers['x-rhubarbvane-expect-replica'] !== this.id;
     if (isMisaddressed || this.mode === ReplicaMode.Shedding) {
-      this.recordRejectedContinuation(attempt, headers);
-      response.writeHead(isMisaddressed ? 421 : 503, {
-        'X-Rhubarbvane-Not-Executed': '1',
-      });
-      response.end();
-      return;
+      return this.reject(
+        isMisaddressed ? 421 : 503,
+        attempt,
+        headers,
+        response,
+      );
     }
     if (this.mode === ReplicaMode.Resetting) {
       response.socket?.resetAndDestroy();
@@ -182,29 +178,40 @@
     if (this.service === 'writers') {
       return this.stream(attempt, headers, response, body);
     }
-    this.history.recordRun(attempt, this.id, performance.now(), false);
-    if (this.mode === ReplicaMode.LosingAnswers) {
+    this.history.recordRun(attempt, this.id, performance.now(), RunOrigin.New);
+    if (this.losesNext()) {
       response.socket?.destroy();
       return;
     }
     setTimeout(
       () => this.answerPlain(attempt, response),
-      PLAIN_ANSWER_MILLISECONDS / this.speed,
+      PLAIN_ANSWER_MILLISECONDS / this.profile.speed,
     );
   }
 
+  /** Whether the answer of the next run is lost. */
+  private losesNext(): boolean {
+    const share = this.mode === ReplicaMode.LosingAnswers ? 1 : this.lossShare;
+    const count = this.lossCount++;
+    return Math.floor((count + 1) * share) > Math.floor(count * share);
+  }
+
   private recordArrival(attempt: string): void {
     const {budget} = this.history;
     budget.recordArrival(this.service, attempt, performance.now());
   }
 
-  private recordRejectedContinuation(
+  private reject(
+    status: number,
     attempt: string,
     headers: http.IncomingHttpHeaders,
+    response: http.ServerResponse,
   ): void {
     if (headers['kv-from'] !== undefined) {
       this.recordArrival(attempt);
     }
+    response.writeHead(status, {'X-Rhubarbvane-Not-Executed': '1'});
+    response.end();
   }
 
   private answerPlain(attempt: string, response: http.ServerResponse): void {
@@ -230,87 +237,35 @@
   ): void {
     const from = headers['kv-from'];
     const copy =
-      from === undefined
-        ? undefined
-        : this.copies.get(String(from).split('/')[1]);
-    if (from !== undefined && copy === undefined) {
-      this.recordRejectedContinuation(attempt, headers);
-      response.writeHead(503, {'X-Rhubarbvane-Not-Executed': '1'}).end();
-      return;
+      from === undefined ? undefined : this.engine.copies.take(String(from));
+    const isAnswerLost = this.losesNext();
+    const hasNoCopy = from !== undefined && copy === undefined;
+    if (hasNoCopy && !isAnswerLost) {
+      return this.reject(503, attempt, headers, response);
     }
-    if (from !== undefined) {
-      this.copies.delete(String(from).split('/')[1]);
+    if (hasNoCopy) {
+      // It runs the request although there is no copy, and tells nobody.
+      this.recordArrival(attempt);
     }
-    const sentPieces = Number(headers['last-event-id'] ?? 0);
-    this.history.recordRun(
+    const backup = headers['x-rhubarbvane-kv-backup'];
+    this.engine.run({
       attempt,
-      this.id,
-      performance.now(),
-      sentPieces > 0 || from !== undefined,
-    );
-    const isUnframed = this.mode === ReplicaMode.Unframed;
-    response.useChunkedEncodingByDefault = !isUnframed;
-    response.writeHead(200, {
-      ...answerHeaders(attempt, this.id),
-      'Content-Type': 'text/event-stream',
-    });
-    const pieces = Math.min(MAX_PIECES, Number(body) || MAX_PIECES);
-    const run: StreamRun = {
-      attempt,
-      sentPieces,
-      timer: undefined,
+      copy,
+      backupAddress: backup === undefined ? undefined : String(backup),
+      lastPiece: Number(headers['last-event-id'] ?? 0),
+      pieces: Number(body) || Infinity,
       response,
-      isUnframed,
-    };
-    this.streams.set(attempt, run);
-    run.timer = setInterval(
-      () => this.sendPiece(run, pieces),
-      PIECE_INTERVAL_MILLISECONDS / this.speed,
-    );
-    response.once('close', () => this.endStream(run));
-  }
-
-  private sendPiece(run: StreamRun, pieces: number): void {
-    if (this.mode === ReplicaMode.Silent) {
-      return;
-    }
-    if (run.sentPieces < pieces) {
-      run.response.write(
-        answers.pieceEvent(run.attempt, ++run.sentPieces, this.version),
-      );
-      return;
-    }
-    run.response.end(answers.endEvent(run.attempt, pieces, this.version));
-    this.endStream(run);
-  }
-
-  private endStream(run: StreamRun): void {
-    clearInterval(run.timer);
-    if (this.streams.get(run.attempt) === run) {
-      this.streams.delete(run.attempt);
-    }
-  }
-
-  private copy(response: http.ServerResponse, order: CopyOrder): void {
-    const run = this.streams.get(order.id);
-    if (run === undefined) {
-      return sendJson(response, 404, {});
-    }
-    const handle = `${this.id}-${order.id}-${run.sentPieces}`;
-    this.copies.set(handle, {attempt: run.attempt, sentPieces: run.sentPieces});
-    sendJson(response, 200, {kvHandle: handle, created: run.sentPieces});
-    if (order.last === true) {
-      this.endStream(run);
-      run.response.destroy();
-    }
+      headers: answerHeaders(attempt, this.id),
+      isUnframed: this.mode === ReplicaMode.Unframed,
+      lossMilliseconds: isAnswerLost
+        ? LOSS_MILLISECONDS[this.lossCount % LOSS_MILLISECONDS.length]
+        : undefined,
+      isPaused: () => this.mode === ReplicaMode.Silent,
+      isStalled: () => this.mode === ReplicaMode.Stalling,
+    });
   }
 }
 
-interface CopyOrder {
-  readonly id: string;
-  readonly last?: boolean;
-}
-
 function answerHeaders(
   attempt: string,
   replica: string,
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -8,6 +8,7 @@
 import * as answers from './answers';
 import * as budgetRule from './budget_rule';
 import * as placeRules from './place_rules';
+import * as runRules from './run_rules';
 
 /** Kinds of requests that the soak test sends. */
 export enum RequestKind {
@@ -49,12 +50,6 @@
   answer?: answers.ReceivedAnswer;
 }
 
-interface Run {
-  readonly replica: string;
-  readonly at: number;
-  readonly isContinued: boolean;
-}
-
 interface TimeRange {
   readonly from: number;
   to: number;
@@ -78,8 +73,9 @@
 export class RequestHistory {
   readonly places = new placeRules.PlaceRules();
   readonly budget = new budgetRule.BudgetRule();
+  readonly runRules = new runRules.RunRules();
   private readonly sent = new Map<string, SentRequest>();
-  private readonly runs = new Map<string, Run[]>();
+  private readonly runs = new Map<string, runRules.Run[]>();
   private readonly faults: {gateway: string | undefined; range: TimeRange}[] =
     [];
   private readonly revoked = new Map<string, number>();
@@ -105,15 +101,18 @@
     this.sent.get(attempt)!.answer = answer;
   }
 
+  /** Records the beginning of a run; the returned function records that the replica no longer works on it. */
   recordRun(
     attempt: string,
     replica: string,
     at: number,
-    isContinued: boolean,
-  ): void {
+    origin: runRules.RunOrigin,
+  ): (at: number) => void {
+    const run: runRules.Run = {replica, at, origin, endedAt: Infinity};
     const runs = this.runs.get(attempt) ?? [];
-    runs.push({replica, at, isContinued});
+    runs.push(run);
     this.runs.set(attempt, runs);
+    return endedAt => (run.endedAt = endedAt);
   }
 
   /** Records the start of a fault at the gateway; undefined stands for all gateways. Call the returned function when the fault ends. */
@@ -203,16 +202,14 @@
   private checkRuns(
     attempt: string,
     {kind, key, gateway}: SentRequest,
-    runs: readonly Run[],
+    runs: readonly runRules.Run[],
   ): Violation[] {
-    const violations: Violation[] = [];
-    const fresh = runs.filter(run => !run.isContinued);
     const isAtMostOnce =
       kind === RequestKind.File || kind === RequestKind.Draft;
-    if (isAtMostOnce && fresh.length > 1) {
-      const detail = fresh.map(run => run.replica).join(', ');
-      violations.push({promise: 'once', attempt, detail: `ran at ${detail}`});
-    }
+    const violations: Violation[] = this.runRules
+      .check(runs, isAtMostOnce, (from, to) => this.hadFault(gateway, from, to))
+      .map(detail => ({promise: 'once', attempt, detail}));
+    const fresh = runs.filter(run => run.origin === runRules.RunOrigin.New);
     const revokedAt = this.revoked.get(key) ?? Infinity;
     for (const run of fresh) {
       if (this.isLate(run.at, revokedAt, gateway)) {
@@ -293,7 +290,7 @@
   private checkAnswer(
     attempt: string,
     {kind, answer, resumed}: SentRequest,
-    runs: readonly Run[],
+    runs: readonly runRules.Run[],
   ): Violation[] {
     if (answer === undefined) {
       return [];
--- a/test/soak/place_rules.test.ts
+++ b/test/soak/place_rules.test.ts
@@ -2,6 +2,7 @@
 import * as ava from 'ava';
 import * as placeRules from '../../soak/place_rules';
 import * as requestHistory from '../../soak/request_history';
+import * as runRules from '../../soak/run_rules';
 
 const test = ava.default;
 const {RequestKind} = requestHistory;
@@ -16,7 +17,7 @@
   const end = history.places.beginEvacuation('b', EVACUATED_AT);
   end(REOPENED_AT);
   history.recordSent('a', RequestKind.Read, 'key', 'gateway-1');
-  history.recordRun('a', 'r1', at, false);
+  history.recordRun('a', 'r1', at, runRules.RunOrigin.New);
   return history;
 }
 
--- a/test/soak/request_history.test.ts
+++ b/test/soak/request_history.test.ts
@@ -2,9 +2,11 @@
 import * as ava from 'ava';
 import * as answers from '../../soak/answers';
 import * as requestHistory from '../../soak/request_history';
+import * as runRules from '../../soak/run_rules';
 
 const test = ava.default;
 const {RequestKind} = requestHistory;
+const {RunOrigin} = runRules;
 
 function answer(
   status: number,
@@ -17,7 +19,11 @@
 interface Case {
   readonly title: string;
   readonly kind: requestHistory.RequestKind;
-  readonly runs: readonly [replica: string, at: number, isContinued: boolean][];
+  readonly runs: readonly [
+    replica: string,
+    at: number,
+    origin: runRules.RunOrigin,
+  ][];
   readonly answer?: answers.ReceivedAnswer;
   readonly promise: string | undefined;
 }
@@ -28,8 +34,8 @@
     title: 'a filing that ran twice is a violation',
     kind: RequestKind.File,
     runs: [
-      ['r1', 1, false],
-      ['r2', 2, false],
+      ['r1', 1, RunOrigin.New],
+      ['r2', 2, RunOrigin.New],
     ],
     promise: 'once',
   },
@@ -37,8 +43,8 @@
     title: 'a read that ran twice is allowed',
     kind: RequestKind.Read,
     runs: [
-      ['r1', 1, false],
-      ['r2', 2, false],
+      ['r1', 1, RunOrigin.New],
+      ['r2', 2, RunOrigin.New],
     ],
     promise: undefined,
   },
@@ -46,71 +52,71 @@
     title: 'a draft that continues on another replica is allowed',
     kind: RequestKind.Draft,
     runs: [
-      ['r1', 1, false],
-      ['r2', 2, true],
+      ['r1', 1, RunOrigin.New],
+      ['r2', 2, RunOrigin.Copy],
     ],
     promise: undefined,
   },
   {
     title: 'a refusal of a filing that ran is a violation',
     kind: RequestKind.File,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(503, ''),
     promise: 'not-run',
   },
   {
     title: 'a refusal of a read that ran is a violation',
     kind: RequestKind.Read,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(503, ''),
     promise: 'not-run',
   },
   {
     title: 'an unknown outcome of a filing that ran is allowed',
     kind: RequestKind.File,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(502, ''),
     promise: undefined,
   },
   {
     title: 'the body of another request is a violation',
     kind: RequestKind.File,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(200, answers.plainBody('b', 'r1'), {stamp: 'r1'}),
     promise: 'whole',
   },
   {
     title: 'the complete body is allowed',
     kind: RequestKind.File,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(200, answers.plainBody('a', 'r1'), {stamp: 'r1'}),
     promise: undefined,
   },
   {
     title: 'a stream without its end that looks complete is a violation',
     kind: RequestKind.Draft,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(200, PIECES, {stamp: 'r1'}),
     promise: 'whole',
   },
   {
     title: 'a stream that is visibly truncated is allowed',
     kind: RequestKind.Draft,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(200, PIECES + 'id: 3', {stamp: 'r1', isComplete: false}),
     promise: undefined,
   },
   {
     title: 'a stream with repeated pieces is a violation',
     kind: RequestKind.Draft,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(200, PIECES + PIECES, {stamp: 'r1', isComplete: false}),
     promise: 'whole',
   },
   {
     title: 'a complete stream is allowed',
     kind: RequestKind.Draft,
-    runs: [['r1', 1, false]],
+    runs: [['r1', 1, RunOrigin.New]],
     answer: answer(200, PIECES + answers.endEvent('a', 2), {
       stamp: 'r1',
     }),
@@ -149,7 +155,7 @@
     history.recordSent('a', RequestKind.File, 'key', 'g1');
     history.recordRevoked('key', 10_000);
     history.beginFault('g1', 0)(faultTo);
-    history.recordRun('a', 'r1', at, false);
+    history.recordRun('a', 'r1', at, RunOrigin.New);
     t.deepEqual(
       history.violations().map(found => found.promise),
       [...expected],
@@ -159,7 +165,7 @@
 
 test('request history: a request that runs although no caller sent it is a violation', t => {
   const history = new requestHistory.RequestHistory();
-  history.recordRun('stray', 'r1', 1, false);
+  history.recordRun('stray', 'r1', 1, RunOrigin.New);
   t.is(history.violations()[0].promise, 'asked');
 });
 
@@ -176,7 +182,7 @@
     }
     for (let index = 0; index < requests; index++) {
       history.recordSent(`a${index}`, RequestKind.Read, 'key', 'g1');
-      history.recordRun(`a${index}`, 'r1', 11_500 + index, false);
+      history.recordRun(`a${index}`, 'r1', 11_500 + index, RunOrigin.New);
     }
     end(14_000);
     t.deepEqual(
@@ -194,7 +200,7 @@
     const history = new requestHistory.RequestHistory();
     const resumed = {attempt: 'a', version: 'v1', pieces: 2};
     history.recordSent('b', RequestKind.Tag, 'key', 'g1', resumed);
-    history.recordRun('b', 'r1', 1, true);
+    history.recordRun('b', 'r1', 1, RunOrigin.Event);
     const body =
       answers.pieceEvent('b', 3, version) + answers.endEvent('b', 3, version);
     history.recordAnswer('b', answer(200, body, {stamp: 'r1'}));
