Soak: six engines, counts of runs by origin, and a choice of faults

With four engines of two software versions backups were rare. Six engines, `--faults` to draw only from some, and the number of runs that go on from copies in the verdict. The unit test of a draft that continues ends its first run when the second begins, as the new check asks; it is as strict as before.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -77,9 +77,18 @@
     private readonly reportFault: (event: object) => void,
   ) {}
 
-  /** Starts random faults until it is stopped; resolves when all have ended. */
-  async run(): Promise<void> {
-    const names = Object.keys(this.injectors);
+  /**
+   * Starts random faults until it is stopped; resolves when all have ended.
+   *
+   * @param kinds Names of the faults to draw from; undefined for all.
+   */
+  async run(kinds?: readonly string[]): Promise<void> {
+    const names = kinds ?? Object.keys(this.injectors);
+    const unknown = names.filter(name => !(name in this.injectors));
+    if (unknown.length > 0) {
+      const known = Object.keys(this.injectors).join(', ');
+      throw new Error(`no fault "${unknown.join(', ')}"; there are ${known}`);
+    }
     while (!this.isStopping) {
       const name = this.random.pick(names);
       const duration = this.random.integer(
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -24,6 +24,12 @@
   callers = clipanion.Option.String('--callers', '24', {
     description: 'Number of callers, each with one connection',
   });
+  faults = clipanion.Option.String('--faults', {
+    description: 'Faults to draw from, separated by commas; all by default',
+  });
+  engines = clipanion.Option.String('--engines', '6', {
+    description: 'Number of replicas that generate streams',
+  });
   logs = clipanion.Option.String('--logs', 'target/soak', {
     description: 'Directory for the log lines of the gateways and the faults',
   });
@@ -43,7 +49,12 @@
     const result = await soak.runSoak({
       seed,
       milliseconds: Number(this.minutes) * 60_000,
-      size: {gateways: Number(this.gateways), engines: 4, services: 3},
+      size: {
+        gateways: Number(this.gateways),
+        engines: Number(this.engines),
+        services: 3,
+      },
+      faults: this.faults?.split(','),
       callers: Number(this.callers),
       recoveryMilliseconds: soak.RECOVERY_MILLISECONDS,
       logFile: path.join(this.logs, `seed-${seed}.log`),
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -156,6 +156,15 @@
     return counts;
   }
 
+  /** Number of runs by how they began. */
+  runSummary(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const {origin} of [...this.runs.values()].flat()) {
+      counts[origin] = (counts[origin] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   /** All violations found so far. */
   violations(): Violation[] {
     const violations = [...this.recordedViolations];
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -19,6 +19,8 @@
   readonly milliseconds: number;
   readonly size: deployment.DeploymentSize;
   readonly callers: number;
+  /** Names of the faults to draw from; undefined for all. */
+  readonly faults?: readonly string[];
   /** Time within which every gateway must serve again, in milliseconds. */
   readonly recoveryMilliseconds: number;
   /** File for the log lines of all gateways. */
@@ -30,6 +32,8 @@
 export interface SoakResult {
   readonly violations: readonly requestHistory.Violation[];
   readonly requests: Readonly<Record<string, number>>;
+  /** Number of runs by how they began. */
+  readonly runs: Readonly<Record<string, number>>;
   readonly p99Milliseconds: number;
 }
 
@@ -56,7 +60,7 @@
       options.reportFault,
     );
     const loading = load.run(options.callers);
-    const injecting = injector.run();
+    const injecting = injector.run(options.faults);
     await timers.setTimeout(options.milliseconds);
     injector.stop();
     await injecting;
@@ -67,6 +71,7 @@
     return {
       violations: history.violations(),
       requests: history.summary(),
+      runs: history.runSummary(),
       p99Milliseconds: load.latencies.getValueAtPercentile(99),
     };
   } finally {
--- a/test/soak/request_history.test.ts
+++ b/test/soak/request_history.test.ts
@@ -128,7 +128,12 @@
   test(`request history: ${testCase.title}`, t => {
     const history = new requestHistory.RequestHistory();
     history.recordSent('a', testCase.kind, 'key', 'g1');
-    testCase.runs.forEach(run => history.recordRun('a', ...run));
+    let endPrevious: ((at: number) => void) | undefined;
+    for (const run of testCase.runs) {
+      // The run before has stopped when the next one begins.
+      endPrevious?.(run[1]);
+      endPrevious = history.recordRun('a', ...run);
+    }
     if (testCase.answer !== undefined) {
       history.recordAnswer('a', testCase.answer);
     }
