--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -20,6 +20,8 @@
 /** Time for which a draining replica still serves, in milliseconds. */
 const DRAIN_MILLISECONDS = 1_800;
 
+/** Interval at which a replica that breaks connections does so, in milliseconds. */
+const BREAK_INTERVAL_MILLISECONDS = 300;
 /** Share of answers that are lost while all replicas lose answers. */
 const LOSS_SHARE = 0.6;
 
@@ -57,7 +59,7 @@
     compact: () => this.compact(),
     replica: time => this.replicaFault(time),
     'lose-answers': time => this.loseAnswers(time),
-    break: () => this.breakConnections(),
+    break: time => this.breakConnections(time),
     full: time => this.fillMemory(time),
     'start-again': time => this.startAgain(time),
     limit: time => this.limit(time),
@@ -244,13 +246,17 @@
     });
   }
 
-  /** Breaks the connections of all runs of a replica, which may work on. */
-  private breakConnections(): Promise<void> {
+  /** Breaks the connections of the runs of a replica again and again; the runs may go on. */
+  private breakConnections(time: number): Promise<void> {
     const replica = this.random.pick(this.target.replicas);
-    const event = {fault: 'break', replica: replica.id};
-    return this.inject(replica, replica.id, event, async () =>
-      replica.engine.breakConnections(),
-    );
+    const event = {fault: 'break', replica: replica.id, time};
+    return this.inject(replica, replica.id, event, async () => {
+      const endsAt = performance.now() + time;
+      while (performance.now() < endsAt) {
+        replica.engine.breakConnections();
+        await timers.setTimeout(BREAK_INTERVAL_MILLISECONDS);
+      }
+    });
   }
 
   /** Leaves a replica no memory for copies. */
