--- a/soak/run_rules.ts
+++ b/soak/run_rules.ts
@@ -31,10 +31,16 @@
 
 /** Which requests may run again, and when runs must have stopped. */
 export class RunRules {
-  private readonly unreachable: {replica: string; range: TimeRange}[] = [];
+  private readonly unreachable: {
+    replica: string | undefined;
+    range: TimeRange;
+  }[] = [];
 
-  /** Records that no gateway reaches the replica; the returned function records the end. */
-  beginUnreachable(replica: string, at: number): (at: number) => void {
+  /** Records that no gateway reaches the replica; undefined stands for all replicas. The returned function records the end. */
+  beginUnreachable(
+    replica: string | undefined,
+    at: number,
+  ): (at: number) => void {
     const range: TimeRange = {from: at, to: Infinity};
     this.unreachable.push({replica, range});
     return endsAt => (range.to = endsAt);
@@ -82,7 +88,7 @@
   private wasUnreachable(replica: string, from: number, to: number): boolean {
     return this.unreachable.some(
       each =>
-        each.replica === replica &&
+        (each.replica === undefined || each.replica === replica) &&
         each.range.from <= to &&
         each.range.to >= from,
     );
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -12,6 +12,8 @@
 /** Time for started work to end after the last request, in milliseconds. */
 const SETTLE_MILLISECONDS = 500;
 const POLL_INTERVAL_MILLISECONDS = 50;
+/** Time for which this process must have stood still until no replica counts as reached meanwhile, in milliseconds. */
+const STANDSTILL_MILLISECONDS = 150;
 
 /** Options of a soak test. */
 export interface SoakOptions {
@@ -43,6 +45,7 @@
   const target = new deployment.Deployment(history, options.logFile);
   const killGateways = () => target.gateways.forEach(each => each.kill());
   process.once('exit', killGateways);
+  const standstills = watchStandstills(history);
   try {
     await target.start(options.size);
     await Promise.all(
@@ -76,10 +79,25 @@
     };
   } finally {
     process.off('exit', killGateways);
+    clearInterval(standstills);
     await target.stop();
   }
 }
 
+/** Records the times in which this process, and so all replicas, stood still on a busy machine. */
+function watchStandstills(
+  history: requestHistory.RequestHistory,
+): NodeJS.Timeout {
+  let lastAt = performance.now();
+  return setInterval(() => {
+    const now = performance.now();
+    if (now - lastAt > POLL_INTERVAL_MILLISECONDS + STANDSTILL_MILLISECONDS) {
+      history.runRules.beginUnreachable(undefined, lastAt)(now);
+    }
+    lastAt = now;
+  }, POLL_INTERVAL_MILLISECONDS);
+}
+
 /** Checks that every gateway serves again once the faults are over. */
 async function checkRecovery(
   target: deployment.Deployment,
