--- a/test/soak/run_rules.test.ts
+++ b/test/soak/run_rules.test.ts
@@ -79,6 +79,17 @@
     unreachable: [10_050, 10_080],
     expected: [],
   },
+  {
+    title: 'the same while all replicas are unreachable is allowed',
+    kind: RequestKind.Draft,
+    runs: [
+      ['r1', 10_000, RunOrigin.New, 11_000],
+      ['r2', 10_100, RunOrigin.Copy, 11_000],
+    ],
+    unreachable: [10_050, 10_080],
+    isEverywhere: true,
+    expected: [],
+  },
   {
     title:
       'the same with a replica that was unreachable long before is a violation',
