Soak: late answers on kept connections

An answer to an earlier request may arrive where the next one is expected. The soak's doubled answers came at once and closed idle connections.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -39,6 +39,17 @@
   RelayMode.Reset,
 ];
 
+const REPLICA_MODES = [
+  ReplicaMode.Silent,
+  ReplicaMode.Resetting,
+  ReplicaMode.LosingAnswers,
+  ReplicaMode.Shedding,
+  ReplicaMode.DuplicatingAnswers,
+  ReplicaMode.Unframed,
+  ReplicaMode.Stalling,
+  ReplicaMode.LateAnswers,
+];
+
 type Fault = (milliseconds: number) => Promise<void>;
 
 /** Injects faults until it is stopped. */
@@ -57,7 +68,8 @@
       this.relayFault(gateway => gateway.callerRelay, 'callers', time),
     store: time => this.storeFault(time),
     compact: () => this.compact(),
-    replica: time => this.replicaFault(time),
+    replica: time => this.replicaFault(this.random.pick(REPLICA_MODES), time),
+    'late-answers': time => this.replicaFault(ReplicaMode.LateAnswers, time),
     'lose-answers': time => this.loseAnswers(time),
     break: time => this.breakConnections(time),
     full: time => this.fillMemory(time),
@@ -215,17 +227,11 @@
     );
   }
 
-  private replicaFault(time: number): Promise<void> {
+  private replicaFault(
+    mode: replicas.ReplicaMode,
+    time: number,
+  ): Promise<void> {
     const replica = this.random.pick(this.target.replicas);
-    const mode = this.random.pick([
-      ReplicaMode.Silent,
-      ReplicaMode.Resetting,
-      ReplicaMode.LosingAnswers,
-      ReplicaMode.Shedding,
-      ReplicaMode.DuplicatingAnswers,
-      ReplicaMode.Unframed,
-      ReplicaMode.Stalling,
-    ]);
     const event = {fault: `replica ${mode}`, replica: replica.id, time};
     return this.inject(replica, replica.id, event, async () => {
       replica.mode = mode;
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -14,6 +14,26 @@
 /** Times after which a connection is reset in place of the answer of a stream, in turn, in milliseconds. */
 const LOSS_MILLISECONDS = [0, 0, 150, 400];
 
+/** Heads of late answers, in turn; those with an id name the request before. */
+const LATE_HEADS = [
+  {status: '200 OK', header: 'X-Rhubarbvane-Server-Stamp: x', hasId: true},
+  {
+    status: '503 Service Unavailable',
+    header: 'X-Rhubarbvane-Not-Executed: 1',
+    hasId: true,
+  },
+  {
+    status: '503 Service Unavailable',
+    header: 'X-Rhubarbvane-Not-Executed: 1',
+    hasId: false,
+  },
+  {
+    status: '421 Misdirected Request',
+    header: 'X-Rhubarbvane-Not-Executed: 1',
+    hasId: false,
+  },
+];
+
 /** Behaviour of a replica. */
 export enum ReplicaMode {
   Normal = 'sound',
@@ -27,6 +47,8 @@
   Shedding = 'shedding',
   /** Sends a second answer after each plain answer. */
   DuplicatingAnswers = 'doubling',
+  /** Sends another answer late, where the answer to the next request on the connection is expected. */
+  LateAnswers = 'late',
   /** Sends streams without length or chunks. */
   Unframed = 'unframed',
   /** Makes the events of its streams and does not deliver them. */
@@ -49,6 +71,9 @@
   private currentMode = ReplicaMode.Normal;
   private endUnreachable: ((at: number) => void) | undefined;
   private lossCount = 0;
+  private lateCount = 0;
+  /** Attempts of the last requests on connections. */
+  private readonly lastAttempts = new WeakMap<net.Socket, string>();
   private port = 0;
   private readonly server = http.createServer((request, response) =>
     this.receive(request, response),
@@ -175,6 +200,7 @@
       response.socket?.resetAndDestroy();
       return;
     }
+    this.sendLateAnswer(attempt, response.socket!);
     if (this.service === 'writers') {
       return this.stream(attempt, headers, response, body);
     }
@@ -196,6 +222,18 @@
     return Math.floor((count + 1) * share) > Math.floor(count * share);
   }
 
+  private sendLateAnswer(attempt: string, socket: net.Socket): void {
+    const lastAttempt = this.lastAttempts.get(socket);
+    this.lastAttempts.set(socket, attempt);
+    if (this.mode === ReplicaMode.LateAnswers && lastAttempt !== undefined) {
+      const head = LATE_HEADS[this.lateCount++ % LATE_HEADS.length];
+      const id = `X-Rhubarbvane-Attempt-Id: ${lastAttempt}`;
+      const lines = [`HTTP/1.1 ${head.status}`, 'Content-Length: 0'];
+      lines.push(head.header, ...(head.hasId ? [id] : []), '', '');
+      socket.write(lines.join('\r\n'));
+    }
+  }
+
   private recordArrival(attempt: string): void {
     const {budget} = this.history;
     budget.recordArrival(this.service, attempt, performance.now());
@@ -210,7 +248,10 @@
     if (headers['kv-from'] !== undefined) {
       this.recordArrival(attempt);
     }
-    response.writeHead(status, {'X-Rhubarbvane-Not-Executed': '1'});
+    response.writeHead(status, {
+      'X-Rhubarbvane-Not-Executed': '1',
+      'X-Rhubarbvane-Attempt-Id': attempt,
+    });
     response.end();
   }
 
