--- a/soak/copies.ts
+++ b/soak/copies.ts
@@ -111,6 +111,9 @@
   }
 
   private send(): void {
+    if (this.copy?.isUsed) {
+      return;
+    }
     const store = this.findStore(this.address);
     const now = performance.now();
     if (store !== this.store) {
@@ -120,7 +123,7 @@
       this.startedAt = now;
     }
     const isTransferring = now - this.startedAt < this.transferMilliseconds;
-    if (store === undefined || isTransferring || this.copy?.isUsed) {
+    if (store === undefined || isTransferring) {
       return;
     }
     const {attempt, sentPieces} = this.run;
