Soak: transfers take the time that the configuration names

The first part of a backup took up to 0.4 s where the configured link and memory per token amount to nothing, so a gateway that computes the time would be wrong. Parts now come at an interval of 0.1 to 0.3 s and take 50 ms, twice that to another data centre, as configured.

--- a/soak/copies.ts
+++ b/soak/copies.ts
@@ -4,8 +4,14 @@
 export const PROMPT_TOKENS = 100;
 /** Time for which a copy is kept after its last part, in milliseconds; as configured. */
 export const COPY_LIFETIME_MILLISECONDS = 5_000;
-/** Interval at which a backup gets what its run has added, in milliseconds. */
-const PART_INTERVAL_MILLISECONDS = 100;
+/** Time that a part of a backup, or a copy made on order, takes within a data centre, in milliseconds; by `KV_BYTES` and `LINK_MEGABITS` for a prompt. */
+const TRANSFER_MILLISECONDS = 50;
+/** Factor for transfers between data centres. */
+const REMOTE_FACTOR = 2;
+/** Bytes that are transferred for a token; as configured. */
+export const KV_BYTES = 6_250;
+/** Megabits a second of the links between replicas; as configured. */
+export const LINK_MEGABITS = 100;
 
 /** Memory of a run at a replica that does not run it. */
 export interface Copy {
@@ -26,6 +32,8 @@
   /** Whether runs occupy all memory, so that no copy may be added or grow. */
   isFull = false;
 
+  constructor(readonly dataCentre: string) {}
+
   get count(): number {
     return this.live().length;
   }
@@ -82,12 +90,27 @@
 /** Finds the memory of the replica at an address; undefined if the replica is not reached. */
 export type CopyStoreFinder = (address: string) => CopyStore | undefined;
 
+/** Time that the memory of a run takes to the store, in milliseconds. */
+export function transferTime(dataCentre: string, target: CopyStore): number {
+  const factor = target.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
+  return TRANSFER_MILLISECONDS * factor;
+}
+
+/** How a replica sends backups. */
+export interface BackupOptions {
+  /** Interval of the parts; the first one is sent after it, in milliseconds. */
+  readonly intervalMilliseconds: number;
+  /** Data centre of the replica that runs the request. */
+  readonly dataCentre: string;
+  readonly findStore: CopyStoreFinder;
+}
+
 /** Sends the memory of a run to the replica that keeps its backup. */
 export class BackupTransfer {
   private readonly timer: NodeJS.Timeout;
+  private hasEnded = false;
   private store: CopyStore | undefined;
   private copy: Copy | undefined;
-  private startedAt = performance.now();
 
   constructor(
     private readonly run: {
@@ -95,15 +118,14 @@
       readonly sentPieces: number;
     },
     private readonly address: string,
-    /** Time that the first part takes, in milliseconds. */
-    private readonly transferMilliseconds: number,
-    private readonly findStore: CopyStoreFinder,
+    private readonly options: BackupOptions,
   ) {
-    this.timer = setInterval(() => this.send(), PART_INTERVAL_MILLISECONDS);
+    this.timer = setInterval(() => this.send(), options.intervalMilliseconds);
   }
 
   /** Ends the transfer; the backup is freed if the run ended well. */
   end(hasEndedWell: boolean): void {
+    this.hasEnded = true;
     clearInterval(this.timer);
     if (hasEndedWell && this.copy !== undefined) {
       this.copy.isUsed = true;
@@ -111,22 +133,32 @@
   }
 
   private send(): void {
+    const {dataCentre, findStore} = this.options;
+    const store = findStore(this.address);
+    if (store === undefined) {
+      return;
+    }
+    const {sentPieces} = this.run;
+    setTimeout(
+      () => {
+        // It may have started again in the meantime.
+        if (!this.hasEnded && findStore(this.address) === store) {
+          this.arrive(store, sentPieces);
+        }
+      },
+      transferTime(dataCentre, store),
+    );
+  }
+
+  private arrive(store: CopyStore, pieces: number): void {
     if (this.copy?.isUsed) {
       return;
     }
-    const store = this.findStore(this.address);
-    const now = performance.now();
     if (store !== this.store) {
-      // The replica at the address has started again, or was not reached.
       this.store = store;
       this.copy = undefined;
-      this.startedAt = now;
-    }
-    const isTransferring = now - this.startedAt < this.transferMilliseconds;
-    if (store === undefined || isTransferring) {
-      return;
     }
-    const {attempt, sentPieces} = this.run;
+    const {attempt} = this.run;
     const copy = this.copy ?? {
       attempt,
       source: this.address,
@@ -135,8 +167,8 @@
       isUsed: false,
     };
     if (store.put(attempt, copy)) {
-      copy.pieces = sentPieces;
-      copy.expiresAt = now + COPY_LIFETIME_MILLISECONDS;
+      copy.pieces = pieces;
+      copy.expiresAt = performance.now() + COPY_LIFETIME_MILLISECONDS;
       this.copy = copy;
     }
   }
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -19,8 +19,8 @@
 const SPEEDS = [1, 0.6, 1.6];
 /** One of so many replicas works on when the connection of a run has broken. */
 const WORKS_ON_EVERY = 3;
-/** Times until the first part of a backup has arrived, in turn, in milliseconds. */
-const TRANSFER_MILLISECONDS = [100, 200, 300];
+/** Intervals at which replicas send the parts of backups, in turn, in milliseconds. */
+const BACKUP_MILLISECONDS = [100, 200, 300];
 /** Generations that an engine runs at once by its registration, few enough that callers compete for them. */
 const SLOTS = 4;
 /** Requests a second that a cold replica takes. */
@@ -95,8 +95,8 @@
           ],
         speed: SPEEDS[count % SPEEDS.length],
         worksOn: count % WORKS_ON_EVERY === 0,
-        transferMilliseconds:
-          TRANSFER_MILLISECONDS[count % TRANSFER_MILLISECONDS.length],
+        backupMilliseconds:
+          BACKUP_MILLISECONDS[count % BACKUP_MILLISECONDS.length],
       },
       this.history,
       address =>
@@ -162,6 +162,8 @@
           'writers',
           platformObjects.engineSpec({
             kvCap: engine.MEMORY_TOKENS,
+            kvBytes: copies.KV_BYTES,
+            linkMbps: copies.LINK_MEGABITS,
             backups: true,
             handleTtlS: copies.COPY_LIFETIME_MILLISECONDS / 1000,
           }),
--- a/soak/engine.ts
+++ b/soak/engine.ts
@@ -9,8 +9,6 @@
 
 /** Maximum number of pieces of a stream; a request may ask for fewer. */
 const MAX_PIECES = 120;
-/** Time that a copy made on order takes, in milliseconds. */
-const MOVE_MILLISECONDS = 50;
 /** Interval of the states that a replica reports, in milliseconds. */
 const REPORT_INTERVAL_MILLISECONDS = 100;
 /** Number of states between the newest one and the one that is reported. */
@@ -29,8 +27,8 @@
   readonly speed: number;
   /** Whether its runs go on after their connections have broken. */
   readonly worksOn: boolean;
-  /** Time until the first part of a backup of its runs has arrived, in milliseconds. */
-  readonly transferMilliseconds: number;
+  /** Interval at which it sends the parts of backups, in milliseconds. */
+  readonly backupMilliseconds: number;
 }
 
 /** What `/report` tells, without what identifies the replica. */
@@ -72,7 +70,7 @@
 export class Engine {
   /** Unix milliseconds of its last start. */
   born = 0;
-  copies = new copies.CopyStore();
+  copies: copies.CopyStore;
   private reports: LoadState[] = [];
   private reportTimer: NodeJS.Timeout | undefined;
   private readonly streams = new Map<string, streamRun.StreamRun>();
@@ -81,11 +79,13 @@
     private readonly profile: ReplicaProfile,
     private readonly history: requestHistory.RequestHistory,
     private readonly findCopies: copies.CopyStoreFinder,
-  ) {}
+  ) {
+    this.copies = new copies.CopyStore(profile.dataCentre);
+  }
 
   /** Starts with nothing in memory. */
   start(): void {
-    this.copies = new copies.CopyStore();
+    this.copies = new copies.CopyStore(this.profile.dataCentre);
     this.reports = [];
     this.born = Math.max(Date.now(), this.born + 1);
     this.reportTimer = setInterval(() => {
@@ -116,7 +116,8 @@
   /** Begins a run. */
   run({copy, backupAddress, lastPiece, ...options}: NewRun): void {
     const {attempt} = options;
-    const {id, version, speed, worksOn, transferMilliseconds} = this.profile;
+    const {id, version, speed, worksOn, dataCentre, backupMilliseconds} =
+      this.profile;
     if (copy !== undefined && copy.attempt !== attempt) {
       this.history.recordViolation(
         'whole',
@@ -148,12 +149,11 @@
     );
     this.streams.set(attempt, run);
     if (backupAddress !== undefined) {
-      run.backup = new copies.BackupTransfer(
-        run,
-        backupAddress,
-        transferMilliseconds,
-        this.findCopies,
-      );
+      run.backup = new copies.BackupTransfer(run, backupAddress, {
+        intervalMilliseconds: backupMilliseconds,
+        dataCentre,
+        findStore: this.findCopies,
+      });
     }
   }
 
@@ -178,8 +178,15 @@
     if (isFinal) {
       this.copies.put(kvHandle, copy);
     }
-    await timers.setTimeout(MOVE_MILLISECONDS);
-    if (this.findCopies(order.target)?.put(kvHandle, copy)) {
+    const target = this.findCopies(order.target);
+    if (target !== undefined) {
+      const {dataCentre} = this.profile;
+      await timers.setTimeout(copies.transferTime(dataCentre, target));
+    }
+    // The target may have started again in the meantime.
+    const isReached =
+      target !== undefined && this.findCopies(order.target) === target;
+    if (isReached && target.put(kvHandle, copy)) {
       return {status: 200, kvHandle, created: copy.pieces};
     }
     return {status: 503, kvHandle: isFinal ? kvHandle : undefined};
--- a/test/soak/replica.test.ts
+++ b/test/soak/replica.test.ts
@@ -37,7 +37,7 @@
         dataCentre: 'a',
         speed: 1,
         worksOn,
-        transferMilliseconds: 100,
+        backupMilliseconds: 100,
       },
       history,
       address => all.find(each => each.address === address)?.reachableCopies,
