Soak: late answers name their request unless asked otherwise

Replicas echo the attempt id, and refusals may lack it. Late answers therefore name the request before; late refusals without an id are drawn only with `--faults late-refusals` until it is known whether replicas send them. Regular refusals come with and without the id in turn.

--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -50,6 +50,9 @@
   ReplicaMode.LateAnswers,
 ];
 
+/** Drawn only if it is asked for: it is open whether replicas send refusals that name no request late. */
+const LATE_REFUSALS = 'late-refusals';
+
 type Fault = (milliseconds: number) => Promise<void>;
 
 /** Injects faults until it is stopped. */
@@ -69,7 +72,7 @@
     store: time => this.storeFault(time),
     compact: () => this.compact(),
     replica: time => this.replicaFault(this.random.pick(REPLICA_MODES), time),
-    'late-answers': time => this.replicaFault(ReplicaMode.LateAnswers, time),
+    [LATE_REFUSALS]: time => this.replicaFault(ReplicaMode.LateRefusals, time),
     'lose-answers': time => this.loseAnswers(time),
     break: time => this.breakConnections(time),
     full: time => this.fillMemory(time),
@@ -94,10 +97,12 @@
   /**
    * Starts random faults until it is stopped; resolves when all have ended.
    *
-   * @param kinds Names of the faults to draw from; undefined for all.
+   * @param kinds Names of the faults to draw from; undefined for all but late refusals.
    */
   async run(kinds?: readonly string[]): Promise<void> {
-    const names = kinds ?? Object.keys(this.injectors);
+    const names =
+      kinds ??
+      Object.keys(this.injectors).filter(name => name !== LATE_REFUSALS);
     const unknown = names.filter(name => !(name in this.injectors));
     if (unknown.length > 0) {
       const known = Object.keys(this.injectors).join(', ');
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -25,7 +25,8 @@
     description: 'Number of callers, each with one connection',
   });
   faults = clipanion.Option.String('--faults', {
-    description: 'Faults to draw from, separated by commas; all by default',
+    description:
+      'Faults to draw from, separated by commas; all but late-refusals by default',
   });
   engines = clipanion.Option.String('--engines', '6', {
     description: 'Number of replicas that generate streams',
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -14,25 +14,14 @@
 /** Times after which a connection is reset in place of the answer of a stream, in turn, in milliseconds. */
 const LOSS_MILLISECONDS = [0, 0, 150, 400];
 
-/** Heads of late answers, in turn; those with an id name the request before. */
+/** Heads of late answers of the request before, in turn. */
 const LATE_HEADS = [
-  {status: '200 OK', header: 'X-Rhubarbvane-Server-Stamp: x', hasId: true},
-  {
-    status: '503 Service Unavailable',
-    header: 'X-Rhubarbvane-Not-Executed: 1',
-    hasId: true,
-  },
-  {
-    status: '503 Service Unavailable',
-    header: 'X-Rhubarbvane-Not-Executed: 1',
-    hasId: false,
-  },
-  {
-    status: '421 Misdirected Request',
-    header: 'X-Rhubarbvane-Not-Executed: 1',
-    hasId: false,
-  },
+  ['HTTP/1.1 200 OK', 'X-Rhubarbvane-Server-Stamp: x'],
+  ['HTTP/1.1 503 Service Unavailable', 'X-Rhubarbvane-Not-Executed: 1'],
+  ['HTTP/1.1 421 Misdirected Request', 'X-Rhubarbvane-Not-Executed: 1'],
 ];
+/** Heads of late answers that do not name their request, in turn. */
+const LATE_REFUSAL_HEADS = LATE_HEADS.slice(1);
 
 /** Behaviour of a replica. */
 export enum ReplicaMode {
@@ -47,8 +36,10 @@
   Shedding = 'shedding',
   /** Sends a second answer after each plain answer. */
   DuplicatingAnswers = 'doubling',
-  /** Sends another answer late, where the answer to the next request on the connection is expected. */
+  /** Sends another answer late, where the answer to the next request on the connection is expected; it names the request before. */
   LateAnswers = 'late',
+  /** Sends a refusal there that names no request. */
+  LateRefusals = 'late refusals',
   /** Sends streams without length or chunks. */
   Unframed = 'unframed',
   /** Makes the events of its streams and does not deliver them. */
@@ -72,6 +63,7 @@
   private endUnreachable: ((at: number) => void) | undefined;
   private lossCount = 0;
   private lateCount = 0;
+  private rejectCount = 0;
   /** Attempts of the last requests on connections. */
   private readonly lastAttempts = new WeakMap<net.Socket, string>();
   private port = 0;
@@ -225,11 +217,17 @@
   private sendLateAnswer(attempt: string, socket: net.Socket): void {
     const lastAttempt = this.lastAttempts.get(socket);
     this.lastAttempts.set(socket, attempt);
-    if (this.mode === ReplicaMode.LateAnswers && lastAttempt !== undefined) {
-      const head = LATE_HEADS[this.lateCount++ % LATE_HEADS.length];
-      const id = `X-Rhubarbvane-Attempt-Id: ${lastAttempt}`;
-      const lines = [`HTTP/1.1 ${head.status}`, 'Content-Length: 0'];
-      lines.push(head.header, ...(head.hasId ? [id] : []), '', '');
+    if (lastAttempt === undefined) {
+      return;
+    }
+    const index = this.lateCount++;
+    const lines = ['Content-Length: 0', '', ''];
+    if (this.mode === ReplicaMode.LateAnswers) {
+      const head = LATE_HEADS[index % LATE_HEADS.length];
+      lines.unshift(...head, `X-Rhubarbvane-Attempt-Id: ${lastAttempt}`);
+      socket.write(lines.join('\r\n'));
+    } else if (this.mode === ReplicaMode.LateRefusals) {
+      lines.unshift(...LATE_REFUSAL_HEADS[index % LATE_REFUSAL_HEADS.length]);
       socket.write(lines.join('\r\n'));
     }
   }
@@ -248,10 +246,11 @@
     if (headers['kv-from'] !== undefined) {
       this.recordArrival(attempt);
     }
-    response.writeHead(status, {
-      'X-Rhubarbvane-Not-Executed': '1',
-      'X-Rhubarbvane-Attempt-Id': attempt,
-    });
+    // Refusals are valid with and without the attempt id.
+    if (this.rejectCount++ % 2 === 0) {
+      response.setHeader('X-Rhubarbvane-Attempt-Id', attempt);
+    }
+    response.writeHead(status, {'X-Rhubarbvane-Not-Executed': '1'});
     response.end();
   }
 
--- a/soak/stream_run.ts
+++ b/soak/stream_run.ts
@@ -113,6 +113,7 @@
     if (this.isDelivering) {
       response.end(answers.endEvent(attempt, pieces, version));
     }
-    this.end(true);
+    // Without its connection a run has not ended well, and its backup is kept.
+    this.end(this.isDelivering);
   }
 }
