--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -20,6 +20,11 @@
 /** Time for which a draining replica still serves, in milliseconds. */
 const DRAIN_MILLISECONDS = 1_800;
 
+/** Interval at which a replica that breaks connections does so, in milliseconds. */
+const BREAK_INTERVAL_MILLISECONDS = 300;
+/** Share of answers that are lost while all replicas lose answers. */
+const LOSS_SHARE = 0.6;
+
 /** Shortest time for which a replica names a limit, in milliseconds. */
 const MIN_LIMIT_MILLISECONDS = 4_000;
 /** Largest limit, in tenths of a request a second. */
@@ -34,6 +39,20 @@
   RelayMode.Reset,
 ];
 
+const REPLICA_MODES = [
+  ReplicaMode.Silent,
+  ReplicaMode.Resetting,
+  ReplicaMode.LosingAnswers,
+  ReplicaMode.Shedding,
+  ReplicaMode.DuplicatingAnswers,
+  ReplicaMode.Unframed,
+  ReplicaMode.Stalling,
+  ReplicaMode.LateAnswers,
+];
+
+/** Drawn only if it is asked for: it is open whether replicas send refusals that name no request late. */
+const LATE_REFUSALS = 'late-refusals';
+
 type Fault = (milliseconds: number) => Promise<void>;
 
 /** Injects faults until it is stopped. */
@@ -52,7 +71,12 @@
       this.relayFault(gateway => gateway.callerRelay, 'callers', time),
     store: time => this.storeFault(time),
     compact: () => this.compact(),
-    replica: time => this.replicaFault(time),
+    replica: time => this.replicaFault(this.random.pick(REPLICA_MODES), time),
+    [LATE_REFUSALS]: time => this.replicaFault(ReplicaMode.LateRefusals, time),
+    'lose-answers': time => this.loseAnswers(time),
+    break: time => this.breakConnections(time),
+    full: time => this.fillMemory(time),
+    'start-again': time => this.startAgain(time),
     limit: time => this.limit(time),
     evacuate: time => this.evacuate(time),
     cold: () => this.returnCold(),
@@ -70,9 +94,20 @@
     private readonly reportFault: (event: object) => void,
   ) {}
 
-  /** Starts random faults until it is stopped; resolves when all have ended. */
-  async run(): Promise<void> {
-    const names = Object.keys(this.injectors);
+  /**
+   * Starts random faults until it is stopped; resolves when all have ended.
+   *
+   * @param kinds Names of the faults to draw from; undefined for all but late refusals.
+   */
+  async run(kinds?: readonly string[]): Promise<void> {
+    const names =
+      kinds ??
+      Object.keys(this.injectors).filter(name => name !== LATE_REFUSALS);
+    const unknown = names.filter(name => !(name in this.injectors));
+    if (unknown.length > 0) {
+      const known = Object.keys(this.injectors).join(', ');
+      throw new Error(`no fault "${unknown.join(', ')}"; there are ${known}`);
+    }
     while (!this.isStopping) {
       const name = this.random.pick(names);
       const duration = this.random.integer(
@@ -197,25 +232,68 @@
     );
   }
 
-  private replicaFault(time: number): Promise<void> {
+  private replicaFault(
+    mode: replicas.ReplicaMode,
+    time: number,
+  ): Promise<void> {
     const replica = this.random.pick(this.target.replicas);
-    const mode = this.random.pick([
-      ReplicaMode.Silent,
-      ReplicaMode.Resetting,
-      ReplicaMode.LosingAnswers,
-      ReplicaMode.Shedding,
-      ReplicaMode.DuplicatingAnswers,
-      ReplicaMode.Unframed,
-    ]);
     const event = {fault: `replica ${mode}`, replica: replica.id, time};
     return this.inject(replica, replica.id, event, async () => {
       replica.mode = mode;
       await timers.setTimeout(time);
-      replica.breakUnframedStreams();
+      replica.engine.breakUnframedStreams();
       replica.mode = ReplicaMode.Normal;
     });
   }
 
+  /** Lets all replicas run requests and reset some of the connections in place of the answers. */
+  private loseAnswers(time: number): Promise<void> {
+    const event = {fault: 'lose-answers', time};
+    return this.inject(this.loseAnswers, '', event, async () => {
+      const losing = [...this.target.replicas];
+      losing.forEach(replica => (replica.lossShare = LOSS_SHARE));
+      await timers.setTimeout(time);
+      losing.forEach(replica => (replica.lossShare = 0));
+    });
+  }
+
+  /** Breaks the connections of the runs of a replica again and again; the runs may go on. */
+  private breakConnections(time: number): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'break', replica: replica.id, time};
+    return this.inject(replica, replica.id, event, async () => {
+      const endsAt = performance.now() + time;
+      while (performance.now() < endsAt) {
+        replica.engine.breakConnections();
+        await timers.setTimeout(BREAK_INTERVAL_MILLISECONDS);
+      }
+    });
+  }
+
+  /** Leaves a replica no memory for copies. */
+  private fillMemory(time: number): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'full', replica: replica.id, time};
+    return this.inject(replica, replica.id, event, async () => {
+      replica.engine.copies.isFull = true;
+      await timers.setTimeout(time);
+      replica.engine.copies.isFull = false;
+    });
+  }
+
+  /** Crashes a replica, and starts it again under its id; gateways learn of it later. */
+  private startAgain(time: number): Promise<void> {
+    const replica = this.random.pick(this.target.replicas);
+    const event = {fault: 'start-again', replica: replica.id};
+    return this.inject(replica, replica.id, event, async () => {
+      replica.crash();
+      await timers.setTimeout(time / 8);
+      await replica.start();
+      await timers.setTimeout(time / 8);
+      this.target.register(replica, 'ready');
+    });
+  }
+
   /** Lets a replica name a limit. */
   private limit(time: number): Promise<void> {
     const replica = this.random.pick(this.target.replicas);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -12,6 +12,8 @@
 /** Time for started work to end after the last request, in milliseconds. */
 const SETTLE_MILLISECONDS = 500;
 const POLL_INTERVAL_MILLISECONDS = 50;
+/** Time for which this process must have stood still until no replica counts as reached meanwhile, in milliseconds. */
+const STANDSTILL_MILLISECONDS = 150;
 
 /** Options of a soak test. */
 export interface SoakOptions {
@@ -19,6 +21,8 @@
   readonly milliseconds: number;
   readonly size: deployment.DeploymentSize;
   readonly callers: number;
+  /** Names of the faults to draw from; undefined for all. */
+  readonly faults?: readonly string[];
   /** Time within which every gateway must serve again, in milliseconds. */
   readonly recoveryMilliseconds: number;
   /** File for the log lines of all gateways. */
@@ -30,6 +34,8 @@
 export interface SoakResult {
   readonly violations: readonly requestHistory.Violation[];
   readonly requests: Readonly<Record<string, number>>;
+  /** Number of runs by how they began. */
+  readonly runs: Readonly<Record<string, number>>;
   readonly p99Milliseconds: number;
 }
 
@@ -39,6 +45,7 @@
   const target = new deployment.Deployment(history, options.logFile);
   const killGateways = () => target.gateways.forEach(each => each.kill());
   process.once('exit', killGateways);
+  const standstills = watchStandstills(history);
   try {
     await target.start(options.size);
     await Promise.all(
@@ -56,7 +63,7 @@
       options.reportFault,
     );
     const loading = load.run(options.callers);
-    const injecting = injector.run();
+    const injecting = injector.run(options.faults);
     await timers.setTimeout(options.milliseconds);
     injector.stop();
     await injecting;
@@ -67,14 +74,30 @@
     return {
       violations: history.violations(),
       requests: history.summary(),
+      runs: history.runSummary(),
       p99Milliseconds: load.latencies.getValueAtPercentile(99),
     };
   } finally {
     process.off('exit', killGateways);
+    clearInterval(standstills);
     await target.stop();
   }
 }
 
+/** Records the times in which this process, and so all replicas, stood still on a busy machine. */
+function watchStandstills(
+  history: requestHistory.RequestHistory,
+): NodeJS.Timeout {
+  let lastAt = performance.now();
+  return setInterval(() => {
+    const now = performance.now();
+    if (now - lastAt > POLL_INTERVAL_MILLISECONDS + STANDSTILL_MILLISECONDS) {
+      history.runRules.beginUnreachable(undefined, lastAt)(now);
+    }
+    lastAt = now;
+  }, POLL_INTERVAL_MILLISECONDS);
+}
+
 /** Checks that every gateway serves again once the faults are over. */
 async function checkRecovery(
   target: deployment.Deployment,
