Streams: an engine counts as gone only if nothing listens there or nothing answers twice

An order to stop whose connection was reset before it was made, which engines do beyond their number of connections, or which failed in this process, was taken for an engine that is gone; so was one late connection. The draft then went on while its engine worked. A refused connection, or two that nothing answers, say so now; anything else is an order without an answer. Engines that move no runs cannot say that a run has stopped, and count as gone only by their connection.

Where no other engine has room, the engine of the copy is the target of the order, also if it drains; before, no order was sent and the draft was lost. The source is never its own target. A copy that is confirmed after its run went on elsewhere is not recorded for the new segment. All orders together take at most 1.5 s.

--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -152,9 +152,11 @@
   Busy = 'busy',
   /** The target has no memory or is unreachable; if the copy was final, the run has stopped and can resume at its source. */
   NoRoom = 'no-room',
-  /** No connection to the source could be made. */
+  /** Nothing listens at the address of the source. */
+  Refused = 'refused',
+  /** No connection to the source was made in time. */
   Unreachable = 'unreachable',
-  /** The source was reached, and gave no usable answer; the run may have been copied and stopped. */
+  /** The source gave no usable answer, or ended the connection; the run may have been copied and stopped. */
   NoAnswer = 'no-answer',
 }
 
--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -22,8 +22,8 @@
 const RETRY_PAUSE_MILLISECONDS = 80;
 /** Timeout for copying a whole run, in milliseconds. */
 const COPY_TIMEOUT_MILLISECONDS = 2_500;
-/** Maximum number of orders to stop one run. */
-const MAX_STOP_ORDERS = 5;
+/** Time for all orders to stop a run, in milliseconds; callers abandon a stream after a pause of two seconds. */
+const STOP_TIMEOUT_MILLISECONDS = 1_500;
 /** Penalty for a target in another data centre, in milliseconds: copies take twice as long there. */
 const REMOTE_COPY_COST_MILLISECONDS = 200;
 /** Time after which an evacuation ends even if its instance is still running, in milliseconds. */
@@ -31,15 +31,18 @@
 
 /** Errors after which a run is not copied again. */
 const ENDING_ERRORS: ReadonlySet<instanceClient.CopyError> = new Set([
+  CopyError.Refused,
   CopyError.Unreachable,
   CopyError.NoAnswer,
   CopyError.OtherInstance,
 ]);
 
-/** Errors that do not tell whether a run has stopped. */
-const OPEN_ERRORS: ReadonlySet<instanceClient.CopyError> = new Set([
-  CopyError.Busy,
-  CopyError.NoAnswer,
+/** Number of orders to stop a run after which an error is taken as it is, for those that another order may resolve. */
+const ORDERS_BY_ERROR: ReadonlyMap<instanceClient.CopyError, number> = new Map([
+  [CopyError.Busy, 5],
+  [CopyError.NoAnswer, 5],
+  // A single connection may be late because its first packet or this process was.
+  [CopyError.Unreachable, 2],
 ]);
 
 /** What is known of a run that was told to stop. */
@@ -64,6 +67,7 @@
     case CopyError.NoSuchRun:
     case CopyError.OtherInstance:
       return StopOutcome.Stopped;
+    case CopyError.Refused:
     case CopyError.Unreachable:
       return StopOutcome.Unreachable;
     default:
@@ -80,6 +84,8 @@
   abstract readonly scope: instanceAvailability.AvailabilityRequest;
   /** Instance that already holds a copy and accepts requests; undefined if there is none. */
   abstract readonly copyTarget: instanceTable.Instance | undefined;
+  /** Instance of the copy that was asked for, whether or not it accepts requests; undefined if there is none. */
+  abstract readonly copyHolder: instanceTable.Instance | undefined;
   /** Whether losing the run also loses the output that its caller has received. */
   abstract readonly needsCopy: boolean;
   /** Records a copy from which the call continues if its instance fails. */
@@ -144,12 +150,9 @@
     source: instanceTable.Instance,
     event: string,
   ): Promise<StopResult> {
-    if (!call.engine.canMoveRuns) {
-      // Closing its connection is the only way to stop such a run.
-      return {outcome: StopOutcome.Stopped, copy: undefined};
-    }
-    const target = call.copyTarget ?? this.chooseTarget(source, call);
-    if (target === undefined) {
+    const target =
+      call.copyTarget ?? this.chooseTarget(source, call) ?? call.copyHolder;
+    if (target === undefined || target === source) {
       return {outcome: StopOutcome.MayRun, copy: undefined};
     }
     const startedAt = performance.now();
@@ -162,11 +165,11 @@
     });
     const handle = copied.isOk() ? copied.value.handle : copied.error.handle;
     if (handle === undefined) {
-      const outcome = copied.match(
-        () => StopOutcome.Stopped,
-        ({error}) => outcomeOf(error),
-      );
-      return {outcome, copy: undefined};
+      const outcome = outcomeOf(copied._unsafeUnwrapErr().error);
+      // Engines that move no runs answer as if they did not know them.
+      const isTold =
+        call.engine.canMoveRuns || outcome === StopOutcome.Unreachable;
+      return {outcome: isTold ? outcome : StopOutcome.MayRun, copy: undefined};
     }
     // If the target has no room, the run continues at its source over a new connection.
     const instance = copied.isOk() ? target : source;
@@ -180,7 +183,7 @@
     source: instanceTable.Instance,
     target: instanceTable.Instance,
   ): ReturnType<instanceClient.InstanceClient['copyRun']> {
-    const endsAt = performance.now() + COPY_TIMEOUT_MILLISECONDS;
+    const endsAt = performance.now() + STOP_TIMEOUT_MILLISECONDS;
     for (let orders = 1; ; orders++) {
       const copied = await this.client.copyRun(source, {
         attemptId: call.run.attemptId,
@@ -188,12 +191,14 @@
         isFinal: true,
         timeoutMilliseconds: endsAt - performance.now(),
       });
-      const isOpen = copied.isErr() && OPEN_ERRORS.has(copied.error.error);
+      const maxOrders = copied.isErr()
+        ? (ORDERS_BY_ERROR.get(copied.error.error) ?? 1)
+        : 1;
       const mayRetry =
-        orders < MAX_STOP_ORDERS &&
+        orders < maxOrders &&
         performance.now() + RETRY_PAUSE_MILLISECONDS < endsAt &&
         !call.isOver;
-      if (!isOpen || !mayRetry) {
+      if (!mayRetry) {
         return copied;
       }
       await deadline.delay(RETRY_PAUSE_MILLISECONDS);
@@ -291,6 +296,11 @@
       took_ms: Math.round(now - startedAt),
     });
     if (copied.isOk()) {
+      if (call.run.instanceId !== instance.record.id) {
+        // The run went on from an earlier copy in the meantime.
+        evacuated.state = EvacuationState.Done;
+        return;
+      }
       const sourceAddress = instance.record.address;
       const continuation = {sourceAddress, handle: copied.value.handle};
       call.recordCopy({instance: target, continuation});
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -73,6 +73,10 @@
     return this.copies.target;
   }
 
+  get copyHolder(): instanceTable.Instance | undefined {
+    return this.copies.current?.target.instance;
+  }
+
   recordCopy(target: instanceClient.RunTarget): void {
     this.copies.setCopy(target);
     if (this.isOver) {
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -162,11 +162,11 @@
       request = http.request({hostname, port, method, path, headers, agent});
     } catch {
       // node:http throws on ports and headers that it cannot use.
-      return Promise.resolve(NoAnswer.NotConnected);
+      return Promise.resolve(NoAnswer.Unusable);
     }
     const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
     const connectTimer = setTimeout(
-      () => request.destroy(),
+      () => request.destroy(new ConnectTimeoutError()),
       httpExchange.CONNECT_TIMEOUT_MILLISECONDS,
     );
     request.once('socket', socket =>
@@ -188,10 +188,6 @@
 function readJson(request: http.ClientRequest): Promise<JsonAnswer | NoAnswer> {
   boundedBody.limitInterimResponses(request);
   return new Promise(resolve => {
-    let isConnected = false;
-    request.once('socket', socket =>
-      socket.once('connect', () => (isConnected = true)),
-    );
     // The request is reported as closed before the body of its response has ended.
     let hasResponse = false;
     request.once('response', response => {
@@ -210,24 +206,55 @@
           ),
         );
     });
-    const fail = () => {
+    const fail = (error?: NodeJS.ErrnoException) => {
       if (!hasResponse) {
-        resolve(isConnected ? NoAnswer.Unusable : NoAnswer.NotConnected);
+        resolve(reasonOf(error));
       }
     };
-    request.once('close', fail);
     request.once('error', fail);
+    request.once('close', () => fail());
   });
 }
 
 /** Why a call has no answer. */
 enum NoAnswer {
-  /** No connection was made, so the call never arrived. */
+  /** Nothing listens at the address. */
+  Refused = 'refused',
+  /** Nothing answered the attempts to connect. */
   NotConnected = 'not-connected',
-  /** The call may have arrived. */
+  /** Any other reason: the call may have arrived, or the instance takes no more connections. */
   Unusable = 'unusable',
 }
 
+/** Ends a request whose connection is not made in time. */
+class ConnectTimeoutError extends Error {
+  readonly code = 'ETIMEDOUT';
+}
+
+function reasonOf(error: NodeJS.ErrnoException | undefined): NoAnswer {
+  switch (error?.code) {
+    case 'ECONNREFUSED':
+      return NoAnswer.Refused;
+    case 'ETIMEDOUT':
+    case 'EHOSTUNREACH':
+    case 'ENETUNREACH':
+      return NoAnswer.NotConnected;
+    default:
+      return NoAnswer.Unusable;
+  }
+}
+
+function noAnswerErrorOf(reason: NoAnswer): instanceClient.CopyError {
+  switch (reason) {
+    case NoAnswer.Refused:
+      return CopyError.Refused;
+    case NoAnswer.NotConnected:
+      return CopyError.Unreachable;
+    case NoAnswer.Unusable:
+      return CopyError.NoAnswer;
+  }
+}
+
 interface JsonAnswer {
   readonly status: number;
   /** Attempts that the answer names. */
@@ -270,10 +297,7 @@
   isFinal: boolean,
 ): neverthrow.Result<instanceClient.RunCopy, instanceClient.CopyFailure> {
   if (typeof answer !== 'object') {
-    const error =
-      answer === NoAnswer.NotConnected
-        ? CopyError.Unreachable
-        : CopyError.NoAnswer;
+    const error = noAnswerErrorOf(answer);
     return neverthrow.err({error, handle: undefined});
   }
   const {fields, status} = answer;
--- a/test/platform/instance_http_client.test.ts
+++ b/test/platform/instance_http_client.test.ts
@@ -208,9 +208,17 @@
   });
 }
 
-test('replica: an order to copy that finds no connection was not carried out', async t => {
+test('replica: an order to copy at an address where nothing listens was not carried out', async t => {
   const port = await freePorts.freeStreamPort();
-  t.is(await errorOfOrder(t, instanceAt(port)), CopyError.Unreachable);
+  t.is(await errorOfOrder(t, instanceAt(port)), CopyError.Refused);
+});
+
+test('replica: an order to copy at an instance that resets new connections does not tell that it is gone', async t => {
+  const server = net.createServer(socket => socket.resetAndDestroy());
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const {port} = server.address() as net.AddressInfo;
+  t.is(await errorOfOrder(t, instanceAt(port)), CopyError.NoAnswer);
 });
 
 test('replica: memory that no listed run accounts for is told apart', async t => {
