Streams: a run that is stalled or broken is handed over by one module

A review of the stop found with tests of whole gateways, each failing before: - A stalled run whose engine no longer knows it may have ended by itself: its last events were thrown away, and the draft sent to its backup. The stream is read for another second. - If a stop failed, a stream without length or chunks that completed later was still taken as stopped, and broken off for its caller. - A run that only paused was stopped when its engine took longer than 300 ms to report; such reports are waited for up to a second where the run may run once. - The copy made for a caller that left meanwhile was not freed at either engine; nor was one that was taken and not used. - A stall seen while a stop was under way ordered another one.

The log line and the metric say that a copy is not used, and why, since a backup is never proven to exist.

--- a/src/gateway/common/copy_evidence.ts
+++ b/src/gateway/common/copy_evidence.ts
@@ -1,7 +1,8 @@
 /**
- * Decides whether the copy of a run is known to exist. A generation that may run
- * once goes on only from such a copy: an engine without it runs nothing and says
- * so, but its answer may be lost, and then the request counts as run again.
+ * Decides whether the copy of a run can be expected to exist. A generation that
+ * may run once goes on only from such a copy: an engine without it runs nothing
+ * and says so, but its answer may be lost, and then the request counts as run
+ * again. Engines confirm copies made on order; of a backup there are only signs.
  */
 import * as instanceClient from './instance_client';
 import * as instanceTable from './instance_table';
@@ -14,7 +15,7 @@
   Ordered = 'ordered',
 }
 
-/** Why a copy is not known to exist. */
+/** Why a generation does not go on from a copy. */
 export enum EvidenceGap {
   /** The run was not seen at work for as long as the first part of a backup takes. */
   TooEarly = 'too-early',
--- a/src/gateway/common/stall_policy.ts
+++ b/src/gateway/common/stall_policy.ts
@@ -11,6 +11,8 @@
 export const FIRST_EVENT_SHARE = 0.8;
 /** Interval of further checks, in milliseconds. */
 export const RECHECK_MILLISECONDS = 1_000;
+/** Timeout for the report of an engine without which a run that may run once is stopped, in milliseconds; crowded engines take some hundred. */
+export const REPORT_TIMEOUT_MILLISECONDS = 1_000;
 /** Number of generated but undelivered events from which the connection is considered broken. */
 const MIN_UNDELIVERED_EVENTS = 4;
 
--- a/src/gateway/node/copy_check.ts
+++ b/src/gateway/node/copy_check.ts
@@ -29,8 +29,8 @@
     return copyEvidence.findOwnGap(facts, performance.now()) === undefined;
   }
 
-  /** Returns whether the copy is known to exist while its run is at work no more; asks the copy's engine unless that would not help. */
-  async isProven(
+  /** Returns whether a stream may go on from the copy; asks the copy's engine unless that would not help. */
+  async isUsable(
     copy: runCopies.RequestedCopy,
     source: instanceTable.Instance,
     isSourceStopped: boolean,
@@ -69,9 +69,9 @@
   ): void {
     const {context, delivery} = this;
     const {eventTimes} = delivery;
-    context.services.metrics.unprovenCopies.inc({gap});
+    context.services.metrics.unusedCopies.inc({gap});
     context.log(
-      'copy-not-proven',
+      'copy-not-used',
       {
         gap,
         origin,
--- a/src/gateway/node/evacuation_manager.ts
+++ b/src/gateway/node/evacuation_manager.ts
@@ -47,8 +47,10 @@
 
 /** What is known of a run that was told to stop. */
 export enum StopOutcome {
-  /** It has stopped, or its instance has no such run. */
+  /** It has stopped, and goes on from the copy that was made. */
   Stopped = 'stopped',
+  /** Its instance has no such run. */
+  Ended = 'ended',
   /** Its instance cannot be reached. */
   Unreachable = 'unreachable',
   /** It may still be at work. */
@@ -66,7 +68,7 @@
   switch (error) {
     case CopyError.NoSuchRun:
     case CopyError.OtherInstance:
-      return StopOutcome.Stopped;
+      return StopOutcome.Ended;
     case CopyError.Refused:
     case CopyError.Unreachable:
       return StopOutcome.Unreachable;
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -22,7 +22,7 @@
   readonly connections: promClient.Counter;
   readonly storeCalls: promClient.Counter<'operation'>;
   readonly copies: promClient.Counter<'outcome'>;
-  readonly unprovenCopies: promClient.Counter<'gap'>;
+  readonly unusedCopies: promClient.Counter<'gap'>;
   readonly fleetMembers: promClient.Gauge;
   readonly fleetMessages: promClient.Counter<'direction' | 'kind'>;
   readonly fleetBytes: promClient.Counter<'direction' | 'kind'>;
@@ -93,9 +93,9 @@
       'Copies of running generations by outcome',
       ['outcome'],
     );
-    this.unprovenCopies = registry.counter(
-      'rhubarbvane_gateway_unproven_copies_total',
-      'Copies from which a broken generation did not go on, by what is not known of them',
+    this.unusedCopies = registry.counter(
+      'rhubarbvane_gateway_unused_copies_total',
+      'Copies from which a broken generation did not go on, by reason',
       ['gap'],
     );
     this.fleetMembers = registry.gauge(
--- a/src/gateway/node/run_copies.ts
+++ b/src/gateway/node/run_copies.ts
@@ -30,6 +30,8 @@
   private copy: RequestedCopy | undefined;
   private source: instanceTable.Instance | undefined;
   private isStopped = false;
+  /** Copy that was taken and not used yet. */
+  private taken: RequestedCopy | undefined;
 
   constructor(
     private readonly context: callContext.CallContext,
@@ -83,6 +85,7 @@
     source: instanceTable.Instance,
   ): instanceTable.Instance | undefined {
     this.setCopy(undefined);
+    this.taken = undefined;
     this.isStopped = false;
     this.source = source;
     this.run.copyInstanceId = undefined;
@@ -108,8 +111,10 @@
 
   /** Frees a copy that is not used; otherwise it would hold memory for seconds. */
   dropUnused(): void {
-    const {copy, source} = this;
+    const {source} = this;
+    const copy = this.copy ?? this.taken;
     this.copy = undefined;
+    this.taken = undefined;
     const handle = copy?.target.continuation?.handle;
     // Engines free backups themselves when their run has ended.
     const isFreedByEngine = copy?.origin === CopyOrigin.Backup;
@@ -126,6 +131,7 @@
   take(now: number): RequestedCopy | undefined {
     const {copy} = this;
     this.copy = undefined;
+    this.taken = copy;
     if (copy === undefined) {
       return undefined;
     }
--- a/src/gateway/node/stall_watch.ts
+++ b/src/gateway/node/stall_watch.ts
@@ -47,7 +47,11 @@
   private async check(): Promise<void> {
     const {stream} = this;
     const before = stream.streamState().eventsDelivered;
-    const report = await this.client.readReport(stream.instance);
+    const {mayRepeat} = stream.streamState();
+    const report = await this.client.readReport(
+      stream.instance,
+      mayRepeat ? undefined : stallPolicy.REPORT_TIMEOUT_MILLISECONDS,
+    );
     const view = {...stream.streamState(), report};
     if (this.isDisposed || view.eventsDelivered !== before) {
       return;
--- a/src/gateway/node/stream_call.ts
+++ b/src/gateway/node/stream_call.ts
@@ -15,6 +15,7 @@
 import * as streamSegment from './stream_segment';
 import * as generationScheduler from './generation_scheduler';
 import * as runCopies from './run_copies';
+import * as runHandover from './run_handover';
 import * as stallWatch from './stall_watch';
 import * as streamContinuations from './stream_continuations';
 import * as watchedSegment from './watched_segment';
@@ -28,13 +29,11 @@
   private delivery!: eventDelivery.EventDelivery;
   private copies!: runCopies.RunCopies;
   private continuations!: streamContinuations.StreamContinuations;
+  private handover!: runHandover.RunHandover;
   private watch: stallWatch.StallWatch | undefined;
   private evidence: crashEvidence.CrashEvidence | undefined;
   /** Ends when it is known whether a lost instance counts against the prompt. */
   private judgement: Promise<void> | undefined;
-  /** Ends when a run that was stopped has been moved; its stream may break before that. */
-  private pendingMove: Promise<void> | undefined;
-  private isStopping = false;
   /** Instance of the current segment. */
   private source: instanceTable.Instance | undefined;
   private segmentCount = 0;
@@ -119,6 +118,12 @@
       this.engine,
       this.delivery,
     );
+    this.handover = new runHandover.RunHandover(
+      this,
+      context.services.evacuations,
+      this.copies,
+      this.continuations,
+    );
     context.setDisconnectHandler(() => this.segment?.cancel());
     context.services.evacuations.add(this);
     this.deadlineTimer = setTimeout(
@@ -312,45 +317,16 @@
     decision: stallPolicy.StallDecision,
   ): Promise<void> {
     const {segment} = this;
-    if (this.delivery.isPaused || this.isStopping) {
+    if (this.delivery.isPaused) {
       return;
     }
     if (decision === stallPolicy.StallDecision.Move) {
-      segment?.expectStop();
-      this.pendingMove = this.stopRun(instance, 'silent-run-moved');
-      await this.pendingMove;
-      if (!this.copies.isSourceStopped) {
-        return;
-      }
+      await this.handover.moveStalled(instance, segment!);
+      return;
     }
     segment?.cancel();
   }
 
-  private async stopRun(
-    source: instanceTable.Instance,
-    event: string,
-  ): Promise<void> {
-    const {evacuations} = this.context.services;
-    this.isStopping = true;
-    const {outcome, copy} = await evacuations.stopRun(this, source, event);
-    this.isStopping = false;
-    if (outcome !== evacuationManager.StopOutcome.MayRun) {
-      this.copies.recordStop(copy);
-    }
-  }
-
-  /** Returns the copy to go on from; undefined if none is known to exist, or if the run may still be at work at the source. */
-  private async takeCopy(
-    source: instanceTable.Instance,
-  ): Promise<instanceClient.RunTarget | undefined> {
-    const {copies, continuations} = this;
-    const isUsable = continuations.hasUsableCopy(copies, source);
-    if (isUsable && !copies.isSourceStopped) {
-      await this.stopRun(source, 'broken-run-stopped');
-    }
-    return continuations.takeCopy(copies, source);
-  }
-
   /** Returns where the stream continues; undefined if the call has ended. */
   private async chooseNextTarget(
     previous: instanceClient.RunTarget,
@@ -360,8 +336,8 @@
       return undefined;
     }
     if (end === SegmentEnd.Broken) {
-      await Promise.all([this.pendingMove, this.judgement]);
-      const copied = await this.takeCopy(previous.instance);
+      await this.judgement;
+      const copied = await this.handover.takeCopy(previous.instance);
       if (copied !== undefined) {
         return copied;
       }
--- a/src/gateway/node/stream_continuations.ts
+++ b/src/gateway/node/stream_continuations.ts
@@ -43,7 +43,7 @@
     return current !== undefined && this.check.mayExist(current, source);
   }
 
-  /** Returns the copy to continue from, once its instance takes a request; undefined if none is known to exist or that takes too long. */
+  /** Returns the copy to continue from, once its instance takes a request; undefined if there is no credible one or that takes too long. */
   async takeCopy(
     copies: runCopies.RunCopies,
     source: instanceTable.Instance,
@@ -53,7 +53,7 @@
     if (copy === undefined) {
       return undefined;
     }
-    if (!(await this.check.isProven(copy, source, isSourceStopped))) {
+    if (!(await this.check.isUsable(copy, source, isSourceStopped))) {
       return undefined;
     }
     const {target: copied, origin, at} = copy;
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -56,9 +56,9 @@
     private readonly exchange: instanceClient.Exchange,
   ) {}
 
-  /** Announces that the instance is told to stop the run, upon which it closes the stream without its end. */
-  expectStop(): void {
-    this.isStopExpected = true;
+  /** Sets whether the instance may be told to stop the run, upon which it closes the stream without its end. */
+  expectStop(isExpected: boolean): void {
+    this.isStopExpected = isExpected;
   }
 
   /** Closes the connection, which ends the segment. */
--- a/standins/replica_standin.ts
+++ b/standins/replica_standin.ts
@@ -45,6 +45,8 @@
   startedAt = 1;
   /** Whether reports are answered. */
   isReporting = true;
+  /** Time until a report is answered, in milliseconds. */
+  reportDelay = 0;
   private readonly callWaiters: (() => void)[] = [];
   private readonly server = http.createServer(
     (request, response) => void this.handleRequest(request, response),
@@ -86,6 +88,7 @@
       return;
     }
     if (url === '/report') {
+      await new Promise(resolve => setTimeout(resolve, this.reportDelay));
       return this.sendJson(response, {
         queued: 0,
         kvInUse: this.memoryTokens,
