--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -189,7 +189,12 @@
     bytes: Buffer,
     response: http.ServerResponse,
   ): void {
-    const [, , kind, nameInPath] = url.pathname.split('/');
+    const [, root, kind, nameInPath] = url.pathname.split('/');
+    if (root !== 'objects') {
+      // A call to a replica whose port this stand-in has taken over.
+      response.writeHead(404).end();
+      return;
+    }
     const body =
       method === 'DELETE'
         ? undefined
