--- a/src/gateway/common/copy_evidence.ts
+++ b/src/gateway/common/copy_evidence.ts
@@ -33,7 +33,7 @@
   SourceAtWork = 'source-at-work',
 }
 
-/** Engines send the parts of a backup several times a second, in milliseconds. */
+/** Longest interval between the parts of a backup, which engines send several times a second, in milliseconds. */
 const BACKUP_INTERVAL_MILLISECONDS = 350;
 /** Maximum age of the state that an engine's report shows when it is read, in milliseconds. */
 const MAX_REPORT_AGE_MILLISECONDS = 500;
