--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -12,7 +12,7 @@
 /** Time for started work to end after the last request, in milliseconds. */
 const SETTLE_MILLISECONDS = 500;
 const POLL_INTERVAL_MILLISECONDS = 50;
-/** Time for which this process must have stood still until no replica counts as reached meanwhile, in milliseconds. */
+/** Shortest delay of the event loop during which no replica counts as reachable, in milliseconds. */
 const STANDSTILL_MILLISECONDS = 150;
 
 /** Options of a soak test. */
@@ -84,7 +84,7 @@
   }
 }
 
-/** Records the times in which this process, and so all replicas, stood still on a busy machine. */
+/** Records delays of the event loop, during which no replica of this process can answer. */
 function watchStandstills(
   history: requestHistory.RequestHistory,
 ): NodeJS.Timeout {
