--- a/test/gateway/slow_readers.test.ts
+++ b/test/gateway/slow_readers.test.ts
@@ -1,11 +1,11 @@
 /** Callers who do not read their answers, beside some that do. */
 import * as childProcess from 'node:child_process';
-import * as fs from 'node:fs';
 import * as http from 'node:http';
 import * as path from 'node:path';
 import * as util from 'node:util';
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
+import * as deployedProgram from '../support/deployed_program';
 import * as slowReaderScenario from '../support/slow_reader_scenario';
 import * as testGateway from '../support/test_gateway';
 
@@ -22,7 +22,6 @@
 const MAX_HELD_BYTES = slowReaderScenario.MEMORY_MEGABYTES * 200_000;
 /** Events of a stream that is read late; more than the kernel holds on both connections. */
 const LATE_EVENTS = 250;
-const ROOT = path.join(__dirname, '..', '..', '..');
 const SCENARIO_PROGRAM = path.join(
   __dirname,
   '..',
@@ -37,16 +36,6 @@
   );
 }
 
-/** Flags of Node.js with which deployments run a gateway. */
-function deployedFlags(): string[] {
-  const system = fs.readFileSync(
-    path.join(ROOT, 'deploy', 'system.toml'),
-    'utf8',
-  );
-  const command = /^run = "node (.*) target\/gateway\.js"$/m.exec(system);
-  return command![1].split(' ');
-}
-
 /** Reads what is left of an answer, which may have been cut off already. */
 function readRest(
   response: http.IncomingMessage,
@@ -72,7 +61,7 @@
   async t => {
     const {stdout} = await util.promisify(childProcess.execFile)(
       process.execPath,
-      [...deployedFlags(), SCENARIO_PROGRAM],
+      [...deployedProgram.deployedFlags(), SCENARIO_PROGRAM],
     );
     const result = JSON.parse(stdout) as slowReaderScenario.ScenarioResult;
     const {readers, completed, cut, whole} = result;
