--- a/src/base/node/json_log.ts
+++ b/src/base/node/json_log.ts
@@ -8,6 +8,8 @@
 const MAX_LINES_PER_SECOND = 400;
 /** Lines that may be written in one burst after an idle period. */
 const MAX_BURST_LINES = 1_000;
+/** Lines per second about one event that clients cause; the others are dropped and counted, so that they leave room for those about decisions. */
+const MAX_CLIENT_LINES_PER_SECOND = 20;
 /** Bytes buffered before a write. */
 const BUFFER_BYTES = 8_192;
 /** Bytes that may be pending for a slow reader before lines are dropped. */
@@ -22,6 +24,9 @@
   private tokens = MAX_BURST_LINES;
   private refilledAt = performance.now();
   private dropped = 0;
+  /** Lines about events that clients cause, in the current second. */
+  private clientLines = new Map<string, number>();
+  private clientLinesSince = performance.now();
 
   /** Writes to standard output, or to the file descriptor or path given. */
   constructor(base: LogFields, target: number | string = 1) {
@@ -50,6 +55,22 @@
     this.writer.info(fields, event);
   }
 
+  /** Writes a line about an event that clients can cause at will. */
+  writeForClient(event: string, fields: LogFields): void {
+    const now = performance.now();
+    if (now - this.clientLinesSince >= 1_000) {
+      this.clientLines.clear();
+      this.clientLinesSince = now;
+    }
+    const count = (this.clientLines.get(event) ?? 0) + 1;
+    this.clientLines.set(event, count);
+    if (count > MAX_CLIENT_LINES_PER_SECOND) {
+      this.dropped++;
+      return;
+    }
+    this.write(event, fields);
+  }
+
   /** Flushes buffered lines before the process ends. */
   end(): void {
     this.reportDropped();
