Entry: what callers make it hold and do is bounded

Seen by callers: none of them got an answer while 60 connections sent bodies in chunks of 1 byte, or 150 sent requests ahead without reading; the process took up to 619 MB.

Cause: bodies were lists of chunks up to the limit of each request, a chunk of one byte being a buffer of its own, with a second copy at the end; all requests of a connection were handled at once as they were parsed; requests without a host were answered by Node.js itself, without a bound.

Change: HttpServer reads bodies through a store with a bound for all of them, and hands requests of a connection on one after the other through a guard. [limits] memory_megabytes, by default 256, is divided among them; beyond it the body that has not grown for longest is refused with 503, "not run" and Retry-After, and connections that hold most for longest are closed. Counter rhubarbvane_client_limits_total, log line client-limit.

--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -4,7 +4,13 @@
 import * as neverthrow from 'neverthrow';
 import * as disposable from '../common/disposable';
 import * as failure from '../common/failure';
+import * as memoryAccount from '../common/memory_account';
 import * as resultCode from '../common/result_code';
+import * as blockPool from './block_pool';
+import * as bodyStore from './body_store';
+import * as connectionGuard from './connection_guard';
+import * as limitReporter from './limit_reporter';
+import * as refusal from './refusal';
 
 /** Handles the requests under one path prefix. */
 export type RequestHandler = (
@@ -17,18 +23,61 @@
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
 const CONNECTION_CHECK_MILLISECONDS = 1_000;
 
+/** Retry delay of requests for which there is no room, in seconds. */
+const REFUSED_RETRY_SECONDS = 1;
+/** Memory of a process whose settings name none, in MB. */
+const DEFAULT_MEMORY_MEGABYTES = 256;
+const BYTES_PER_MEGABYTE = 1_000_000;
+/** Shares of the memory. */
+const BODY_SHARE = 0.15;
+const CONNECTION_SHARE = 0.1;
+const KERNEL_SHARE = 0.1;
+/** Bodies of the largest size for which there is always room. */
+const LARGEST_BODIES = 3;
+const MAX_CONNECTIONS = 4_000;
+
+/** Size of a server. */
+export interface HttpServerOptions {
+  readonly memoryMegabytes?: number;
+  /** Largest body that a handler reads. */
+  readonly maxBodyBytes?: number;
+  readonly limits?: limitReporter.LimitReporter;
+}
+
 interface Mount {
   readonly prefix: string;
   readonly handler: RequestHandler;
 }
 
 /** Dispatches requests on one address to the mounted handlers. */
-export class HttpServer implements disposable.Disposable {
+export class HttpServer
+  implements disposable.Disposable, connectionGuard.ExchangeHandler
+{
+  /** Bodies of requests. */
+  readonly bodies: bodyStore.BodyStore;
   private readonly server: http.Server;
+  private readonly guard: connectionGuard.ConnectionGuard;
   private readonly mounts: Mount[] = [];
 
-  constructor() {
+  constructor({
+    memoryMegabytes = DEFAULT_MEMORY_MEGABYTES,
+    maxBodyBytes = 0,
+    limits,
+  }: HttpServerOptions = {}) {
+    const bytes = memoryMegabytes * BYTES_PER_MEGABYTE;
+    const onDidAct = (limit: limitReporter.ClientLimit, who: string) =>
+      limits?.record(limit, who);
+    this.bodies = new bodyStore.BodyStore(
+      new memoryAccount.MemoryAccount(
+        bodyStore.boundsFor(
+          Math.max(bytes * BODY_SHARE, maxBodyBytes * LARGEST_BODIES),
+        ),
+      ),
+      new blockPool.BlockPool(),
+      group => onDidAct(limitReporter.ClientLimit.Bodies, group),
+    );
     this.server = http.createServer({
+      ...connectionGuard.SERVER_OPTIONS,
       maxHeaderSize: HEADER_LIMIT_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
@@ -36,12 +85,33 @@
       keepAliveTimeout: 30_000,
       noDelay: true,
     });
-    this.server.on(
-      'request',
-      (request, response) => void this.dispatch(request, response),
+    this.guard = new connectionGuard.ConnectionGuard(
+      this.server,
+      {
+        maxConnections: MAX_CONNECTIONS,
+        maxBytes: bytes * CONNECTION_SHARE,
+        maxKernelBytes: bytes * KERNEL_SHARE,
+      },
+      this,
+      onDidAct,
     );
     this.server.on('clientError', (error, socket) =>
-      sendClientError(error, socket as net.Socket),
+      this.answerMalformed(error, socket as net.Socket),
+    );
+  }
+
+  handle(request: http.IncomingMessage, response: http.ServerResponse): void {
+    void this.dispatch(request, response);
+  }
+
+  refuse(_: http.IncomingMessage, response: http.ServerResponse): void {
+    sendFailure(
+      response,
+      failure.notRun(
+        resultCode.ResultCode.Overloaded,
+        'this process holds as many requests as it can',
+        REFUSED_RETRY_SECONDS,
+      ),
     );
   }
 
@@ -75,14 +145,44 @@
 
   /** Closes every connection immediately. */
   dispose(): void {
+    this.guard.dispose();
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  private answerMalformed(
+    error: NodeJS.ErrnoException,
+    socket: net.Socket,
+  ): void {
+    // The request waits for the answer to an earlier one, and is not read on until then.
+    if (
+      error.code === 'ERR_HTTP_REQUEST_TIMEOUT' &&
+      this.guard.hasWaitingRequests(socket)
+    ) {
+      return;
+    }
+    if (!socket.writable || socket.bytesWritten > 0) {
+      socket.destroy();
+      return;
+    }
+    refusal.endWithFailure(socket, refusal.parserFailure(error.code));
+  }
+
   private async dispatch(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    // Lets the parser finish with what has arrived, so that a whole request is known to be whole.
+    await Promise.resolve();
+    if (response.destroyed) {
+      return;
+    }
+    if (request.httpVersion === '1.1' && request.headers.host === undefined) {
+      return sendFailure(
+        response,
+        failure.notRun(resultCode.ResultCode.MalformedRequest, 'host: missing'),
+      );
+    }
     const path = (request.url ?? '/').split('?', 1)[0];
     const mount = this.mounts.find(candidate =>
       path.startsWith(candidate.prefix),
@@ -107,64 +207,10 @@
   }
 }
 
-function sendClientError(
-  error: NodeJS.ErrnoException,
-  socket: net.Socket,
-): void {
-  if (!socket.writable || socket.bytesWritten > 0) {
-    socket.destroy();
-    return;
-  }
-  const code = clientErrorCode(error.code);
-  const cause = failure.notRun(code, resultCode.describeResult(code).meaning);
-  const body = JSON.stringify(failureBody(cause));
-  const status = resultCode.describeResult(code).httpStatus;
-  const head = [
-    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
-    'Content-Type: application/json',
-    `Content-Length: ${Buffer.byteLength(body)}`,
-    `Rhubarbvane-Result: ${code}`,
-    `Rhubarbvane-Work: ${cause.workState}`,
-    'Connection: close',
-  ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
-}
-
-function clientErrorCode(code: string | undefined): resultCode.ResultCode {
-  if (code === 'HPE_HEADER_OVERFLOW') {
-    return resultCode.ResultCode.HeadersTooLarge;
-  }
-  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-    return resultCode.ResultCode.RequestTimeout;
-  }
-  return resultCode.ResultCode.MalformedRequest;
-}
-
-/** Body of an error response, in the format that callers of completions APIs expect. */
-export interface FailureBody {
-  readonly error: {
-    readonly message: string;
-    readonly type: string;
-    readonly code: number;
-    readonly work: resultCode.WorkState;
-    readonly retry_after_seconds?: number;
-  };
-}
-
 /** Creates the body of an error response. */
-export function failureBody(cause: failure.Failure): FailureBody {
-  return {
-    error: {
-      message: cause.message,
-      type: resultCode.ResultCode[cause.code],
-      code: cause.code,
-      work: cause.workState,
-      retry_after_seconds: cause.retryAfterSeconds,
-    },
-  };
-}
+export const failureBody = refusal.failureBody;
 
-/** Sends an error response; if the headers were already sent, only closes the connection. */
+/** Sends an error response; if the headers were already sent, only closes the connection. A request that has not arrived whole is the last one of its connection. */
 export function sendFailure(
   response: http.ServerResponse,
   cause: failure.Failure,
@@ -173,6 +219,9 @@
     response.destroy();
     return;
   }
+  if (!response.req.complete) {
+    return refusal.refuseUnread(response.req, response, cause);
+  }
   const headers: http.OutgoingHttpHeaders = {
     'Rhubarbvane-Result': String(cause.code),
     'Rhubarbvane-Work': cause.workState,
@@ -185,7 +234,7 @@
   sendJson(
     response,
     resultCode.describeResult(cause.code).httpStatus,
-    failureBody(cause),
+    refusal.failureBody(cause),
     headers,
   );
 }
--- a/src/daemon/daemon_settings.ts
+++ b/src/daemon/daemon_settings.ts
@@ -19,6 +19,7 @@
   operators: entrySettings.operatorsSchema,
   callers: entrySettings.callersSchema.prefault({}),
   links: entrySettings.linksSchema.prefault({}),
+  limits: entrySettings.limitsSchema.prefault({}),
 });
 
 const sideFileSchema = zod.z.strictObject({
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -45,6 +45,7 @@
       instance: file.instance,
       callers: file.callers,
       links: file.links,
+      limits: file.limits,
       clusterToken,
       operatorToken,
       registry,
--- a/src/entry/node/completion_handler.ts
+++ b/src/entry/node/completion_handler.ts
@@ -3,6 +3,7 @@
 import * as neverthrow from 'neverthrow';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
+import * as bodyStore from '../../base/node/body_store';
 import * as httpServer from '../../base/node/http_server';
 import * as tracing from '../../base/node/tracing';
 import * as customerLimits from '../../decision/common/customer_limits';
@@ -29,6 +30,7 @@
   readonly tracer: tracing.Tracer;
   readonly settings: entrySettings.CallerSettings;
   readonly entryCount: () => number;
+  readonly bodies: bodyStore.BodyStore;
 }
 
 interface AdmittedCompletion {
@@ -81,24 +83,22 @@
     if (caller.isErr()) {
       return caller.error;
     }
-    const body = await httpServer.readBody(
+    const held = await this.dependencies.bodies.read(
       request,
       this.dependencies.settings.max_body_bytes,
+      caller.value.customer,
     );
-    if (body.isErr()) {
-      return body.error;
+    if (held.isErr()) {
+      return held.error;
     }
+    // The prompt in it is held for as long as its generation is delivered.
+    response.once('close', () => held.value.release());
+    const body = held.value.toBuffer();
     if (isResume) {
-      return this.resume(
-        lastEventId,
-        body.value,
-        caller.value,
-        response,
-        trace,
-      );
+      return this.resume(lastEventId, body, caller.value, response, trace);
     }
     const span = this.dependencies.tracer.start('entry.admission', trace);
-    const parsed = completionRequest.parseCompletion(body.value, this.defaults);
+    const parsed = completionRequest.parseCompletion(body, this.defaults);
     const admitted = parsed.andThen(completion =>
       this.admit(completion, caller.value, arrivedAt),
     );
--- a/src/entry/node/completion_sinks.ts
+++ b/src/entry/node/completion_sinks.ts
@@ -3,6 +3,7 @@
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
 import * as httpServer from '../../base/node/http_server';
+import * as refusal from '../../base/node/refusal';
 import * as generationMachine from '../../decision/common/generation_machine';
 import * as entryMetrics from './entry_metrics';
 import * as eventId from './event_id';
@@ -102,7 +103,7 @@
       return httpServer.sendFailure(this.response, cause);
     }
     this.response.end(
-      `event: error\ndata: ${JSON.stringify(httpServer.failureBody(cause))}\n\n`,
+      `event: error\ndata: ${JSON.stringify(refusal.failureBody(cause))}\n\n`,
     );
   }
 
--- a/src/entry/node/entry_metrics.ts
+++ b/src/entry/node/entry_metrics.ts
@@ -17,6 +17,7 @@
   readonly revision;
   readonly linkLosses;
   readonly slowReaderPauses;
+  readonly clientLimits;
 
   constructor(registry: metrics.MetricsRegistry) {
     this.answers = registry.counter(
@@ -61,6 +62,11 @@
       'rhubarbvane_link_losses_total',
       'Links to side processes that were lost.',
     );
+    this.clientLimits = registry.counter(
+      'rhubarbvane_client_limits_total',
+      'Requests refused and connections closed by limits on what callers make the entry hold, by limit.',
+      ['limit'],
+    );
     this.slowReaderPauses = registry.counter(
       'rhubarbvane_slow_reader_pauses_total',
       'Streams paused for slow readers.',
--- a/src/entry/node/entry_process.ts
+++ b/src/entry/node/entry_process.ts
@@ -3,6 +3,7 @@
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
 import * as httpServer from '../../base/node/http_server';
+import * as limitReporter from '../../base/node/limit_reporter';
 import * as log from '../../base/node/log';
 import * as metrics from '../../base/node/metrics';
 import * as processSettings from '../../base/node/process_settings';
@@ -50,6 +51,7 @@
   readonly instance: processSettings.InstanceSettings;
   readonly callers: entrySettings.CallerSettings;
   readonly links: entrySettings.LinkSettings;
+  readonly limits: entrySettings.LimitSettings;
   readonly clusterToken: string;
   readonly operatorToken: string;
   readonly registry: metrics.MetricsRegistry;
@@ -67,7 +69,8 @@
 {
   readonly configuration: configurationService.ConfigurationService;
   private readonly disposables = new disposable.DisposableStore();
-  private readonly server = new httpServer.HttpServer();
+  private readonly server: httpServer.HttpServer;
+  private readonly limits: limitReporter.LimitReporter;
   private readonly tracer: tracing.Tracer;
   private readonly members: membership.Membership;
   private readonly links: linkManager.LinkManager;
@@ -88,6 +91,18 @@
   constructor(private readonly options: EntryProcessOptions) {
     super();
     const {instance, clusterToken: token} = options;
+    this.limits = this.disposables.add(
+      new limitReporter.LimitReporter(
+        limit => options.metrics.clientLimits.inc({limit}),
+        (limit, count, who) =>
+          this.logger.info('client-limit', {limit, count, last: who}),
+      ),
+    );
+    this.server = new httpServer.HttpServer({
+      memoryMegabytes: options.limits.memory_megabytes,
+      maxBodyBytes: options.callers.max_body_bytes,
+      limits: this.limits,
+    });
     const entryAddress = () => this.address;
     const entryCount = () => this.members.entries.length;
     this.tracer = new tracing.Tracer(instance.name);
@@ -336,6 +351,7 @@
       tracer: this.tracer,
       settings: this.options.callers,
       entryCount: () => this.members.entries.length,
+      bodies: this.server.bodies,
     });
     const services = new serviceHandler.ServiceHandler({
       authenticator,
@@ -348,6 +364,7 @@
       metrics: this.options.metrics,
       tracer: this.tracer,
       settings: this.options.callers,
+      bodies: this.server.bodies,
     });
     this.mountCounted('/v1/completions', (request, response) =>
       completions.handle(request, response),
--- a/src/entry/node/entry_settings.ts
+++ b/src/entry/node/entry_settings.ts
@@ -15,6 +15,12 @@
     .default(30_000),
 });
 
+/** Section [limits]. */
+export const limitsSchema = zod.z.strictObject({
+  /** Memory of the process, of which a part may hold what callers send. */
+  memory_megabytes: settingsFile.numberSetting(64, 10_000_000).default(256),
+});
+
 /** Section [operators]. */
 export const operatorsSchema = zod.z.strictObject({
   token_file: zod.z.string().min(1),
@@ -28,5 +34,7 @@
 
 /** Settings for callers. */
 export type CallerSettings = zod.z.infer<typeof callersSchema>;
+/** Limits of the process. */
+export type LimitSettings = zod.infer<typeof limitsSchema>;
 /** Settings for links. */
 export type LinkSettings = zod.z.infer<typeof linksSchema>;
--- a/src/entry/node/service_handler.ts
+++ b/src/entry/node/service_handler.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
+import * as bodyStore from '../../base/node/body_store';
 import * as httpServer from '../../base/node/http_server';
 import * as settingsFile from '../../base/node/settings_file';
 import * as tracing from '../../base/node/tracing';
@@ -27,6 +28,7 @@
   readonly metrics: entryMetrics.EntryMetrics;
   readonly tracer: tracing.Tracer;
   readonly settings: entrySettings.CallerSettings;
+  readonly bodies: bodyStore.BodyStore;
 }
 
 /** Validates service calls, dispatches them and answers callers. */
@@ -41,12 +43,13 @@
       request.headers.traceparent as string | undefined,
     );
     response.setHeader('Rhubarbvane-Trace', trace.traceId);
-    const reply = await this.serve(request, trace, Date.now());
+    const reply = await this.serve(request, response, trace, Date.now());
     this.answer(response, reply);
   }
 
   private async serve(
     request: http.IncomingMessage,
+    response: http.ServerResponse,
     trace: tracing.TraceContext,
     arrivedAt: number,
   ): Promise<sideCalls.ServiceReply> {
@@ -62,14 +65,20 @@
       routeName,
       arrivedAt,
     );
-    const body = await httpServer.readBody(
+    if (route.isErr()) {
+      span.end();
+      return {failure: route.error};
+    }
+    const body = await this.dependencies.bodies.read(
       request,
       this.dependencies.settings.max_body_bytes,
+      caller.value.customer,
     );
     span.end();
-    if (route.isErr() || body.isErr()) {
-      return {failure: route.isErr() ? route.error : body._unsafeUnwrapErr()};
+    if (body.isErr()) {
+      return {failure: body.error};
     }
+    response.once('close', () => body.value.release());
     const key = request.headers['idempotency-key'];
     const path = rest.slice(routeName.length) || '/';
     const call: serviceDispatcher.ServiceRequest = {
@@ -78,7 +87,7 @@
       path: path.startsWith('/') ? path : `/${path}`,
       contentType:
         request.headers['content-type'] ?? 'application/octet-stream',
-      body: body.value,
+      body: body.value.toBuffer(),
       idempotencyKey: typeof key === 'string' ? key : '',
       isRepeatable:
         route.value.route.repeatable ||
--- a/src/protocol/node/direct_calls.ts
+++ b/src/protocol/node/direct_calls.ts
@@ -13,7 +13,8 @@
 import * as sideRouter from './side_router';
 
 const CALLS_PATH = '/calls/';
-const BODY_LIMIT_BYTES = 128 * 1024 * 1024;
+/** Largest body of a call, in bytes. */
+export const BODY_LIMIT_BYTES = 128 * 1024 * 1024;
 
 /** Names of the calls, as in their paths. */
 enum DirectCall {
@@ -86,7 +87,7 @@
     server.mount(
       CALLS_PATH + name,
       peerTransport.requireToken(token, (request, response) =>
-        handleCall(request, response, schema, handler),
+        handleCall(server, request, response, schema, handler),
       ),
     );
   };
@@ -105,16 +106,19 @@
 }
 
 async function handleCall<T>(
+  server: httpServer.HttpServer,
   request: http.IncomingMessage,
   response: http.ServerResponse,
   schema: zod.ZodType<T>,
   handler: (input: T) => unknown,
 ): Promise<void> {
-  const body = await httpServer.readBody(request, BODY_LIMIT_BYTES);
+  const body = await server.bodies.read(request, BODY_LIMIT_BYTES, '');
   if (body.isErr()) {
     return httpServer.sendFailure(response, body.error);
   }
-  const input = schema.safeParse(JSON.parse(body.value.toString('utf8')));
+  const text = body.value.toBuffer().toString('utf8');
+  body.value.release();
+  const input = schema.safeParse(JSON.parse(text));
   if (!input.success) {
     const message = input.error.issues[0].message;
     return httpServer.sendFailure(
--- a/src/side/node/side_process.ts
+++ b/src/side/node/side_process.ts
@@ -52,7 +52,9 @@
   implements disposable.Disposable
 {
   readonly incarnation = crypto.randomBytes(6).toString('hex');
-  private readonly server = new httpServer.HttpServer();
+  private readonly server = new httpServer.HttpServer({
+    maxBodyBytes: directCalls.BODY_LIMIT_BYTES,
+  });
   private readonly registry: metrics.MetricsRegistry;
   private readonly tracer: tracing.Tracer;
   private readonly links: linkHub.LinkHub;
--- a/src/tool/caller_commands.ts
+++ b/src/tool/caller_commands.ts
@@ -6,7 +6,7 @@
 import * as failure from '../base/common/failure';
 import * as resultCode from '../base/common/result_code';
 import * as httpClient from '../base/node/http_client';
-import * as httpServer from '../base/node/http_server';
+import * as refusal from '../base/node/refusal';
 import * as toolCommand from './tool_command';
 
 const CALL_TIMEOUT_MILLISECONDS = 600_000;
@@ -18,7 +18,7 @@
 }
 
 function parseFailure(body: string): toolCommand.CommandFailure {
-  const parsed = JSON.parse(body) as httpServer.FailureBody;
+  const parsed = JSON.parse(body) as refusal.FailureBody;
   const {
     code,
     message,
--- a/standins/standin_server.ts
+++ b/standins/standin_server.ts
@@ -1,18 +1,27 @@
 /** Functions shared by the stand-ins: request bodies, the line that announces the URL, and arguments. */
 import * as http from 'node:http';
-import * as httpServer from '../src/base/node/http_server';
+import * as memoryAccount from '../src/base/common/memory_account';
+import * as blockPool from '../src/base/node/block_pool';
+import * as bodyStore from '../src/base/node/body_store';
 
 const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
 
+const bodies = new bodyStore.BodyStore(
+  new memoryAccount.MemoryAccount(bodyStore.boundsFor(64 * BODY_LIMIT_BYTES)),
+  new blockPool.BlockPool(),
+);
+
 /** Reads the body as text. Rejects when the body cannot be read completely. */
 export async function readBodyText(
   request: http.IncomingMessage,
 ): Promise<string> {
-  const body = await httpServer.readBody(request, BODY_LIMIT_BYTES);
+  const body = await bodies.read(request, BODY_LIMIT_BYTES, '');
   if (body.isErr()) {
     throw new Error(body.error.message);
   }
-  return body.value.toString('utf8');
+  const text = body.value.toBuffer().toString('utf8');
+  body.value.release();
+  return text;
 }
 
 /** Reads the body as JSON; returns an empty object for an empty body. */
