Gateway: connections, requests ahead and bodies of callers are within one account

Seen by callers: the process ended, or nobody was answered, with chunks of 1 and 16 bytes and with requests ahead (with and without host, key and route), and with requests ahead at the addresses for readiness, metrics and peers; 120 bodies of 4 MiB that stop short took 578 MB of a machine with 178, requests ahead with bodies of 200 kB 785 MB, heads of 60 kB that stop short 204 MB; idle connections and requests under way 627 and 827 descriptors of 400.

Cause: nothing counted what callers make the process hold before their answers. Bodies were lists of chunks; every request that the parser found was handled, and sent on, at once; Node.js answered requests without a host itself; the kernel's part and descriptors had no bound.

Change: the machine is divided (machine_shares.ts), and the guard, the body store, the kernel watch and a bound for connections to instances keep the parts, also at the three other addresses. A request that is refused for want of room gets 503 with "not run", Retry-After and a closed connection; the rest of it is read and dropped for a second, so that its sender can read that. A customer may take as many connections to instances, and as much for large bodies, as it leaves free. Settings: limits.max_descriptors, filled in by the platform.

--- a/bench/naive/naive_gateway.ts
+++ b/bench/naive/naive_gateway.ts
@@ -5,7 +5,9 @@
  */
 import * as http from 'node:http';
 import * as jsonLog from '../../src/base/node/json_log';
-import * as httpServer from '../../src/base/node/http_server';
+import * as memoryAccount from '../../src/base/common/memory_account';
+import * as blockPool from '../../src/base/node/block_pool';
+import * as bodyStore from '../../src/base/node/body_store';
 import * as instanceClient from '../../src/gateway/common/instance_client';
 import * as instanceTable from '../../src/gateway/common/instance_table';
 import * as memberTable from '../../src/gateway/common/fleet/member_table';
@@ -16,6 +18,7 @@
 import * as platformAdapter from '../../src/platform/platform_adapter';
 
 const MAX_BODY_BYTES = 100_000;
+const ALL_BODIES_BYTES = 64_000_000;
 /** Time after the stop signal during which the load balancer still routes callers here, in milliseconds. */
 const STOP_MILLISECONDS = 7_500;
 
@@ -32,6 +35,10 @@
 );
 const client = platformAdapter.createInstanceClient(() => undefined);
 const decoder = platformAdapter.createCallerDecoder();
+const bodies = new bodyStore.BodyStore(
+  new memoryAccount.MemoryAccount(bodyStore.boundsFor(ALL_BODIES_BYTES)),
+  new blockPool.BlockPool(),
+);
 let isStopping = false;
 
 function answer(response: http.ServerResponse, status: number): void {
@@ -55,7 +62,7 @@
   const index = follower.routes;
   const caller = decoder.decode(request);
   const route = index?.findRoute(caller.host, caller.path);
-  const body = await httpServer.readBody(request, MAX_BODY_BYTES);
+  const body = await bodies.read(request, MAX_BODY_BYTES, '');
   if (index === undefined || body.isErr()) {
     return answer(response, index === undefined ? 503 : 400);
   }
@@ -73,7 +80,7 @@
   }
   const exchange = client.send(instance, {
     caller,
-    body: body.value,
+    body: body.value.chunks,
     remainingMilliseconds: Math.min(
       caller.waitMilliseconds ?? Infinity,
       route.timeoutMilliseconds,
@@ -87,6 +94,7 @@
   });
   instance.openRequests++;
   response.once('close', () => exchange.cancel());
+  void exchange.closed.then(() => body.value.release());
   await deliver(exchange, response);
   instance.openRequests--;
 }
--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -1,7 +1,6 @@
 /** HTTP server with path-prefix handlers, body limits and graceful shutdown. */
 import * as http from 'node:http';
 import * as net from 'node:net';
-import * as neverthrow from 'neverthrow';
 import * as disposable from '../common/disposable';
 import * as failure from '../common/failure';
 import * as memoryAccount from '../common/memory_account';
@@ -207,9 +206,6 @@
   }
 }
 
-/** Creates the body of an error response. */
-export const failureBody = refusal.failureBody;
-
 /** Sends an error response; if the headers were already sent, only closes the connection. A request that has not arrived whole is the last one of its connection. */
 export function sendFailure(
   response: http.ServerResponse,
@@ -255,38 +251,6 @@
   response.end(text);
 }
 
-/** Reads a request body up to a limit. Errors: BodyTooLarge, MalformedRequest for a truncated body. */
-export function readBody(
-  request: http.IncomingMessage,
-  limitBytes: number,
-): Promise<neverthrow.Result<Buffer, failure.Failure>> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    const refuse = (code: resultCode.ResultCode, message: string) =>
-      resolve(neverthrow.err(failure.notRun(code, message)));
-    request.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > limitBytes) {
-        refuse(
-          resultCode.ResultCode.BodyTooLarge,
-          `body: over ${limitBytes} bytes`,
-        );
-        request.pause();
-        return;
-      }
-      chunks.push(chunk);
-    });
-    request.once('end', () => resolve(neverthrow.ok(Buffer.concat(chunks))));
-    request.once('error', () =>
-      refuse(resultCode.ResultCode.MalformedRequest, 'body: ended early'),
-    );
-    request.once('close', () =>
-      refuse(resultCode.ResultCode.MalformedRequest, 'body: ended early'),
-    );
-  });
-}
-
 /** Returns the bearer token of the Authorization header. */
 export function bearerToken(request: http.IncomingMessage): string | undefined {
   const match = /^Bearer +(\S+)$/i.exec(request.headers.authorization ?? '');
--- a/src/daemon/gateway_main.ts
+++ b/src/daemon/gateway_main.ts
@@ -5,7 +5,9 @@
 import * as jsonLog from '../base/node/json_log';
 import * as metrics from '../base/node/metrics';
 import * as resultCode from '../base/common/result_code';
+import * as limitReporter from '../base/node/limit_reporter';
 import * as gatewayMetrics from '../gateway/node/gateway_metrics';
+import * as gatewayPolicies from '../gateway/node/gateway_policies';
 import * as gatewayProcess from '../gateway/node/gateway_process';
 import * as gatewaySettings from '../gateway/node/gateway_settings';
 import * as platformAdapter from '../platform/platform_adapter';
@@ -77,6 +79,8 @@
   const {instance, platform} = settings;
   const registry = new metrics.MetricsRegistry({instance: instance.name});
   const meters = new gatewayMetrics.GatewayMetrics(registry);
+  const limits = gatewayPolicies.createLimitReporter(meters, log);
+  const shares = gatewayPolicies.divideMachine(settings);
   const onDidCallStore = (operation: string) =>
     meters.storeCalls.inc({operation});
   return new gatewayProcess.GatewayProcess({
@@ -89,10 +93,20 @@
       platform.store,
       onDidCallStore,
     ),
-    client: platformAdapter.createInstanceClient(() =>
-      meters.connections.inc(),
+    client: platformAdapter.createInstanceClient(
+      () => meters.connections.inc(),
+      {
+        maxOpen: shares.instanceConnections,
+        maxIdle: shares.idleInstanceConnections,
+        onDidRefuse: (customer = '') =>
+          limits.record(
+            limitReporter.ClientLimit.InstanceConnections,
+            customer,
+          ),
+      },
     ),
     decoder: platformAdapter.createCallerDecoder(),
+    limits,
   });
 }
 
--- a/src/gateway/common/instance_client.ts
+++ b/src/gateway/common/instance_client.ts
@@ -38,7 +38,8 @@
 /** A request to an instance. */
 export interface InstanceRequest {
   readonly caller: CallerRequest;
-  readonly body: Buffer;
+  /** The body in chunks, which stay as they are until the exchange is closed. */
+  readonly body: readonly Buffer[];
   readonly remainingMilliseconds: number;
   /** Whether the caller's attempt was sent to this address before, so that an answer to that send could be taken for one to this send. */
   readonly isSentAgain: boolean;
@@ -138,6 +139,8 @@
 /** A request in flight. */
 export interface Exchange {
   readonly response: Promise<neverthrow.Result<InstanceResponse, SendError>>;
+  /** Resolves when nothing of the request is being sent any more. */
+  readonly closed: Promise<void>;
   /** Closes the connection, upon which the instance drops the request. */
   cancel(): void;
 }
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -3,11 +3,13 @@
 import * as deadline from '../../base/common/deadline';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
+import * as bodyStore from '../../base/node/body_store';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as limitedSend from '../common/limits/limited_send';
+import * as bodyUse from './body_use';
 import * as callerAnswer from './caller_answer';
 import * as gatewayServices from './gateway_services';
 import * as repeatCharges from './repeat_charges';
@@ -25,7 +27,7 @@
 /** A request with everything that is resolved before it is sent. */
 export interface AcceptedCall {
   readonly caller: instanceClient.CallerRequest;
-  readonly body: Buffer;
+  readonly body: bodyStore.HeldBody;
   readonly route: configuration.Route;
   readonly endpoint: configuration.Endpoint | undefined;
   /** Name of the endpoint, set even if the configuration does not describe it. */
@@ -67,6 +69,7 @@
   private possibleRuns = 0;
   private rejectedSends = 0;
   private isFinished = false;
+  private readonly bodyUse: bodyUse.BodyUse;
   private onDisconnect: () => void = () => undefined;
   private endBeforeShutdown: () => boolean = () => false;
   /** Monotonic time by which this process must have answered, in milliseconds. */
@@ -77,6 +80,7 @@
     readonly call: AcceptedCall,
     readonly response: http.ServerResponse,
   ) {
+    this.bodyUse = new bodyUse.BodyUse(call.body);
     this.repeats = new repeatCharges.RepeatCharges(services, call.endpointName);
     services.metrics.openRequests.inc();
     response.once('close', () => {
@@ -85,6 +89,7 @@
       if (isGone) {
         this.onDisconnect();
       }
+      this.bodyUse.endCall();
     });
   }
 
@@ -155,12 +160,13 @@
     this.sentTo.add(address);
     const exchange = services.client.send(instance, {
       caller: call.caller,
-      body: call.body,
+      body: this.bodyUse.chunks,
       remainingMilliseconds: this.remainingMilliseconds,
       isSentAgain,
       customer: call.customer?.name,
       ...options,
     });
+    this.bodyUse.keepFor(exchange);
     void exchange.response.then(result => {
       if (result.isOk()) {
         services.answers.record(
--- a/src/gateway/node/caller_answer.ts
+++ b/src/gateway/node/caller_answer.ts
@@ -2,7 +2,7 @@
 import * as http from 'node:http';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
-import * as httpServer from '../../base/node/http_server';
+import * as refusal from '../../base/node/refusal';
 
 /** Maximum share of a caller's remaining time that it is asked to wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
@@ -36,7 +36,7 @@
   if (response.headersSent || response.destroyed) {
     return abortAnswer(response);
   }
-  const body = JSON.stringify(httpServer.failureBody(cause));
+  const body = JSON.stringify(refusal.failureBody(cause));
   const headers: http.OutgoingHttpHeaders = {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(body),
@@ -49,6 +49,18 @@
   response.writeHead(status, headers).end(body);
 }
 
+/** Refuses a request that did not run and may not have arrived whole. */
+export function refuse(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  cause: failure.Failure,
+): void {
+  if (request.complete) {
+    return answerFailure(response, cause);
+  }
+  refusal.refuseUnread(request, response, cause);
+}
+
 /** Ends a started answer so that its caller sees that it is incomplete. */
 export function abortAnswer(response: http.ServerResponse): void {
   // Without chunks an orderly close would mark the end of the answer.
--- a/src/gateway/node/caller_server.ts
+++ b/src/gateway/node/caller_server.ts
@@ -2,12 +2,19 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as disposable from '../../base/common/disposable';
+import * as failure from '../../base/common/failure';
+import * as resultCode from '../../base/common/result_code';
+import * as connectionGuard from '../../base/node/connection_guard';
 import * as jsonLog from '../../base/node/json_log';
+import * as limitReporter from '../../base/node/limit_reporter';
 import * as configuration from '../common/configuration';
+import * as refusal from '../../base/node/refusal';
 import * as callerAnswer from './caller_answer';
 
-/** Maximum size of headers that are parsed, in bytes. The configured limit is lower; a request over it gets a complete answer. */
-const MAX_PARSED_HEADER_BYTES = 65_536;
+/** Maximum size of headers that are parsed before the first configuration, in bytes. */
+const INITIAL_HEADER_BYTES = 65_536;
+/** Bytes parsed beyond the configured limit, so that a request that exceeds it a little is refused by name. */
+const HEADER_MARGIN_BYTES = 1_024;
 /** Time added to the configured limits, so that a caller within them is not disconnected, in milliseconds. */
 const LIMIT_MARGIN_MILLISECONDS = 1_000;
 /** Time within which a whole request must arrive, in milliseconds. */
@@ -16,39 +23,70 @@
 /** Idle timeout of connections before the first configuration, in milliseconds. */
 const INITIAL_IDLE_MILLISECONDS = 60_000;
 const BACKLOG = 1_024;
+/** Code of the error of a request that does not arrive whole in time. */
+const TIMEOUT_ERROR = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Retry delay of requests for which there is no room, in seconds. */
+const REFUSED_RETRY_SECONDS = 1;
 
 /** Listens for callers. */
-export class CallerServer implements disposable.Disposable {
+export class CallerServer
+  implements disposable.Disposable, connectionGuard.ExchangeHandler
+{
   private readonly server: http.Server;
+  private readonly guard: connectionGuard.ConnectionGuard;
   private openRequests = 0;
 
   constructor(
-    handle: (
+    private readonly handler: (
       request: http.IncomingMessage,
       response: http.ServerResponse,
     ) => Promise<void>,
+    bounds: connectionGuard.ConnectionBounds,
+    limits: limitReporter.LimitReporter,
     private readonly log: jsonLog.JsonLog,
   ) {
     this.server = http.createServer({
-      maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+      ...connectionGuard.SERVER_OPTIONS,
+      maxHeaderSize: INITIAL_HEADER_BYTES,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
       keepAliveTimeout: INITIAL_IDLE_MILLISECONDS,
       noDelay: true,
     });
-    this.server.on('request', (request, response) => {
-      this.openRequests++;
-      response.once('close', () => this.openRequests--);
-      handle(request, response).catch(error => {
-        this.log.write('handler-failed', {error: String(error?.stack)}, true);
-        callerAnswer.abortAnswer(response);
-      });
-    });
+    this.guard = new connectionGuard.ConnectionGuard(
+      this.server,
+      bounds,
+      this,
+      (limit, who) => limits.record(limit, who),
+    );
     this.server.on('clientError', (error, socket) =>
       this.answerMalformed(error, socket as net.Socket),
     );
   }
 
+  handle(request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.openRequests++;
+    response.once('close', () => this.openRequests--);
+    this.handler(request, response).catch(error => {
+      this.log.write('handler-failed', {error: String(error?.stack)}, true);
+      callerAnswer.abortAnswer(response);
+    });
+  }
+
+  refuse(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const cause = failure.notRun(
+      resultCode.ResultCode.Overloaded,
+      'this gateway holds as many requests as it can',
+      REFUSED_RETRY_SECONDS,
+    );
+    callerAnswer.refuse(request, response, cause);
+  }
+
+  /** Number of connections of callers. */
+  get connectionCount(): number {
+    return this.guard.connectionCount;
+  }
+
   /** Number of requests without a complete answer. */
   get openRequestCount(): number {
     return this.openRequests;
@@ -78,6 +116,9 @@
 
   /** Applies the limits of a configuration. */
   setLimits(limits: configuration.RequestLimits): void {
+    // Read for each new connection; missing from the declared type.
+    (this.server as http.Server & {maxHeaderSize: number}).maxHeaderSize =
+      limits.maxHeaderBytes + HEADER_MARGIN_BYTES;
     this.server.headersTimeout =
       limits.headerTimeoutMilliseconds + LIMIT_MARGIN_MILLISECONDS;
     this.server.keepAliveTimeout =
@@ -85,6 +126,7 @@
   }
 
   dispose(): void {
+    this.guard.dispose();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -99,21 +141,15 @@
     const isAnswerPending = currentResponse
       ? currentResponse.headersSent || currentResponse.req.complete
       : false;
-    this.log.write('request-unreadable', {error: error.code});
+    // The request waits for the answer to an earlier one, and is not read on until then.
+    if (error.code === TIMEOUT_ERROR && this.guard.hasWaitingRequests(socket)) {
+      return;
+    }
+    this.log.writeForClient('request-unreadable', {error: error.code});
     if (!socket.writable || isAnswerPending) {
       socket.destroy();
       return;
     }
-    const status = statusOf(error.code);
-    socket.end(
-      `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
-  }
-}
-
-function statusOf(code: string | undefined): number {
-  if (code === 'HPE_HEADER_OVERFLOW') {
-    return 431;
+    refusal.endWithFailure(socket, refusal.parserFailure(error.code));
   }
-  return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400;
 }
--- a/src/gateway/node/fleet/fleet_exchange.ts
+++ b/src/gateway/node/fleet/fleet_exchange.ts
@@ -2,6 +2,7 @@
 import * as dgram from 'node:dgram';
 import * as rxjs from 'rxjs';
 import * as disposable from '../../../base/common/disposable';
+import * as boundedServer from '../../../base/node/bounded_server';
 import * as jsonLog from '../../../base/node/json_log';
 import * as demandTable from '../../common/admission/demand_table';
 import * as crashTable from '../../common/crash_table';
@@ -85,6 +86,7 @@
     private readonly follower: stateFollower.StateFollower,
     private readonly evacuations: evacuationFollower.EvacuationFollower,
     private readonly metrics: gatewayMetrics.GatewayMetrics,
+    serverOptions: boundedServer.BoundedServerOptions,
     private readonly log: jsonLog.JsonLog,
   ) {
     this.gossip = new gossip.Gossip(
@@ -92,7 +94,12 @@
       now => this.digest(now),
       process.pid + Math.floor(Math.random() * 2 ** 31),
     );
-    this.transfer = new stateTransfer.StateTransfer(follower, evacuations, log);
+    this.transfer = new stateTransfer.StateTransfer(
+      follower,
+      evacuations,
+      serverOptions,
+      log,
+    );
   }
 
   start(): void {
--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as deadline from '../../../base/common/deadline';
 import * as disposable from '../../../base/common/disposable';
+import * as boundedServer from '../../../base/node/bounded_server';
 import * as httpClient from '../../../base/node/http_client';
 import * as jsonLog from '../../../base/node/json_log';
 import * as fetchDelay from '../../common/fleet/fetch_delay';
@@ -22,9 +23,7 @@
 
 /** Brings this gateway up to date with peers that are ahead of it. */
 export class StateTransfer implements disposable.Disposable {
-  private readonly server = http.createServer((request, response) =>
-    this.serveState(request, response),
-  );
+  private readonly server: boundedServer.BoundedServer;
   private readonly configurationFetchDelay = new fetchDelay.FetchDelay();
   private readonly instancesFetchDelay = new fetchDelay.FetchDelay();
   private isFetching = false;
@@ -36,8 +35,14 @@
   constructor(
     private readonly follower: stateFollower.StateFollower,
     private readonly evacuations: evacuationFollower.EvacuationFollower,
+    serverOptions: boundedServer.BoundedServerOptions,
     private readonly log: jsonLog.JsonLog,
-  ) {}
+  ) {
+    this.server = new boundedServer.BoundedServer(
+      serverOptions,
+      (request, response) => this.serveState(request, response),
+    );
+  }
 
   /** Serves the state at an IP and port; does nothing if the address is empty. */
   listen(address: string): void {
@@ -45,19 +50,17 @@
     if (separator <= 0) {
       return;
     }
-    this.server.on('error', error =>
-      this.log.write('peer-server-failed', {error: error.message}, true),
-    );
     this.server.listen(
-      Number(address.slice(separator + 1)),
       address.slice(0, separator),
+      Number(address.slice(separator + 1)),
+      error =>
+        this.log.write('peer-server-failed', {error: error.message}, true),
     );
   }
 
   dispose(): void {
     this.isDisposed = true;
-    this.server.close();
-    this.server.closeAllConnections();
+    this.server.dispose();
   }
 
   /**
--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -1,6 +1,8 @@
 /** Creates the tables, clients and subsystems of a gateway, and connects them. */
 import * as disposable from '../../base/common/disposable';
+import * as blockPool from '../../base/node/block_pool';
 import * as jsonLog from '../../base/node/json_log';
+import * as limitReporter from '../../base/node/limit_reporter';
 import * as metrics from '../../base/node/metrics';
 import * as lengthPredictor from '../../decision/common/length_predictor';
 import * as evacuationRule from '../common/availability/evacuation_rule';
@@ -56,6 +58,8 @@
   readonly versionStore: versionStore.VersionStore;
   readonly client: instanceClient.InstanceClient;
   readonly decoder: requestHandler.CallerDecoder;
+  /** Reports the limits for those who connect. */
+  readonly limits: limitReporter.LimitReporter;
 }
 
 /** The connected parts of a gateway. */
@@ -72,6 +76,8 @@
 /** Creates all parts; none of them is started. */
 export function assemble(options: GatewayOptions): GatewayAssembly {
   const {settings, log, client} = options;
+  const shares = gatewayPolicies.divideMachine(settings);
+  const pool = new blockPool.BlockPool();
   const {measured_speeds: isMeasuring} = settings.placement;
   const runs = new runTable.RunTable(isMeasuring);
   const speeds = new measuredSpeeds.MeasuredSpeeds(runs, isMeasuring);
@@ -137,6 +143,7 @@
     follower,
     evacuatedDataCentres,
     options.metrics,
+    {bounds: shares.peerServer, limits: options.limits},
     log,
   );
   const permits = new permitService.PermitService(
@@ -210,6 +217,8 @@
     ),
     hedges: gatewayPolicies.createHedgePolicy(settings),
     buffers: gatewayPolicies.createDeliveryBuffers(settings),
+    blocks: pool,
+    bodies: gatewayPolicies.createBodyStore(shares, pool, options.limits),
     members,
     predictor,
     pace,
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -34,6 +34,9 @@
   readonly placements: promClient.Counter<'pause'>;
   readonly heldBytes: promClient.Gauge;
   readonly slowReaderCuts: promClient.Counter;
+  readonly clientLimits: promClient.Counter<'limit'>;
+  readonly callerConnections: promClient.Gauge;
+  readonly bodyBytes: promClient.Gauge;
   readonly heldGenerations: promClient.Counter<'reason'>;
   readonly refusedGenerations: promClient.Counter<'reason'>;
 
@@ -151,6 +154,19 @@
       'rhubarbvane_gateway_held_bytes',
       'Bytes held for callers who read slowly',
     );
+    this.clientLimits = registry.counter(
+      'rhubarbvane_gateway_client_limits_total',
+      'Requests refused and connections closed by limits on what callers make the gateway hold, by limit',
+      ['limit'],
+    );
+    this.callerConnections = registry.gauge(
+      'rhubarbvane_gateway_caller_connections',
+      'Open connections of callers',
+    );
+    this.bodyBytes = registry.gauge(
+      'rhubarbvane_gateway_body_bytes',
+      'Bytes held for the bodies of requests',
+    );
     this.slowReaderCuts = registry.counter(
       'rhubarbvane_gateway_slow_reader_cuts_total',
       'Answers cut off because too many bytes were held for callers',
--- a/src/gateway/node/gateway_policies.ts
+++ b/src/gateway/node/gateway_policies.ts
@@ -1,10 +1,17 @@
 /** Creates the policies that the settings of a gateway call for. */
+import * as memoryAccount from '../../base/common/memory_account';
+import * as blockPool from '../../base/node/block_pool';
+import * as bodyStore from '../../base/node/body_store';
+import * as jsonLog from '../../base/node/json_log';
+import * as limitReporter from '../../base/node/limit_reporter';
 import * as deliveryBuffers from '../common/delivery_buffers';
 import * as budgetGateways from '../common/fleet/budget_gateways';
 import * as directMembers from '../common/fleet/direct_members';
 import * as memberTable from '../common/fleet/member_table';
 import * as hedgePolicy from '../common/hedging/hedge_policy';
+import * as machineShares from '../common/machine_shares';
 import * as retryLimiter from '../common/retry_limiter';
+import * as gatewayMetrics from './gateway_metrics';
 import * as gatewaySettings from './gateway_settings';
 
 /** Limits the retries of this gateway to its share of the budget. */
@@ -42,3 +49,38 @@
     ? new deliveryBuffers.DeliveryBuffers(memoryMegabytes)
     : undefined;
 }
+
+/** Divides the machine that the settings describe. */
+export function divideMachine(
+  settings: gatewaySettings.GatewaySettings,
+): machineShares.MachineShares {
+  return machineShares.divide({
+    memoryMegabytes: settings.limits?.memory_megabytes ?? 0,
+    descriptors: settings.limits?.max_descriptors ?? 0,
+  });
+}
+
+/** Counts and logs the limits on what those who connect make a gateway hold. */
+export function createLimitReporter(
+  metrics: gatewayMetrics.GatewayMetrics,
+  log: jsonLog.JsonLog,
+): limitReporter.LimitReporter {
+  return new limitReporter.LimitReporter(
+    limit => metrics.clientLimits.inc({limit}),
+    (limit, count, who) =>
+      log.write('client-limit', {limit, count, last: who}, true),
+  );
+}
+
+/** Creates the store of request bodies. */
+export function createBodyStore(
+  shares: machineShares.MachineShares,
+  pool: blockPool.BlockPool,
+  limits: limitReporter.LimitReporter,
+): bodyStore.BodyStore {
+  return new bodyStore.BodyStore(
+    new memoryAccount.MemoryAccount(bodyStore.boundsFor(shares.bodyBytes)),
+    pool,
+    group => limits.record(limitReporter.ClientLimit.Bodies, group),
+  );
+}
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -3,6 +3,7 @@
 import * as disposable from '../../base/common/disposable';
 import * as evacuationRule from '../common/availability/evacuation_rule';
 import * as warmUps from '../common/limits/warm_ups';
+import * as machineShares from '../common/machine_shares';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as instanceSpeeds from '../common/speeds/instance_speeds';
 import * as suspensionDetector from '../common/suspension_detector';
@@ -10,6 +11,7 @@
 import * as evacuationFollower from './evacuation_follower';
 import * as fleetExchange from './fleet/fleet_exchange';
 import * as gatewayAssembly from './gateway_assembly';
+import * as gatewayPolicies from './gateway_policies';
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as limitLog from './limits/limit_log';
@@ -36,6 +38,7 @@
   private readonly evacuatedDataCentres: evacuationFollower.EvacuationFollower;
   /** Undefined if evacuations are not followed. */
   private readonly evacuationRule: evacuationRule.EvacuationRule | undefined;
+  private readonly shares: machineShares.MachineShares;
   private isShuttingDown = false;
   private readonly suspensions = new suspensionDetector.SuspensionDetector(
     performance.now(),
@@ -44,6 +47,7 @@
 
   constructor(private readonly options: gatewayAssembly.GatewayOptions) {
     const {log} = options;
+    this.shares = gatewayPolicies.divideMachine(options.settings);
     const assembly = gatewayAssembly.assemble(options);
     this.services = assembly.services;
     this.exchange = assembly.exchange;
@@ -56,6 +60,8 @@
     );
     this.server = new callerServer.CallerServer(
       (request, response) => this.handler.handle(request, response),
+      this.shares.callerServer,
+      options.limits,
       log,
     );
   }
@@ -124,6 +130,7 @@
     const observability = new observabilityServer.ObservabilityServer(
       () => this.isReady,
       registry,
+      {bounds: this.shares.observabilityServer, limits: this.options.limits},
       log,
     );
     const separator = settings.listen.readiness.lastIndexOf(':');
@@ -160,6 +167,7 @@
       log.write('prompt-part-unblocked', {part}, true),
     );
     [
+      this.options.limits,
       observability,
       follower,
       this.evacuatedDataCentres,
@@ -231,11 +239,13 @@
 
   /** Reads all state again if the process was suspended, since it is then outdated. */
   private checkForSuspension(): void {
-    const {scheduler, speeds, buffers} = this.services;
+    const {scheduler, speeds, buffers, bodies} = this.services;
     this.options.metrics.waiting.set(scheduler.waitingCount);
     this.options.metrics.measuredInstances.set(speeds.speeds.size);
     this.options.metrics.storeEra.set(this.services.follower.era.current ?? 0);
     this.options.metrics.heldBytes.set(buffers?.totalBytes ?? 0);
+    this.options.metrics.bodyBytes.set(bodies.account.totalBytes);
+    this.options.metrics.callerConnections.set(this.server.connectionCount);
     const gap = this.suspensions.check(performance.now(), Date.now());
     if (gap === undefined) {
       return;
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -1,5 +1,7 @@
 /** Objects that all calls of one gateway share. */
 import * as lengthPredictor from '../../decision/common/length_predictor';
+import * as blockPool from '../../base/node/block_pool';
+import * as bodyStore from '../../base/node/body_store';
 import * as jsonLog from '../../base/node/json_log';
 import * as backOff from '../common/availability/back_off';
 import * as instanceAvailability from '../common/availability/instance_availability';
@@ -56,6 +58,10 @@
   readonly hedges: hedgePolicy.HedgePolicy | undefined;
   /** Undefined if instances are read only as fast as their callers read. */
   readonly buffers: deliveryBuffers.DeliveryBuffers | undefined;
+  /** Memory for what is held of bodies and answers. */
+  readonly blocks: blockPool.BlockPool;
+  /** Bodies of callers' requests. */
+  readonly bodies: bodyStore.BodyStore;
   readonly members: memberTable.MemberTable;
   readonly predictor: lengthPredictor.LengthPredictor;
   readonly pace: tokenPace.TokenPace;
--- a/src/gateway/node/gateway_settings.ts
+++ b/src/gateway/node/gateway_settings.ts
@@ -150,11 +150,16 @@
   /** Absent in files written for older builds. */
   limits: zod.z
     .object({
-      /** Memory of the machine; 0 to hold nothing for callers who read slowly. */
+      /** Memory of the machine; 0 to hold nothing for callers who read slowly, and to divide a usual machine for the rest. */
       memory_megabytes: optional(
         settingsFile.numberSetting(0, 10_000_000) as zod.ZodType<number>,
         0,
       ),
+      /** Descriptors of the process; 0 for the usual number. */
+      max_descriptors: optional(
+        settingsFile.numberSetting(0, 10_000_000) as zod.ZodType<number>,
+        0,
+      ).optional(),
     })
     .optional(),
 });
--- a/src/gateway/node/observability_server.ts
+++ b/src/gateway/node/observability_server.ts
@@ -1,6 +1,7 @@
 /** Serves readiness to the load balancer, and metrics to operators. */
 import * as http from 'node:http';
 import * as disposable from '../../base/common/disposable';
+import * as boundedServer from '../../base/node/bounded_server';
 import * as jsonLog from '../../base/node/json_log';
 import * as metrics from '../../base/node/metrics';
 
@@ -9,31 +10,29 @@
 
 /** Listens on the readiness and the metrics address. */
 export class ObservabilityServer implements disposable.Disposable {
-  private readonly servers: http.Server[] = [];
+  private readonly servers: boundedServer.BoundedServer[] = [];
 
   constructor(
     private readonly isReady: () => boolean,
     private readonly registry: metrics.MetricsRegistry,
+    private readonly options: boundedServer.BoundedServerOptions,
     private readonly log: jsonLog.JsonLog,
   ) {}
 
   /** Serves on the address; a failure is only logged, since requests can be served without it. */
   listen(host: string, port: number): void {
-    const server = http.createServer((request, response) => {
-      void this.answer(request, response);
-    });
-    server.on('error', error =>
+    const server = new boundedServer.BoundedServer(
+      this.options,
+      (request, response) => void this.answer(request, response),
+    );
+    server.listen(host, port, error =>
       this.log.write('observability-failed', {error: error.message}, true),
     );
-    server.listen(port, host);
     this.servers.push(server);
   }
 
   dispose(): void {
-    for (const server of this.servers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    this.servers.forEach(server => server.dispose());
   }
 
   private async answer(
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -3,7 +3,7 @@
 import * as http from 'node:http';
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
-import * as httpServer from '../../base/node/http_server';
+import * as bodyStore from '../../base/node/body_store';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
@@ -80,18 +80,23 @@
       return this.reject(request, response, caller, accepted);
     }
     const {limits} = accepted.index.configuration;
-    const body = await httpServer.readBody(request, limits.maxBodyBytes);
+    const body = await this.services.bodies.read(
+      request,
+      limits.maxBodyBytes,
+      accepted.customer?.name ?? request.socket.remoteAddress ?? '',
+    );
     if (body.isErr()) {
       return this.reject(request, response, caller, new Rejection(body.error));
     }
-    if (!response.destroyed) {
-      await this.start(caller, body.value, accepted, arrivedAt, response);
+    if (response.destroyed) {
+      return body.value.release();
     }
+    await this.start(caller, body.value, accepted, arrivedAt, response);
   }
 
   private async start(
     caller: instanceClient.CallerRequest,
-    body: Buffer,
+    body: bodyStore.HeldBody,
     accepted: AcceptedRequest,
     arrivedAt: number,
     response: http.ServerResponse,
@@ -285,18 +290,18 @@
     cause: Rejection,
   ): void {
     const {follower, log} = this.services;
-    log.write('request-rejected', {
+    log.writeForClient('request-rejected', {
       request: caller.attemptId,
       result: ResultCode[cause.failure.code],
       reason: cause.failure.message,
       configuration: follower.configurationVersion,
       configuration_age_ms: Math.round(follower.configurationAge()),
     });
-    // An unread body would be parsed as the next request.
-    if (!request.complete) {
-      response.setHeader('Connection', 'close');
-    }
-    callerAnswer.answerFailure(response, cause.failure);
+    callerAnswer.refuse(
+      request,
+      response,
+      withinDeadline(cause.failure, caller.waitMilliseconds),
+    );
   }
 }
 
@@ -318,6 +323,21 @@
   constructor(readonly failure: failure.Failure) {}
 }
 
+/** Bounds the retry delay by the time that the caller waits. */
+function withinDeadline(
+  cause: failure.Failure,
+  waitMilliseconds = Infinity,
+): failure.Failure {
+  const seconds = cause.retryAfterSeconds;
+  return seconds === undefined
+    ? cause
+    : failure.notRun(
+        cause.code,
+        cause.message,
+        callerAnswer.retryAfter(seconds, waitMilliseconds, Math.random()),
+      );
+}
+
 function rejection(
   code: resultCode.ResultCode,
   message: string,
@@ -329,13 +349,12 @@
 /** Hash that is equal for requests with the same route, customer, path and body. */
 function fingerprintOf(
   caller: instanceClient.CallerRequest,
-  body: Buffer,
+  body: bodyStore.HeldBody,
   route: configuration.Route,
   customer: configuration.Customer | undefined,
 ): string {
-  return crypto
-    .createHash('sha1')
-    .update(`${route.name}\n${customer?.name ?? ''}\n${caller.target}\n`)
-    .update(body)
-    .digest('base64url');
+  const hash = crypto.createHash('sha1');
+  hash.update(`${route.name}\n${customer?.name ?? ''}\n${caller.target}\n`);
+  body.chunks.forEach(chunk => hash.update(chunk));
+  return hash.digest('base64url');
 }
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -40,6 +40,8 @@
 /** One request and its answer. */
 export class HttpExchange implements instanceClient.Exchange {
   readonly response: Promise<SendResult>;
+  readonly closed: Promise<void>;
+  private onDidClose!: () => void;
   private settle!: (result: SendResult) => void;
   private request: http.ClientRequest | undefined;
   private isConnected = false;
@@ -48,27 +50,37 @@
 
   constructor(private readonly attemptId: string | undefined) {
     this.response = new Promise(resolve => (this.settle = resolve));
+    this.closed = new Promise(resolve => (this.onDidClose = resolve));
+  }
+
+  /** Ends the exchange without a send, for lack of room for another connection. */
+  withdraw(): void {
+    this.settle(neverthrow.err(SendError.Withdrawn));
+    this.onDidClose();
   }
 
   start(
     options: http.RequestOptions,
-    body: Buffer,
+    body: readonly Buffer[],
     onDidConnect: () => void,
   ): void {
     try {
       this.request = http.request(options);
     } catch {
       // node:http throws on targets and headers that it cannot write.
-      this.settle(neverthrow.err(SendError.Withdrawn));
-      return;
+      return this.withdraw();
     }
     const {request} = this;
     boundedBody.limitInterimResponses(request);
     request.once('socket', socket => this.attachSocket(socket, onDidConnect));
     request.once('response', response => this.handleResponse(response));
     request.once('error', () => this.fail());
-    request.once('close', () => this.fail());
-    request.end(body);
+    request.once('close', () => {
+      this.fail();
+      this.onDidClose();
+    });
+    body.slice(0, -1).forEach(chunk => request.write(chunk));
+    request.end(body.at(-1));
   }
 
   cancel(): void {
--- a/src/platform/instance_agent.ts
+++ b/src/platform/instance_agent.ts
@@ -28,7 +28,8 @@
 
 /** HTTP agent that pools connections by address. */
 export class InstanceAgent extends http.Agent {
-  constructor() {
+  /** @param maxIdle Connections to all instances that are kept open without a request. */
+  constructor(private readonly maxIdle = Infinity) {
     super({keepAlive: true, scheduling: 'lifo', noDelay: true});
   }
 
@@ -40,6 +41,7 @@
       Array.isArray(keepAlive) ? keepAlive[0] : keepAlive,
     );
     if (
+      this.idleCount >= this.maxIdle ||
       idle < MIN_IDLE_MILLISECONDS ||
       socket.readableLength > 0 ||
       (response !== undefined && isAnonymousRefusal(response))
@@ -52,6 +54,13 @@
     return true;
   }
 
+  private get idleCount(): number {
+    return Object.values(this.freeSockets).reduce(
+      (sum, sockets) => sum + (sockets?.length ?? 0),
+      0,
+    );
+  }
+
   override reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
     socket.off('data', destroyOnUnexpectedData);
     socket.setTimeout(0);
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -7,6 +7,7 @@
 import * as fieldReader from './field_reader';
 import * as httpExchange from './http_exchange';
 import * as instanceAgent from './instance_agent';
+import * as instanceConnections from './instance_connections';
 import * as objectCodec from './object_codec';
 import * as requestCodec from './request_codec';
 import * as wireNames from './wire_names';
@@ -21,7 +22,8 @@
 
 /** Sends over node:http with pooled connections. */
 export class InstanceHttpClient extends instanceClient.InstanceClient {
-  private readonly agent = new instanceAgent.InstanceAgent();
+  private readonly agent: instanceAgent.InstanceAgent;
+  private readonly connections: instanceConnections.InstanceConnections;
   /**
    * Makes a connection for each request. For requests whose answer could not be
    * distinguished from a late copy of an earlier answer on the same connection:
@@ -29,12 +31,18 @@
    */
   private readonly singleUseAgent = new http.Agent({noDelay: true});
 
-  /** @param controlTimeoutMilliseconds Timeout for reading a report or freeing a copy. */
+  /**
+   * @param controlTimeoutMilliseconds Timeout for reading a report or freeing a copy.
+   * @param bounds Beyond them, requests of callers are not sent.
+   */
   constructor(
     private readonly onDidConnect: () => void = () => undefined,
     private readonly controlTimeoutMilliseconds = CONTROL_TIMEOUT_MILLISECONDS,
+    bounds: instanceConnections.InstanceConnectionBounds = instanceConnections.UNBOUNDED,
   ) {
     super();
+    this.agent = new instanceAgent.InstanceAgent(bounds.maxIdle);
+    this.connections = new instanceConnections.InstanceConnections(bounds);
   }
 
   send(
@@ -44,6 +52,10 @@
     const {attemptId} = request.caller;
     const exchange = new httpExchange.HttpExchange(attemptId);
     const isAmbiguous = request.isSentAgain || attemptId === undefined;
+    if (!this.connections.tryOpen(request.customer, exchange.closed)) {
+      exchange.withdraw();
+      return exchange;
+    }
     const {hostname, port} = splitAddress(instance.record.address);
     exchange.start(
       {
--- a/src/platform/platform_adapter.ts
+++ b/src/platform/platform_adapter.ts
@@ -5,6 +5,7 @@
 import * as versionStore from '../gateway/common/versions/version_store';
 import * as requestHandler from '../gateway/node/request_handler';
 import * as callerCodec from './caller_codec';
+import * as instanceConnections from './instance_connections';
 import * as instanceHttpClient from './instance_http_client';
 import * as metadataStore from './metadata_store';
 import * as versionObjectStore from './version_object_store';
@@ -34,8 +35,13 @@
 /** Creates a client of the platform's replicas. */
 export function createInstanceClient(
   onDidConnect: () => void,
+  bounds?: instanceConnections.InstanceConnectionBounds,
 ): instanceClient.InstanceClient {
-  return new instanceHttpClient.InstanceHttpClient(onDidConnect);
+  return new instanceHttpClient.InstanceHttpClient(
+    onDidConnect,
+    undefined,
+    bounds,
+  );
 }
 
 /** Creates a decoder of the requests of the platform's callers. */
--- a/src/platform/request_codec.ts
+++ b/src/platform/request_codec.ts
@@ -36,10 +36,11 @@
     Headers.continueFrom,
     continuation && `${continuation.sourceAddress}/${continuation.handle}`,
   );
-  const hasBody = request.body.length > 0;
+  const bodyBytes = request.body.reduce((sum, chunk) => sum + chunk.length, 0);
+  const hasBody = bodyBytes > 0;
   const isBodyless = caller.method === 'GET' || caller.method === 'HEAD';
   if (hasBody || !isBodyless) {
-    add('content-length', request.body.length);
+    add('content-length', bodyBytes);
   }
   return headers;
 }
--- a/test/gateway/repeat_charging.test.ts
+++ b/test/gateway/repeat_charging.test.ts
@@ -3,6 +3,7 @@
 import * as ava from 'ava';
 import * as neverthrow from 'neverthrow';
 import * as deadline from '../../src/base/common/deadline';
+import * as bodyStore from '../../src/base/node/body_store';
 import * as metrics from '../../src/base/node/metrics';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
@@ -54,7 +55,13 @@
       ),
       log: {write: () => undefined},
       limits: {get: () => undefined},
-      client: {send: () => ({response: arrival, cancel: () => undefined})},
+      client: {
+        send: () => ({
+          response: arrival,
+          closed: new Promise(() => undefined),
+          cancel: () => undefined,
+        }),
+      },
       scheduler: {
         recordTurnedAway: () => true,
         async placeAgain() {
@@ -65,7 +72,7 @@
     } as unknown as gatewayServices.GatewayServices,
     {
       caller: {} as instanceClient.CallerRequest,
-      body: Buffer.alloc(0),
+      body: bodyStore.HeldBody.of(Buffer.alloc(0)),
       route: gatewayRecords.route('/draft/', {attempts: 1}),
       endpoint: undefined,
       endpointName: ENDPOINT,
--- a/test/gateway/state_transfer.test.ts
+++ b/test/gateway/state_transfer.test.ts
@@ -1,11 +1,13 @@
 /** Where a gateway that hears of a newer configuration gets it from. */
 import * as ava from 'ava';
 import * as neverthrow from 'neverthrow';
+import * as limitReporter from '../../src/base/node/limit_reporter';
 import * as jsonLog from '../../src/base/node/json_log';
 import * as metrics from '../../src/base/node/metrics';
 import * as memberTable from '../../src/gateway/common/fleet/member_table';
 import * as peerDigest from '../../src/gateway/common/fleet/peer_digest';
 import * as watcherElection from '../../src/gateway/common/fleet/watcher_election';
+import * as machineShares from '../../src/gateway/common/machine_shares';
 import * as stateSource from '../../src/gateway/common/state_source';
 import * as evacuationFollower from '../../src/gateway/node/evacuation_follower';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
@@ -115,6 +117,14 @@
   const transfer = new stateTransfer.StateTransfer(
     follower,
     evacuationsOf(follower),
+    {
+      bounds: machineShares.divide({memoryMegabytes: 0, descriptors: 0})
+        .peerServer,
+      limits: new limitReporter.LimitReporter(
+        () => undefined,
+        () => undefined,
+      ),
+    },
     new jsonLog.JsonLog({}, '/dev/null'),
   );
   t.teardown(() => transfer.dispose());
--- a/test/platform/http_exchange.test.ts
+++ b/test/platform/http_exchange.test.ts
@@ -227,7 +227,7 @@
   const {instance, following, readOn} = await listenEarly(t, body.length);
   const client = createClient(t);
   const {caller, ...rest} = request();
-  const long = {...rest, caller: {...caller, method: 'POST'}, body};
+  const long = {...rest, caller: {...caller, method: 'POST'}, body: [body]};
   const proof = await proofOf(client.send(instance, long));
   t.deepEqual(proof, {status: 503, isNotExecuted: true});
   await readOn();
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -7,6 +7,7 @@
 import * as jsonLog from '../../src/base/node/json_log';
 import * as metrics from '../../src/base/node/metrics';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
+import * as gatewayPolicies from '../../src/gateway/node/gateway_policies';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
 import * as platformAdapter from '../../src/platform/platform_adapter';
 import * as freePorts from '../../standins/free_ports';
@@ -223,6 +224,8 @@
   const registry = new metrics.MetricsRegistry({});
   const storeAddress = await relay.listen();
   const statePort = await freePorts.freeStreamPort(ip);
+  const meters = new gatewayMetrics.GatewayMetrics(registry);
+  const log = new jsonLog.JsonLog({gateway: `gateway-${index}`}, logFile);
   const process = new gatewayProcess.GatewayProcess({
     settings: {
       instance: {
@@ -248,8 +251,9 @@
       retries: {window_seconds: 10, ratio: 0.2, allowance: 50},
     },
     registry,
-    metrics: new gatewayMetrics.GatewayMetrics(registry),
-    log: new jsonLog.JsonLog({gateway: `gateway-${index}`}, logFile),
+    metrics: meters,
+    log,
+    limits: gatewayPolicies.createLimitReporter(meters, log),
     source: platformAdapter.createStateSource(storeAddress, () => undefined),
     versionStore: platformAdapter.createVersionStore(
       storeAddress,
--- a/test/support/plain_call_bench.ts
+++ b/test/support/plain_call_bench.ts
@@ -2,6 +2,8 @@
 import * as events from 'node:events';
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
+import * as blockPool from '../../src/base/node/block_pool';
+import * as bodyStore from '../../src/base/node/body_store';
 import * as metrics from '../../src/base/node/metrics';
 import * as instanceAvailability from '../../src/gateway/common/availability/instance_availability';
 import * as configuration from '../../src/gateway/common/configuration';
@@ -32,6 +34,7 @@
 /** A request that an instance received. */
 export class FakeExchange implements instanceClient.Exchange {
   readonly response: Promise<SendResult>;
+  readonly closed = new Promise<void>(() => undefined);
   isCancelled = false;
   private settle!: (result: SendResult) => void;
   private listener: instanceClient.BodyListener | undefined;
@@ -184,6 +187,7 @@
           this.logged.push([event, fields]),
       },
       metrics: this.metrics,
+      blocks: new blockPool.BlockPool(),
       follower: {instances: this.instances},
       client: {
         send: (
@@ -236,7 +240,7 @@
       this.services,
       {
         caller: {method: 'GET'} as instanceClient.CallerRequest,
-        body: Buffer.alloc(0),
+        body: bodyStore.HeldBody.of(Buffer.alloc(0)),
         route: this.route,
         endpoint: undefined,
         endpointName: 'e',
--- a/test/support/raw_instance.ts
+++ b/test/support/raw_instance.ts
@@ -64,7 +64,7 @@
       resumedAttemptId: undefined,
       passedHeaders: ['Host', 'h.example', 'X-Rhubarbvane-Attempt-Id', ATTEMPT],
     },
-    body: Buffer.alloc(0),
+    body: [],
     remainingMilliseconds: 1000,
     customer: 'c',
     urgency: undefined,
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -4,6 +4,7 @@
 import * as jsonLog from '../../src/base/node/json_log';
 import * as metrics from '../../src/base/node/metrics';
 import * as gatewayMetrics from '../../src/gateway/node/gateway_metrics';
+import * as gatewayPolicies from '../../src/gateway/node/gateway_policies';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
 import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
 import * as platformAdapter from '../../src/platform/platform_adapter';
@@ -106,6 +107,8 @@
     const store = await test.store.listen();
     t.teardown(() => test.store.close());
     const registry = new metrics.MetricsRegistry({});
+    const meters = new gatewayMetrics.GatewayMetrics(registry);
+    const log = new jsonLog.JsonLog({}, '/dev/null');
     const gateway = new gatewayProcess.GatewayProcess({
       settings: {
         instance: {
@@ -131,8 +134,9 @@
         ...settings,
       },
       registry,
-      metrics: new gatewayMetrics.GatewayMetrics(registry),
-      log: new jsonLog.JsonLog({}, '/dev/null'),
+      metrics: meters,
+      log,
+      limits: gatewayPolicies.createLimitReporter(meters, log),
       source: platformAdapter.createStateSource(store, () => undefined),
       versionStore: platformAdapter.createVersionStore(store, () => undefined),
       client: platformAdapter.createInstanceClient(() => undefined),
