Calls: whole answers are held in blocks that are used again

Seen: 150 callers that ask for 4 MiB and do not read took 355 MB of a machine with 178, although the answers counted as held were within their bound.

Cause: answers were collected in buffers that grow by doubling; the count had their content, not the memory, and began at 64 KiB; what was cut off stayed resident until a collection, and in fragments.

Change: answers above 16 KiB take blocks of the pool, which return as the caller's socket takes them, or at once if the answer is cut off before it is written. Large answers are read one chunk in each turn of the event loop, so that connections of those that were cut off close before more is read of others.

--- a/src/gateway/node/caller_sink.ts
+++ b/src/gateway/node/caller_sink.ts
@@ -178,12 +178,15 @@
   constructor(
     private readonly context: callContext.CallContext,
     readonly measure: () => number,
+    /** Releases what is held; to be given if nothing of it is being written. */
+    private readonly onDidCutOff: () => void = () => undefined,
   ) {
     super();
   }
 
   cutOff(): void {
     this.context.cutOff(this.measure());
+    this.onDidCutOff();
   }
 }
 
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -259,7 +259,7 @@
     }
     this.context.finish(answer!.status >= 500 ? 'instance-failure' : 'served');
     response.writeHead(answer!.status, headers);
-    response.end(body);
+    body!.endInto(response);
     if (services.buffers !== undefined && response.writableLength > 0) {
       callerSink.holdUntilEnd(
         services.buffers,
--- a/src/gateway/node/plain_send.ts
+++ b/src/gateway/node/plain_send.ts
@@ -1,5 +1,5 @@
 /** One send of a call to an instance of a plain service. */
-import * as growingBuffer from '../../base/common/growing_buffer';
+import * as blockPool from '../../base/node/block_pool';
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as callContext from './call_context';
@@ -11,13 +11,11 @@
 /** Maximum size of an answer, in bytes; these services send no larger ones. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** Size from which an answer that is being collected counts as held, in bytes; most answers are smaller. */
-const MIN_HELD_BYTES = 65_536;
-
 /** Outcome of one send. */
 export interface SendOutcome {
   readonly answer?: instanceClient.InstanceResponse;
-  readonly body?: Buffer;
+  /** Released when the caller's response is closed. */
+  readonly body?: blockPool.PooledBuffer;
   readonly error?: instanceClient.SendError;
 }
 
@@ -99,8 +97,13 @@
       discardedBody.discard(answer.body, exchange);
       return {answer};
     }
-    const body = new growingBuffer.GrowingBuffer();
-    const held = new callerSink.HeldBytes(context, () => body.length);
+    const body = new blockPool.PooledBuffer(context.services.blocks);
+    context.response.once('close', () => body.release());
+    const held = new callerSink.HeldBytes(
+      context,
+      () => body.memoryWith(0),
+      () => body.release(),
+    );
     const outcome = await new Promise<SendOutcome>(resolve => {
       answer.body.listen({
         onData(chunk) {
@@ -109,11 +112,14 @@
             return;
           }
           body.append(chunk);
-          if (body.length > MIN_HELD_BYTES) {
+          if (body.length > blockPool.SMALL_BYTES) {
             buffers?.update(held);
+            // Connections of answers that are cut off close before more is read of others.
+            answer.body.pause();
+            setImmediate(() => answer.body.resume());
           }
         },
-        onDidEnd: () => resolve({answer, body: body.take()}),
+        onDidEnd: () => resolve({answer, body}),
         onDidFail: () => resolve({error: SendError.ConnectionLost}),
       });
     });
