Connections: input after the last answer is dropped, and buffers of input are collected every 4 MB

A request that was refused before it was read could lose its refusal: the parser got the rest, failed, and the connection was destroyed.

Cause: buffers of input that is dropped did not count towards a collection, and entries have no flag that allows one; their shares were larger than the rest left.

Change: a connection whose last answer is written drops its input before the parser and is read on until it closes; all input counts; the collector is taken from the engine when it is first needed, so that deployments need no flag. Bodies of an entry take 10% of its memory, connections and the kernel 5% each.

--- a/src/base/node/buffer_collector.ts
+++ b/src/base/node/buffer_collector.ts
@@ -2,21 +2,28 @@
  * Collects the buffers of network input early. The engine collects memory
  * outside its heap after 64 MB of it only, which is much of a small machine.
  */
+import * as v8 from 'node:v8';
+import * as vm from 'node:vm';
 
 /** Bytes of input after which the buffers that held them are collected. */
-const COLLECTED_BYTES = 8_000_000;
+const COLLECTED_BYTES = 4_000_000;
 
-interface Collector {
-  gc?: (options: {type: 'minor'}) => void;
-}
+type Collector = (options: {type: 'minor'}) => void;
 
+let collector: Collector | undefined;
 let uncollectedBytes = 0;
 
-/** Records input that was copied from its buffers. Does nothing unless the process runs with `--expose-gc`. */
+/** Records input whose buffers are not used any more. */
 export function recordInput(bytes: number): void {
   uncollectedBytes += bytes;
   if (uncollectedBytes >= COLLECTED_BYTES) {
     uncollectedBytes = 0;
-    (globalThis as Collector).gc?.({type: 'minor'});
+    collector ??= exposeCollector();
+    collector({type: 'minor'});
   }
 }
+
+function exposeCollector(): Collector {
+  v8.setFlagsFromString('--expose-gc');
+  return vm.runInNewContext('gc') as Collector;
+}
--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as memoryAccount from '../common/memory_account';
+import * as bufferCollector from './buffer_collector';
 import * as feedScheduler from './feed_scheduler';
 
 /**
@@ -87,7 +88,7 @@
     socket.removeListener('data', listener);
     socket.on('data', chunk => this.receive(chunk));
     // Node.js resumes the socket whenever a request wants more of its body.
-    socket.on('resume', () => (this.isBlocked ? socket.pause() : this.feed()));
+    socket.on('resume', () => this.onDidResume());
     socket.once('close', () => this.forget());
   }
 
@@ -200,7 +201,24 @@
     }
   }
 
+  private onDidResume(): void {
+    if (this.isBlocked && !this.isRefused) {
+      this.socket.pause();
+    } else {
+      this.feed();
+    }
+  }
+
+  /** Whether the last answer was written, so that further input is dropped. */
+  private get isRefused(): boolean {
+    return this.socket.writableEnded;
+  }
+
   private receive(chunk: Buffer): void {
+    bufferCollector.recordInput(chunk.length);
+    if (this.isRefused) {
+      return;
+    }
     this.held.push(chunk);
     this.heldBytes += chunk.length;
     this.feed();
@@ -214,6 +232,10 @@
     this.isFeeding = true;
     const endsAt = performance.now() + feedScheduler.FEED_MILLISECONDS;
     while (this.heldBytes > 0 && !this.socket.destroyed) {
+      if (this.isRefused) {
+        this.dropInput();
+        break;
+      }
       if (this.waiting.length > 0) {
         this.block();
         break;
@@ -285,9 +307,13 @@
     );
   }
 
-  private forget(): void {
+  private dropInput(): void {
     this.held = [];
     this.heldBytes = 0;
+  }
+
+  private forget(): void {
+    this.dropInput();
     this.waiting.length = 0;
     this.owner.scheduler.remove(this.takeTurn);
     this.owner.account.release(this);
--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -28,9 +28,9 @@
 const DEFAULT_MEMORY_MEGABYTES = 256;
 const BYTES_PER_MEGABYTE = 1_000_000;
 /** Shares of the memory. */
-const BODY_SHARE = 0.15;
-const CONNECTION_SHARE = 0.1;
-const KERNEL_SHARE = 0.1;
+const BODY_SHARE = 0.1;
+const CONNECTION_SHARE = 0.05;
+const KERNEL_SHARE = 0.05;
 /** Bodies of the largest size for which there is always room. */
 const LARGEST_BODIES = 3;
 const MAX_CONNECTIONS = 4_000;
