Kernel watch: connections are checked only while requests are handled; fewer objects a read

Cause: a timer of each of the four servers woke the process four times a second, and each read of a connection made a new charge and a body a timer.

Change: the watch is started by requests and goes on while some are open, twice a second; charges are updated in place; a body that is whole needs no timer.

--- a/src/base/common/memory_account.ts
+++ b/src/base/common/memory_account.ts
@@ -66,7 +66,13 @@
     }
     this.sum += growth;
     this.groups.set(holder.group, this.groupBytes(holder.group) + growth);
-    this.charges.set(holder, {bytes, progress: ++this.progressCount});
+    const progress = ++this.progressCount;
+    if (charge === undefined) {
+      this.charges.set(holder, {bytes, progress});
+    } else {
+      charge.bytes = bytes;
+      charge.progress = progress;
+    }
     return true;
   }
 
--- a/src/base/node/body_store.ts
+++ b/src/base/node/body_store.ts
@@ -133,13 +133,9 @@
       );
     request.once('error', endEarly);
     request.once('close', endEarly);
-    this.timer = setTimeout(
-      () =>
-        this.refuse(
-          failure.notRun(ResultCode.RequestTimeout, 'body: not whole in time'),
-        ),
-      BODY_TIMEOUT_MILLISECONDS,
-    );
+    if (!request.complete) {
+      this.timer = setTimeout(() => this.expire(), BODY_TIMEOUT_MILLISECONDS);
+    }
   }
 
   evict(): void {
@@ -152,6 +148,12 @@
     );
   }
 
+  private expire(): void {
+    this.refuse(
+      failure.notRun(ResultCode.RequestTimeout, 'body: not whole in time'),
+    );
+  }
+
   private add(chunk: Buffer, limitBytes: number): void {
     if (this.isSettled) {
       return;
--- a/src/base/node/connection_guard.ts
+++ b/src/base/node/connection_guard.ts
@@ -93,6 +93,7 @@
   }
 
   handle({request, response}: guardedConnection.ServerExchange): void {
+    this.watch.start();
     this.handler.handle(request, response);
   }
 
--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -117,6 +117,10 @@
     this.socket.resetAndDestroy();
   }
 
+  get hasActiveRequest(): boolean {
+    return this.active !== undefined;
+  }
+
   get hasWaitingRequests(): boolean {
     return this.waiting.length > 0;
   }
--- a/src/base/node/kernel_watch.ts
+++ b/src/base/node/kernel_watch.ts
@@ -3,8 +3,8 @@
 import * as guardedConnection from './guarded_connection';
 import * as kernelQueues from './kernel_queues';
 
-/** Interval of checks of all connections, in milliseconds. */
-const CHECK_INTERVAL_MILLISECONDS = 250;
+/** Interval of checks of all connections while requests are handled, in milliseconds. */
+const CHECK_INTERVAL_MILLISECONDS = 500;
 /** Shortest time between two readings of the kernel's list, in milliseconds. */
 const READ_INTERVAL_MILLISECONDS = 50;
 /**
@@ -34,7 +34,8 @@
  * written bound it; only when these exceed the bound, the kernel is asked.
  */
 export class KernelWatch implements disposable.Disposable {
-  private readonly timer: disposable.Disposable;
+  /** Undefined while no check is due. */
+  private timer: NodeJS.Timeout | undefined;
   /** Bytes that the kernel may have taken since the last check. */
   private recentBytes = 0;
   private isReading = false;
@@ -43,10 +44,14 @@
   constructor(
     private readonly connections: WatchedConnections,
     private readonly maxBytes: number,
-  ) {
-    this.timer = disposable.every(CHECK_INTERVAL_MILLISECONDS, () =>
-      this.check(),
-    );
+  ) {}
+
+  /** Checks the connections for as long as requests are handled. */
+  start(): void {
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      this.check();
+    }, CHECK_INTERVAL_MILLISECONDS).unref();
   }
 
   /** Records that an answer was handed to the kernel. */
@@ -60,7 +65,7 @@
   }
 
   dispose(): void {
-    this.timer.dispose();
+    clearTimeout(this.timer);
   }
 
   private recordBytes(bytes: number): void {
@@ -74,7 +79,9 @@
     this.recentBytes = 0;
     const sizes: ConnectionSize[] = [];
     let receivedBytes = 0;
+    let isActive = false;
     for (const each of this.connections.all()) {
+      isActive ||= each.hasActiveRequest;
       sizes.push([each, each.unconfirmedBytes]);
       receivedBytes += each.isWaiting ? RECEIVE_BYTES : 0;
     }
@@ -83,6 +90,9 @@
       this.closeLargest(sizes, this.maxBytes * UNREAD_LIST_FACTOR);
     }
     const isDue = performance.now() - this.readAt >= READ_INTERVAL_MILLISECONDS;
+    if (isActive) {
+      this.start();
+    }
     const mayExceed = sentBytes + receivedBytes > this.maxBytes;
     if (mayExceed && isDue && !this.isReading) {
       void this.readList();
