Connections: the parser is not called while Node.js waits for an answer to be read

Suspected, not seen: with an answer in progress that its caller does not read, a connection could be continued in its turn while Node.js had paused it, upon which its listener fails an assertion and the connection would not be read any more. The flag of Node.js is checked before each slice. No uncaught error was logged in two crowds with unread answers before this change either (200 kB bodies, large answers).

--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -244,7 +244,7 @@
         this.block();
         break;
       }
-      if (this.socket.isPaused()) {
+      if (this.socket.isPaused() || this.isPausedByServer) {
         break;
       }
       const mustWait = this.takesTurns && !this.isItsTurn;
@@ -311,6 +311,11 @@
     );
   }
 
+  /** Whether Node.js takes no input until an answer is read; its parser must not be called then. */
+  private get isPausedByServer(): boolean {
+    return (this.socket as {_paused?: boolean})._paused === true;
+  }
+
   private dropInput(): void {
     this.held = [];
     this.heldBytes = 0;
