--- a/src/base/node/body_store.ts
+++ b/src/base/node/body_store.ts
@@ -41,10 +41,6 @@
     return new HeldBody(chunks, onRelease);
   }
 
-  get length(): number {
-    return this.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-  }
-
   /** The body as one buffer, which stays valid after `release`. */
   toBuffer(): Buffer {
     return Buffer.concat(this.chunks);
--- a/src/base/node/limit_reporter.ts
+++ b/src/base/node/limit_reporter.ts
@@ -10,8 +10,6 @@
   Bodies = 'bodies',
   /** Memory of connections, their incomplete heads and requests. */
   Connections = 'connections',
-  /** Requests of one connection or customer at a time. */
-  Requests = 'requests',
   /** Connections to instances. */
   InstanceConnections = 'instance-connections',
   /** Bytes that the kernel holds for connections. */
