--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -65,7 +65,7 @@
   private heldBytes = 0;
   /** Bytes since the end of the last head that are no known part of a body. */
   private headBytes = 0;
-  /** Bytes of the current body that the parser surely takes as such. */
+  /** Lower bound of the bytes that are still missing from the current body; the parser may get so many at once. */
   private bodyBytesLeft = 0;
   private hasCarriedRequest = false;
   private confirmedBytes = 0;
