Configuration: gateways pass on what a version changes

Cause: each version, and each gap in the instances, was passed on as the whole state of a gateway, about 400 bytes a route, fetched within 800 ms in all. On a narrow or busy link it never arrived in that time, the fetch was repeated in vain, and each gateway that failed read the whole configuration from the store as well. Change: versions share the objects of unchanged entries; a gateway names the version that it has and gets what differs, or nothing. Versions in between are left out. Whole state, for a gateway that starts or is 16 versions behind, is compressed, encoded once for all, and may take 5 s as long as it arrives without a pause of 800 ms. Routes are looked up by prefix instead of one after the other, and only entries that differ are compared for removed names. Older builds ignore the two headers and get the whole state.

--- /dev/null
+++ b/src/base/common/plain_data.ts
@@ -0,0 +1,22 @@
+/** Plain data: values that JSON can hold. */
+
+/** Whether two values hold the same data. A field that is undefined counts as absent, as it does in JSON. */
+export function isEqual(left: unknown, right: unknown): boolean {
+  if (Object.is(left, right)) {
+    return true;
+  }
+  if (!isObject(left) || !isObject(right)) {
+    return false;
+  }
+  if (Array.isArray(left) !== Array.isArray(right)) {
+    return false;
+  }
+  return (
+    Object.keys(left).every(key => isEqual(left[key], right[key])) &&
+    Object.keys(right).every(key => right[key] === undefined || key in left)
+  );
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null;
+}
--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -13,6 +13,8 @@
   readonly headers?: http.OutgoingHttpHeaders;
   readonly body?: string | Buffer;
   readonly timeoutMilliseconds: number;
+  /** Maximum time until the headers and between two parts of a response that is read as a whole; the timeout if not given. */
+  readonly maxPauseMilliseconds?: number;
   /** Maximum size of a response that is read as a whole; 64 MiB if not given. */
   readonly maxBodyBytes?: number;
   readonly agent?: http.Agent;
@@ -58,14 +60,20 @@
 /** Sends a request and reads the complete response within the time limit. */
 export async function callHttp(call: HttpRequest): Promise<HttpResponse> {
   const startedAt = performance.now();
-  const response = await openHttp(call);
+  const {timeoutMilliseconds} = call;
+  const pause = Math.min(
+    timeoutMilliseconds,
+    call.maxPauseMilliseconds ?? timeoutMilliseconds,
+  );
+  const response = await openHttp({...call, timeoutMilliseconds: pause});
   const remainingMilliseconds = Math.max(
     1,
-    call.timeoutMilliseconds - (performance.now() - startedAt),
+    timeoutMilliseconds - (performance.now() - startedAt),
   );
   const body = await readBody(
     response,
     remainingMilliseconds,
+    pause,
     call.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
   );
   return {status: response.statusCode ?? 0, headers: response.headers, body};
@@ -74,15 +82,20 @@
 async function readBody(
   response: http.IncomingMessage,
   milliseconds: number,
+  pauseMilliseconds: number,
   maxBytes: number,
 ): Promise<Buffer> {
   let hasExpired = false;
-  const timer = setTimeout(() => {
+  const expire = () => {
     hasExpired = true;
     response.destroy();
-  }, milliseconds);
+  };
+  const timer = setTimeout(expire, milliseconds);
+  const pauseTimer = setTimeout(expire, pauseMilliseconds);
+  response.on('data', () => pauseTimer.refresh());
   const body = await boundedBody.collect(response, maxBytes);
   clearTimeout(timer);
+  clearTimeout(pauseTimer);
   if (hasExpired) {
     throw new deadline.DeadlineError(milliseconds);
   }
--- a/src/gateway/common/fleet/peer_digest.ts
+++ b/src/gateway/common/fleet/peer_digest.ts
@@ -1,7 +1,7 @@
 /** Status summaries that gateways send each other, and the state that they serve to those that are behind. */
 import * as evacuatedDataCentres from '../availability/evacuated_data_centres';
 import * as demandTable from '../admission/demand_table';
-import * as configuration from '../configuration';
+import * as configurationChange from '../configuration_change';
 import * as crashTable from '../crash_table';
 import * as engineReports from '../engine_reports';
 import * as instanceTable from '../instance_table';
@@ -59,12 +59,11 @@
   readonly endsInMilliseconds?: number;
 }
 
-/** Full state of a gateway, for peers that are behind. */
-export interface PeerState {
+/** State of a gateway, for peers that are behind. Older builds always give the whole configuration. */
+export interface PeerState extends configurationChange.ConfigurationUpdate {
   /** Era of the state source, as in digests. */
   readonly storeEra?: number;
   readonly configurationRevision: number;
-  readonly configuration: configuration.Configuration | undefined;
   readonly instancesPosition: number;
   readonly instances: readonly instanceTable.InstanceRecord[];
   /** Evacuated data centres; absent as in digests. */
--- a/src/gateway/common/retired_names.ts
+++ b/src/gateway/common/retired_names.ts
@@ -19,8 +19,8 @@
     before: configuration.Configuration,
     after: configuration.Configuration,
   ): void {
-    retire(this.keys, keysOf(before), keysOf(after));
-    retire(this.routes, routesOf(before), routesOf(after));
+    retire(this.keys, before.customers ?? [], after.customers ?? [], keysOf);
+    retire(this.routes, before.routes, after.routes, namesOf);
   }
 
   hasKey(key: string | undefined): boolean {
@@ -42,14 +42,25 @@
   }
 }
 
-function retire(
+/** Entries that both versions share, as most do, are compared by identity. */
+function retire<T>(
   retired: Set<string>,
-  before: readonly string[],
-  after: readonly string[],
+  before: readonly T[],
+  after: readonly T[],
+  namesOfEntry: (entry: T) => readonly string[],
 ): void {
-  const active = new Set(after);
-  before.filter(name => !active.has(name)).forEach(name => retired.add(name));
-  after.forEach(name => retired.delete(name));
+  const kept = new Set(after);
+  const gone = before.filter(entry => !kept.has(entry)).flatMap(namesOfEntry);
+  if (gone.length > 0) {
+    const active = new Set(after.flatMap(namesOfEntry));
+    gone.filter(name => !active.has(name)).forEach(name => retired.add(name));
+  }
+  const known = new Set(before);
+  for (const entry of after) {
+    if (!known.has(entry)) {
+      namesOfEntry(entry).forEach(name => retired.delete(name));
+    }
+  }
   for (const oldest of retired) {
     if (retired.size <= MAX_NAMES) {
       break;
@@ -58,12 +69,12 @@
   }
 }
 
-function keysOf(value: configuration.Configuration): string[] {
-  return (value.customers ?? []).flatMap(customer => [...customer.keys]);
+function keysOf(customer: configuration.Customer): readonly string[] {
+  return customer.keys;
 }
 
-function routesOf(value: configuration.Configuration): string[] {
-  return value.routes.map(route => routeName(route.host, route.pathPrefix));
+function namesOf({host, pathPrefix}: configuration.Route): string[] {
+  return [routeName(host, pathPrefix)];
 }
 
 function routeName(host: string, pathPrefix: string): string {
--- a/src/gateway/common/route_index.ts
+++ b/src/gateway/common/route_index.ts
@@ -7,25 +7,65 @@
   readonly hidingRoute: configuration.Route;
 }
 
+/** Routes of one host. */
+class HostRoutes {
+  /** Each route by its prefix; of several with one prefix the first. */
+  readonly byPrefix = new Map<string, configuration.Route>();
+  /** Prefixes that do not end with a slash, so that they may end anywhere in a path. */
+  private readonly irregularPrefixes: string[] = [];
+
+  /** Adds a route; returns the earlier route with its prefix, which gets all of its requests. */
+  add(route: configuration.Route): configuration.Route | undefined {
+    const {pathPrefix} = route;
+    const earlier = this.byPrefix.get(pathPrefix);
+    if (earlier !== undefined) {
+      return earlier;
+    }
+    this.byPrefix.set(pathPrefix, route);
+    if (!pathPrefix.endsWith('/')) {
+      this.irregularPrefixes.push(pathPrefix);
+    }
+    return undefined;
+  }
+
+  /** Returns the route with the longest prefix of the path. */
+  find(path: string): configuration.Route | undefined {
+    const prefix = this.irregularPrefixes
+      .filter(each => path.startsWith(each))
+      .reduce(
+        (longest, each) => (each.length > longest.length ? each : longest),
+        this.longestRegularPrefix(path),
+      );
+    return this.byPrefix.get(prefix);
+  }
+
+  private longestRegularPrefix(path: string): string {
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const prefix = path.slice(0, end + 1);
+      if (this.byPrefix.has(prefix)) {
+        return prefix;
+      }
+      // With a negative position, lastIndexOf would find a slash at the start again.
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return '';
+  }
+}
+
 /** Lookup tables of a configuration. */
 export class RouteIndex {
-  private readonly routesByHost = new Map<string, configuration.Route[]>();
+  private readonly hosts = new Map<string, HostRoutes>();
+  private readonly hidden: HiddenRoute[] = [];
   private readonly endpoints = new Map<string, configuration.Endpoint>();
   private readonly mostUrgent = new Map<string, number>();
   private readonly customersByKey = new Map<string, configuration.Customer>();
 
   constructor(readonly configuration: configuration.Configuration) {
     for (const route of configuration.routes) {
-      const routes = this.routesByHost.get(route.host) ?? [];
-      routes.push(route);
-      this.routesByHost.set(route.host, routes);
+      this.addRoute(route);
       this.addGenerationPriority(route);
     }
-    for (const routes of this.routesByHost.values()) {
-      routes.sort(
-        (left, right) => right.pathPrefix.length - left.pathPrefix.length,
-      );
-    }
     for (const endpoint of configuration.endpoints) {
       this.endpoints.set(endpoint.name, endpoint);
     }
@@ -51,27 +91,12 @@
 
   /** Returns the route of the host with the longest prefix that matches the path. */
   findRoute(host: string, path: string): configuration.Route | undefined {
-    return this.routesByHost
-      .get(host.toLowerCase())
-      ?.find(route => path.startsWith(route.pathPrefix));
+    return this.hosts.get(host.toLowerCase())?.find(path);
   }
 
   /** Returns the routes that `findRoute` never returns. */
-  hiddenRoutes(): HiddenRoute[] {
-    const hidden: HiddenRoute[] = [];
-    for (const routes of this.routesByHost.values()) {
-      // A route's own prefix is a path of the route, which a longer prefix does not match. So only an equal prefix hides it.
-      const firstByPrefix = new Map<string, configuration.Route>();
-      for (const route of routes) {
-        const hidingRoute = firstByPrefix.get(route.pathPrefix);
-        if (hidingRoute === undefined) {
-          firstByPrefix.set(route.pathPrefix, route);
-        } else {
-          hidden.push({route, hidingRoute});
-        }
-      }
-    }
-    return hidden;
+  hiddenRoutes(): readonly HiddenRoute[] {
+    return this.hidden;
   }
 
   findCustomer(key: string): configuration.Customer | undefined {
@@ -83,6 +108,16 @@
     return this.mostUrgent.get(endpoint) ?? Infinity;
   }
 
+  private addRoute(route: configuration.Route): void {
+    const routes = this.hosts.get(route.host) ?? new HostRoutes();
+    this.hosts.set(route.host, routes);
+    // A route's own prefix is a path of the route, which a longer prefix does not match. So only an equal prefix hides it.
+    const hidingRoute = routes.add(route);
+    if (hidingRoute !== undefined) {
+      this.hidden.push({route, hidingRoute});
+    }
+  }
+
   private addGenerationPriority(route: configuration.Route): void {
     if (!route.isGeneration) {
       return;
--- a/src/gateway/node/fleet/state_transfer.ts
+++ b/src/gateway/node/fleet/state_transfer.ts
@@ -9,17 +9,22 @@
 import * as peerDigest from '../../common/fleet/peer_digest';
 import * as evacuationFollower from '../evacuation_follower';
 import * as stateFollower from '../state_follower';
+import * as stateCodec from './state_codec';
 
 /** Time allowed for a configuration that a peer already has to arrive by the own watch, in milliseconds. */
 const WATCH_WAIT_MILLISECONDS = 150;
 /** Time allowed for instances that a peer already has to arrive in a datagram, in milliseconds. */
 const RELAY_WAIT_MILLISECONDS = 20;
-const FETCH_TIMEOUT_MILLISECONDS = 800;
-/** Maximum size of a peer's state, in bytes: a configuration, and records of some thousand instances. */
-const MAX_STATE_BYTES = 8_388_608;
+/** Maximum time for state to arrive, in milliseconds; whole state takes long on a narrow link. */
+const FETCH_TIMEOUT_MILLISECONDS = 5_000;
+/** Maximum time without any part of the state, in milliseconds. */
+const FETCH_PAUSE_MILLISECONDS = 800;
 /** Interval of reads of a configuration that a peer of an older build relayed incompletely, in milliseconds. */
 const COMPLETION_INTERVAL_MILLISECONDS = 1_000;
 const STATE_PATH = '/v1/state';
+/** Headers that name the version of the configuration that a peer has and its era; older builds ignore them. */
+const KNOWN_VERSION_HEADER = 'known-configuration';
+const KNOWN_ERA_HEADER = 'known-era';
 
 /** Brings this gateway up to date with peers that are ahead of it. */
 export class StateTransfer implements disposable.Disposable {
@@ -29,6 +34,9 @@
   private isFetching = false;
   private isCompleting = false;
   private isDisposed = false;
+  /** Whether the last change of a peer did not apply here. */
+  private needsWholeState = false;
+  private readonly encoder = new stateCodec.StateEncoder();
   /** Last digest with newer state that arrived during a fetch. */
   private next: peerDigest.PeerDigest | undefined;
 
@@ -40,7 +48,7 @@
   ) {
     this.server = new boundedServer.BoundedServer(
       serverOptions,
-      (request, response) => this.serveState(request, response),
+      (request, response) => void this.serveState(request, response),
     );
   }
 
@@ -70,6 +78,10 @@
    * give their own watch time first.
    */
   fetchNewerState(digest: peerDigest.PeerDigest, now: number): void {
+    const {configuration, era} = this.follower;
+    if (era.isCurrent(digest.storeEra)) {
+      configuration.recordAnnouncement(digest.configurationVersion, now);
+    }
     const isDue =
       this.isConfigurationDue(digest, now) || this.areInstancesDue(digest, now);
     if (!isDue || digest.stateAddress === '') {
@@ -124,17 +136,23 @@
         method: 'GET',
         url: `http://${digest.stateAddress}${STATE_PATH}`,
         timeoutMilliseconds: FETCH_TIMEOUT_MILLISECONDS,
-        maxBodyBytes: MAX_STATE_BYTES,
+        maxPauseMilliseconds: FETCH_PAUSE_MILLISECONDS,
+        maxBodyBytes: stateCodec.MAX_STATE_BYTES,
+        headers: this.requestHeaders(),
+      });
+      const state = await stateCodec.decode({
+        body: answer.body,
+        isCompressed: answer.headers['content-encoding'] === 'gzip',
       });
-      const state = JSON.parse(
-        answer.body.toString('utf8'),
-      ) as peerDigest.PeerState;
       this.follower.era.observe(state.storeEra, digest.name);
       // First, so that no request meets instances of an evacuated data centre.
       if (this.follower.era.isCurrent(state.storeEra)) {
         this.evacuations.applyPeerState(state, digest.name);
       }
       this.follower.applyPeerState(state, digest.name);
+      const {version} = state.configurationChange ?? {version: 0};
+      this.needsWholeState = version > this.follower.configurationVersion;
+      this.next ??= this.needsWholeState ? digest : undefined;
       void this.completeConfiguration();
     } catch (error) {
       this.log.write('peer-state-unavailable', {
@@ -174,23 +192,43 @@
     );
   }
 
-  private serveState(
+  private requestHeaders(): http.OutgoingHttpHeaders {
+    const {configuration, era} = this.follower;
+    const {changeableVersion} = configuration;
+    const headers = {'Accept-Encoding': 'gzip'};
+    return this.needsWholeState || changeableVersion === undefined
+      ? headers
+      : {
+          ...headers,
+          [KNOWN_VERSION_HEADER]: String(changeableVersion),
+          [KNOWN_ERA_HEADER]: String(era.current ?? ''),
+        };
+  }
+
+  private async serveState(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-  ): void {
-    if (request.url !== STATE_PATH) {
+  ): Promise<void> {
+    const {url, headers} = request;
+    if (url !== STATE_PATH) {
       response.writeHead(404).end();
       return;
     }
-    const state: peerDigest.PeerState = {
-      ...this.follower.peerState(),
-      evacuated: this.evacuations.toRelay(),
-    };
-    const body = JSON.stringify(state);
+    const hasSameEra =
+      headers[KNOWN_ERA_HEADER] === String(this.follower.era.current ?? '');
+    const peerVersion = Number(headers[KNOWN_VERSION_HEADER]);
+    const {body, isCompressed} = await this.encoder.encode(
+      {
+        ...this.follower.peerState(hasSameEra ? peerVersion : undefined),
+        evacuated: this.evacuations.toRelay(),
+      },
+      headers['accept-encoding'] === 'gzip',
+    );
     response
       .writeHead(200, {
         'Content-Type': 'application/json',
-        'Content-Length': Buffer.byteLength(body),
+        'Content-Length': body.length,
+        ...(isCompressed ? {'Content-Encoding': 'gzip'} : {}),
       })
       .end(body);
   }
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -243,8 +243,8 @@
     const {follower} = this.services;
     const isRetired =
       first.failure.code === ResultCode.UnknownRoute
-        ? follower.retired.hasRoute(caller.host, caller.path)
-        : follower.retired.hasKey(caller.key);
+        ? follower.configuration.retired.hasRoute(caller.host, caller.path)
+        : follower.configuration.retired.hasKey(caller.key);
     await follower.refreshConfiguration(
       isRetired ? RETIRED_MAX_AGE_MILLISECONDS : REJECTION_MAX_AGE_MILLISECONDS,
     );
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -3,10 +3,11 @@
 import * as deadline from '../../base/common/deadline';
 import * as disposable from '../../base/common/disposable';
 import * as jsonLog from '../../base/node/json_log';
+import * as activeConfiguration from '../common/active_configuration';
+import * as configuration from '../common/configuration';
 import * as instanceRegistry from '../common/instance_registry';
 import * as instanceTable from '../common/instance_table';
 import * as peerDigest from '../common/fleet/peer_digest';
-import * as retiredNames from '../common/retired_names';
 import * as routeIndex from '../common/route_index';
 import * as stateSource from '../common/state_source';
 import * as watcherElection from '../common/fleet/watcher_election';
@@ -31,11 +32,10 @@
   readonly onDidReadChange =
     new rxjs.Subject<instanceRegistry.RegistryChange>();
   readonly instances = new instanceTable.InstanceTable();
-  readonly retired = new retiredNames.RetiredNames();
+  readonly configuration = new activeConfiguration.ActiveConfiguration();
   /** History of the source to which all revisions and positions belong. */
   readonly era = new storeEra.StoreEra();
   private readonly registry = new instanceRegistry.InstanceRegistry();
-  private index: routeIndex.RouteIndex | undefined;
   private configurationRevision = 0;
   private confirmedAt = -Infinity;
   private instancesReadAt = -Infinity;
@@ -57,11 +57,11 @@
 
   /** Routes in force; undefined before the first configuration. */
   get routes(): routeIndex.RouteIndex | undefined {
-    return this.index;
+    return this.configuration.routes;
   }
 
   get configurationVersion(): number {
-    return this.index?.configuration.version ?? 0;
+    return this.configuration.version;
   }
 
   get instancesPosition(): number {
@@ -125,12 +125,12 @@
     await this.listInstances();
   }
 
-  /** Complete state, for a peer that lacks it. */
-  peerState(): peerDigest.PeerState {
+  /** State for a peer that has the given version of the configuration; undefined if it needs the whole configuration. */
+  peerState(peerVersion?: number): peerDigest.PeerState {
     return {
       storeEra: this.era.current,
       configurationRevision: this.configurationRevision,
-      configuration: this.index?.configuration,
+      ...this.configuration.updateFor(peerVersion),
       instancesPosition: this.registry.position,
       instances: this.registry.values(),
     };
@@ -140,9 +140,12 @@
   applyPeerState(state: peerDigest.PeerState, peer: string): void {
     this.era.observe(state.storeEra, peer);
     const isComparable = this.era.isCurrent(state.storeEra);
-    if (state.configuration !== undefined) {
+    const value = isComparable
+      ? this.configuration.resolve(state)
+      : state.configuration;
+    if (value !== undefined) {
       const revision = isComparable ? state.configurationRevision : 0;
-      this.applyConfiguration({revision, value: state.configuration}, peer);
+      this.applyConfiguration({revision, value}, peer);
     }
     if (!isComparable) {
       return;
@@ -177,7 +180,7 @@
 
   private followConfiguration(): Promise<void> {
     return this.follow(
-      () => this.index !== undefined,
+      () => this.routes !== undefined,
       () => this.readConfiguration(),
       () => this.watchConfiguration(),
     );
@@ -269,19 +272,15 @@
   }
 
   private applyConfiguration(
-    snapshot: stateSource.Snapshot<routeIndex.RouteIndex['configuration']>,
+    snapshot: stateSource.Snapshot<configuration.Configuration>,
     origin: string,
   ): void {
-    const {version} = snapshot.value;
-    if (this.index?.isAsNewAs(snapshot.value)) {
+    const {version, routes} = snapshot.value;
+    const previous = this.routes?.configuration.version;
+    if (!this.configuration.activate(snapshot.value)) {
       return;
     }
-    const previous = this.index?.configuration.version;
     this.advanceConfiguration(snapshot.revision);
-    if (this.index !== undefined) {
-      this.retired.update(this.index.configuration, snapshot.value);
-    }
-    this.index = new routeIndex.RouteIndex(snapshot.value);
     this.log.write(
       'configuration-in-force',
       {
@@ -289,11 +288,11 @@
         previous,
         revision: snapshot.revision,
         origin,
-        routes: snapshot.value.routes.length,
+        routes: routes.length,
       },
       true,
     );
-    this.onDidChangeConfiguration.next(this.index);
+    this.onDidChangeConfiguration.next(this.configuration.routes!);
   }
 
   private async listInstances(): Promise<boolean> {
@@ -336,6 +335,7 @@
       true,
     );
     this.configurationRevision = 0;
+    this.configuration.enterEra();
     this.registry.enterEra(performance.now());
     // Reads entries again that were not believed until now.
     setTimeout(() => {
--- a/standins/tcp_relay.ts
+++ b/standins/tcp_relay.ts
@@ -41,6 +41,7 @@
   private readonly server: net.Server;
   private readonly connections = new Set<Connection>();
   private mode = RelayMode.Pass;
+  private fromTargetBytes = 0;
 
   constructor(
     private readonly targetPort: number,
@@ -57,6 +58,11 @@
     return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
   }
 
+  /** Number of bytes that the target has sent. */
+  get bytesFromTarget(): number {
+    return this.fromTargetBytes;
+  }
+
   /** Whether bytes are forwarded without interference. */
   get isPassing(): boolean {
     return this.mode === RelayMode.Pass;
@@ -120,6 +126,7 @@
     direction: Direction,
     chunk: Buffer,
   ): void {
+    this.fromTargetBytes += direction.isFromTarget ? chunk.length : 0;
     direction.hasDroppedBytes ||=
       connection.isSilent ||
       (direction.isFromTarget && this.mode === RelayMode.SilenceAnswers);
--- a/test/gateway/state_transfer.test.ts
+++ b/test/gateway/state_transfer.test.ts
@@ -1,4 +1,6 @@
 /** Where a gateway that hears of a newer configuration gets it from. */
+import * as http from 'node:http';
+import * as net from 'node:net';
 import * as ava from 'ava';
 import * as neverthrow from 'neverthrow';
 import * as limitReporter from '../../src/base/node/limit_reporter';
@@ -14,6 +16,7 @@
 import * as stateTransfer from '../../src/gateway/node/fleet/state_transfer';
 import * as stateFollower from '../../src/gateway/node/state_follower';
 import * as freePorts from '../../standins/free_ports';
+import * as tcpRelay from '../../standins/tcp_relay';
 import * as gatewayRecords from '../support/gateway_records';
 
 const test = ava.default;
@@ -198,3 +201,79 @@
   );
   t.is(follower.configurationVersion, 2);
 });
+
+/** A large configuration whose routes have the priority. */
+function largeConfiguration(version: number, priority: number) {
+  const routes = Array.from({length: 3_000}, (_, index) =>
+    gatewayRecords.route(`/route-${index}/`, {
+      priority: index === 7 ? priority : 0,
+    }),
+  );
+  return gatewayRecords.configurationOf({version, routes});
+}
+
+function peerStateOf(version: number): peerDigest.PeerState {
+  return {
+    configurationRevision: version,
+    configuration: largeConfiguration(version, version),
+    instancesPosition: 0,
+    instances: [],
+  };
+}
+
+/** Serves state in parts, with pauses between them; returns its address. */
+async function listenSlowly(
+  t: ava.ExecutionContext,
+  state: peerDigest.PeerState,
+  parts: number,
+  pauseMilliseconds: number,
+): Promise<string> {
+  const body = Buffer.from(JSON.stringify(state));
+  const server = http.createServer(async (_, response) => {
+    response.writeHead(200, {'Content-Length': body.length});
+    for (let part = 0; part < parts; part++) {
+      const start = Math.floor((part * body.length) / parts);
+      const end = Math.floor(((part + 1) * body.length) / parts);
+      response.write(body.subarray(start, end));
+      await new Promise(resolve => setTimeout(resolve, pauseMilliseconds));
+    }
+    response.end();
+  });
+  await new Promise<void>(resolve => server.listen(0, IP, resolve));
+  t.teardown(() => server.close());
+  return `${IP}:${(server.address() as net.AddressInfo).port}`;
+}
+
+test('state transfer: a version that changes one of 3,000 routes takes less than 2 kB between peers', async t => {
+  const ahead = createFollower(new CountingSource(1));
+  ahead.applyPeerState(peerStateOf(2), 'gateway-2');
+  const address = `${IP}:${await freePorts.freeStreamPort(IP)}`;
+  createTransfer(t, ahead).listen(address);
+  const relay = new tcpRelay.TcpRelay(Number(address.split(':')[1]));
+  t.teardown(() => relay.dispose());
+  const relayed = await relay.listen();
+  const follower = await startedFollower(new CountingSource(1));
+  const transfer = createTransfer(t, follower);
+  transfer.fetchNewerState(digestOf(1, 2, relayed), performance.now());
+  await until(() => follower.configurationVersion === 2);
+  const bytesBefore = relay.bytesFromTarget;
+  ahead.applyPeerState(peerStateOf(3), 'gateway-2');
+  transfer.fetchNewerState(digestOf(1, 3, relayed), performance.now());
+  await until(() => follower.configurationVersion === 3);
+  const route = follower.routes?.findRoute('h.example', '/route-7/');
+  t.is(route?.priority, 3);
+  t.true(relay.bytesFromTarget - bytesBefore < 2_000);
+});
+
+test('state transfer: whole state that arrives without a long pause is taken however long it takes', async t => {
+  const address = await listenSlowly(t, peerStateOf(2), 8, 250);
+  const source = new CountingSource(1);
+  const follower = await startedFollower(source);
+  const transfer = createTransfer(t, follower);
+  const readsBefore = source.reads;
+  transfer.fetchNewerState(digestOf(1, 2, address), performance.now());
+  await until(
+    () => follower.configurationVersion === 2 || source.reads > readsBefore,
+  );
+  t.is(follower.configurationVersion, 2);
+});
