Store: answers may take as long as they keep arriving

What callers saw: a gateway that read a large configuration from the store over a narrow link never got it, and stayed without or with an old one. Cause: the limit of 600 ms (a watch: 500 ms beyond its wait) held for the whole answer. 1 MB takes 1.2 s at 7 Mbit/s. Change: the limit holds for the head; then each part must arrive within 600 ms, and all within 5 s.

--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -10,6 +10,9 @@
 /** Timeout of a read or write, in milliseconds; the store answers in about 4 ms. */
 export const CALL_TIMEOUT_MILLISECONDS = 600;
 
+/** Maximum time for an answer to arrive after its head, in milliseconds: large ones take seconds on a narrow link. */
+const TRANSFER_TIMEOUT_MILLISECONDS = 5_000;
+
 /** Maximum number of connections: one for each watch, the others for reads and writes in between. */
 const MAX_CONNECTIONS = 6;
 
@@ -41,6 +44,7 @@
   readonly path: string;
   /** JSON value to send; undefined to send none. */
   readonly content?: unknown;
+  /** Time within which the head of the answer must arrive. */
   readonly timeoutMilliseconds?: number;
 }
 
@@ -78,8 +82,14 @@
     return new Promise(resolve => {
       const finish = (answer: StoreAnswer | undefined) => {
         clearTimeout(timer);
+        clearTimeout(transferTimer);
         resolve(answer);
       };
+      const expire = () => {
+        finish(undefined);
+        request.destroy();
+      };
+      let transferTimer: NodeJS.Timeout | undefined;
       const request = http.request(
         `http://${this.options.address}${path}`,
         {
@@ -96,16 +106,20 @@
         response => {
           const status = response.statusCode ?? 0;
           const era = decodeEra(response.headers[wireNames.Headers.storeEra]);
+          clearTimeout(timer);
+          timer = setTimeout(expire, CALL_TIMEOUT_MILLISECONDS);
+          transferTimer = setTimeout(expire, TRANSFER_TIMEOUT_MILLISECONDS);
+          response.on('data', () => timer.refresh());
           void boundedBody
             .collect(response, MAX_ANSWER_BYTES)
             .then(body => finish(body && {status, era, body}));
         },
       );
       boundedBody.limitInterimResponses(request);
-      const timer = setTimeout(() => {
-        finish(undefined);
-        request.destroy();
-      }, call.timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS);
+      let timer = setTimeout(
+        expire,
+        call.timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS,
+      );
       request.once('error', () => finish(undefined));
       request.end(text);
     });
--- a/test/platform/metadata_store.test.ts
+++ b/test/platform/metadata_store.test.ts
@@ -5,6 +5,7 @@
 import * as stateSource from '../../src/gateway/common/state_source';
 import * as metadataStore from '../../src/platform/metadata_store';
 import * as storeStandin from '../../standins/store_standin';
+import * as testGateway from '../support/test_gateway';
 
 const test = ava.default;
 const {StoreFault} = storeStandin;
@@ -303,3 +304,43 @@
     await new Promise(resolve => setTimeout(resolve, 5));
   }
 });
+
+/** Answers with a configuration of some routes in ten parts, with pauses between them; returns its address. */
+async function listenSlowly(
+  t: ava.ExecutionContext,
+  pauseMilliseconds: number,
+): Promise<string> {
+  const spec = testGateway.configurationSpec(7);
+  const stored = {meta: {name: 'main', revision: 9}, spec};
+  const body = Buffer.from(JSON.stringify(stored));
+  const server = http.createServer(async (_, response) => {
+    response.writeHead(200, {'Content-Length': body.length});
+    const size = Math.ceil(body.length / 10);
+    for (let start = 0; start < body.length; start += size) {
+      response.write(body.subarray(start, start + size));
+      await new Promise(resolve => setTimeout(resolve, pauseMilliseconds));
+    }
+    response.end();
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+for (const [title, pauseMilliseconds, isRead] of [
+  ['that arrives in parts over a second is read', 120, true],
+  ['that stops arriving is not waited for', 1_500, false],
+] as const) {
+  test(`store: an answer ${title}`, async t => {
+    const address = await listenSlowly(t, pauseMilliseconds);
+    const store = new metadataStore.MetadataStore({address});
+    t.teardown(() => store.dispose());
+    const startedAt = performance.now();
+    const read = await store.readConfiguration();
+    t.is(read.isOk(), isRead);
+    t.true(performance.now() - startedAt < 5_000);
+  });
+}
