Requests: not denied by a configuration that peers have overtaken

Cause: a rejection was final as soon as the store had been asked once more, also if that failed, although digests of peers named a later version. Change: while a peer is known to have a later version, for five seconds after it last said so, a request that the version in force does not allow is answered 503, not run, with Retry-After.

--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -248,7 +248,15 @@
     await follower.refreshConfiguration(
       isRetired ? RETIRED_MAX_AGE_MILLISECONDS : REJECTION_MAX_AGE_MILLISECONDS,
     );
-    return this.findRouteAndCustomer(caller);
+    const second = this.findRouteAndCustomer(caller);
+    const isRefusal = second instanceof Rejection;
+    return isRefusal && follower.configuration.isOvertaken(performance.now())
+      ? rejection(
+          ResultCode.NotReady,
+          'a later configuration is not in force here yet',
+          NOT_READY_RETRY_SECONDS,
+        )
+      : second;
   }
 
   private findRouteAndCustomer(
