Configuration: less work for entries that a version does not change

Entries are compared with the one that follows in the earlier version, and names and changes are computed only between the entries that both versions begin and end with.

--- a/src/base/common/plain_data.ts
+++ b/src/base/common/plain_data.ts
@@ -11,10 +11,18 @@
   if (Array.isArray(left) !== Array.isArray(right)) {
     return false;
   }
-  return (
-    Object.keys(left).every(key => isEqual(left[key], right[key])) &&
-    Object.keys(right).every(key => right[key] === undefined || key in left)
-  );
+  // Loops over keys, as lists of them would cost more than the comparison.
+  for (const key in left) {
+    if (!isEqual(left[key], right[key])) {
+      return false;
+    }
+  }
+  for (const key in right) {
+    if (right[key] !== undefined && !(key in left)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 function isObject(value: unknown): value is Record<string, unknown> {
--- a/src/gateway/common/active_configuration.ts
+++ b/src/gateway/common/active_configuration.ts
@@ -35,7 +35,7 @@
     return isKept && isComplete ? this.version : undefined;
   }
 
-  /** Puts a configuration into force; false if it adds nothing to the one that is. */
+  /** Puts a configuration into force, with the objects of the one before for what is equal; false if it adds nothing to the one that is. */
   activate(value: configuration.Configuration): boolean {
     const previous = this.index?.configuration;
     if (this.index?.isAsNewAs(value) === true) {
--- a/src/gateway/common/configuration_change.ts
+++ b/src/gateway/common/configuration_change.ts
@@ -45,32 +45,80 @@
   earlier: configuration.Configuration,
   later: configuration.Configuration,
 ): configuration.Configuration {
-  const keyOf = (route: configuration.Route) =>
-    `${route.host} ${route.pathPrefix}`;
-  const nameOf = (entry: {readonly name: string}) => entry.name;
   const customers =
     later.customers &&
     shareEntries(earlier.customers ?? [], later.customers, nameOf);
   return {
     ...later,
-    routes: shareEntries(earlier.routes, later.routes, keyOf),
+    routes: shareEntries(earlier.routes, later.routes, prefixOf),
     endpoints: shareEntries(earlier.endpoints, later.endpoints, nameOf),
     customers,
   };
 }
 
+function prefixOf({host, pathPrefix}: configuration.Route): string {
+  return `${host} ${pathPrefix}`;
+}
+
+function nameOf({name}: {readonly name: string}): string {
+  return name;
+}
+
 function shareEntries<T>(
   earlier: readonly T[],
   later: readonly T[],
   keyOf: (entry: T) => string,
 ): readonly T[] {
-  const known = new Map(earlier.map(entry => [keyOf(entry), entry]));
+  // Most entries follow the one before them in both versions.
+  let next = 0;
+  let positions: Map<string, number> | undefined;
   return later.map(entry => {
-    const same = known.get(keyOf(entry));
-    return same !== undefined && plainData.isEqual(same, entry) ? same : entry;
+    if (plainData.isEqual(earlier[next], entry)) {
+      return earlier[next++];
+    }
+    positions ??= new Map(earlier.map((each, index) => [keyOf(each), index]));
+    const position = positions.get(keyOf(entry));
+    if (position === undefined) {
+      return entry;
+    }
+    next = position + 1;
+    const known = earlier[position];
+    return plainData.isEqual(known, entry) ? known : entry;
   });
 }
 
+/** Entries of two lists between those that both begin and end with. */
+export interface ListDifference<T> {
+  /** Number of entries with which both lists begin. */
+  readonly start: number;
+  readonly earlier: readonly T[];
+  readonly later: readonly T[];
+}
+
+/** Leaves out what two lists, which share the objects of equal entries, begin and end with. */
+export function differenceOf<T>(
+  earlier: readonly T[],
+  later: readonly T[],
+): ListDifference<T> {
+  const shorter = Math.min(earlier.length, later.length);
+  let start = 0;
+  while (start < shorter && earlier[start] === later[start]) {
+    start++;
+  }
+  let end = 0;
+  while (
+    end < shorter - start &&
+    earlier[earlier.length - 1 - end] === later[later.length - 1 - end]
+  ) {
+    end++;
+  }
+  return {
+    start,
+    earlier: earlier.slice(start, earlier.length - end),
+    later: later.slice(start, later.length - end),
+  };
+}
+
 /** Describes the change between two versions that share the objects of their equal entries. */
 export function describe(
   earlier: configuration.Configuration,
@@ -92,28 +140,51 @@
   earlier: readonly T[],
   later: readonly T[],
 ): ListChange<T> {
-  const positions = new Map(earlier.map((entry, index) => [entry, index]));
-  const parts: Array<{from: number; count: number} | {entries: T[]}> = [];
-  for (const entry of later) {
+  const difference = differenceOf(earlier, later);
+  const {start} = difference;
+  const end = start + difference.earlier.length;
+  const positions = new Map(
+    difference.earlier.map((entry, index) => [entry, start + index]),
+  );
+  const parts = new ChangeParts<T>();
+  parts.keep(0, start);
+  for (const entry of difference.later) {
     const position = positions.get(entry);
-    const last = parts.at(-1);
     if (position === undefined) {
-      if (last !== undefined && 'entries' in last) {
-        last.entries.push(entry);
-      } else {
-        parts.push({entries: [entry]});
-      }
-    } else if (
-      last !== undefined &&
-      'count' in last &&
-      last.from + last.count === position
-    ) {
-      last.count++;
+      parts.add(entry);
     } else {
-      parts.push({from: position, count: 1});
+      parts.keep(position, 1);
+    }
+  }
+  parts.keep(end, earlier.length - end);
+  return parts.list;
+}
+
+/** Parts of a list, of which those that belong together are joined. */
+class ChangeParts<T> {
+  readonly list: Array<{from: number; count: number} | {entries: T[]}> = [];
+
+  add(entry: T): void {
+    const last = this.list.at(-1);
+    if (last !== undefined && 'entries' in last) {
+      last.entries.push(entry);
+      return;
+    }
+    this.list.push({entries: [entry]});
+  }
+
+  keep(from: number, count: number): void {
+    const last = this.list.at(-1);
+    if (last !== undefined && 'count' in last) {
+      if (last.from + last.count === from) {
+        last.count += count;
+        return;
+      }
+    }
+    if (count > 0) {
+      this.list.push({from, count});
     }
   }
-  return parts;
 }
 
 /** Applies a change; undefined if it does not fit the earlier version. */
--- a/src/gateway/common/retired_names.ts
+++ b/src/gateway/common/retired_names.ts
@@ -5,6 +5,7 @@
  * which only makes sense for names never seen before.
  */
 import * as configuration from './configuration';
+import * as configurationChange from './configuration_change';
 
 /** Maximum number of names of each kind; the oldest are removed first. */
 const MAX_NAMES = 10_000;
@@ -42,25 +43,22 @@
   }
 }
 
-/** Entries that both versions share, as most do, are compared by identity. */
 function retire<T>(
   retired: Set<string>,
   before: readonly T[],
   after: readonly T[],
   namesOfEntry: (entry: T) => readonly string[],
 ): void {
-  const kept = new Set(after);
-  const gone = before.filter(entry => !kept.has(entry)).flatMap(namesOfEntry);
+  const difference = configurationChange.differenceOf(before, after);
+  const kept = new Set(difference.later);
+  const gone = difference.earlier
+    .filter(entry => !kept.has(entry))
+    .flatMap(namesOfEntry);
   if (gone.length > 0) {
     const active = new Set(after.flatMap(namesOfEntry));
     gone.filter(name => !active.has(name)).forEach(name => retired.add(name));
   }
-  const known = new Set(before);
-  for (const entry of after) {
-    if (!known.has(entry)) {
-      namesOfEntry(entry).forEach(name => retired.delete(name));
-    }
-  }
+  difference.later.flatMap(namesOfEntry).forEach(name => retired.delete(name));
   for (const oldest of retired) {
     if (retired.size <= MAX_NAMES) {
       break;
