Answers of instances: what is no final answer in HTTP/1 is not passed on

Callers whose instance answered with status 000 or 099 had their connection closed without a byte, on kept connections too; 600, 999 and 101 without an upgrade were passed on as they are, with the instance's stamp, and an idempotent call was not sent elsewhere.

Cause: an answer was checked for its attempt id and its stamp, not for being an answer that HTTP allows. ServerResponse.writeHead refuses a status below 100, and the throw closed the caller's connection.

answer_codec.isFinalAnswer checks each answer on arrival, for requests of callers and for control calls: HTTP/1, a status of 200 to 599, and headers that Node.js writes. Others are SendError.WrongAnswer, so the request goes elsewhere where its route allows that, and is answered 502 otherwise.

--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -164,13 +164,16 @@
   };
 }
 
-/** Whether the answer belongs to this request and is in the form that replicas use. */
+/** Whether the answer is one in the protocol, belongs to this request and is in the form that replicas use. */
 function isValidAnswer(
   response: http.IncomingMessage,
   attemptId: string | undefined,
   isOnUsedConnection: boolean,
   answer: instanceClient.InstanceResponse,
 ): boolean {
+  if (!answerCodec.isFinalAnswer(response)) {
+    return false;
+  }
   const echoed = response.headers[Headers.attemptId];
   if (echoed !== attemptId) {
     // An instance may refuse without an id. On a connection that was used
