Answers to callers: 204 and 304 carry no length

Callers got "Content-Length: 0" with 204, which HTTP forbids (RFC 9110, section 8.6), and with 304, where it states a length of the representation that the instance did not give (section 15.4.5).

The headers of a whole answer are made in one place, for calls and for failures of streams; that of 204 and 304, as that of HEAD, has no length.

Two new tests fail on the code before and pass with it.

--- a/src/gateway/node/caller_answer.ts
+++ b/src/gateway/node/caller_answer.ts
@@ -3,6 +3,10 @@
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
 import * as refusal from '../../base/node/refusal';
+import * as instanceClient from '../common/instance_client';
+
+/** Statuses of answers that have no body and may be given no length (RFC 9110, sections 8.6 and 15.4.5). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** Maximum share of a caller's remaining time that it is asked to wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
@@ -27,6 +31,18 @@
   return Math.max(MIN_RETRY_AFTER_SECONDS, Math.min(jittered, longest));
 }
 
+/** Headers of an instance's answer whose whole body is known. */
+export function wholeAnswerHeaders(
+  method: string,
+  {status, passedHeaders}: instanceClient.InstanceResponse,
+  length: number,
+): string[] {
+  const hasLength = method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+  return hasLength
+    ? [...passedHeaders, 'Content-Length', String(length)]
+    : [...passedHeaders];
+}
+
 /** Answers with a failure of this gateway. Statuses that promise that nothing was run are used only for work that did not run. */
 export function answerFailure(
   response: http.ServerResponse,
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -7,6 +7,7 @@
 import * as instancePermits from '../common/limits/instance_permits';
 import * as placement from '../common/placement';
 import * as callContext from './call_context';
+import * as callerAnswer from './caller_answer';
 import * as callerSink from './caller_sink';
 import * as hedgedSend from './hedged_send';
 import * as plainSend from './plain_send';
@@ -250,10 +251,11 @@
       {route: call.route.name},
       (performance.now() - call.arrivedAt) / 1000,
     );
-    const headers = [...answer!.passedHeaders];
-    if (call.caller.method !== 'HEAD') {
-      headers.push('Content-Length', String(body!.length));
-    }
+    const headers = callerAnswer.wholeAnswerHeaders(
+      call.caller.method,
+      answer!,
+      body!.length,
+    );
     if (answer!.status >= 500) {
       this.context.log('instance-failure-delivered', {status: answer!.status});
     }
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -3,6 +3,7 @@
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as callContext from './call_context';
+import * as callerAnswer from './caller_answer';
 import * as discardedBody from './discarded_body';
 import * as eventDelivery from './event_delivery';
 
@@ -102,11 +103,12 @@
     }
     context.log('instance-failure-delivered', {status: answer.status});
     context.finish('instance-failure');
-    context.response.writeHead(answer.status, [
-      ...answer.passedHeaders,
-      'Content-Length',
-      String(body.length),
-    ]);
+    const headers = callerAnswer.wholeAnswerHeaders(
+      context.call.caller.method,
+      answer,
+      body.length,
+    );
+    context.response.writeHead(answer.status, headers);
     context.response.end(body);
   }
 
--- a/test/gateway/answer_delivery.test.ts
+++ b/test/gateway/answer_delivery.test.ts
@@ -211,6 +211,26 @@
   });
 }
 
+for (const status of [204, 304]) {
+  test(`answer delivery: status ${status} reaches its caller without a length, and the bytes after it do not`, async t => {
+    // A resumable stream is begun again instead.
+    for (const request of REQUESTS.filter(({path}) => path !== '/tag/a')) {
+      const {method, path} = request;
+      const name = `${method} ${path}`;
+      const bytes = answer(`HTTP/1.1 ${status} Nothing`);
+      const gateway = await start(t, request, [answerRaw(bytes)]);
+      const agent = keptConnection(t);
+      const first = await gateway.call(path, {method, agent});
+      t.like(first, {status, body: '', isComplete: true}, name);
+      t.is(first.headers['content-length'], undefined, name);
+      t.is(first.headers['transfer-encoding'], undefined, name);
+      t.is(gateway.requestCount, 1, name);
+      const second = await gateway.call('/none/a', {method, agent});
+      t.is(second.status, 404, name);
+    }
+  });
+}
+
 test('answer delivery: no status outside of the protocol is a promise that a request did not run', async t => {
   for (const status of ['000', '099', '600', '999']) {
     for (const request of REQUESTS.filter(each => !each.isRepeatable)) {
