Calls: a fault on the way to the caller ends in an answer

Any error thrown while an answer was written closed the caller's connection without a byte, though its request had been passed on; one thrown in a listener of a stream's body left the request open until its deadline, and an error in the scheduler would have left it open for good.

Cause: the only handler was that of the caller server, which aborts the response, and listeners of bodies are called by the HTTP parser, beyond it. The outcome of a call was recorded before its head was written, so that no failure could follow.

call_fault handles it in one place: calls run within guard(), bodies of instances are listened to through listen(). If nothing was written, the caller gets 502, which promises nothing; a begun answer is broken off. What runs at instances is cancelled. The event handler-failed is logged with the request's id, its route and ages. Errors before there is a call are answered 500 with the same event, which has no request's id there.

--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -116,6 +116,11 @@
     this.onDisconnect = action;
   }
 
+  /** Cancels what is under way at instances. */
+  cancelSends(): void {
+    this.onDisconnect();
+  }
+
   /** Sets a check that refuses a call that was not sent yet and would not end before this process does. */
   setShutdownCheck(check: () => boolean): void {
     this.endBeforeShutdown = check;
@@ -285,17 +290,18 @@
     event: string,
     fields: Readonly<Record<string, unknown>>,
     instance?: instanceTable.Instance,
+    isImportant = false,
   ): void {
     const {call} = this;
-    this.services.log.write(event, {
+    const context = {
       request: call.caller.attemptId,
       route: call.route.name,
       instance: instance?.record.id,
       age_ms: Math.round(performance.now() - call.arrivedAt),
       left_ms: Math.round(this.remainingMilliseconds),
       configuration: call.configurationVersion,
-      ...fields,
-    });
+    };
+    this.services.log.write(event, {...context, ...fields}, isImportant);
   }
 
   /** Answers that nothing was run and when to retry. */
--- a/src/gateway/node/caller_server.ts
+++ b/src/gateway/node/caller_server.ts
@@ -69,7 +69,12 @@
     response.once('close', () => this.openRequests--);
     this.handler(request, response).catch(error => {
       this.log.write('handler-failed', {error: String(error?.stack)}, true);
-      callerAnswer.abortAnswer(response);
+      const message = 'an unexpected fault while the request was handled';
+      callerAnswer.refuse(
+        request,
+        response,
+        failure.unknownOutcome(resultCode.ResultCode.Internal, message),
+      );
     });
   }
 
--- a/src/gateway/node/event_delivery.ts
+++ b/src/gateway/node/event_delivery.ts
@@ -196,8 +196,8 @@
     if (this.isHeadWritten) {
       return;
     }
-    this.isHeadWritten = true;
     response.writeHead(answer.status, [...answer.passedHeaders]);
+    this.isHeadWritten = true;
     services.metrics.latency.observe(
       {route: call.route.name},
       (performance.now() - call.arrivedAt) / 1000,
--- a/src/gateway/node/plain_call.ts
+++ b/src/gateway/node/plain_call.ts
@@ -259,8 +259,8 @@
     if (answer!.status >= 500) {
       this.context.log('instance-failure-delivered', {status: answer!.status});
     }
-    this.context.finish(answer!.status >= 500 ? 'instance-failure' : 'served');
     response.writeHead(answer!.status, headers);
+    this.context.finish(answer!.status >= 500 ? 'instance-failure' : 'served');
     body!.endInto(response);
     if (services.buffers !== undefined && response.writableLength > 0) {
       callerSink.holdUntilEnd(
--- a/src/gateway/node/plain_send.ts
+++ b/src/gateway/node/plain_send.ts
@@ -3,6 +3,7 @@
 import * as instanceClient from '../common/instance_client';
 import * as instanceTable from '../common/instance_table';
 import * as callContext from './call_context';
+import * as callFault from './call_fault';
 import * as callerSink from './caller_sink';
 import * as discardedBody from './discarded_body';
 
@@ -105,7 +106,7 @@
       () => body.release(),
     );
     const outcome = await new Promise<SendOutcome>(resolve => {
-      answer.body.listen({
+      const listener: instanceClient.BodyListener = {
         onData(chunk) {
           if (body.length + chunk.length > MAX_ANSWER_BYTES) {
             exchange.cancel();
@@ -121,7 +122,10 @@
         },
         onDidEnd: () => resolve({answer, body}),
         onDidFail: () => resolve({error: SendError.ConnectionLost}),
-      });
+      };
+      callFault.listen(context, answer.body, listener, () =>
+        resolve({error: SendError.Cancelled}),
+      );
     });
     buffers?.remove(held);
     return outcome;
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -10,6 +10,7 @@
 import * as shutdownPolicy from '../common/shutdown_policy';
 import * as routeIndex from '../common/route_index';
 import * as callContext from './call_context';
+import * as callFault from './call_fault';
 import * as callerAnswer from './caller_answer';
 import * as gatewayServices from './gateway_services';
 import * as generationScheduler from './generation_scheduler';
@@ -124,7 +125,12 @@
       },
       response,
     );
-    this.services.retries.recordRequest(context.call.endpointName, arrivedAt);
+    await callFault.guard(context, () => this.run(context));
+  }
+
+  private async run(context: callContext.CallContext): Promise<void> {
+    const {endpointName, arrivedAt, route} = context.call;
+    this.services.retries.recordRequest(endpointName, arrivedAt);
     const isStreaming = route.kind === configuration.RequestKind.Streaming;
     if (context.endIfPoisoned()) {
       return;
--- a/src/gateway/node/stream_segment.ts
+++ b/src/gateway/node/stream_segment.ts
@@ -3,6 +3,7 @@
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
 import * as callContext from './call_context';
+import * as callFault from './call_fault';
 import * as callerAnswer from './caller_answer';
 import * as discardedBody from './discarded_body';
 import * as eventDelivery from './event_delivery';
@@ -102,13 +103,13 @@
       return;
     }
     context.log('instance-failure-delivered', {status: answer.status});
-    context.finish('instance-failure');
     const headers = callerAnswer.wholeAnswerHeaders(
       context.call.caller.method,
       answer,
       body.length,
     );
     context.response.writeHead(answer.status, headers);
+    context.finish('instance-failure');
     context.response.end(body);
   }
 
@@ -139,7 +140,7 @@
     return new Promise(resolve => {
       // `onData` and `onDidEnd` may still be called after the segment is abandoned.
       let isAbandoned = false;
-      answer.body.listen({
+      const listener: instanceClient.BodyListener = {
         onData: chunk => {
           const isIgnored = isAbandoned || this.context.isOver;
           if (!isIgnored && !this.delivery.push(answer, chunk)) {
@@ -162,7 +163,10 @@
           this.recordBodyEnd(answer, reason);
           resolve(SegmentEnd.Broken);
         },
-      });
+      };
+      callFault.listen(this.context, answer.body, listener, () =>
+        resolve(SegmentEnd.Broken),
+      );
     });
   }
 
@@ -191,7 +195,7 @@
   ): Promise<SegmentEnd> {
     return new Promise(resolve => {
       const body = new growingBuffer.GrowingBuffer();
-      answer.body.listen({
+      const listener: instanceClient.BodyListener = {
         onData: chunk => {
           if (body.length + chunk.length > MAX_FAILURE_BYTES) {
             this.cancel();
@@ -204,7 +208,10 @@
           resolve(SegmentEnd.Failed);
         },
         onDidFail: () => resolve(SegmentEnd.Broken),
-      });
+      };
+      callFault.listen(this.context, answer.body, listener, () =>
+        resolve(SegmentEnd.Broken),
+      );
     });
   }
 }
