--- a/src/gateway/node/call_fault.ts
+++ b/src/gateway/node/call_fault.ts
@@ -34,8 +34,14 @@
   context: callContext.CallContext,
   handle: () => Promise<void>,
 ): Promise<void> {
+  const endOverdue = () => {
+    // An answer that has begun is delivered at the pace of its caller.
+    if (!context.isOver && !context.response.headersSent) {
+      endCall(context, new Error('not answered by the deadline'));
+    }
+  };
   const overdue = setTimeout(
-    () => endCall(context, new Error('not answered by the deadline')),
+    endOverdue,
     Math.min(
       MAX_TIMER_MILLISECONDS,
       Math.max(0, context.remainingMilliseconds) + OVERDUE_MILLISECONDS,
