HTTP client: what is no final response is an error, also without one

A plain service that answered with status 600 or 999 had that passed on by its side process and entry; with 000 or 099 the caller got a 500 of the entry. If a server answered 101 with an upgrade, the call never ended: node:http closes that connection with neither a response nor an error, and the destroy by the timer of the call reports nothing either (seen with node:http alone).

openHttp rejects responses that isFinalAnswer, which moves to base, does not accept, and requests that are closed without a response. That is no proof that the request did not run, as for any lost connection.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as deadline from '../common/deadline';
 import * as boundedBody from './bounded_body';
+import * as finalAnswer from './final_answer';
 
 /** Maximum size of a response that is read as a whole, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 67_108_864;
@@ -45,14 +46,33 @@
     const expire = () =>
       request.destroy(new deadline.DeadlineError(call.timeoutMilliseconds));
     const timer = setTimeout(expire, call.timeoutMilliseconds);
+    let hasResponse = false;
     request.once('response', response => {
       clearTimeout(timer);
-      resolve(response);
+      hasResponse = true;
+      if (finalAnswer.isFinalAnswer(response)) {
+        resolve(response);
+        return;
+      }
+      const {statusCode, httpVersion} = response;
+      request.destroy();
+      reject(
+        new Error(
+          `the response is none in HTTP/1 (version ${httpVersion}, status ${statusCode})`,
+        ),
+      );
     });
     request.once('error', error => {
       clearTimeout(timer);
       reject(error);
     });
+    // No error precedes it if the server switches protocols.
+    request.once('close', () => {
+      clearTimeout(timer);
+      if (!hasResponse) {
+        reject(new Error('the connection was closed without a response'));
+      }
+    });
     request.end(call.body);
   });
 }
--- a/src/platform/answer_codec.ts
+++ b/src/platform/answer_codec.ts
@@ -1,4 +1,4 @@
-/** Decodes the heads of replicas' answers, and what they say of themselves there. */
+/** Decodes what replicas say of themselves in the headers of their answers. */
 import * as http from 'node:http';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as limitCodec from './limit_codec';
@@ -12,36 +12,9 @@
 /** Characters of an unreadable value that are kept for the log. */
 const MAX_TEXT_LENGTH = 40;
 const LEAVING = '1';
-const HTTP_MAJOR_VERSION = 1;
-/** Statuses of final answers (RFC 9110, section 15). */
-const MIN_FINAL_STATUS = 200;
-const MAX_FINAL_STATUS = 599;
 
 type HeaderValue = string | string[] | undefined;
 
-/** Whether the message is a final answer in HTTP/1, with headers that may be written again as they are. */
-export function isFinalAnswer(response: http.IncomingMessage): boolean {
-  const status = response.statusCode ?? 0;
-  return (
-    response.httpVersionMajor === HTTP_MAJOR_VERSION &&
-    status >= MIN_FINAL_STATUS &&
-    status <= MAX_FINAL_STATUS &&
-    hasWritableHeaders(response)
-  );
-}
-
-function hasWritableHeaders({rawHeaders}: http.IncomingMessage): boolean {
-  try {
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-      http.validateHeaderName(rawHeaders[index]);
-      http.validateHeaderValue(rawHeaders[index], rawHeaders[index + 1]);
-    }
-    return true;
-  } catch {
-    return false;
-  }
-}
-
 /** Decodes the statements of a replica in its answer. */
 export function decodeStatements(
   headers: http.IncomingHttpHeaders,
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as neverthrow from 'neverthrow';
 import * as boundedBody from '../base/node/bounded_body';
+import * as finalAnswer from '../base/node/final_answer';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as answerCodec from './answer_codec';
 import * as callerCodec from './caller_codec';
@@ -171,7 +172,7 @@
   isOnUsedConnection: boolean,
   answer: instanceClient.InstanceResponse,
 ): boolean {
-  if (!answerCodec.isFinalAnswer(response)) {
+  if (!finalAnswer.isFinalAnswer(response)) {
     return false;
   }
   const echoed = response.headers[Headers.attemptId];
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -2,9 +2,9 @@
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
 import * as boundedBody from '../base/node/bounded_body';
+import * as finalAnswer from '../base/node/final_answer';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as instanceTable from '../gateway/common/instance_table';
-import * as answerCodec from './answer_codec';
 import * as fieldReader from './field_reader';
 import * as httpExchange from './http_exchange';
 import * as instanceAgent from './instance_agent';
@@ -215,7 +215,7 @@
         .collect(response, MAX_JSON_BYTES)
         .then(body =>
           resolve(
-            body === undefined || !answerCodec.isFinalAnswer(response)
+            body === undefined || !finalAnswer.isFinalAnswer(response)
               ? NoAnswer.Unusable
               : {status, attemptIds, isNotExecuted, fields: parseFields(body)},
           ),
