Connections: a request for which there is no room is refused without a close

A caller whose request found no room among the connections' memory got the refusal, and its connection was closed by a reset right after: the answer that promises that nothing was run could be lost on the way, and without it a request that must not run twice may not be sent again.

Cause: the refused request still counted as handled in the charge after its input was parsed; that charge failed like the first one, and the connection was evicted for it.

A request that is refused is not charged until its answer has ended. The connection stays open for the next request, and may be evicted as idle.

The test of the refusal fails on the code before (the connection is closed) and passes with it; the two about requests sent ahead pass on both.

--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -61,6 +61,8 @@
   private readonly parse: DataListener;
   private readonly waiting: ServerExchange[] = [];
   private active: ServerExchange | undefined;
+  /** Whether there is no room for the active request, which gets a refusal. */
+  private isActiveRefused = false;
   private held: Buffer[] = [];
   private heldBytes = 0;
   /** Bytes since the end of the last head that are no known part of a body. */
@@ -168,6 +170,7 @@
     response.once('close', () => this.startNext());
     response.once('prefinish', () => this.owner.onDidWrite(this));
     if (!this.charge()) {
+      this.isActiveRefused = true;
       return this.owner.refuse(exchange);
     }
     if (exchange.isContinueExpected) {
@@ -178,6 +181,7 @@
 
   private startNext(): void {
     this.active = undefined;
+    this.isActiveRefused = false;
     this.takesTurns = false;
     if (this.socket.destroyed) {
       return;
@@ -301,13 +305,14 @@
   }
 
   private charge(): boolean {
+    const isHandled = this.active !== undefined && !this.isActiveRefused;
     return this.owner.account.charge(
       this,
       CONNECTION_BYTES +
         this.heldBytes +
         this.headBytes +
         this.waiting.length * WAITING_REQUEST_BYTES +
-        (this.active === undefined ? 0 : ACTIVE_REQUEST_BYTES),
+        (isHandled ? ACTIVE_REQUEST_BYTES : 0),
     );
   }
 
