Responses: what they cost is bounded, whatever their framing

Seen by callers: an instance that answers in chunks of one byte without end takes the gateway down. Under the deployed flags (--max-old-space-size=40, 178 MB) 24 requests at four such instances end the process by heap out of memory; 130 to 140 MB are resident for line ends before an answer and for digits of a chunk's size, which are read until the call's own end. Ordinary calls wait for seconds beside such answers.

Cause: the bounds count content. One call of the HTTP parser handles all of a read of 64 KiB, which may hold 10,900 chunks; each is an object that is queued when the response is paused, and a paused response takes up to 16 KiB of content more. What is no content (line ends, extensions, digits) had no bound but time.

`ClientAgent` reads all connections into one buffer of 16 KiB, so that a paused connection is not read at all. A whole answer is paused once for each block that it takes, not for each chunk.

--- /dev/null
+++ b/src/base/node/client_agent.ts
@@ -0,0 +1,31 @@
+/** Connections of HTTP clients that take little memory for what they receive. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as stream from 'node:stream';
+import * as bufferCollector from './buffer_collector';
+
+/** Bytes that are read from a connection at a time, and at most while its response is not read. */
+const READ_BYTES = 16_384;
+
+/** Receives the bytes of all connections, one after the other. */
+const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
+
+/**
+ * An agent whose connections are read into one buffer. A paused connection is
+ * not read at all, so that small packets do not add up to many objects.
+ */
+export class ClientAgent extends http.Agent {
+  override createConnection(options: http.ClientRequestArgs): stream.Duplex {
+    const socket: net.Socket = net.createConnection({
+      ...(options as net.TcpNetConnectOpts),
+      onread: {
+        buffer: readBuffer,
+        callback: length => {
+          bufferCollector.recordInput(length);
+          return socket.push(Buffer.from(readBuffer.subarray(0, length)));
+        },
+      },
+    });
+    return socket;
+  }
+}
--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -2,7 +2,9 @@
 import * as http from 'node:http';
 import * as deadline from '../common/deadline';
 import * as boundedBody from './bounded_body';
+import * as clientAgent from './client_agent';
 import * as finalAnswer from './final_answer';
+import * as responseGuard from './response_guard';
 
 /** Maximum size of a response that is read as a whole, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 67_108_864;
@@ -29,7 +31,7 @@
 }
 
 /** Default agent, which reuses connections. */
-export const sharedAgent = new http.Agent({
+export const sharedAgent = new clientAgent.ClientAgent({
   keepAlive: true,
   maxSockets: 64,
   timeout: 60_000,
@@ -43,6 +45,7 @@
       headers: call.headers,
       agent: call.agent ?? sharedAgent,
     });
+    responseGuard.guard(request);
     const expire = () =>
       request.destroy(new deadline.DeadlineError(call.timeoutMilliseconds));
     const timer = setTimeout(expire, call.timeoutMilliseconds);
--- a/src/endpoint/node/http_engine_client.ts
+++ b/src/endpoint/node/http_engine_client.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as eventsourceParser from 'eventsource-parser';
 import * as rxjs from 'rxjs';
+import * as clientAgent from '../../base/node/client_agent';
 import * as httpClient from '../../base/node/http_client';
 import * as sideCalls from '../../protocol/common/side_calls';
 import * as engineClient from '../common/engine_client';
@@ -19,7 +20,7 @@
 
 /** Runs generations on an engine with a completions API. */
 export class HttpEngineClient extends engineClient.EngineClient {
-  private readonly agent = new http.Agent({
+  private readonly agent = new clientAgent.ClientAgent({
     keepAlive: true,
     maxSockets: Infinity,
   });
--- a/src/entry/node/link_client.ts
+++ b/src/entry/node/link_client.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import * as rxjs from 'rxjs';
 import * as disposable from '../../base/common/disposable';
+import * as clientAgent from '../../base/node/client_agent';
 import * as httpClient from '../../base/node/http_client';
 import * as jsonLines from '../../base/node/json_lines';
 import * as log from '../../base/node/log';
@@ -267,4 +268,7 @@
 }
 
 /** Links are long-lived, so they must not use pooled connections. */
-const LINK_AGENT = new http.Agent({keepAlive: false, maxSockets: Infinity});
+const LINK_AGENT = new clientAgent.ClientAgent({
+  keepAlive: false,
+  maxSockets: Infinity,
+});
--- a/src/gateway/node/plain_send.ts
+++ b/src/gateway/node/plain_send.ts
@@ -112,8 +112,10 @@
             exchange.cancel();
             return;
           }
+          const memoryBefore = body.memoryWith(0);
           body.append(chunk);
-          if (body.length > blockPool.SMALL_BYTES) {
+          const isLarge = body.length > blockPool.SMALL_BYTES;
+          if (isLarge && body.memoryWith(0) !== memoryBefore) {
             buffers?.update(held);
             // Connections of answers that are cut off close before more is read of others.
             answer.body.pause();
--- a/src/platform/http_exchange.ts
+++ b/src/platform/http_exchange.ts
@@ -2,8 +2,8 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as neverthrow from 'neverthrow';
-import * as boundedBody from '../base/node/bounded_body';
 import * as finalAnswer from '../base/node/final_answer';
+import * as responseGuard from '../base/node/response_guard';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as answerCodec from './answer_codec';
 import * as callerCodec from './caller_codec';
@@ -72,7 +72,7 @@
       return this.withdraw();
     }
     const {request} = this;
-    boundedBody.limitInterimResponses(request);
+    responseGuard.guard(request);
     request.once('socket', socket => this.attachSocket(socket, onDidConnect));
     request.once('response', response => this.handleResponse(response));
     request.once('error', () => this.fail());
--- a/src/platform/instance_agent.ts
+++ b/src/platform/instance_agent.ts
@@ -1,6 +1,7 @@
 /** Keeps connections to replicas open between requests, and closes those that must not be reused. */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as clientAgent from '../base/node/client_agent';
 import * as wireNames from './wire_names';
 
 const {Headers} = wireNames;
@@ -27,7 +28,7 @@
 }
 
 /** HTTP agent that pools connections by address. */
-export class InstanceAgent extends http.Agent {
+export class InstanceAgent extends clientAgent.ClientAgent {
   /** @param maxIdle Connections to all instances that are kept open without a request. */
   constructor(private readonly maxIdle = Infinity) {
     super({keepAlive: true, scheduling: 'lifo', noDelay: true});
--- a/src/platform/instance_http_client.ts
+++ b/src/platform/instance_http_client.ts
@@ -2,7 +2,9 @@
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
 import * as boundedBody from '../base/node/bounded_body';
+import * as clientAgent from '../base/node/client_agent';
 import * as finalAnswer from '../base/node/final_answer';
+import * as responseGuard from '../base/node/response_guard';
 import * as instanceClient from '../gateway/common/instance_client';
 import * as instanceTable from '../gateway/common/instance_table';
 import * as fieldReader from './field_reader';
@@ -30,7 +32,9 @@
    * distinguished from a late copy of an earlier answer on the same connection:
    * an attempt that is sent again, and calls without an id, as the system's own.
    */
-  private readonly singleUseAgent = new http.Agent({noDelay: true});
+  private readonly singleUseAgent = new clientAgent.ClientAgent({
+    noDelay: true,
+  });
 
   /**
    * @param controlTimeoutMilliseconds Timeout for reading a report or freeing a copy.
@@ -201,7 +205,7 @@
 
 /** Resolves with the whole answer, or with the reason why there is none. */
 function readJson(request: http.ClientRequest): Promise<JsonAnswer | NoAnswer> {
-  boundedBody.limitInterimResponses(request);
+  responseGuard.guard(request);
   return new Promise(resolve => {
     // The request is reported as closed before the body of its response has ended.
     let hasResponse = false;
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -2,6 +2,8 @@
 import * as http from 'node:http';
 import * as neverthrow from 'neverthrow';
 import * as boundedBody from '../base/node/bounded_body';
+import * as clientAgent from '../base/node/client_agent';
+import * as responseGuard from '../base/node/response_guard';
 import * as stateSource from '../gateway/common/state_source';
 import * as fieldReader from './field_reader';
 import * as objectCodec from './object_codec';
@@ -57,7 +59,7 @@
 
 /** Keeps connections to the store open between calls. */
 export class StoreConnection {
-  private readonly agent = new http.Agent({
+  private readonly agent = new clientAgent.ClientAgent({
     keepAlive: true,
     maxSockets: MAX_CONNECTIONS,
   });
@@ -115,7 +117,7 @@
             .then(body => finish(body && {status, era, body}));
         },
       );
-      boundedBody.limitInterimResponses(request);
+      responseGuard.guard(request);
       let timer = setTimeout(
         expire,
         call.timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS,
--- a/test/support/gateway_program.ts
+++ b/test/support/gateway_program.ts
@@ -30,6 +30,12 @@
   readonly descriptors?: number;
 }
 
+/** What a test adds to the configuration. */
+export interface ConfigurationAdditions {
+  readonly routes?: readonly object[];
+  readonly services?: readonly object[];
+}
+
 /** A running gateway program. */
 export class GatewayProgram {
   readonly replica = new countingReplica.CountingReplica();
@@ -42,6 +48,7 @@
   private constructor(
     private readonly t: ava.ExecutionContext,
     readonly limits: Required<MachineLimits>,
+    private readonly additions: Required<ConfigurationAdditions>,
   ) {}
 
   /** Starts store, replica and gateway; resolves when the gateway is ready. */
@@ -50,9 +57,15 @@
     {
       memoryMegabytes = MEMORY_MEGABYTES,
       descriptors = MAX_DESCRIPTORS,
-    }: MachineLimits = {},
+      routes = [],
+      services = [],
+    }: MachineLimits & ConfigurationAdditions = {},
   ): Promise<GatewayProgram> {
-    const program = new GatewayProgram(t, {memoryMegabytes, descriptors});
+    const program = new GatewayProgram(
+      t,
+      {memoryMegabytes, descriptors},
+      {routes, services},
+    );
     await program.launch();
     return program;
   }
@@ -122,7 +135,7 @@
       'i-1',
       platformObjects.registrationSpec('ledger', replicaAddress),
     );
-    store.put('config', 'main', configuration());
+    store.put('config', 'main', configuration(this.additions));
     for (const name of Object.keys(ports) as (keyof typeof ports)[]) {
       ports[name] = await freePorts.freeStreamPort();
     }
@@ -188,7 +201,10 @@
   }
 }
 
-function configuration(): object {
+function configuration({
+  routes,
+  services,
+}: Required<ConfigurationAdditions>): object {
   return testGateway.configurationSpec(1, {
     routes: [
       route('/read/', 'idempotent', 'ledger', {timeoutMs: 30_000}),
@@ -196,7 +212,9 @@
         attempts: 1,
         timeoutMs: 30_000,
       }),
+      ...routes,
     ],
+    services: [platformObjects.serviceSpec('ledger'), ...services],
     limits: {
       ...platformObjects.LIMITS,
       maxHeaderBytes: MAX_HEADER_BYTES,
