Memory: a gateway tells its use of the heap and of the machine

Now a line and metrics precede the end: heap against its limit, external and resident memory against the machine's, and the size of the configuration in force.

--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -37,6 +37,8 @@
   readonly clientLimits: promClient.Counter<'limit'>;
   readonly callerConnections: promClient.Gauge;
   readonly bodyBytes: promClient.Gauge;
+  readonly memoryBytes: promClient.Gauge<'part'>;
+  readonly configurationSize: promClient.Gauge<'part'>;
   readonly heldGenerations: promClient.Counter<'reason'>;
   readonly refusedGenerations: promClient.Counter<'reason'>;
 
@@ -167,6 +169,16 @@
       'rhubarbvane_gateway_body_bytes',
       'Bytes held for the bodies of requests',
     );
+    this.memoryBytes = registry.gauge(
+      'rhubarbvane_gateway_memory_bytes',
+      'Memory of the process, the limit of its heap, and memory of its machine, by part',
+      ['part'],
+    );
+    this.configurationSize = registry.gauge(
+      'rhubarbvane_gateway_configuration_size',
+      'Size of the configuration in force, by part',
+      ['part'],
+    );
     this.slowReaderCuts = registry.counter(
       'rhubarbvane_gateway_slow_reader_cuts_total',
       'Answers cut off because too many bytes were held for callers',
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -15,6 +15,7 @@
 import * as gatewayServices from './gateway_services';
 import * as gatewaySettings from './gateway_settings';
 import * as limitLog from './limits/limit_log';
+import * as memoryWatch from './memory_watch';
 import * as observabilityServer from './observability_server';
 import * as requestHandler from './request_handler';
 import * as retryLog from './retry_log';
@@ -25,6 +26,7 @@
 /** Time before the end of the grace period at which the process exits even if requests are still running, in milliseconds. */
 const GRACE_MARGIN_MILLISECONDS = 300;
 const SHUTDOWN_CHECK_MILLISECONDS = 50;
+const BYTES_PER_MEGABYTE = 1_000_000;
 /** Interval of checks whether the process was suspended, in milliseconds. */
 const SUSPENSION_CHECK_MILLISECONDS = 200;
 
@@ -163,6 +165,14 @@
       ),
     );
     this.disposables.add(new retryLog.RetryLog(this.services));
+    this.disposables.add(
+      new memoryWatch.MemoryWatch(
+        follower,
+        this.options.metrics,
+        (settings.limits?.memory_megabytes ?? 0) * BYTES_PER_MEGABYTE,
+        log,
+      ),
+    );
     promptParts.onDidUnblock.subscribe(part =>
       log.write('prompt-part-unblocked', {part}, true),
     );
--- a/test/support/gateway_program.ts
+++ b/test/support/gateway_program.ts
@@ -36,6 +36,12 @@
   readonly services?: readonly object[];
 }
 
+/** What a test varies. */
+export interface ProgramOptions extends MachineLimits, ConfigurationAdditions {
+  /** First configuration, in the platform's format; without the additions. */
+  readonly configuration?: object;
+}
+
 /** A running gateway program. */
 export class GatewayProgram {
   readonly replica = new countingReplica.CountingReplica();
@@ -48,7 +54,7 @@
   private constructor(
     private readonly t: ava.ExecutionContext,
     readonly limits: Required<MachineLimits>,
-    private readonly additions: Required<ConfigurationAdditions>,
+    private readonly configuration: object,
   ) {}
 
   /** Starts store, replica and gateway; resolves when the gateway is ready. */
@@ -59,12 +65,13 @@
       descriptors = MAX_DESCRIPTORS,
       routes = [],
       services = [],
-    }: MachineLimits & ConfigurationAdditions = {},
+      configuration = configurationSpec({routes, services}),
+    }: ProgramOptions = {},
   ): Promise<GatewayProgram> {
     const program = new GatewayProgram(
       t,
       {memoryMegabytes, descriptors},
-      {routes, services},
+      configuration,
     );
     await program.launch();
     return program;
@@ -105,6 +112,15 @@
     );
   }
 
+  /** Waits for a line about an event that matches. */
+  async untilLogged(event: string, pattern: RegExp): Promise<void> {
+    const isLogged = () =>
+      this.logLines.some(line => line.includes(event) && pattern.test(line));
+    while (this.isAlive && !isLogged()) {
+      await new Promise(resolve => setTimeout(resolve, 20));
+    }
+  }
+
   /** Checks what holds after any crowd: the process lives within its machine, an ordinary request is answered, and what was refused did not run. */
   async check(descriptors = this.limits.descriptors): Promise<void> {
     const {t, usage, limits, replica} = this;
@@ -135,7 +151,7 @@
       'i-1',
       platformObjects.registrationSpec('ledger', replicaAddress),
     );
-    store.put('config', 'main', configuration(this.additions));
+    store.put('config', 'main', this.configuration);
     for (const name of Object.keys(ports) as (keyof typeof ports)[]) {
       ports[name] = await freePorts.freeStreamPort();
     }
@@ -201,7 +217,8 @@
   }
 }
 
-function configuration({
+/** A configuration with two routes for calls, whose bodies may be large. */
+function configurationSpec({
   routes,
   services,
 }: Required<ConfigurationAdditions>): object {
