Store: a configuration is decoded entry by entry, and only its newest version

Cause: the answer of a watch holds each version since the last one. All of its text, all parsed values and all decoded versions were in the heap at a time, beside the version in force; the slower the gateway, the more versions in one answer. Change: the text stays a buffer outside the heap.

--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -5,6 +5,7 @@
 import * as stateSource from '../gateway/common/state_source';
 import * as objectCodec from './object_codec';
 import * as storeConnection from './store_connection';
+import * as storedConfiguration from './stored_configuration';
 import * as wireNames from './wire_names';
 
 /** Time for which a watch may wait at the store, in milliseconds; limits how long a silent connection goes undetected. */
@@ -30,18 +31,15 @@
   > {
     const {configuration: kind} = wireNames.Kinds;
     const path = `/objects/${kind}/${wireNames.CONFIGURATION_NAME}`;
-    const read = await this.call(
-      'read',
-      path,
-      storeConnection.CALL_TIMEOUT_MILLISECONDS,
+    return this.connection.readText(
+      {operation: 'read', path},
+      ({text, era}) => {
+        const stored = storedConfiguration.decodeStored(text);
+        return (
+          stored?.value && {revision: stored.revision, era, value: stored.value}
+        );
+      },
     );
-    return read.andThen(({fields, era}) => {
-      const stored = objectCodec.decodeObject(fields);
-      const value = stored && objectCodec.decodeConfiguration(stored);
-      return value === undefined
-        ? neverthrow.err(stateSource.SourceError.Malformed)
-        : neverthrow.ok({revision: stored!.revision, era, value});
-    });
   }
 
   async watchConfiguration(
@@ -49,18 +47,23 @@
   ): stateSource.SourceResult<
     stateSource.Snapshot<configuration.Configuration | undefined>
   > {
-    const watched = await this.watch(wireNames.Kinds.configuration, revision);
-    return watched.map(({revision: at, era, value: events}) => {
-      const latest = events
-        .filter(event => event.name === wireNames.CONFIGURATION_NAME)
-        .map(
-          event =>
-            event.stored && objectCodec.decodeConfiguration(event.stored),
-        )
-        .filter(value => value !== undefined)
-        .pop();
-      return {revision: at, era, value: latest};
-    });
+    return this.connection.readText(
+      watchCall(wireNames.Kinds.configuration, revision),
+      ({members, era}) => {
+        const at = members.get('at')?.parse();
+        if (typeof at !== 'number') {
+          return undefined;
+        }
+        const events = members.get('events');
+        const value = events?.isArray
+          ? storedConfiguration.decodeNewest(
+              events,
+              wireNames.CONFIGURATION_NAME,
+            )
+          : undefined;
+        return {revision: at, era, value};
+      },
+    );
   }
 
   async listInstances(): stateSource.SourceResult<
@@ -142,11 +145,10 @@
     let first: PageHead | undefined;
     let query = '';
     for (;;) {
-      const read = await this.call(
-        'list',
-        `/objects/${kind}${query}`,
-        storeConnection.CALL_TIMEOUT_MILLISECONDS,
-      );
+      const read = await this.connection.read({
+        operation: 'list',
+        path: `/objects/${kind}${query}`,
+      });
       if (read.isErr()) {
         return neverthrow.err(read.error);
       }
@@ -174,14 +176,11 @@
   private async watch(
     kind: string,
     revision: number,
-    waitMilliseconds = WATCH_WAIT_MILLISECONDS,
-    marginMilliseconds = WATCH_MARGIN_MILLISECONDS,
+    waitMilliseconds?: number,
+    marginMilliseconds?: number,
   ): stateSource.SourceResult<WatchAnswer> {
-    const path = `/objects/${kind}?watch=${revision}&waitMs=${waitMilliseconds}`;
-    const answer = await this.call(
-      'watch',
-      path,
-      waitMilliseconds + marginMilliseconds,
+    const answer = await this.connection.read(
+      watchCall(kind, revision, waitMilliseconds, marginMilliseconds),
     );
     return answer.andThen(({fields, era}) => {
       if (typeof fields.at !== 'number') {
@@ -200,14 +199,19 @@
       });
     });
   }
+}
 
-  private call(
-    operation: string,
-    path: string,
-    timeoutMilliseconds: number,
-  ): stateSource.SourceResult<storeConnection.StoreRead> {
-    return this.connection.read({operation, path, timeoutMilliseconds});
-  }
+function watchCall(
+  kind: string,
+  revision: number,
+  waitMilliseconds = WATCH_WAIT_MILLISECONDS,
+  marginMilliseconds = WATCH_MARGIN_MILLISECONDS,
+): storeConnection.StoreCall {
+  return {
+    operation: 'watch',
+    path: `/objects/${kind}?watch=${revision}&waitMs=${waitMilliseconds}`,
+    timeoutMilliseconds: waitMilliseconds + marginMilliseconds,
+  };
 }
 
 /** One event of a watch; without an object if it was deleted. */
--- a/src/platform/object_codec.ts
+++ b/src/platform/object_codec.ts
@@ -3,6 +3,7 @@
 import * as quotedText from '../base/common/quoted_text';
 import * as instanceTable from '../gateway/common/instance_table';
 import * as fieldReader from './field_reader';
+import * as jsonSlices from './json_slices';
 
 const {isFields, number, text} = fieldReader;
 
@@ -116,15 +117,17 @@
 /** Decodes the entries of a list; those that cannot be read are left out. */
 function decodeEntries<T>(
   kind: string,
-  values: readonly unknown[],
+  values: Iterable<unknown>,
   onIssue: fieldReader.IssueListener | undefined,
   decode: EntryDecoder<T>,
 ): T[] {
   const entries: T[] = [];
-  for (const [index, value] of values.entries()) {
+  let count = 0;
+  for (const value of values) {
+    const position = ++count;
     if (!isFields(value)) {
       onIssue?.(
-        `${kind} (entry ${index + 1})`,
+        `${kind} (entry ${position})`,
         `saw ${fieldReader.typeOf(value)}, expected an object; it is left out`,
       );
       continue;
@@ -132,7 +135,7 @@
     const placeOf = () => {
       const name = text(value.name) ?? text(value.pathPrefix);
       return name === undefined
-        ? `${kind} (entry ${index + 1})`
+        ? `${kind} (entry ${position})`
         : `${kind} ${quotedText.quote(name)}`;
     };
     const entry = decode(new fieldReader.FieldReader(value, placeOf, onIssue));
@@ -294,6 +297,10 @@
   };
 }
 
+function isLazy(value: unknown): value is jsonSlices.JsonList {
+  return value instanceof jsonSlices.JsonList;
+}
+
 /** Decodes the configuration; undefined if the object is not one. The listener is told of everything that is left out or replaced. */
 export function decodeConfiguration(
   stored: StoredObject,
@@ -315,7 +322,12 @@
     return undefined;
   }
   const decodeAll = <T>(name: string, kind: string, decode: EntryDecoder<T>) =>
-    decodeEntries(kind, reader.list(name), onIssue, decode);
+    decodeEntries(
+      kind,
+      isLazy(spec[name]) ? spec[name] : reader.list(name),
+      onIssue,
+      decode,
+    );
   const routes = decodeAll('routes', 'route', decodeRoute);
   const endpoints = decodeAll('services', 'service', decodeEndpoint);
   const customers = decodeAll('tenants', 'customer', decodeCustomer);
@@ -324,7 +336,10 @@
     routes,
     endpoints,
     limits: decodeLimits(reader.object('limits') ?? readerOf('limits', {})),
-    customers: Array.isArray(spec.tenants) ? customers : undefined,
+    customers:
+      Array.isArray(spec.tenants) || isLazy(spec.tenants)
+        ? customers
+        : undefined,
     hasAllowedRegions: true,
   };
 }
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -6,6 +6,7 @@
 import * as responseGuard from '../base/node/response_guard';
 import * as stateSource from '../gateway/common/state_source';
 import * as fieldReader from './field_reader';
+import * as jsonSlices from './json_slices';
 import * as objectCodec from './object_codec';
 import * as wireNames from './wire_names';
 
@@ -38,6 +39,14 @@
   readonly era: number | undefined;
 }
 
+/** Text of a successful answer. */
+export interface StoreText {
+  /** Members of the answer, which are not parsed yet. */
+  readonly members: Map<string, jsonSlices.JsonSlice>;
+  readonly text: jsonSlices.JsonSlice;
+  readonly era: number | undefined;
+}
+
 /** One call. */
 export interface StoreCall {
   /** Name in metrics. */
@@ -68,12 +77,34 @@
 
   /** Returns the JSON fields of a successful answer. */
   async read(call: StoreCall): stateSource.SourceResult<StoreRead> {
+    const answer = await this.sendSuccessfully(call);
+    return answer.andThen(({body, era}) =>
+      parseBody(body).map(fields => ({fields, era})),
+    );
+  }
+
+  /** Returns the value that is decoded from a successful answer; Malformed if its text is, or if there is no value. */
+  async readText<T>(
+    call: StoreCall,
+    decode: (text: StoreText) => T | undefined,
+  ): stateSource.SourceResult<T> {
+    const answer = await this.sendSuccessfully(call);
+    return answer.andThen(({body, era}) => {
+      const value = decodeText(body, era, decode);
+      return value === undefined
+        ? neverthrow.err(stateSource.SourceError.Malformed)
+        : neverthrow.ok(value);
+    });
+  }
+
+  private async sendSuccessfully(
+    call: StoreCall,
+  ): stateSource.SourceResult<StoreAnswer> {
     const answer = await this.send(call);
     const error = answer && errorOfStatus(answer.status);
-    if (answer === undefined || error !== undefined) {
-      return neverthrow.err(error ?? stateSource.SourceError.Unreachable);
-    }
-    return parseBody(answer.body).map(fields => ({fields, era: answer.era}));
+    return answer === undefined || error !== undefined
+      ? neverthrow.err(error ?? stateSource.SourceError.Unreachable)
+      : neverthrow.ok(answer);
   }
 
   /** Returns the answer whatever its status; undefined if there was none in time. */
@@ -133,6 +164,21 @@
   }
 }
 
+function decodeText<T>(
+  body: Buffer,
+  era: number | undefined,
+  decode: (text: StoreText) => T | undefined,
+): T | undefined {
+  try {
+    const text = jsonSlices.JsonSlice.of(body);
+    return text.isObject
+      ? decode({text, members: text.members(), era})
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 function decodeEra(value: string | string[] | undefined): number | undefined {
   const era = typeof value === 'string' && value !== '' ? Number(value) : NaN;
   return Number.isSafeInteger(era) ? era : undefined;
