Memory: callers give way to the heap, whose limit is no longer the acting bound

Cause: deployments bound the heap to 40 MiB, so that the sum of the shares stayed below 178 MB. What the configuration needs was in no row of it, and beyond that limit the process ends. MemoryRoom takes what the heap occupies from the room for answers, then from that for bodies, so that the sum holds for each size of the heap (tested, with the flags in MiB, as Node.js counts them).

--- a/src/base/common/memory_account.ts
+++ b/src/base/common/memory_account.ts
@@ -37,7 +37,8 @@
   private sum = 0;
   private progressCount = 0;
 
-  constructor(readonly bounds: MemoryBounds) {}
+  /** @param bounds If they are lowered later, holders are evicted when others need room. */
+  constructor(public bounds: MemoryBounds) {}
 
   get totalBytes(): number {
     return this.sum;
--- a/src/gateway/common/delivery_buffers.ts
+++ b/src/gateway/common/delivery_buffers.ts
@@ -6,7 +6,7 @@
  */
 
 /** Share of the machine's memory that may be held; the heap of the process and the buffers of the kernel need the rest. */
-const TOTAL_SHARE = 0.2;
+export const TOTAL_SHARE = 0.2;
 /** Share of the total that may be held for one answer, before its instance is read more slowly. */
 const ANSWER_SHARE = 1 / 8;
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -22,15 +22,17 @@
 /** Bytes held by all answers of one gateway. */
 export class DeliveryBuffers {
   /** Maximum number of bytes held for all answers. */
-  readonly maxTotalBytes: number;
-  /** Number of bytes held for one answer from which its instance is not read. */
-  readonly maxAnswerBytes: number;
+  maxTotalBytes: number;
   private readonly answers = new Map<HeldAnswer, number>();
   private sum = 0;
 
   constructor(memoryMegabytes: number) {
     this.maxTotalBytes = memoryMegabytes * BYTES_PER_MEGABYTE * TOTAL_SHARE;
-    this.maxAnswerBytes = this.maxTotalBytes * ANSWER_SHARE;
+  }
+
+  /** Number of bytes held for one answer from which its instance is not read. */
+  get maxAnswerBytes(): number {
+    return this.maxTotalBytes * ANSWER_SHARE;
   }
 
   /** Bytes held as of the last updates; answers may have been read since. */
--- a/src/gateway/common/machine_shares.ts
+++ b/src/gateway/common/machine_shares.ts
@@ -60,10 +60,14 @@
   readonly idleInstanceConnections: number;
 }
 
+/** Memory of a machine. */
+export function bytesOf({memoryMegabytes}: Machine): number {
+  return (memoryMegabytes || DEFAULT_MEMORY_MEGABYTES) * BYTES_PER_MEGABYTE;
+}
+
 /** Divides a machine. */
 export function divide(machine: Machine): MachineShares {
-  const megabytes = machine.memoryMegabytes || DEFAULT_MEMORY_MEGABYTES;
-  const bytes = megabytes * BYTES_PER_MEGABYTE;
+  const bytes = bytesOf(machine);
   const descriptors = machine.descriptors || DEFAULT_DESCRIPTORS;
   const sockets = Math.max(FILE_DESCRIPTORS, descriptors - FILE_DESCRIPTORS);
   const share = (
--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -20,6 +20,7 @@
 import * as instanceRates from '../common/limits/instance_rates';
 import * as limitedSend from '../common/limits/limited_send';
 import * as warmUps from '../common/limits/warm_ups';
+import * as memoryRoom from '../common/memory_room';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as repeatEvent from '../common/repeat_event';
 import * as usageCounts from '../common/usage_counts';
@@ -217,6 +218,7 @@
     ),
     hedges: gatewayPolicies.createHedgePolicy(settings),
     buffers: gatewayPolicies.createDeliveryBuffers(settings),
+    room: new memoryRoom.MemoryRoom(gatewayPolicies.machineOf(settings)),
     blocks: pool,
     bodies: gatewayPolicies.createBodyStore(shares, pool, options.limits),
     members,
--- a/src/gateway/node/gateway_policies.ts
+++ b/src/gateway/node/gateway_policies.ts
@@ -54,10 +54,17 @@
 export function divideMachine(
   settings: gatewaySettings.GatewaySettings,
 ): machineShares.MachineShares {
-  return machineShares.divide({
+  return machineShares.divide(machineOf(settings));
+}
+
+/** The machine that the settings describe. */
+export function machineOf(
+  settings: gatewaySettings.GatewaySettings,
+): machineShares.Machine {
+  return {
     memoryMegabytes: settings.limits?.memory_megabytes ?? 0,
     descriptors: settings.limits?.max_descriptors ?? 0,
-  });
+  };
 }
 
 /** Counts and logs the limits on what those who connect make a gateway hold. */
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -167,10 +167,8 @@
     this.disposables.add(new retryLog.RetryLog(this.services));
     this.disposables.add(
       new memoryWatch.MemoryWatch(
-        follower,
-        this.options.metrics,
+        this.services,
         (settings.limits?.memory_megabytes ?? 0) * BYTES_PER_MEGABYTE,
-        log,
       ),
     );
     promptParts.onDidUnblock.subscribe(part =>
--- a/src/gateway/node/gateway_services.ts
+++ b/src/gateway/node/gateway_services.ts
@@ -13,6 +13,7 @@
 import * as instanceLimits from '../common/limits/instance_limits';
 import * as limitedSend from '../common/limits/limited_send';
 import * as warmUps from '../common/limits/warm_ups';
+import * as memoryRoom from '../common/memory_room';
 import * as promptPartTable from '../common/prompt_part_table';
 import * as repeatEvent from '../common/repeat_event';
 import * as retryLimiter from '../common/retry_limiter';
@@ -58,6 +59,8 @@
   readonly hedges: hedgePolicy.HedgePolicy | undefined;
   /** Undefined if instances are read only as fast as their callers read. */
   readonly buffers: deliveryBuffers.DeliveryBuffers | undefined;
+  /** What the heap leaves to callers. */
+  readonly room: memoryRoom.MemoryRoom;
   /** Memory for what is held of bodies and answers. */
   readonly blocks: blockPool.BlockPool;
   /** Bodies of callers' requests. */
--- a/src/gateway/node/memory_watch.ts
+++ b/src/gateway/node/memory_watch.ts
@@ -1,12 +1,13 @@
 /** Shows how much of its heap and of its machine the process uses, so that an end for lack of memory is explained by what precedes it. */
+import * as perfHooks from 'node:perf_hooks';
 import * as v8 from 'node:v8';
 import * as disposable from '../../base/common/disposable';
-import * as jsonLog from '../../base/node/json_log';
+import * as bodyStore from '../../base/node/body_store';
 import * as configurationSize from '../common/configuration_size';
-import * as gatewayMetrics from './gateway_metrics';
-import * as stateFollower from './state_follower';
+import * as gatewayServices from './gateway_services';
 
 const SAMPLE_INTERVAL_MILLISECONDS = 200;
+const WHOLE_COLLECTION = perfHooks.constants.NODE_PERFORMANCE_GC_MAJOR;
 /** Shares of the heap's limit and of the machine from which on lines are written. */
 const REPORTED_HEAP_SHARE = 0.6;
 const REPORTED_MACHINE_SHARE = 0.85;
@@ -21,21 +22,21 @@
   readonly resident: number;
 }
 
-/** Samples the memory of the process. */
+/** Samples the memory of the process, and lets what callers make it hold give way to the heap. */
 export class MemoryWatch implements disposable.Disposable {
   private readonly disposables = new disposable.DisposableStore();
   private size = configurationSize.NO_CONFIGURATION;
   private reportedAt = -Infinity;
+  /** Heap in use after its last whole collection, in bytes. */
+  private collectedBytes = 0;
 
   /** @param machineBytes Memory of the machine; 0 if it is not known. */
   constructor(
-    follower: stateFollower.StateFollower,
-    private readonly metrics: gatewayMetrics.GatewayMetrics,
+    private readonly services: gatewayServices.GatewayServices,
     private readonly machineBytes: number,
-    private readonly log: jsonLog.JsonLog,
   ) {
-    const subscription = follower.onDidChangeConfiguration.subscribe(index =>
-      this.showSize(configurationSize.measure(index.configuration)),
+    const subscription = services.follower.onDidChangeConfiguration.subscribe(
+      index => this.showSize(configurationSize.measure(index.configuration)),
     );
     this.disposables.add(
       disposable.toDisposable(() => subscription.unsubscribe()),
@@ -43,6 +44,13 @@
     this.disposables.add(
       disposable.every(SAMPLE_INTERVAL_MILLISECONDS, () => this.sample()),
     );
+    const collections = new perfHooks.PerformanceObserver(list =>
+      this.recordCollections(list.getEntries()),
+    );
+    collections.observe({entryTypes: ['gc']});
+    this.disposables.add(
+      disposable.toDisposable(() => collections.disconnect()),
+    );
     this.report(this.sample());
   }
 
@@ -52,22 +60,53 @@
 
   private showSize(size: configurationSize.ConfigurationSize): void {
     this.size = size;
-    const {configurationSize: gauge} = this.metrics;
+    const {configurationSize: gauge} = this.services.metrics;
     gauge.set({part: 'routes'}, size.routes);
     gauge.set({part: 'customers'}, size.customers);
     gauge.set({part: 'text-bytes'}, size.textLength);
     gauge.set({part: 'memory-bytes'}, size.memoryBytes);
   }
 
+  private recordCollections(
+    entries: readonly perfHooks.PerformanceEntry[],
+  ): void {
+    const isWhole = (entry: perfHooks.PerformanceEntry) =>
+      (entry as {detail?: {kind?: number}}).detail?.kind === WHOLE_COLLECTION;
+    if (entries.some(isWhole)) {
+      this.collectedBytes = v8.getHeapStatistics().used_heap_size;
+    }
+  }
+
+  private updateRoom(heap: v8.HeapInfo): void {
+    const {room, buffers, bodies, log} = this.services;
+    const wasFull = room.isFull;
+    const {answerBytes, bodyBytes} = room.update(
+      {
+        totalBytes: heap.total_heap_size,
+        liveBytes: Math.min(heap.used_heap_size, this.collectedBytes),
+        limitBytes: heap.heap_size_limit,
+      },
+      performance.now(),
+    );
+    if (buffers !== undefined) {
+      buffers.maxTotalBytes = answerBytes;
+    }
+    bodies.account.bounds = bodyStore.boundsFor(bodyBytes);
+    if (room.isFull !== wasFull) {
+      log.write('memory-full', {refusing: room.isFull}, true);
+    }
+  }
+
   private sample(): MemoryUse {
     const heap = v8.getHeapStatistics();
+    this.updateRoom(heap);
     const use = {
       heap: heap.used_heap_size,
       heapLimit: heap.heap_size_limit,
       external: heap.external_memory,
       resident: process.memoryUsage.rss(),
     };
-    const {memoryBytes} = this.metrics;
+    const {memoryBytes} = this.services.metrics;
     memoryBytes.set({part: 'heap'}, use.heap);
     memoryBytes.set({part: 'heap-limit'}, use.heapLimit);
     memoryBytes.set({part: 'external'}, use.external);
@@ -86,7 +125,7 @@
 
   private report(use: MemoryUse): void {
     this.reportedAt = performance.now();
-    this.log.write(
+    this.services.log.write(
       'memory',
       {
         heap_bytes: use.heap,
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -30,6 +30,8 @@
 const RETIRED_MAX_AGE_MILLISECONDS = 2_500;
 /** Retry delay while there is no configuration, in seconds. */
 const NOT_READY_RETRY_SECONDS = 0.5;
+/** Retry delay while the memory is full, in seconds. */
+const FULL_RETRY_SECONDS = 1;
 /** Time reserved before the process ends for writing the last answers, in milliseconds. */
 const ANSWER_MARGIN_MILLISECONDS = 100;
 
@@ -229,6 +231,13 @@
       (sum, text) => sum + text.length + 2,
       caller.target.length,
     );
+    if (this.services.room.isFull) {
+      return rejection(
+        ResultCode.Overloaded,
+        'this gateway has too little memory left for another request',
+        FULL_RETRY_SECONDS,
+      );
+    }
     if (limits !== undefined && headerBytes > limits.maxHeaderBytes) {
       return rejection(
         ResultCode.HeadersTooLarge,
--- a/test/gateway/common/machine_shares.test.ts
+++ b/test/gateway/common/machine_shares.test.ts
@@ -1,10 +1,13 @@
 import * as ava from 'ava';
 import * as deliveryBuffers from '../../../src/gateway/common/delivery_buffers';
 import * as machineShares from '../../../src/gateway/common/machine_shares';
+import * as memoryRoom from '../../../src/gateway/common/memory_room';
 import * as deployedProgram from '../../support/deployed_program';
 
 const test = ava.default;
 const MEGABYTE = 1_000_000;
+/** Unit of the flags of Node.js, in bytes. */
+const MEBIBYTE = 1_048_576;
 /** Smallest machine of the deployments. */
 const SMALLEST = {memoryMegabytes: 178, descriptors: 4_100};
 /** Descriptors that a machine keeps for files. */
@@ -19,23 +22,45 @@
   return Number(text.split('=')[1]);
 }
 
-test('machine shares: all parts of the memory fit the smallest machine, with the heap that deployments allow', t => {
+/** Sum of all parts while the heap has a size. */
+function sumWith(heapBytes: number, room: memoryRoom.CallerRoom): number {
   const shares = machineShares.divide(SMALLEST);
-  const buffers = new deliveryBuffers.DeliveryBuffers(SMALLEST.memoryMegabytes);
   const servers = [
     shares.callerServer,
     shares.peerServer,
     shares.observabilityServer,
     shares.observabilityServer,
   ];
-  const heap = flag('max-old-space-size') + 3 * flag('max-semi-space-size');
-  const sum =
+  return (
     CODE_BYTES +
-    heap * MEGABYTE +
-    buffers.maxTotalBytes +
-    2 * shares.bodyBytes +
-    servers.reduce((all, each) => all + each.maxBytes + each.maxKernelBytes, 0);
-  t.true(sum <= SMALLEST.memoryMegabytes * MEGABYTE, `${sum}`);
+    heapBytes +
+    room.answerBytes +
+    2 * room.bodyBytes +
+    servers.reduce((all, each) => all + each.maxBytes + each.maxKernelBytes, 0)
+  );
+}
+
+test('machine shares: all parts of the memory fit the smallest machine, whatever heap deployments allow', t => {
+  const limitBytes =
+    (flag('max-old-space-size') + 3 * flag('max-semi-space-size')) * MEBIBYTE;
+  for (let part = 0; part <= 100; part++) {
+    const totalBytes = (limitBytes * part) / 100;
+    const room = new memoryRoom.MemoryRoom(SMALLEST).update(
+      {totalBytes, liveBytes: totalBytes, limitBytes},
+      0,
+    );
+    const sum = sumWith(totalBytes, room);
+    t.true(sum <= SMALLEST.memoryMegabytes * MEGABYTE, `${part}%: ${sum}`);
+  }
+});
+
+test('machine shares: a usual heap leaves answers and bodies their whole shares', t => {
+  const totalBytes = 46 * MEGABYTE;
+  const heap = {totalBytes, liveBytes: 0, limitBytes: 2 * totalBytes};
+  const room = new memoryRoom.MemoryRoom(SMALLEST).update(heap, 0);
+  const buffers = new deliveryBuffers.DeliveryBuffers(SMALLEST.memoryMegabytes);
+  t.is(room.answerBytes, buffers.maxTotalBytes);
+  t.is(room.bodyBytes, machineShares.divide(SMALLEST).bodyBytes);
 });
 
 test('machine shares: connections of all kinds fit the descriptors that are left for sockets', t => {
