Configuration: one that the heap has no room for is not taken

Change: a version is estimated while it is decoded (configuration_size.ts), and not taken beyond a fifth of the heap's limit; entries of which nothing is read count as well. The one in force stays, a gateway without one stays not ready, and a watch goes on with the next version. An answer of over 8 MiB is told from a store that is away.

--- a/src/daemon/gateway_main.ts
+++ b/src/daemon/gateway_main.ts
@@ -1,11 +1,13 @@
 #!/usr/bin/env node
 /** The gateway program. */
+import * as v8 from 'node:v8';
 import * as clipanion from 'clipanion';
 import * as failure from '../base/common/failure';
 import * as jsonLog from '../base/node/json_log';
 import * as metrics from '../base/node/metrics';
 import * as resultCode from '../base/common/result_code';
 import * as limitReporter from '../base/node/limit_reporter';
+import * as configurationSize from '../gateway/common/configuration_size';
 import * as gatewayMetrics from '../gateway/node/gateway_metrics';
 import * as gatewayPolicies from '../gateway/node/gateway_policies';
 import * as gatewayProcess from '../gateway/node/gateway_process';
@@ -81,6 +83,9 @@
   const meters = new gatewayMetrics.GatewayMetrics(registry);
   const limits = gatewayPolicies.createLimitReporter(meters, log);
   const shares = gatewayPolicies.divideMachine(settings);
+  const maxConfigurationBytes = configurationSize.maxBytes(
+    v8.getHeapStatistics().heap_size_limit,
+  );
   const onDidCallStore = (operation: string) =>
     meters.storeCalls.inc({operation});
   return new gatewayProcess.GatewayProcess({
@@ -88,7 +93,17 @@
     registry,
     metrics: meters,
     log,
-    source: platformAdapter.createStateSource(platform.store, onDidCallStore),
+    source: platformAdapter.createStateSource(platform.store, onDidCallStore, {
+      maxConfigurationBytes,
+      onDidRefuseConfiguration: () => {
+        meters.refusedConfigurations.inc();
+        log.write(
+          'configuration-too-large',
+          {max_bytes: Math.round(maxConfigurationBytes)},
+          true,
+        );
+      },
+    }),
     versionStore: platformAdapter.createVersionStore(
       platform.store,
       onDidCallStore,
--- a/src/gateway/common/configuration_size.ts
+++ b/src/gateway/common/configuration_size.ts
@@ -7,6 +7,25 @@
 /** Memory of one text beside its characters, with its place in a table, in bytes. */
 const TEXT_OVERHEAD_BYTES = 24;
 
+/**
+ * Share of the heap's limit that one version may take while it is in force.
+ * During a change there are two, beside the text of the new one.
+ */
+const MAX_HEAP_SHARE = 0.2;
+
+/** Most memory that one version may take, in bytes. */
+export function maxBytes(heapLimitBytes: number): number {
+  return heapLimitBytes * MAX_HEAP_SHARE;
+}
+
+/** Most entries of one list in that memory. */
+export function maxEntries(maxMemoryBytes: number): number {
+  return Math.floor(
+    maxMemoryBytes /
+      (Math.min(ROUTE_BYTES, CUSTOMER_BYTES) + TEXT_OVERHEAD_BYTES),
+  );
+}
+
 /** Size of one version. */
 export interface ConfigurationSize {
   readonly routes: number;
--- a/src/gateway/common/state_source.ts
+++ b/src/gateway/common/state_source.ts
@@ -14,6 +14,8 @@
   HistoryLost = 'history-lost',
   /** The response could not be parsed. */
   Malformed = 'malformed',
+  /** The response is larger than a gateway takes. */
+  TooLarge = 'too-large',
   /** The object does not exist. */
   Missing = 'missing',
 }
--- a/src/gateway/node/gateway_metrics.ts
+++ b/src/gateway/node/gateway_metrics.ts
@@ -39,6 +39,7 @@
   readonly bodyBytes: promClient.Gauge;
   readonly memoryBytes: promClient.Gauge<'part'>;
   readonly configurationSize: promClient.Gauge<'part'>;
+  readonly refusedConfigurations: promClient.Counter;
   readonly heldGenerations: promClient.Counter<'reason'>;
   readonly refusedGenerations: promClient.Counter<'reason'>;
 
@@ -179,6 +180,10 @@
       'Size of the configuration in force, by part',
       ['part'],
     );
+    this.refusedConfigurations = registry.counter(
+      'rhubarbvane_gateway_refused_configurations_total',
+      'Reads of a configuration that was not taken for its size',
+    );
     this.slowReaderCuts = registry.counter(
       'rhubarbvane_gateway_slow_reader_cuts_total',
       'Answers cut off because too many bytes were held for callers',
--- a/src/platform/json_slices.ts
+++ b/src/platform/json_slices.ts
@@ -134,12 +134,25 @@
   }
 }
 
+/** Thrown when an array has more elements than are read. */
+export class TooManyElements extends Error {}
+
 /** The values of an array, parsed when they are read. */
 export class JsonList implements Iterable<unknown> {
-  constructor(private readonly slice: JsonSlice) {}
+  constructor(
+    private readonly slice: JsonSlice,
+    private readonly maxLength = Infinity,
+  ) {}
 
-  [Symbol.iterator](): Iterator<unknown> {
-    return this.slice.values();
+  /** Throws `TooManyElements` at the first value beyond the maximum. */
+  *[Symbol.iterator](): Generator<unknown> {
+    let count = 0;
+    for (const value of this.slice.values()) {
+      if (++count > this.maxLength) {
+        throw new TooManyElements(`JSON text: over ${this.maxLength} elements`);
+      }
+      yield value;
+    }
   }
 }
 
--- a/src/platform/metadata_store.ts
+++ b/src/platform/metadata_store.ts
@@ -17,11 +17,22 @@
 /** Time beyond that wait, in milliseconds; shorter, so that after a silent watch a list and its relaying still fit into 5 s. */
 const EVACUATION_MARGIN_MILLISECONDS = 300;
 
+/** Bounds of the configuration; by default there are none. */
+export interface ConfigurationBounds {
+  /** Most memory that it may take, in bytes. */
+  readonly maxConfigurationBytes: number;
+  /** Notified of each that is not taken for its size. */
+  readonly onDidRefuseConfiguration: () => void;
+}
+
+type MetadataStoreOptions = storeConnection.StoreOptions &
+  Partial<ConfigurationBounds>;
+
 /** Reads configuration and instances from the store over HTTP. */
 export class MetadataStore extends stateSource.StateSource {
   private readonly connection: storeConnection.StoreConnection;
 
-  constructor(options: storeConnection.StoreOptions) {
+  constructor(private readonly options: MetadataStoreOptions) {
     super();
     this.connection = new storeConnection.StoreConnection(options);
   }
@@ -31,22 +42,30 @@
   > {
     const {configuration: kind} = wireNames.Kinds;
     const path = `/objects/${kind}/${wireNames.CONFIGURATION_NAME}`;
-    return this.connection.readText(
+    const {maxConfigurationBytes: maxBytes} = this.options;
+    const read = await this.connection.readText(
       {operation: 'read', path},
-      ({text, era}) => {
-        const stored = storedConfiguration.decodeStored(text);
-        return (
-          stored?.value && {revision: stored.revision, era, value: stored.value}
-        );
-      },
+      ({text, era}) =>
+        decodeUnlessTooLarge(() => {
+          const stored = storedConfiguration.decodeStored(text, maxBytes);
+          const {revision = 0, value} = stored ?? {};
+          return value && {revision, era, value};
+        }),
     );
+    if (read.isErr() && read.error === stateSource.SourceError.TooLarge) {
+      this.options.onDidRefuseConfiguration?.();
+    }
+    return read;
   }
 
+  /** A new version that is too large is left out like no version, so that it is not read again and again. */
   async watchConfiguration(
     revision: number,
   ): stateSource.SourceResult<
     stateSource.Snapshot<configuration.Configuration | undefined>
   > {
+    const {maxConfigurationBytes: maxBytes} = this.options;
+    const name = wireNames.CONFIGURATION_NAME;
     return this.connection.readText(
       watchCall(wireNames.Kinds.configuration, revision),
       ({members, era}) => {
@@ -55,13 +74,16 @@
           return undefined;
         }
         const events = members.get('events');
-        const value = events?.isArray
-          ? storedConfiguration.decodeNewest(
-              events,
-              wireNames.CONFIGURATION_NAME,
-            )
-          : undefined;
-        return {revision: at, era, value};
+        const newest = decodeUnlessTooLarge(() =>
+          events?.isArray
+            ? storedConfiguration.decodeNewest(events, name, maxBytes)
+            : undefined,
+        );
+        if (newest?.isErr()) {
+          this.options.onDidRefuseConfiguration?.();
+        }
+        const value = newest?.unwrapOr(undefined);
+        return neverthrow.ok({revision: at, era, value});
       },
     );
   }
@@ -201,6 +223,21 @@
   }
 }
 
+/** Undefined if nothing was decoded. */
+function decodeUnlessTooLarge<T>(
+  decode: () => T | undefined,
+): neverthrow.Result<T, stateSource.SourceError> | undefined {
+  try {
+    const value = decode();
+    return value === undefined ? undefined : neverthrow.ok(value);
+  } catch (error) {
+    if (error instanceof storedConfiguration.ConfigurationTooLarge) {
+      return neverthrow.err(stateSource.SourceError.TooLarge);
+    }
+    throw error;
+  }
+}
+
 function watchCall(
   kind: string,
   revision: number,
--- a/src/platform/platform_adapter.ts
+++ b/src/platform/platform_adapter.ts
@@ -20,8 +20,9 @@
 export function createStateSource(
   address: string,
   onDidCall: (operation: string) => void,
+  bounds: Partial<metadataStore.ConfigurationBounds> = {},
 ): stateSource.StateSource {
-  return new metadataStore.MetadataStore({address, onDidCall});
+  return new metadataStore.MetadataStore({address, onDidCall, ...bounds});
 }
 
 /** Creates the store in which knowledge about software versions outlives the gateways. */
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -57,6 +57,8 @@
   readonly content?: unknown;
   /** Time within which the head of the answer must arrive. */
   readonly timeoutMilliseconds?: number;
+  /** Called if the answer is larger than any that is read. */
+  readonly onDidExceed?: () => void;
 }
 
 /** Status and body of an answer. */
@@ -83,18 +85,23 @@
     );
   }
 
-  /** Returns the value that is decoded from a successful answer; Malformed if its text is, or if there is no value. */
+  /** Returns the value that is decoded from a successful answer; Malformed if its text is, if there is no value, or if decoding throws. */
   async readText<T>(
     call: StoreCall,
-    decode: (text: StoreText) => T | undefined,
+    decode: (
+      text: StoreText,
+    ) => neverthrow.Result<T, stateSource.SourceError> | undefined,
   ): stateSource.SourceResult<T> {
-    const answer = await this.sendSuccessfully(call);
-    return answer.andThen(({body, era}) => {
-      const value = decodeText(body, era, decode);
-      return value === undefined
-        ? neverthrow.err(stateSource.SourceError.Malformed)
-        : neverthrow.ok(value);
-    });
+    let isTooLarge = false;
+    const onDidExceed = () => (isTooLarge = true);
+    const answer = await this.sendSuccessfully({...call, onDidExceed});
+    return answer
+      .mapErr(error => (isTooLarge ? stateSource.SourceError.TooLarge : error))
+      .andThen(
+        ({body, era}) =>
+          decodeText(body, era, decode) ??
+          neverthrow.err(stateSource.SourceError.Malformed),
+      );
   }
 
   private async sendSuccessfully(
@@ -142,7 +149,14 @@
           clearTimeout(timer);
           timer = setTimeout(expire, CALL_TIMEOUT_MILLISECONDS);
           transferTimer = setTimeout(expire, TRANSFER_TIMEOUT_MILLISECONDS);
-          response.on('data', () => timer.refresh());
+          let received = 0;
+          response.on('data', (chunk: Buffer) => {
+            timer.refresh();
+            received += chunk.length;
+            if (received > MAX_ANSWER_BYTES) {
+              call.onDidExceed?.();
+            }
+          });
           void boundedBody
             .collect(response, MAX_ANSWER_BYTES)
             .then(body => finish(body && {status, era, body}));
--- a/src/platform/stored_configuration.ts
+++ b/src/platform/stored_configuration.ts
@@ -1,5 +1,6 @@
 /** Decodes the configuration from the text of the store entry by entry, so that its parsed text is never in memory as a whole. */
 import * as configuration from '../gateway/common/configuration';
+import * as configurationSize from '../gateway/common/configuration_size';
 import * as jsonSlices from './json_slices';
 import * as objectCodec from './object_codec';
 
@@ -11,9 +12,13 @@
   readonly value: configuration.Configuration | undefined;
 }
 
-/** Decodes one object; undefined if the text is none of the store. Throws a SyntaxError if it is malformed. */
+/** Thrown for a configuration that would take more memory than allowed. */
+export class ConfigurationTooLarge extends Error {}
+
+/** Decodes one object; undefined if the text is none of the store. Throws a SyntaxError if it is malformed, and `ConfigurationTooLarge` if it would take more memory than allowed. */
 export function decodeStored(
   text: jsonSlices.JsonSlice,
+  maxBytes = Infinity,
 ): StoredConfiguration | undefined {
   return withFields(text, object => {
     const members = object.members();
@@ -25,25 +30,25 @@
     const {name, revision} = stored;
     const spec = members.get('spec');
     const value =
-      spec &&
-      withFields(spec, fields =>
-        objectCodec.decodeConfiguration({...stored, spec: lazySpec(fields)}),
-      );
+      spec && withFields(spec, fields => decodeSpec(stored, fields, maxBytes));
     return {name, revision, value};
   });
 }
 
-/** Decodes the newest of the events that has a configuration with the name; undefined if none has. Throws a SyntaxError if the text is malformed. */
+/** Decodes the newest of the events that has a configuration with the name; undefined if none has. Throws as above. */
 export function decodeNewest(
   events: jsonSlices.JsonSlice,
   name: string,
+  maxBytes = Infinity,
 ): configuration.Configuration | undefined {
   const newestFirst = [...events.elements()].reverse();
   for (const event of newestFirst.filter(each => each.isObject)) {
     const members = event.members();
     const object = members.get('object');
     const isDeleted = members.get('deleted')?.parse() === true;
-    const stored = isDeleted ? undefined : object && decodeStored(object);
+    const stored = isDeleted
+      ? undefined
+      : object && decodeStored(object, maxBytes);
     if (stored?.name === name && stored.value !== undefined) {
       return stored.value;
     }
@@ -66,18 +71,46 @@
   try {
     const object = jsonSlices.JsonSlice.of(Buffer.from(inner));
     return object.isObject ? decode(object) : undefined;
-  } catch {
+  } catch (error) {
+    if (error instanceof ConfigurationTooLarge) {
+      throw error;
+    }
     // Malformed content of another writer, decoded as no object.
     return undefined;
   }
 }
 
+function decodeSpec(
+  stored: objectCodec.StoredObject,
+  fields: jsonSlices.JsonSlice,
+  maxBytes: number,
+): configuration.Configuration | undefined {
+  const spec = lazySpec(fields, configurationSize.maxEntries(maxBytes));
+  try {
+    const value = objectCodec.decodeConfiguration({...stored, spec});
+    const bytes = value && configurationSize.measure(value).memoryBytes;
+    if (bytes !== undefined && bytes > maxBytes) {
+      throw new ConfigurationTooLarge(`configuration: ${bytes} bytes`);
+    }
+    return value;
+  } catch (error) {
+    throw error instanceof jsonSlices.TooManyElements
+      ? new ConfigurationTooLarge(`configuration: ${error.message}`)
+      : error;
+  }
+}
+
 /** The fields of a configuration, with lists whose entries are parsed when they are read. */
-function lazySpec(fields: jsonSlices.JsonSlice): Record<string, unknown> {
+function lazySpec(
+  fields: jsonSlices.JsonSlice,
+  maxEntries: number,
+): Record<string, unknown> {
   return Object.fromEntries(
     [...fields.members()].map(([name, value]) => [
       name,
-      value.isArray ? new jsonSlices.JsonList(value) : value.parse(),
+      value.isArray
+        ? new jsonSlices.JsonList(value, maxEntries)
+        : value.parse(),
     ]),
   );
 }
--- a/test/clients/large_configurations.test.ts
+++ b/test/clients/large_configurations.test.ts
@@ -59,3 +59,29 @@
     },
   );
 }
+
+test.serial(
+  'large configurations: one that the heap has no room for is not taken, and the one in force stays until the next',
+  async t => {
+    const small = {routes: 10, customers: 10};
+    const gateway = await gatewayProgram.GatewayProgram.start(t, {
+      configuration: largeConfiguration.configurationSpec(1, small),
+    });
+    const put = (version: number, size: largeConfiguration.ConfigurationSize) =>
+      gateway.store.put(
+        'config',
+        'main',
+        largeConfiguration.configurationSpec(version, size),
+      );
+    put(2, {routes: 10, customers: 75_000});
+    await gateway.untilLogged('configuration-too-large', /max_bytes/);
+    const answer = await gateway.call('/read/a', '');
+    t.is(answer?.status, 200);
+    put(3, {routes: 50, customers: 10});
+    await gateway.untilLogged(
+      'configuration-in-force',
+      /"version":3,"previous":1/,
+    );
+    await gateway.check();
+  },
+);
