Shutdown: open calls are answered when the process ends

A call that its instance had not answered when the grace period ended had its connection closed without an answer, also one that waited at the gateway and had been sent nowhere. Calls that arrived after SIGTERM were answered in time; those from before it knew nothing of the end.

The handler knows its open calls. When the process ends, those without a byte of an answer get 504, which promises nothing, or the refusal of late calls if no instance may have run them; the sockets are closed 50 ms later, within the margin of 300 ms that the process keeps. Begun streams are cut off as before.

--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -222,6 +222,9 @@
         break;
       }
     }
+    this.handler.endOpenCalls();
+    // Lets the last answers reach the kernel.
+    await deadline.delay(SHUTDOWN_CHECK_MILLISECONDS);
     log.write('stopped', {open: this.server.openRequestCount}, true);
     this.dispose();
   }
--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -53,6 +53,7 @@
   private stopSignalAt = 0;
   /** Monotonic time at which the process ends, in milliseconds; undefined unless it is shutting down. */
   private endsAt: number | undefined;
+  private readonly openCalls = new Set<callContext.CallContext>();
 
   constructor(
     private readonly services: gatewayServices.GatewayServices,
@@ -65,6 +66,22 @@
     this.endsAt = endsAt;
   }
 
+  /** Answers the calls of which nothing was answered, since the process ends now. */
+  endOpenCalls(): void {
+    for (const context of this.openCalls) {
+      if (context.response.headersSent) {
+        continue;
+      }
+      if (context.sendsThatMayHaveRun === 0) {
+        this.refuseBeforeShutdown(context);
+        continue;
+      }
+      const message = 'no answer before this gateway ended';
+      const {OutcomeUnknown} = resultCode.ResultCode;
+      context.fail(failure.unknownOutcome(OutcomeUnknown, message), 504);
+    }
+  }
+
   async handle(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -127,6 +144,8 @@
       },
       response,
     );
+    this.openCalls.add(context);
+    response.once('close', () => this.openCalls.delete(context));
     await callFault.guard(context, () => this.run(context));
   }
 
--- a/test/gateway/shutdown.test.ts
+++ b/test/gateway/shutdown.test.ts
@@ -1,4 +1,5 @@
 /** Graceful shutdown: running requests complete, and new ones are served or refused as not run. */
+import * as http from 'node:http';
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
 import * as testGateway from '../support/test_gateway';
@@ -75,3 +76,32 @@
   // Grace period of 8 s and a restart, with a jitter of a quarter; a third of the time left at this gateway is 2.5 s.
   t.true(Number(refused.headers['retry-after']) > 5);
 });
+
+test('shutdown: requests that instances have not answered when the process ends are answered on their connections', async t => {
+  const gateway = await TestGateway.start(
+    t,
+    {
+      'i-1': ['writers', () => undefined],
+      'i-2': ['ledger', () => undefined],
+    },
+    testGateway.configurationSpec(1),
+    {settings: {shutdown: {grace_seconds: 2}}},
+  );
+  await gateway.until(() => gateway.process.state.instances.size === 2);
+  const headers = {'X-Rhubarbvane-Deadline-Ms': '20000'};
+  const paths = ['/read/a', '/file/a', '/draft/a'];
+  const answers = paths.map(path =>
+    gateway.call(path, {
+      method: 'POST',
+      headers,
+      agent: new http.Agent({keepAlive: true}),
+    }),
+  );
+  await gateway.until(() => gateway.requestCount === paths.length);
+  await gateway.process.shutDown();
+  for (const answer of await Promise.all(answers)) {
+    t.like(answer, {status: 504, isComplete: true});
+    t.is(answer.headers['rhubarbvane-work'], 'unknown');
+  }
+  t.is(gateway.requestCount, paths.length);
+});
