Limits of clients: log lines tell how much was held and which requests were cut

Whether a limit closed the connection of a caller whose request had been passed on could not be told from the logs: client-limit names an address and a count, and the request's own line is caller-gone, as for a caller that left.

client-limit gets act (refused or closed), bytes, total_bytes, max_bytes and cut_requests, the number of acts since the last line that closed a connection with a request in hand. caller-gone gets the limit that closed the connection, if one did. The names that exist stay; entries write the same fields.

Two new tests, of the acts of a guard and of the lines.

--- a/src/base/node/bounded_server.ts
+++ b/src/base/node/bounded_server.ts
@@ -39,7 +39,7 @@
       this.server,
       bounds,
       this,
-      (limit, who) => limits.record(limit, who),
+      (limit, who, usage) => limits.record(limit, who, usage),
     );
   }
 
--- a/src/base/node/connection_guard.ts
+++ b/src/base/node/connection_guard.ts
@@ -8,7 +8,7 @@
 import * as kernelWatch from './kernel_watch';
 import * as limitReporter from './limit_reporter';
 
-const {ClientLimit} = limitReporter;
+const {ClientLimit, LimitAct} = limitReporter;
 
 /** Bounds for the connections of a server. */
 export interface ConnectionBounds {
@@ -27,6 +27,13 @@
   refuse(request: http.IncomingMessage, response: http.ServerResponse): void;
 }
 
+/** Called when a limit has acted on the peer. */
+export type LimitListener = (
+  limit: limitReporter.ClientLimit,
+  who: string,
+  usage: limitReporter.LimitUsage,
+) => void;
+
 /** Options that the server of a guard has to be created with; otherwise Node.js answers some requests itself, which are not counted. */
 export const SERVER_OPTIONS = {requireHostHeader: false} as const;
 
@@ -50,10 +57,7 @@
     private readonly server: http.Server,
     bounds: ConnectionBounds,
     private readonly handler: ExchangeHandler,
-    private readonly onDidAct: (
-      limit: limitReporter.ClientLimit,
-      who: string,
-    ) => void,
+    private readonly onDidAct: LimitListener,
   ) {
     this.account = new memoryAccount.MemoryAccount({
       maxBytes: bounds.maxBytes,
@@ -98,12 +102,28 @@
   }
 
   refuse({request, response}: guardedConnection.ServerExchange): void {
-    this.onDidAct(ClientLimit.Connections, request.socket.remoteAddress ?? '');
+    const connection = this.connections.get(request.socket);
+    if (connection !== undefined) {
+      this.report(connection, LimitAct.Refused);
+    }
     this.handler.refuse(request, response);
   }
 
   onDidEvict(connection: guardedConnection.GuardedConnection): void {
-    this.onDidAct(ClientLimit.Connections, connection.group);
+    this.report(connection, LimitAct.Closed);
+  }
+
+  private report(
+    connection: guardedConnection.GuardedConnection,
+    act: limitReporter.LimitAct,
+  ): void {
+    this.onDidAct(ClientLimit.Connections, connection.group, {
+      act,
+      bytes: connection.bytes,
+      totalBytes: this.account.totalBytes,
+      maxBytes: this.account.bounds.maxBytes,
+      isRequestCut: act === LimitAct.Closed && connection.hasActiveRequest,
+    });
   }
 
   onDidWrite(connection: guardedConnection.GuardedConnection): void {
@@ -114,8 +134,15 @@
     this.watch.recordBlock();
   }
 
-  onDidClose(connection: guardedConnection.GuardedConnection): void {
-    this.onDidAct(ClientLimit.Kernel, connection.group);
+  onDidClose(
+    connection: guardedConnection.GuardedConnection,
+    usage: kernelWatch.KernelUsage,
+  ): void {
+    this.onDidAct(ClientLimit.Kernel, connection.group, {
+      act: LimitAct.Closed,
+      isRequestCut: connection.hasActiveRequest,
+      ...usage,
+    });
   }
 
   dispose(): void {
--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -4,6 +4,7 @@
 import * as memoryAccount from '../common/memory_account';
 import * as bufferCollector from './buffer_collector';
 import * as feedScheduler from './feed_scheduler';
+import * as limitReporter from './limit_reporter';
 
 /**
  * Bytes that the parser gets at a time while heads or chunks may begin in them.
@@ -111,11 +112,12 @@
 
   evict(): void {
     this.owner.onDidEvict(this);
-    this.reset();
+    this.reset(limitReporter.ClientLimit.Connections);
   }
 
-  /** Closes the connection and drops what the kernel holds for it. */
-  reset(): void {
+  /** Closes the connection for a limit, and drops what the kernel holds for it. */
+  reset(limit: limitReporter.ClientLimit): void {
+    limitReporter.recordClose(this.socket, limit);
     this.socket.resetAndDestroy();
   }
 
@@ -305,14 +307,18 @@
   }
 
   private charge(): boolean {
+    return this.owner.account.charge(this, this.bytes);
+  }
+
+  /** Memory that the connection takes, in bytes. */
+  get bytes(): number {
     const isHandled = this.active !== undefined && !this.isActiveRefused;
-    return this.owner.account.charge(
-      this,
+    return (
       CONNECTION_BYTES +
-        this.heldBytes +
-        this.headBytes +
-        this.waiting.length * WAITING_REQUEST_BYTES +
-        (isHandled ? ACTIVE_REQUEST_BYTES : 0),
+      this.heldBytes +
+      this.headBytes +
+      this.waiting.length * WAITING_REQUEST_BYTES +
+      (isHandled ? ACTIVE_REQUEST_BYTES : 0)
     );
   }
 
--- a/src/base/node/http_server.ts
+++ b/src/base/node/http_server.ts
@@ -64,8 +64,8 @@
     limits,
   }: HttpServerOptions = {}) {
     const bytes = memoryMegabytes * BYTES_PER_MEGABYTE;
-    const onDidAct = (limit: limitReporter.ClientLimit, who: string) =>
-      limits?.record(limit, who);
+    const onDidAct: connectionGuard.LimitListener = (limit, who, usage) =>
+      limits?.record(limit, who, usage);
     this.bodies = new bodyStore.BodyStore(
       new memoryAccount.MemoryAccount(
         bodyStore.boundsFor(
@@ -73,7 +73,7 @@
         ),
       ),
       new blockPool.BlockPool(),
-      group => onDidAct(limitReporter.ClientLimit.Bodies, group),
+      group => limits?.record(limitReporter.ClientLimit.Bodies, group),
     );
     this.server = http.createServer({
       ...connectionGuard.SERVER_OPTIONS,
--- a/src/base/node/kernel_watch.ts
+++ b/src/base/node/kernel_watch.ts
@@ -2,6 +2,7 @@
 import * as disposable from '../common/disposable';
 import * as guardedConnection from './guarded_connection';
 import * as kernelQueues from './kernel_queues';
+import * as limitReporter from './limit_reporter';
 
 /** Interval of checks of all connections while requests are handled, in milliseconds. */
 const CHECK_INTERVAL_MILLISECONDS = 500;
@@ -22,11 +23,20 @@
 /** A connection and the bytes that the kernel holds for it. */
 type ConnectionSize = readonly [guardedConnection.GuardedConnection, number];
 
+/** Bytes that the kernel holds, or may hold, when a connection is closed. */
+export type KernelUsage = Pick<
+  limitReporter.LimitUsage,
+  'bytes' | 'totalBytes' | 'maxBytes'
+>;
+
 /** What the watch needs of a server. */
 export interface WatchedConnections {
   readonly port: number;
   all(): Iterable<guardedConnection.GuardedConnection>;
-  onDidClose(connection: guardedConnection.GuardedConnection): void;
+  onDidClose(
+    connection: guardedConnection.GuardedConnection,
+    usage: KernelUsage,
+  ): void;
 }
 
 /**
@@ -128,9 +138,10 @@
       if (rest <= maxBytes) {
         return;
       }
+      const usage = {bytes, totalBytes: rest, maxBytes};
       rest -= bytes;
-      this.connections.onDidClose(connection);
-      connection.reset();
+      this.connections.onDidClose(connection, usage);
+      connection.reset(limitReporter.ClientLimit.Kernel);
     }
   }
 }
--- a/src/entry/node/entry_process.ts
+++ b/src/entry/node/entry_process.ts
@@ -94,8 +94,11 @@
     this.limits = this.disposables.add(
       new limitReporter.LimitReporter(
         limit => options.metrics.clientLimits.inc({limit}),
-        (limit, count, who) =>
-          this.logger.info('client-limit', {limit, count, last: who}),
+        (limit, occurrences) =>
+          this.logger.info(
+            'client-limit',
+            limitReporter.describeOccurrences(limit, occurrences),
+          ),
       ),
     );
     this.server = new httpServer.HttpServer({
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -4,6 +4,7 @@
 import * as failure from '../../base/common/failure';
 import * as resultCode from '../../base/common/result_code';
 import * as bodyStore from '../../base/node/body_store';
+import * as limitReporter from '../../base/node/limit_reporter';
 import * as instanceAvailability from '../common/availability/instance_availability';
 import * as configuration from '../common/configuration';
 import * as instanceClient from '../common/instance_client';
@@ -70,7 +71,8 @@
   private rejectedSends = 0;
   private isFinished = false;
   private readonly bodyUse: bodyUse.BodyUse;
-  private onDisconnect: () => void = () => undefined;
+  /** Cancels what is under way at instances. */
+  cancelSends: () => void = () => undefined;
   private endBeforeShutdown: () => boolean = () => false;
   /** Monotonic time by which this process must have answered, in milliseconds. */
   private answerDeadlineAt = Infinity;
@@ -87,7 +89,7 @@
       const isGone = !this.isFinished;
       this.finish(isGone ? 'caller-gone' : 'answered');
       if (isGone) {
-        this.onDisconnect();
+        this.cancelSends();
       }
       this.bodyUse.endCall();
     });
@@ -113,12 +115,7 @@
 
   /** Sets a handler that is called once if the caller disconnects before it is answered. */
   setDisconnectHandler(action: () => void): void {
-    this.onDisconnect = action;
-  }
-
-  /** Cancels what is under way at instances. */
-  cancelSends(): void {
-    this.onDisconnect();
+    this.cancelSends = action;
   }
 
   /** Sets a check that refuses a call that was not sent yet and would not end before this process does. */
@@ -379,7 +376,7 @@
     this.response.socket?.resetAndDestroy();
     this.response.destroy();
     if (isRunning) {
-      this.onDisconnect();
+      this.cancelSends();
     }
   }
 
@@ -393,7 +390,8 @@
     metrics.openRequests.dec();
     metrics.requests.inc({route: this.call.route.name, outcome});
     if (outcome === 'caller-gone') {
-      this.log('caller-gone', {});
+      const limit = limitReporter.limitThatClosed(this.response.req.socket);
+      this.log('caller-gone', {limit});
     }
   }
 }
--- a/src/gateway/node/caller_server.ts
+++ b/src/gateway/node/caller_server.ts
@@ -57,7 +57,7 @@
       this.server,
       bounds,
       this,
-      (limit, who) => limits.record(limit, who),
+      (limit, who, usage) => limits.record(limit, who, usage),
     );
     this.server.on('clientError', (error, socket) =>
       this.answerMalformed(error, socket as net.Socket),
--- a/src/gateway/node/gateway_policies.ts
+++ b/src/gateway/node/gateway_policies.ts
@@ -74,8 +74,12 @@
 ): limitReporter.LimitReporter {
   return new limitReporter.LimitReporter(
     limit => metrics.clientLimits.inc({limit}),
-    (limit, count, who) =>
-      log.write('client-limit', {limit, count, last: who}, true),
+    (limit, occurrences) =>
+      log.write(
+        'client-limit',
+        limitReporter.describeOccurrences(limit, occurrences),
+        true,
+      ),
   );
 }
 
--- a/test/base/node/connection_guard.test.ts
+++ b/test/base/node/connection_guard.test.ts
@@ -2,8 +2,10 @@
 import * as fs from 'node:fs';
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as fakeTimers from '@sinonjs/fake-timers';
 import * as ava from 'ava';
 import * as connectionGuard from '../../../src/base/node/connection_guard';
+import * as limitReporter from '../../../src/base/node/limit_reporter';
 
 const test = ava.default;
 const AMPLE_BYTES = 10_000_000;
@@ -14,14 +16,22 @@
   response: http.ServerResponse,
 ) => void;
 
-/** Listens with a guard; returns the port and the requests that were handled. */
+/** An act of a limit. */
+interface Act {
+  readonly limit: limitReporter.ClientLimit;
+  readonly who: string;
+  readonly usage: limitReporter.LimitUsage;
+}
+
+/** Listens with a guard; returns the port, the requests that were handled, and the acts of limits. */
 async function listen(
   t: ava.ExecutionContext,
   handle: Handler,
   maxBytes = AMPLE_BYTES,
-): Promise<{port: number; handled: http.ServerResponse[]}> {
+): Promise<{port: number; handled: http.ServerResponse[]; acts: Act[]}> {
   const server = http.createServer(connectionGuard.SERVER_OPTIONS);
   const handled: http.ServerResponse[] = [];
+  const acts: Act[] = [];
   const guard = new connectionGuard.ConnectionGuard(
     server,
     {maxConnections: 100, maxBytes, maxKernelBytes: AMPLE_BYTES},
@@ -33,7 +43,7 @@
       refuse: (_, response) =>
         response.writeHead(503, {'Content-Length': 4}).end('full'),
     },
-    () => undefined,
+    (limit, who, usage) => acts.push({limit, who, usage}),
   );
   t.teardown(() => {
     guard.dispose();
@@ -41,7 +51,7 @@
     server.closeAllConnections();
   });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  return {port: (server.address() as net.AddressInfo).port, handled};
+  return {port: (server.address() as net.AddressInfo).port, handled, acts};
 }
 
 /** A connection that collects what it receives. */
@@ -118,3 +128,59 @@
   await until(() => waiting.length === 3 || third.isClosed);
   t.false(third.isClosed);
 });
+
+test('connection guard: the act of a limit tells how much was held, and whether a request was cut', async t => {
+  const {port, handled, acts} = await listen(t, () => undefined, 55_000);
+  const first = new Client(t, port);
+  const second = new Client(t, port);
+  first.write(GET);
+  second.write(GET);
+  await until(() => handled.length === 2);
+  const third = new Client(t, port);
+  third.write(GET);
+  await until(() => acts.length === 1);
+  const {ClientLimit, LimitAct} = limitReporter;
+  t.like(acts[0], {
+    limit: ClientLimit.Connections,
+    usage: {
+      act: LimitAct.Refused,
+      totalBytes: 45_056,
+      maxBytes: 55_000,
+      isRequestCut: false,
+    },
+  });
+  const {socket} = handled[0].req;
+  // The start of a request that does not come, for which there is no room.
+  first.write('GET /a HTTP/1.1\r\nX-Long: ' + 'x'.repeat(15_000));
+  await until(() => acts.length === 2);
+  t.like(acts[1].usage, {act: LimitAct.Closed, isRequestCut: true});
+  t.is(limitReporter.limitThatClosed(socket), ClientLimit.Connections);
+});
+
+test('limit reporter: a line counts the requests that were cut since the previous one', t => {
+  const clock = fakeTimers.install({now: 0});
+  const lines: object[] = [];
+  const {ClientLimit, LimitAct} = limitReporter;
+  const reporter = new limitReporter.LimitReporter(
+    () => undefined,
+    (limit, occurrences) =>
+      lines.push(limitReporter.describeOccurrences(limit, occurrences)),
+  );
+  const usage = {
+    act: LimitAct.Closed,
+    bytes: 3,
+    totalBytes: 5,
+    maxBytes: 4,
+    isRequestCut: true,
+  };
+  reporter.record(ClientLimit.Kernel, 'a', usage);
+  reporter.record(ClientLimit.Kernel, 'b', usage);
+  reporter.record(ClientLimit.Kernel, 'c', {...usage, isRequestCut: false});
+  clock.tick(10_000);
+  reporter.dispose();
+  clock.uninstall();
+  const fields = {limit: 'kernel', act: 'closed', bytes: 3, total_bytes: 5};
+  t.is(lines.length, 2);
+  t.like(lines[0], {...fields, count: 1, last: 'a', cut_requests: 1});
+  t.like(lines[1], {...fields, count: 2, last: 'c', cut_requests: 1});
+});
