Shutdown: once the open calls are answered, no further one is passed on

Since open calls are answered 50 ms before the sockets are closed, callers that came back at once had a request passed on in between, and its connection closed without an answer.

The handler refuses, as not run, all calls that come after it has answered the open ones, whatever the policy for late calls says.

--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -53,6 +53,7 @@
   private stopSignalAt = 0;
   /** Monotonic time at which the process ends, in milliseconds; undefined unless it is shutting down. */
   private endsAt: number | undefined;
+  private hasEnded = false;
   private readonly openCalls = new Set<callContext.CallContext>();
 
   constructor(
@@ -66,8 +67,9 @@
     this.endsAt = endsAt;
   }
 
-  /** Answers the calls of which nothing was answered, since the process ends now. */
+  /** Answers the calls of which nothing was answered, since the process ends now; sends no further ones to instances. */
   endOpenCalls(): void {
+    this.hasEnded = true;
     for (const context of this.openCalls) {
       if (context.response.headersSent) {
         continue;
@@ -184,7 +186,7 @@
       isLikelyInTime: this.isLikelyInTime(context, grace),
     };
     const peers = this.services.members.availability(now);
-    if (shutdownPolicy.mayBeSent(request, grace, peers)) {
+    if (!this.hasEnded && shutdownPolicy.mayBeSent(request, grace, peers)) {
       return false;
     }
     this.refuseBeforeShutdown(context);
