Connections: an error of a listener does not leave a connection unread

If a listener that the parser calls throws, the process logs the error and goes on, but the connection was marked as being fed for good: no byte of it reached the parser any more, and its next request got no answer.

The mark is taken back whatever happens. The new test fails on the code before and passes with it.

--- a/src/base/node/guarded_connection.ts
+++ b/src/base/node/guarded_connection.ts
@@ -240,6 +240,19 @@
       return;
     }
     this.isFeeding = true;
+    try {
+      this.feedParser();
+    } finally {
+      this.isFeeding = false;
+      this.isItsTurn = false;
+    }
+    if (!this.socket.destroyed && !this.charge()) {
+      this.owner.account.release(this);
+      this.evict();
+    }
+  }
+
+  private feedParser(): void {
     const endsAt = performance.now() + feedScheduler.FEED_MILLISECONDS;
     while (this.heldBytes > 0 && !this.socket.destroyed) {
       if (this.isRefused) {
@@ -261,12 +274,6 @@
       }
       this.parse.call(this.socket, this.nextSlice());
     }
-    this.isFeeding = false;
-    this.isItsTurn = false;
-    if (!this.socket.destroyed && !this.charge()) {
-      this.owner.account.release(this);
-      this.evict();
-    }
   }
 
   private nextSlice(): Buffer {
--- a/test/base/node/connection_guard.test.ts
+++ b/test/base/node/connection_guard.test.ts
@@ -5,6 +5,7 @@
 import * as fakeTimers from '@sinonjs/fake-timers';
 import * as ava from 'ava';
 import * as connectionGuard from '../../../src/base/node/connection_guard';
+import * as guardedConnection from '../../../src/base/node/guarded_connection';
 import * as limitReporter from '../../../src/base/node/limit_reporter';
 
 const test = ava.default;
@@ -184,3 +185,27 @@
   t.like(lines[0], {...fields, count: 1, last: 'a', cut_requests: 1});
   t.like(lines[1], {...fields, count: 2, last: 'c', cut_requests: 1});
 });
+
+test('connection guard: a connection is read on after an error of a listener', t => {
+  const socket = new net.Socket();
+  const parsed: string[] = [];
+  socket.on('data', (chunk: Buffer) => {
+    parsed.push(chunk.toString());
+    if (parsed.length === 1) {
+      throw new Error('fault of a listener');
+    }
+  });
+  const guard = new connectionGuard.ConnectionGuard(
+    http.createServer(connectionGuard.SERVER_OPTIONS),
+    {maxConnections: 1, maxBytes: AMPLE_BYTES, maxKernelBytes: AMPLE_BYTES},
+    {handle: () => undefined, refuse: () => undefined},
+    () => undefined,
+  );
+  const connection = new guardedConnection.GuardedConnection(socket, guard);
+  t.true(connection.open());
+  t.throws(() => socket.emit('data', Buffer.from('one')));
+  socket.emit('data', Buffer.from('two'));
+  t.deepEqual(parsed, ['one', 'two']);
+  guard.dispose();
+  socket.destroy();
+});
