Test of endless answers: its instance notices that the gateway has closed

Cause, in the test's instance, not in the gateway: it writes in a loop until the response holds 1 MB. When a write fails at once (ECONNRESET, since the gateway has closed the connection), the socket is destroyed before the response emits "close", and an interval that is late runs again in the same phase of timers. Writes to the response are dropped then and nothing is held, so the loop counts 48 MiB as sent and ends the response: it looks finished, and the close is not recorded.

The loop ends when the socket is destroyed. The check is as strict: an answer that is read to 48 MiB is finished and fails it.

--- a/src/base/node/client_agent.ts
+++ b/src/base/node/client_agent.ts
@@ -22,7 +22,9 @@
         buffer: readBuffer,
         callback: length => {
           bufferCollector.recordInput(length);
-          return socket.push(Buffer.from(readBuffer.subarray(0, length)));
+          const bytes = Buffer.allocUnsafe(length);
+          readBuffer.copy(bytes, 0, 0, length);
+          return socket.push(bytes);
         },
       },
     });
--- a/test/gateway/endless_answers.test.ts
+++ b/test/gateway/endless_answers.test.ts
@@ -32,8 +32,10 @@
       ...replicaStandin.answerHeaders(request),
       ...headers,
     });
+    const socket = response.socket!;
     const timer = setInterval(() => {
-      while (response.writableLength < 1_000_000) {
+      // Writes to a closed connection are dropped without an error, before its response is told.
+      while (!socket.destroyed && response.writableLength < 1_000_000) {
         if (body.bytes >= MAX_SENT_BYTES) {
           clearInterval(timer);
           response.end();
