Responses in large chunks are parsed in larger parts

`ChunkTracker` follows the sizes of chunks, so that the rest of a chunk is parsed at once; where its count of the content differs from the parser's, 1 KiB is the bound again.

--- a/src/base/node/response_guard.ts
+++ b/src/base/node/response_guard.ts
@@ -1,6 +1,7 @@
 /** Bounds what a response may cost besides its content, however the other side frames it. */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as chunkTracker from '../common/chunk_tracker';
 import * as feedScheduler from './feed_scheduler';
 
 /**
@@ -17,6 +18,8 @@
 
 const feedTime = new feedScheduler.SharedFeedTime();
 
+const HEAD_END = Buffer.from('\r\n\r\n');
+
 type DataListener = (this: net.Socket, chunk: Buffer) => void;
 
 /**
@@ -39,6 +42,8 @@
   private response: http.IncomingMessage | undefined;
   /** Length of the content if it is known and the content is not in chunks; infinite if it ends with the connection. */
   private contentLength = 0;
+  /** Undefined if the content is not in chunks, or is not where it is expected. */
+  private chunks: chunkTracker.ChunkTracker | undefined;
   private parsedBytes = 0;
   private readBytes = 0;
   private isWaiting = false;
@@ -61,7 +66,9 @@
   private begin(response: http.IncomingMessage): void {
     this.response = response;
     const {headers} = response;
-    if (headers['transfer-encoding'] === undefined) {
+    if (headers['transfer-encoding'] !== undefined) {
+      this.chunks = new chunkTracker.ChunkTracker();
+    } else {
       this.contentLength = Number(headers['content-length'] ?? Infinity) || 0;
     }
     // Unlike `on`, this does not start to read the response.
@@ -108,6 +115,7 @@
     }
     this.parsedBytes += slice.length;
     this.parse.call(socket, slice);
+    this.followChunks(response === undefined ? withoutHead(slice) : slice);
     this.checkOverhead();
     return !socket.destroyed;
   }
@@ -128,7 +136,16 @@
   }
 
   private get sliceBytes(): number {
-    return Math.max(SLICE_BYTES, this.contentLength - this.contentBytes);
+    const known =
+      this.chunks?.missingBytes ?? this.contentLength - this.contentBytes;
+    return Math.max(SLICE_BYTES, known);
+  }
+
+  private followChunks(bytes: Buffer): void {
+    this.chunks?.push(bytes);
+    if (this.chunks?.contentBytes !== this.contentBytes) {
+      this.chunks = undefined;
+    }
   }
 
   private checkOverhead(): void {
@@ -172,3 +189,9 @@
     this.isWaiting = false;
   }
 }
+
+/** The bytes after the end of a head. */
+function withoutHead(bytes: Buffer): Buffer {
+  const end = bytes.indexOf(HEAD_END);
+  return end < 0 ? bytes : bytes.subarray(end + HEAD_END.length);
+}
