Soak: gateways run with the deployed flags on a machine of 178 MB

Why the soak missed a heap that ends the process: its gateways had 96 MB of old space and memory_megabytes = 96, which no deployment has. They now take the flags from deploy/system.toml, and memory and descriptors of the smallest machine. The reader of the flags moves from test/support to standins, where the soak may import it. Existing tests only import it from there.

--- a/soak/gateway_child.ts
+++ b/soak/gateway_child.ts
@@ -3,6 +3,7 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as deployedProgram from '../standins/deployed_program';
 import * as freePorts from '../standins/free_ports';
 import * as tcpRelay from '../standins/tcp_relay';
 import * as budgetRule from './budget_rule';
@@ -10,8 +11,6 @@
 
 const {RETRY_POLICY} = budgetRule;
 
-const PROGRAM = path.join(__dirname, '..', 'src', 'daemon', 'gateway_main.js');
-
 /** Addresses and files of a gateway. */
 export interface GatewayOptions {
   readonly name: string;
@@ -78,7 +77,12 @@
     const log = fs.openSync(this.options.logFile, 'a');
     const child = childProcess.spawn(
       process.execPath,
-      ['--max-old-space-size=96', PROGRAM, '--config', this.settingsFile],
+      [
+        ...deployedProgram.deployedFlags(),
+        deployedProgram.GATEWAY_PROGRAM,
+        '--config',
+        this.settingsFile,
+      ],
       {stdio: ['ignore', log, log]},
     );
     fs.closeSync(log);
@@ -158,7 +162,8 @@
       '[hedging]',
       'max_share = 0.05',
       '[limits]',
-      'memory_megabytes = 96',
+      `memory_megabytes = ${deployedProgram.MEMORY_MEGABYTES}`,
+      `max_descriptors = ${deployedProgram.MAX_DESCRIPTORS}`,
       '[retries]',
       `window_seconds = ${RETRY_POLICY.windowMilliseconds / 1_000}`,
       `ratio = ${RETRY_POLICY.ratio}`,
--- a/test/gateway/common/machine_shares.test.ts
+++ b/test/gateway/common/machine_shares.test.ts
@@ -2,7 +2,7 @@
 import * as deliveryBuffers from '../../../src/gateway/common/delivery_buffers';
 import * as machineShares from '../../../src/gateway/common/machine_shares';
 import * as memoryRoom from '../../../src/gateway/common/memory_room';
-import * as deployedProgram from '../../support/deployed_program';
+import * as deployedProgram from '../../../standins/deployed_program';
 
 const test = ava.default;
 const MEGABYTE = 1_000_000;
--- a/test/gateway/slow_readers.test.ts
+++ b/test/gateway/slow_readers.test.ts
@@ -5,7 +5,7 @@
 import * as util from 'node:util';
 import * as ava from 'ava';
 import * as replicaStandin from '../../standins/replica_standin';
-import * as deployedProgram from '../support/deployed_program';
+import * as deployedProgram from '../../standins/deployed_program';
 import * as slowReaderScenario from '../support/slow_reader_scenario';
 import * as testGateway from '../support/test_gateway';
 
--- a/test/support/gateway_program.ts
+++ b/test/support/gateway_program.ts
@@ -5,20 +5,18 @@
 import * as path from 'node:path';
 import * as ava from 'ava';
 import * as ini from 'ini';
+import * as deployedProgram from '../../standins/deployed_program';
 import * as freePorts from '../../standins/free_ports';
 import * as platformObjects from '../../standins/platform_objects';
 import * as storeStandin from '../../standins/store_standin';
 import * as countingReplica from './counting_replica';
-import * as deployedProgram from './deployed_program';
 import * as processUsage from './process_usage';
 import * as testGateway from './test_gateway';
 
 const {HOST, KEY, route} = testGateway;
 
-/** Memory of the smallest machine that runs a gateway, in MB. */
-export const MEMORY_MEGABYTES = 178;
-/** Descriptors of the machine, of which a part is kept for files. */
-export const MAX_DESCRIPTORS = 4_100;
+export const {MEMORY_MEGABYTES, MAX_DESCRIPTORS} = deployedProgram;
+
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const MAX_HEADER_BYTES = 16_384;
 /** Time within which one request has to be answered while nothing else happens, in milliseconds. */
