Soak: large configurations; requests that are passed on are answered, and versions come into force

Two promises are checked: `answered` (rules in soak/call_rules.ts) and `applied`. Faults have a kind, since planned stops, reloads and the store excuse no lost request.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,9 +1,12 @@
 /** Callers that keep their connections open for as long as a gateway keeps them. */
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as hdr from 'hdr-histogram-js';
 import * as answers from './answers';
+import * as callRules from './call_rules';
 import * as deployment from './deployment';
+import * as largeConfigurations from './large_configurations';
 import * as requestHistory from './request_history';
 import * as random from './random';
 
@@ -32,6 +35,8 @@
 const REVOKED_KEY_SHARE = 0.05;
 /** Fraction of broken-off tags that their caller resumes. */
 const RESUME_SHARE = 0.8;
+/** Fraction of reads that use a route of a large configuration, if there was one. */
+const BATCH_SHARE = 0.5;
 /** Fraction of requests in a flood that are of the flooding customer. */
 const FLOOD_SHARE = 0.8;
 const PLAIN_WAIT_MILLISECONDS = 2_000;
@@ -44,6 +49,8 @@
   private isStopping = false;
   private attemptCount = 0;
   private readonly issuedKeys = new Set<string>();
+  /** When connections were opened. */
+  private readonly connectedAt = new WeakMap<net.Socket, number>();
 
   constructor(
     private readonly target: deployment.Deployment,
@@ -93,6 +100,14 @@
     return this.random.pick([...keys]);
   }
 
+  private pickBatch(
+    kind: requestHistory.RequestKind,
+  ): largeConfigurations.RouteBatch | undefined {
+    return kind === RequestKind.Read && this.random.chance(BATCH_SHARE)
+      ? largeConfigurations.pickBatch(this.target.batches, this.random)
+      : undefined;
+  }
+
   /** Sends one request to any gateway and records its answer, if one begins. Returns the stream that the caller may resume. */
   private async send(
     agent: http.Agent,
@@ -110,6 +125,18 @@
       : wait + 1_000;
     this.history.recordSent(attempt, kind, key, gateway.name, resumed);
     const startedAt = performance.now();
+    const batch = this.pickBatch(kind);
+    const call: callRules.SentCall = {
+      attempt,
+      gateway: gateway.name,
+      key,
+      routes: batch?.name,
+      at: startedAt,
+      connectedAt: startedAt,
+      allowedMilliseconds: wait,
+    };
+    const {calls} = this.history;
+    calls.recordSent(call);
     const service = requestHistory.serviceOf(kind);
     this.history.budget.recordRequest(service, startedAt);
     await new Promise<void>(resolve => {
@@ -117,7 +144,7 @@
         {
           host: gateway.address.split(':')[0],
           port: Number(gateway.address.split(':')[1]),
-          path: `${PATHS[kind]}x`,
+          path: batch?.pathOf(this.attemptCount) ?? `${PATHS[kind]}x`,
           method: kind === RequestKind.Read ? 'GET' : 'POST',
           agent,
           headers: {
@@ -129,10 +156,31 @@
             ...resumeHeaders(resumed),
           },
         },
-        response => this.receive(attempt, response, resolve, startedAt),
+        response => {
+          hasResponse = true;
+          this.receive(attempt, response, resolve, startedAt);
+        },
       );
-      const timer = setTimeout(() => request.destroy(), abortsAfter);
-      request.once('error', () => resolve());
+      let hasResponse = false;
+      const timer = setTimeout(() => {
+        calls.recordCallerLeft(attempt);
+        request.destroy();
+      }, abortsAfter);
+      request.once('socket', socket => {
+        call.connectedAt = this.connectedAt.get(socket) ?? startedAt;
+        this.connectedAt.set(socket, call.connectedAt);
+      });
+      request.once('error', () => {
+        if (!hasResponse) {
+          calls.recordEnd(attempt, {
+            at: performance.now(),
+            status: 0,
+            isComplete: false,
+            isFromReplica: false,
+          });
+        }
+        resolve();
+      });
       request.once('close', () => {
         clearTimeout(timer);
         resolve();
@@ -161,6 +209,12 @@
         isComplete: response.complete,
         stamp: stamp === undefined ? undefined : String(stamp),
       });
+      this.history.calls.recordEnd(attempt, {
+        at: performance.now(),
+        status: response.statusCode ?? 0,
+        isComplete: response.complete,
+        isFromReplica: stamp !== undefined,
+      });
       this.latencies.recordValue(Math.round(performance.now() - startedAt));
       resolve();
     });
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -6,6 +6,7 @@
 import * as engine from './engine';
 import * as replicas from './replica';
 import * as gatewayChild from './gateway_child';
+import * as largeConfigurations from './large_configurations';
 import * as requestHistory from './request_history';
 
 export const HOST = 'soak.example';
@@ -36,7 +37,7 @@
 }
 
 /** The gateways under test, with stand-ins for the store and the replicas. */
-export class Deployment {
+export class Deployment implements largeConfigurations.ConfigurationWriter {
   readonly store = new storeStandin.StoreStandin();
   readonly gateways: gatewayChild.GatewayChild[] = [];
   readonly replicas: replicas.Replica[] = [];
@@ -44,6 +45,9 @@
   readonly keys = new Set(['key-0', 'key-1', 'key-2', 'key-3']);
   /** Key of a customer whose callers send most of the requests; undefined for equal customers. */
   floodingKey: string | undefined;
+  /** Routes that versions added, oldest first; at most those of the last batch are in force. */
+  readonly batches: largeConfigurations.RouteBatch[] = [];
+  private batch: largeConfigurations.RouteBatch | undefined;
   private version = 0;
   private replicaCount = 0;
   private keyCount = 4;
@@ -77,6 +81,7 @@
         detail => this.history.recordViolation('process', detail),
       );
       this.gateways.push(gateway);
+      this.history.calls.recordGateway(gateway.name);
       await gateway.open();
     }
   }
@@ -145,8 +150,10 @@
 
   /** Writes the next version of the configuration. */
   configure(): void {
+    this.version++;
+    this.batch?.change(this.version);
     this.store.put('config', 'main', {
-      version: ++this.version,
+      version: this.version,
       routes: [
         route('/read/', 'idempotent', 'ledger', {}),
         route('/file/', 'non_idempotent', 'ledger', {attempts: 1}),
@@ -155,6 +162,7 @@
           affinity: true,
           resumable: true,
         }),
+        ...(this.batch?.specs ?? []),
       ],
       services: [
         platformObjects.serviceSpec('ledger'),
@@ -181,12 +189,43 @@
     });
   }
 
+  addRoutes(count: number): void {
+    const name = `batch-${this.batches.length + 1}`;
+    const before = this.batch;
+    this.batch = new largeConfigurations.RouteBatch(name, HOST, count);
+    this.batches.push(this.batch);
+    this.configure();
+    this.recordBatch(before);
+  }
+
+  removeRoutes(): void {
+    const before = this.batch;
+    this.batch = undefined;
+    this.configure();
+    this.recordBatch(before);
+  }
+
   /** Revokes a key and adds a new one. */
   replaceKey(key: string): void {
+    const added = `key-${this.keyCount++}`;
     this.keys.delete(key);
-    this.keys.add(`key-${this.keyCount++}`);
+    this.keys.add(added);
     this.configure();
-    this.history.recordRevoked(key, performance.now());
+    const now = performance.now();
+    this.history.recordRevoked(key, now);
+    this.history.calls.configuration.recordAdded(added, now);
+  }
+
+  /** Records that the batch before is no longer in force, and that the current one is. */
+  private recordBatch(before: largeConfigurations.RouteBatch | undefined) {
+    const {configuration} = this.history.calls;
+    const now = performance.now();
+    if (before !== undefined) {
+      configuration.recordRemoved(before.name, now);
+    }
+    if (this.batch !== undefined) {
+      configuration.recordAdded(this.batch.name, now);
+    }
   }
 
   async stop(): Promise<void> {
--- a/soak/fault_injector.ts
+++ b/soak/fault_injector.ts
@@ -3,8 +3,11 @@
 import * as storeStandin from '../standins/store_standin';
 import * as tcpRelay from '../standins/tcp_relay';
 import * as deployment from './deployment';
+import * as faultModes from './fault_modes';
+import * as faultTimes from './fault_times';
 import * as replicas from './replica';
 import * as gatewayChild from './gateway_child';
+import * as largeConfigurations from './large_configurations';
 import * as requestHistory from './request_history';
 import * as probe from './probe';
 import * as random from './random';
@@ -12,6 +15,7 @@
 const {RelayMode} = tcpRelay;
 const {StoreFault} = storeStandin;
 const {ReplicaMode} = replicas;
+const {FaultKind} = faultTimes;
 
 const MIN_GAP_MILLISECONDS = 200;
 const MAX_GAP_MILLISECONDS = 1_500;
@@ -30,26 +34,6 @@
 /** Largest limit, in tenths of a request a second. */
 const MAX_LIMIT_TENTHS = 80;
 
-const RELAY_MODES = [
-  RelayMode.SilenceOpen,
-  RelayMode.SilenceAll,
-  RelayMode.SilenceAnswers,
-  RelayMode.Delay,
-  RelayMode.Cut,
-  RelayMode.Reset,
-];
-
-const REPLICA_MODES = [
-  ReplicaMode.Silent,
-  ReplicaMode.Resetting,
-  ReplicaMode.LosingAnswers,
-  ReplicaMode.Shedding,
-  ReplicaMode.DuplicatingAnswers,
-  ReplicaMode.Unframed,
-  ReplicaMode.Stalling,
-  ReplicaMode.LateAnswers,
-];
-
 /** Drawn only if it is asked for: it is open whether replicas send refusals that name no request late. */
 const LATE_REFUSALS = 'late-refusals';
 
@@ -61,17 +45,22 @@
   private readonly active = new Set<Promise<void>>();
   private readonly faultySubjects = new Set<object>();
   private readonly injectors: Readonly<Record<string, Fault>> = {
-    kill: time => this.restart('SIGKILL', time),
-    stop: time => this.restart('SIGTERM', time),
+    kill: time => this.restart('SIGKILL', FaultKind.Disturbance, time),
+    stop: time => this.restart('SIGTERM', FaultKind.Stop, time),
     pause: time => this.pause(time),
     reload: () => this.reload(),
     'store-path': time =>
-      this.relayFault(gateway => gateway.storeRelay, 'store', time),
+      this.relayFault(gateway => gateway.storeRelay, FaultKind.StorePath, time),
     'caller-path': time =>
-      this.relayFault(gateway => gateway.callerRelay, 'callers', time),
+      this.relayFault(
+        gateway => gateway.callerRelay,
+        FaultKind.CallerPath,
+        time,
+      ),
     store: time => this.storeFault(time),
     compact: () => this.compact(),
-    replica: time => this.replicaFault(this.random.pick(REPLICA_MODES), time),
+    replica: time =>
+      this.replicaFault(this.random.pick(faultModes.REPLICA_MODES), time),
     [LATE_REFUSALS]: time => this.replicaFault(ReplicaMode.LateRefusals, time),
     'lose-answers': time => this.loseAnswers(time),
     break: time => this.breakConnections(time),
@@ -85,6 +74,7 @@
     drain: () => this.replaceReplica(DRAIN_MILLISECONDS),
     key: () => this.replaceKey(),
     configure: () => this.configure(),
+    large: time => this.writeLargeConfigurations(time),
   };
 
   constructor(
@@ -134,13 +124,14 @@
     faultyName: string | undefined,
     event: object,
     steps: () => Promise<void>,
+    kind = FaultKind.Disturbance,
   ): Promise<void> {
     if (this.faultySubjects.has(subject)) {
       return;
     }
     this.faultySubjects.add(subject);
     const at = performance.now();
-    const end = this.history.beginFault(faultyName, at);
+    const end = this.history.beginFault(faultyName, at, kind);
     this.reportFault({...event, at_ms: Math.round(at)});
     await steps();
     end(performance.now());
@@ -151,16 +142,21 @@
     return this.random.pick(this.target.gateways);
   }
 
-  private restart(signal: NodeJS.Signals, downTime: number): Promise<void> {
+  private restart(
+    signal: NodeJS.Signals,
+    kind: faultTimes.FaultKind,
+    downTime: number,
+  ): Promise<void> {
     const gateway = this.pickGateway();
     const event = {fault: signal, gateway: gateway.name};
-    return this.inject(gateway, gateway.name, event, async () => {
+    const steps = async () => {
       const ended = gateway.whenExited();
       gateway.signal(signal);
       await ended;
       await timers.setTimeout(downTime / 4);
       gateway.start();
-    });
+    };
+    return this.inject(gateway, gateway.name, event, steps, kind);
   }
 
   private pause(time: number): Promise<void> {
@@ -177,38 +173,35 @@
     const gateway = this.pickGateway();
     const event = {fault: 'SIGHUP', gateway: gateway.name};
     // SIGHUP would end a process that has not installed its handler yet.
-    return this.inject(gateway, gateway.name, event, async () => {
+    const steps = async () => {
       const [key] = this.target.keys;
       if ((await probe.probe(gateway, key, this.history)) > 0) {
         gateway.signal('SIGHUP');
       }
-    });
+    };
+    return this.inject(gateway, gateway.name, event, steps, FaultKind.Reload);
   }
 
   private relayFault(
     relayOf: (gateway: gatewayChild.GatewayChild) => tcpRelay.TcpRelay,
-    path: string,
+    path: faultTimes.FaultKind,
     time: number,
   ): Promise<void> {
     const gateway = this.pickGateway();
-    const mode = this.random.pick(RELAY_MODES);
+    const mode = this.random.pick(faultModes.RELAY_MODES);
     const relay = relayOf(gateway);
     const event = {fault: mode, path, gateway: gateway.name, time};
-    return this.inject(relay, gateway.name, event, async () => {
+    const steps = async () => {
       relay.setMode(mode);
       await timers.setTimeout(time);
       relay.setMode(RelayMode.Pass);
-    });
+    };
+    return this.inject(relay, gateway.name, event, steps, path);
   }
 
   private storeFault(time: number): Promise<void> {
     const {store} = this.target;
-    const fault = this.random.pick([
-      StoreFault.Busy,
-      StoreFault.Silent,
-      StoreFault.Reset,
-      StoreFault.Garbled,
-    ]);
+    const fault = this.random.pick(faultModes.STORE_FAULTS);
     return this.inject(
       store,
       undefined,
@@ -226,9 +219,8 @@
       this.compact,
       undefined,
       {fault: 'compact'},
-      async () => {
-        this.target.store.compact();
-      },
+      async () => this.target.store.compact(),
+      FaultKind.Compaction,
     );
   }
 
@@ -249,11 +241,14 @@
   /** Lets all replicas run requests and reset some of the connections in place of the answers. */
   private loseAnswers(time: number): Promise<void> {
     const event = {fault: 'lose-answers', time};
-    return this.inject(this.loseAnswers, '', event, async () => {
-      const losing = [...this.target.replicas];
-      losing.forEach(replica => (replica.lossShare = LOSS_SHARE));
+    const losing = [...this.target.replicas];
+    const setShare = (share: number) =>
+      losing.forEach(replica => (replica.lossShare = share));
+    const subject = faultTimes.ALL_REPLICAS;
+    return this.inject(this.loseAnswers, subject, event, async () => {
+      setShare(LOSS_SHARE);
       await timers.setTimeout(time);
-      losing.forEach(replica => (replica.lossShare = 0));
+      setShare(0);
     });
   }
 
@@ -382,4 +377,12 @@
       this.target.configure(),
     );
   }
+
+  private writeLargeConfigurations(time: number): Promise<void> {
+    const {target, random: numbers} = this;
+    const subject = this.writeLargeConfigurations;
+    return this.inject(subject, '', {fault: 'large', time}, () =>
+      largeConfigurations.writeLargeConfigurations(target, numbers, time),
+    );
+  }
 }
--- a/soak/gateway_child.ts
+++ b/soak/gateway_child.ts
@@ -7,6 +7,7 @@
 import * as freePorts from '../standins/free_ports';
 import * as tcpRelay from '../standins/tcp_relay';
 import * as budgetRule from './budget_rule';
+import * as callRules from './call_rules';
 import * as requestHistory from './request_history';
 
 const {RETRY_POLICY} = budgetRule;
@@ -152,7 +153,7 @@
       '[platform]',
       `store = ${this.storeAddress}`,
       '[shutdown]',
-      'grace_seconds = 6',
+      `grace_seconds = ${callRules.GRACE_MILLISECONDS / 1_000}`,
       '[evacuation]',
       `bound_milliseconds = ${requestHistory.EVACUATION_LIMIT_MILLISECONDS}`,
       '[placement]',
--- a/soak/replica.ts
+++ b/soak/replica.ts
@@ -147,6 +147,9 @@
   ): void {
     const {url = '', headers} = request;
     const attempt = headers['x-rhubarbvane-attempt-id'];
+    if (attempt !== undefined) {
+      this.history.calls.recordArrival(String(attempt), this.id);
+    }
     if (attempt !== undefined && headers['kv-from'] === undefined) {
       this.recordArrival(String(attempt));
     }
--- a/soak/request_history.ts
+++ b/soak/request_history.ts
@@ -7,6 +7,8 @@
 import * as requestLimit from '../standins/request_limit';
 import * as answers from './answers';
 import * as budgetRule from './budget_rule';
+import * as callRules from './call_rules';
+import * as faultTimes from './fault_times';
 import * as placeRules from './place_rules';
 import * as runRules from './run_rules';
 
@@ -39,7 +41,7 @@
 interface LimitedTime {
   readonly replica: string;
   readonly requestsPerSecond: number;
-  readonly range: TimeRange;
+  readonly range: faultTimes.TimeRange;
 }
 
 interface SentRequest {
@@ -50,11 +52,6 @@
   answer?: answers.ReceivedAnswer;
 }
 
-interface TimeRange {
-  readonly from: number;
-  to: number;
-}
-
 /** Statuses that guarantee that the request did not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time within which a change is in force at a connected gateway, in milliseconds; twice the platform's limit, since the machine is shared. */
@@ -76,8 +73,8 @@
   readonly runRules = new runRules.RunRules();
   private readonly sent = new Map<string, SentRequest>();
   private readonly runs = new Map<string, runRules.Run[]>();
-  private readonly faults: {gateway: string | undefined; range: TimeRange}[] =
-    [];
+  private readonly faults = new faultTimes.FaultTimes();
+  readonly calls = new callRules.CallRules(this.faults);
   private readonly revoked = new Map<string, number>();
   private readonly draining = new Map<string, number>();
   private readonly limited: LimitedTime[] = [];
@@ -116,14 +113,17 @@
   }
 
   /** Records the start of a fault at the gateway; undefined stands for all gateways. Call the returned function when the fault ends. */
-  beginFault(gateway: string | undefined, at: number): (at: number) => void {
-    const range: TimeRange = {from: at, to: Infinity};
-    this.faults.push({gateway, range});
-    return endsAt => (range.to = endsAt);
+  beginFault(
+    gateway: string | undefined,
+    at: number,
+    kind?: faultTimes.FaultKind,
+  ): (at: number) => void {
+    return this.faults.begin(gateway, at, kind);
   }
 
   recordRevoked(key: string, at: number): void {
     this.revoked.set(key, at);
+    this.calls.configuration.recordRemoved(key, at);
   }
 
   recordDraining(replica: string, at: number): void {
@@ -136,7 +136,7 @@
     requestsPerSecond: number,
     at: number,
   ): (at: number) => void {
-    const range: TimeRange = {from: at, to: Infinity};
+    const range: faultTimes.TimeRange = {from: at, to: Infinity};
     this.limited.push({replica, requestsPerSecond, range});
     return endsAt => (range.to = endsAt);
   }
@@ -177,6 +177,9 @@
     }
     violations.push(...this.limited.flatMap(each => this.checkLimit(each)));
     violations.push(...this.places.violations(this.arrivedRequests()));
+    violations.push(
+      ...this.calls.violations(attempt => this.runs.get(attempt) ?? []),
+    );
     violations.push(
       ...this.budget
         .violations()
@@ -216,7 +219,9 @@
     const isAtMostOnce =
       kind === RequestKind.File || kind === RequestKind.Draft;
     const violations: Violation[] = this.runRules
-      .check(runs, isAtMostOnce, (from, to) => this.hadFault(gateway, from, to))
+      .check(runs, isAtMostOnce, (from, to) =>
+        this.faults.had(gateway, from, to),
+      )
       .map(detail => ({promise: 'once', attempt, detail}));
     const fresh = runs.filter(run => run.origin === runRules.RunOrigin.New);
     const revokedAt = this.revoked.get(key) ?? Infinity;
@@ -248,7 +253,7 @@
           run.replica === replica &&
           run.at >= range.from + LIMIT_SETTLING_MILLISECONDS &&
           run.at <= range.to &&
-          !this.hadFault(
+          !this.faults.had(
             gateway,
             run.at - LIMIT_FAULT_FREE_MILLISECONDS,
             run.at,
@@ -265,20 +270,6 @@
     return most > allowed ? [{promise: 'limit', attempt: '', detail}] : [];
   }
 
-  /** Whether the gateway itself had a fault in the time. */
-  private hadFault(
-    gateway: string | undefined,
-    from: number,
-    to: number,
-  ): boolean {
-    return this.faults.some(
-      fault =>
-        fault.gateway === gateway &&
-        fault.range.from <= to &&
-        fault.range.to >= from,
-    );
-  }
-
   /** Whether a run began after the time limit of a change although the gateway was connected long enough to receive the change. */
   private isLate(
     at: number,
@@ -287,12 +278,9 @@
     limitMilliseconds = CHANGE_LIMIT_MILLISECONDS,
   ): boolean {
     const since = at - limitMilliseconds - FAULT_FREE_MILLISECONDS;
-    const wasFaulty = this.faults.some(
-      ({gateway: faultGateway, range}) =>
-        (faultGateway === undefined || faultGateway === gateway) &&
-        range.from <= at &&
-        range.to >= since,
-    );
+    const wasFaulty =
+      this.faults.had(undefined, since, at) ||
+      this.faults.had(gateway, since, at);
     return at > changedAt + limitMilliseconds && !wasFaulty;
   }
 
