--- a/soak/main.ts
+++ b/soak/main.ts
@@ -46,6 +46,9 @@
   }
 
   private async runSeed(seed: number): Promise<boolean> {
+    const logFile = path.join(this.logs, `seed-${seed}.log`);
+    // Lines of an earlier play would be checked again.
+    fs.rmSync(logFile, {force: true});
     const faults: object[] = [];
     const result = await soak.runSoak({
       seed,
@@ -58,7 +61,7 @@
       faults: this.faults?.split(','),
       callers: Number(this.callers),
       recoveryMilliseconds: soak.RECOVERY_MILLISECONDS,
-      logFile: path.join(this.logs, `seed-${seed}.log`),
+      logFile,
       reportFault: event => faults.push(event),
     });
     fs.writeFileSync(
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,8 +1,10 @@
 /** One soak test: a period of load and faults, a period without faults, and the result. */
+import * as fs from 'node:fs';
 import * as timers from 'node:timers/promises';
 import * as callers from './callers';
 import * as deployment from './deployment';
 import * as faultInjector from './fault_injector';
+import * as logRules from './log_rules';
 import * as requestHistory from './request_history';
 import * as probe from './probe';
 import * as random from './random';
@@ -71,6 +73,9 @@
     load.stop();
     await loading;
     await timers.setTimeout(SETTLE_MILLISECONDS);
+    logRules
+      .findClientLimits(fs.readFileSync(options.logFile, 'utf8'))
+      .forEach(detail => history.recordViolation('client-limit', detail));
     return {
       violations: history.violations(),
       requests: history.summary(),
