--- a/src/gateway/node/request_handler.ts
+++ b/src/gateway/node/request_handler.ts
@@ -15,6 +15,7 @@
 import * as gatewayServices from './gateway_services';
 import * as generationScheduler from './generation_scheduler';
 import * as plainCall from './plain_call';
+import * as rejections from './rejections';
 import * as streamCall from './stream_call';
 import * as streamSegment from './stream_segment';
 
@@ -98,7 +99,7 @@
       return this.reject(request, response, caller, rejected);
     }
     const accepted = await this.accept(caller);
-    if (accepted instanceof Rejection) {
+    if (accepted instanceof rejections.Rejection) {
       return this.reject(request, response, caller, accepted);
     }
     const {limits} = accepted.index.configuration;
@@ -108,7 +109,12 @@
       accepted.customer?.name ?? request.socket.remoteAddress ?? '',
     );
     if (body.isErr()) {
-      return this.reject(request, response, caller, new Rejection(body.error));
+      return this.reject(
+        request,
+        response,
+        caller,
+        new rejections.Rejection(body.error),
+      );
     }
     if (response.destroyed) {
       return body.value.release();
@@ -239,10 +245,10 @@
   private async checkHeaders(
     request: http.IncomingMessage,
     caller: instanceClient.CallerRequest,
-  ): Promise<Rejection | undefined> {
+  ): Promise<rejections.Rejection | undefined> {
     const {follower} = this.services;
     if (this.decoder.hasAmbiguousHost(request)) {
-      return rejection(
+      return rejections.create(
         ResultCode.MalformedRequest,
         'host: expected exactly one',
       );
@@ -253,14 +259,14 @@
       caller.target.length,
     );
     if (this.services.room.isFull) {
-      return rejection(
+      return rejections.create(
         ResultCode.Overloaded,
         'this gateway has too little memory left for another request',
         FULL_RETRY_SECONDS,
       );
     }
     if (limits !== undefined && headerBytes > limits.maxHeaderBytes) {
-      return rejection(
+      return rejections.create(
         ResultCode.HeadersTooLarge,
         `headers: ${headerBytes} bytes, at most ${limits.maxHeaderBytes}`,
       );
@@ -271,9 +277,9 @@
   /** Finds route and customer. Before a rejection, a configuration that was not confirmed recently is read again, with limited frequency and a bounded wait. */
   private async accept(
     caller: instanceClient.CallerRequest,
-  ): Promise<AcceptedRequest | Rejection> {
+  ): Promise<AcceptedRequest | rejections.Rejection> {
     const first = this.findRouteAndCustomer(caller);
-    if (!(first instanceof Rejection)) {
+    if (!(first instanceof rejections.Rejection)) {
       return first;
     }
     const {follower} = this.services;
@@ -285,9 +291,9 @@
       isRetired ? RETIRED_MAX_AGE_MILLISECONDS : REJECTION_MAX_AGE_MILLISECONDS,
     );
     const second = this.findRouteAndCustomer(caller);
-    const isRefusal = second instanceof Rejection;
+    const isRefusal = second instanceof rejections.Rejection;
     return isRefusal && follower.configuration.isOvertaken(performance.now())
-      ? rejection(
+      ? rejections.create(
           ResultCode.NotReady,
           'a later configuration is not in force here yet',
           NOT_READY_RETRY_SECONDS,
@@ -297,10 +303,10 @@
 
   private findRouteAndCustomer(
     caller: instanceClient.CallerRequest,
-  ): AcceptedRequest | Rejection {
+  ): AcceptedRequest | rejections.Rejection {
     const index = this.services.follower.routes;
     if (index === undefined) {
-      return rejection(
+      return rejections.create(
         ResultCode.NotReady,
         'no configuration is known yet',
         NOT_READY_RETRY_SECONDS,
@@ -308,7 +314,7 @@
     }
     const route = index.findRoute(caller.host, caller.path);
     if (route === undefined) {
-      return rejection(
+      return rejections.create(
         ResultCode.UnknownRoute,
         `no route for host "${caller.host}" and path "${caller.path}"`,
       );
@@ -319,7 +325,7 @@
     const customer =
       caller.key === undefined ? undefined : index.findCustomer(caller.key);
     if (customer === undefined) {
-      return rejection(
+      return rejections.create(
         ResultCode.Unauthenticated,
         'authorization: the key is missing or unknown',
       );
@@ -331,7 +337,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     caller: instanceClient.CallerRequest,
-    cause: Rejection,
+    cause: rejections.Rejection,
   ): void {
     const {follower, log} = this.services;
     log.writeForClient('request-rejected', {
@@ -344,7 +350,7 @@
     callerAnswer.refuse(
       request,
       response,
-      withinDeadline(cause.failure, caller.waitMilliseconds),
+      rejections.withinDeadline(cause.failure, caller.waitMilliseconds),
     );
   }
 }
@@ -362,34 +368,6 @@
     : {allowedRegions: lists};
 }
 
-/** Why a request is rejected. */
-class Rejection {
-  constructor(readonly failure: failure.Failure) {}
-}
-
-/** Bounds the retry delay by the time that the caller waits. */
-function withinDeadline(
-  cause: failure.Failure,
-  waitMilliseconds = Infinity,
-): failure.Failure {
-  const seconds = cause.retryAfterSeconds;
-  return seconds === undefined
-    ? cause
-    : failure.notRun(
-        cause.code,
-        cause.message,
-        callerAnswer.retryAfter(seconds, waitMilliseconds, Math.random()),
-      );
-}
-
-function rejection(
-  code: resultCode.ResultCode,
-  message: string,
-  retryAfterSeconds?: number,
-): Rejection {
-  return new Rejection(failure.notRun(code, message, retryAfterSeconds));
-}
-
 /** Hash that is equal for requests with the same route, customer, path and body. */
 function fingerprintOf(
   caller: instanceClient.CallerRequest,
