Responses: input that is left over closes its connection

A request on a kept connection got no response, or could have got bytes that were sent before it. A connection whose turn was over kept what followed the response, paused, and went back to the pool with it: the check that nothing follows a response is made only when bytes are fed, and the guard was detached before. Now a connection that still holds input when its request has ended is closed.

Before: build/test/base/node/response_guard.test.js ends with 1 test pending after 20 s (28 passed); after: 29 passed.

--- a/src/base/node/response_guard.ts
+++ b/src/base/node/response_guard.ts
@@ -186,6 +186,10 @@
   private detach(): void {
     feedTime.remove(this.takeTurn);
     this.socket.off('data', this.onData);
+    if (this.isWaiting) {
+      // Answers no request.
+      this.socket.destroy();
+    }
     this.isWaiting = false;
   }
 }
--- a/test/base/node/response_guard.test.ts
+++ b/test/base/node/response_guard.test.ts
@@ -181,3 +181,22 @@
     await t.throwsAsync(reading);
   });
 }
+
+test('responses: what follows one that took its whole turn is not read as the response to the next request', async t => {
+  const content = CONTENT.slice(0, 4_000);
+  const whole = `HTTP/1.1 200 OK\r\nContent-Length: ${content.length}\r\n\r\n${content}`;
+  const stale = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale';
+  const server = await RawServer.start(t, whole + stale);
+  const readSlowly = async () => {
+    const response = await server.open();
+    response.on('data', () => {
+      const startedAt = performance.now();
+      while (performance.now() - startedAt < LONG_MILLISECONDS);
+    });
+    return readAll(response, false);
+  };
+  t.is(await readSlowly(), content);
+  await new Promise(resolve => setImmediate(resolve));
+  t.is(await readSlowly(), content);
+  t.is(server.sockets.length, 2);
+});
