Fleet: state is encoded again when its configuration was completed

A gateway that had read the allowed regions of a relayed configuration went on to serve it without them: the key of the last encoding has the version only, which is the same. Each peer that took it had to read the store. The key now tells both apart.

Before: the test in build/test/gateway/state_codec.test.js fails; after: it passes.

--- a/src/gateway/node/fleet/state_codec.ts
+++ b/src/gateway/node/fleet/state_codec.ts
@@ -47,6 +47,7 @@
     state.storeEra,
     state.configurationRevision,
     configuration?.version,
+    configuration?.hasAllowedRegions,
     change?.fromVersion,
     change?.version,
     state.instancesPosition,
