Configuration: changes do not apply to a version of an earlier era

Gateways answered as of a configuration that the store never had. After a store is restored, a peer that still knows the earlier era may send a later version, which is put into force as before. It was also kept among the versions to which changes apply, although the restored store gives its number out again; a change from that number was then applied to the other content. Now a version of another era is not kept, so that the whole configuration is fetched after it.

--- a/src/gateway/common/active_configuration.ts
+++ b/src/gateway/common/active_configuration.ts
@@ -35,8 +35,13 @@
     return isKept && isComplete ? this.version : undefined;
   }
 
-  /** Puts a configuration into force, with the objects of the one before for what is equal; false if it adds nothing to the one that is. */
-  activate(value: configuration.Configuration): boolean {
+  /**
+   * Puts a configuration into force, with the objects of the one before for what
+   * is equal; false if it adds nothing to the one that is.
+   *
+   * @param isOfEra Whether it is of the current era; changes do not apply to others.
+   */
+  activate(value: configuration.Configuration, isOfEra = true): boolean {
     const previous = this.index?.configuration;
     if (this.index?.isAsNewAs(value) === true) {
       return false;
@@ -49,7 +54,9 @@
     if (previous !== undefined) {
       this.retired.update(previous, shared);
     }
-    this.keep(shared);
+    if (isOfEra) {
+      this.keep(shared);
+    }
     return true;
   }
 
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -145,14 +145,13 @@
       : state.configuration;
     if (value !== undefined) {
       const revision = isComparable ? state.configurationRevision : 0;
-      this.applyConfiguration({revision, value}, peer);
+      this.applyConfiguration({revision, era: state.storeEra, value}, peer);
     }
     if (!isComparable) {
       return;
     }
-    const {instancesPosition, instances} = state;
-    const now = performance.now();
-    if (this.registry.applyPeerState(instancesPosition, instances, now)) {
+    const {instancesPosition: position, instances} = state;
+    if (this.registry.applyPeerState(position, instances, performance.now())) {
       this.applyInstances(peer);
     }
   }
@@ -277,7 +276,8 @@
   ): void {
     const {version, routes} = snapshot.value;
     const previous = this.routes?.configuration.version;
-    if (!this.configuration.activate(snapshot.value)) {
+    const isOfEra = this.era.isCurrent(snapshot.era);
+    if (!this.configuration.activate(snapshot.value, isOfEra)) {
       return;
     }
     this.advanceConfiguration(snapshot.revision);
--- a/test/gateway/common/configuration_change.test.ts
+++ b/test/gateway/common/configuration_change.test.ts
@@ -143,3 +143,13 @@
   active.activate(gatewayRecords.configurationOf({version: 3}));
   t.false(active.isOvertaken(6_000));
 });
+
+test('active configuration: a version of an earlier era that arrives late is not changed, so that no change applies to another base', t => {
+  const active = activeWith(manyRoutes(1, 0));
+  active.enterEra();
+  active.activate(manyRoutes(4, 1), false);
+  t.is(active.version, 4);
+  t.is(active.changeableVersion, undefined);
+  const other = activeWith(manyRoutes(4, 2), manyRoutes(5, 2));
+  t.is(active.resolve(other.updateFor(4)), undefined);
+});
--- a/test/gateway/state_transfer.test.ts
+++ b/test/gateway/state_transfer.test.ts
@@ -277,3 +277,22 @@
   );
   t.is(follower.configurationVersion, 2);
 });
+
+test('state transfer: a change of the current era is not applied to a configuration that a peer of an earlier era sent', async t => {
+  const follower = createFollower(new CountingSource(1));
+  follower.applyPeerState({...peerStateOf(1), storeEra: 1}, 'gateway-2');
+  follower.era.observe(2, 'gateway-3');
+  follower.applyPeerState({...peerStateOf(3), storeEra: 1}, 'gateway-2');
+  t.is(follower.configurationVersion, 3);
+  const ahead = createFollower(new CountingSource(1));
+  const routes = [gatewayRecords.route('/restored/')];
+  const restored = gatewayRecords.configurationOf({version: 3, routes});
+  const state = {...peerStateOf(3), storeEra: 2, configuration: restored};
+  ahead.applyPeerState(state, 'gateway-4');
+  const later = {...restored, version: 4};
+  ahead.applyPeerState({...state, configuration: later}, 'gateway-4');
+  const known = follower.configuration.changeableVersion;
+  follower.applyPeerState(ahead.peerState(known), 'gateway-3');
+  t.is(follower.configurationVersion, 4);
+  t.deepEqual(follower.routes?.configuration.routes, routes);
+});
