Configuration: announcements of an earlier era are forgotten

After a store was restored, requests were denied by a configuration that peers had overtaken: announcements of versions below the highest of the earlier era did not count, and that highest version was waited for. Both now end with the era.

--- a/src/gateway/common/active_configuration.ts
+++ b/src/gateway/common/active_configuration.ts
@@ -86,9 +86,11 @@
     return earlier && configurationChange.apply(earlier, change);
   }
 
-  /** Forgets the versions to which changes apply: those of another era may have the same numbers. */
+  /** Forgets the versions to which changes apply and those of peers: others of another era may have the same numbers. */
   enterEra(): void {
     this.versions.clear();
+    this.announcedVersion = 0;
+    this.announcedAt = -Infinity;
   }
 
   /** Records the version that a peer has; `now` is in monotonic milliseconds. */
--- a/test/gateway/common/configuration_change.test.ts
+++ b/test/gateway/common/configuration_change.test.ts
@@ -153,3 +153,12 @@
   const other = activeWith(manyRoutes(4, 2), manyRoutes(5, 2));
   t.is(active.resolve(other.updateFor(4)), undefined);
 });
+
+test('active configuration: versions announced in an earlier era do not hide those of the current one', t => {
+  const active = activeWith(gatewayRecords.configurationOf({version: 2}));
+  active.recordAnnouncement(9, 0);
+  active.enterEra();
+  t.false(active.isOvertaken(0));
+  active.recordAnnouncement(3, 6_000);
+  t.true(active.isOvertaken(6_000));
+});
