Fleet: gateways say that their configuration is of an earlier era

Gateways answered as of a configuration that the store never had. A gateway keeps what is in force when the store is restored, and served it with the new era; one that took it applied changes of the restored store to it, which has given the same numbers to other content. The state now says so, and what is taken from it is replaced by a whole configuration. Older builds ignore the field.

Before: the new test of build/test/gateway/state_transfer.test.js has /route-0/ in force instead of /restored/; after: 7 passed, as do configuration_change (11), restored_store (6) and peers (4).

--- a/src/gateway/common/active_configuration.ts
+++ b/src/gateway/common/active_configuration.ts
@@ -67,7 +67,10 @@
     const current = this.index?.configuration;
     const earlier = this.versions.get(peerVersion ?? 0);
     if (current === undefined || earlier === undefined) {
-      return {configuration: current};
+      const isKept = this.versions.has(this.version);
+      return isKept || current === undefined
+        ? {configuration: current}
+        : {configuration: current, isOfEarlierEra: true};
     }
     return earlier === current
       ? {}
--- a/src/gateway/common/configuration_change.ts
+++ b/src/gateway/common/configuration_change.ts
@@ -38,6 +38,8 @@
 export interface ConfigurationUpdate {
   readonly configuration?: configuration.Configuration;
   readonly configurationChange?: ConfigurationChange;
+  /** Set if the whole configuration is none of the sender's current era; not set by older builds. */
+  readonly isOfEarlierEra?: boolean;
 }
 
 /** Returns the later configuration with the objects of the earlier one for all entries that are equal. */
--- a/src/gateway/node/state_follower.ts
+++ b/src/gateway/node/state_follower.ts
@@ -140,18 +140,17 @@
   applyPeerState(state: peerDigest.PeerState, peer: string): void {
     this.era.observe(state.storeEra, peer);
     const isComparable = this.era.isCurrent(state.storeEra);
-    const value = isComparable
+    const isOfEra = isComparable && state.isOfEarlierEra !== true;
+    const value = isOfEra
       ? this.configuration.resolve(state)
       : state.configuration;
     if (value !== undefined) {
       const revision = isComparable ? state.configurationRevision : 0;
-      this.applyConfiguration({revision, era: state.storeEra, value}, peer);
+      this.applyConfiguration({revision, value}, peer, isOfEra);
     }
-    if (!isComparable) {
-      return;
-    }
-    const {instancesPosition: position, instances} = state;
-    if (this.registry.applyPeerState(position, instances, performance.now())) {
+    const {instancesPosition: at, instances} = state;
+    const now = performance.now();
+    if (isComparable && this.registry.applyPeerState(at, instances, now)) {
       this.applyInstances(peer);
     }
   }
@@ -273,10 +272,10 @@
   private applyConfiguration(
     snapshot: stateSource.Snapshot<configuration.Configuration>,
     origin: string,
+    isOfEra = true,
   ): void {
     const {version, routes} = snapshot.value;
     const previous = this.routes?.configuration.version;
-    const isOfEra = this.era.isCurrent(snapshot.era);
     if (!this.configuration.activate(snapshot.value, isOfEra)) {
       return;
     }
--- a/test/gateway/state_transfer.test.ts
+++ b/test/gateway/state_transfer.test.ts
@@ -296,3 +296,23 @@
   t.is(follower.configurationVersion, 4);
   t.deepEqual(follower.routes?.configuration.routes, routes);
 });
+
+test('state transfer: a change of the current era is not applied to a configuration that a peer kept from an earlier era', async t => {
+  const routes = [gatewayRecords.route('/restored/')];
+  const restored = gatewayRecords.configurationOf({version: 3, routes});
+  const keeping = createFollower(new CountingSource(1));
+  keeping.applyPeerState({...peerStateOf(3), storeEra: 1}, 'gateway-2');
+  keeping.era.observe(2, 'gateway-3');
+  const follower = createFollower(new CountingSource(1));
+  follower.applyPeerState(keeping.peerState(), 'gateway-1');
+  t.is(follower.configurationVersion, 3);
+  const ahead = createFollower(new CountingSource(1));
+  const state = {...peerStateOf(3), storeEra: 2, configuration: restored};
+  ahead.applyPeerState(state, 'gateway-4');
+  const later = {...restored, version: 4};
+  ahead.applyPeerState({...state, configuration: later}, 'gateway-4');
+  const known = follower.configuration.changeableVersion;
+  follower.applyPeerState(ahead.peerState(known), 'gateway-3');
+  t.is(follower.configurationVersion, 4);
+  t.deepEqual(follower.routes?.configuration.routes, routes);
+});
