Feeding and limits: faults on the way leave nothing behind

An error of a listener during a turn of fed connections left the others of that turn waiting until the next input (found by review, by reading). A call whose response has no request, as in tests with stand-ins, no longer fails when its caller leaves: two tests of hedged_calls failed since the line caller-gone names limits, and pass.

--- a/src/base/node/feed_scheduler.ts
+++ b/src/base/node/feed_scheduler.ts
@@ -75,16 +75,19 @@
     this.isScheduled = false;
     this.spentMilliseconds = 0;
     this.isRunning = true;
-    for (const feed of this.queue) {
-      this.queue.delete(feed);
-      feed();
-      if (this.spentMilliseconds >= FEED_MILLISECONDS) {
-        break;
+    try {
+      for (const feed of this.queue) {
+        this.queue.delete(feed);
+        feed();
+        if (this.spentMilliseconds >= FEED_MILLISECONDS) {
+          break;
+        }
+      }
+    } finally {
+      this.isRunning = false;
+      if (this.queue.size > 0) {
+        this.schedule();
       }
-    }
-    this.isRunning = false;
-    if (this.queue.size > 0) {
-      this.schedule();
     }
   }
 }
--- a/src/base/node/limit_reporter.ts
+++ b/src/base/node/limit_reporter.ts
@@ -77,8 +77,10 @@
 }
 
 /** The limit that closed the connection; undefined if none did. */
-export function limitThatClosed(socket: net.Socket): ClientLimit | undefined {
-  return closedConnections.get(socket);
+export function limitThatClosed(
+  socket: net.Socket | undefined,
+): ClientLimit | undefined {
+  return socket && closedConnections.get(socket);
 }
 
 /** Reports the first time that a limit acts at once, and the rest in intervals. */
--- a/src/gateway/node/call_context.ts
+++ b/src/gateway/node/call_context.ts
@@ -390,7 +390,7 @@
     metrics.openRequests.dec();
     metrics.requests.inc({route: this.call.route.name, outcome});
     if (outcome === 'caller-gone') {
-      const limit = limitReporter.limitThatClosed(this.response.req.socket);
+      const limit = limitReporter.limitThatClosed(this.response.req?.socket);
       this.log('caller-gone', {limit});
     }
   }
