Memory: refusals for a full heap end once it is collected

The heap is now collected each second while it is full. Machines too small for the sum keep their fixed shares.

--- a/src/base/node/buffer_collector.ts
+++ b/src/base/node/buffer_collector.ts
@@ -8,7 +8,7 @@
 /** Bytes of input after which the buffers that held them are collected. */
 const COLLECTED_BYTES = 4_000_000;
 
-type Collector = (options: {type: 'minor'}) => void;
+type Collector = (options: {type: 'minor' | 'major'}) => void;
 
 let collector: Collector | undefined;
 let uncollectedBytes = 0;
@@ -18,11 +18,20 @@
   uncollectedBytes += bytes;
   if (uncollectedBytes >= COLLECTED_BYTES) {
     uncollectedBytes = 0;
-    collector ??= exposeCollector();
-    collector({type: 'minor'});
+    collect('minor');
   }
 }
 
+/** Collects the whole heap, for which the process stands still. */
+export function collectHeap(): void {
+  collect('major');
+}
+
+function collect(type: 'minor' | 'major'): void {
+  collector ??= exposeCollector();
+  collector({type});
+}
+
 function exposeCollector(): Collector {
   v8.setFlagsFromString('--expose-gc');
   return vm.runInNewContext('gc') as Collector;
--- a/src/gateway/common/memory_room.ts
+++ b/src/gateway/common/memory_room.ts
@@ -9,6 +9,8 @@
 
 /** Code and runtime, resident without the heap, in bytes. */
 const CODE_BYTES = 53_200_000;
+/** Heap for which the smallest machine has room beside all shares, in bytes. */
+const BASE_HEAP_BYTES = 46_000_000;
 /** Least shares of the memory for answers and for bodies. */
 const LEAST_ANSWER_SHARE = 0.05;
 const LEAST_BODY_SHARE = 0.0125;
@@ -67,25 +69,31 @@
   private divide(heapBytes: number): CallerRoom {
     const {shares} = this;
     const machineBytes = machineShares.bytesOf(this.machine);
-    const answers = machineBytes * deliveryBuffers.TOTAL_SHARE;
+    const mostAnswerBytes = machineBytes * deliveryBuffers.TOTAL_SHARE;
     const servers = [
       shares.callerServer,
       shares.peerServer,
       shares.observabilityServer,
       shares.observabilityServer,
     ];
-    const left = servers.reduce(
+    const spareBytes = servers.reduce(
       (bytes, each) => bytes - each.maxBytes - each.maxKernelBytes,
-      machineBytes - CODE_BYTES - heapBytes,
+      machineBytes -
+        CODE_BYTES -
+        BASE_HEAP_BYTES -
+        mostAnswerBytes -
+        2 * shares.bodyBytes,
     );
+    const excessBytes = heapBytes - BASE_HEAP_BYTES - Math.max(0, spareBytes);
     const answerBytes = within(
       machineBytes * LEAST_ANSWER_SHARE,
-      left - 2 * shares.bodyBytes,
-      answers,
+      mostAnswerBytes - excessBytes,
+      mostAnswerBytes,
     );
+    const restBytes = excessBytes - (mostAnswerBytes - answerBytes);
     const bodyBytes = within(
       machineBytes * LEAST_BODY_SHARE,
-      (left - answerBytes) / 2,
+      shares.bodyBytes - restBytes / 2,
       shares.bodyBytes,
     );
     return {answerBytes, bodyBytes};
--- a/src/gateway/node/gateway_assembly.ts
+++ b/src/gateway/node/gateway_assembly.ts
@@ -41,6 +41,7 @@
 import * as generationScheduler from './generation_scheduler';
 import * as coldInstances from './limits/cold_instances';
 import * as permitService from './limits/permit_service';
+import * as processHeap from './process_heap';
 import * as reportReader from './report_reader';
 import * as requestHandler from './request_handler';
 import * as stateFollower from './state_follower';
@@ -61,6 +62,8 @@
   readonly decoder: requestHandler.CallerDecoder;
   /** Reports the limits for those who connect. */
   readonly limits: limitReporter.LimitReporter;
+  /** The process's own by default. */
+  readonly heap?: processHeap.Heap;
 }
 
 /** The connected parts of a gateway. */
--- a/src/gateway/node/gateway_process.ts
+++ b/src/gateway/node/gateway_process.ts
@@ -17,6 +17,7 @@
 import * as limitLog from './limits/limit_log';
 import * as memoryWatch from './memory_watch';
 import * as observabilityServer from './observability_server';
+import * as processHeap from './process_heap';
 import * as requestHandler from './request_handler';
 import * as retryLog from './retry_log';
 import * as stateFollower from './state_follower';
@@ -169,6 +170,7 @@
       new memoryWatch.MemoryWatch(
         this.services,
         (settings.limits?.memory_megabytes ?? 0) * BYTES_PER_MEGABYTE,
+        this.options.heap ?? new processHeap.ProcessHeap(),
       ),
     );
     promptParts.onDidUnblock.subscribe(part =>
--- a/src/gateway/node/memory_watch.ts
+++ b/src/gateway/node/memory_watch.ts
@@ -1,12 +1,14 @@
 /** Shows how much of its heap and of its machine the process uses, so that an end for lack of memory is explained by what precedes it. */
 import * as perfHooks from 'node:perf_hooks';
-import * as v8 from 'node:v8';
 import * as disposable from '../../base/common/disposable';
 import * as bodyStore from '../../base/node/body_store';
 import * as configurationSize from '../common/configuration_size';
 import * as gatewayServices from './gateway_services';
+import * as processHeap from './process_heap';
 
 const SAMPLE_INTERVAL_MILLISECONDS = 200;
+/** Interval of collections while requests are refused, which make no garbage that would cause one, in milliseconds. */
+const COLLECTION_INTERVAL_MILLISECONDS = 1_000;
 const WHOLE_COLLECTION = perfHooks.constants.NODE_PERFORMANCE_GC_MAJOR;
 /** Shares of the heap's limit and of the machine from which on lines are written. */
 const REPORTED_HEAP_SHARE = 0.6;
@@ -29,11 +31,13 @@
   private reportedAt = -Infinity;
   /** Heap in use after its last whole collection, in bytes. */
   private collectedBytes = 0;
+  private collectedAt = -Infinity;
 
   /** @param machineBytes Memory of the machine; 0 if it is not known. */
   constructor(
     private readonly services: gatewayServices.GatewayServices,
     private readonly machineBytes: number,
+    private readonly heap: processHeap.Heap,
   ) {
     const subscription = services.follower.onDidChangeConfiguration.subscribe(
       index => this.showSize(configurationSize.measure(index.configuration)),
@@ -73,11 +77,24 @@
     const isWhole = (entry: perfHooks.PerformanceEntry) =>
       (entry as {detail?: {kind?: number}}).detail?.kind === WHOLE_COLLECTION;
     if (entries.some(isWhole)) {
-      this.collectedBytes = v8.getHeapStatistics().used_heap_size;
+      this.recordCollection();
     }
   }
 
-  private updateRoom(heap: v8.HeapInfo): void {
+  private recordCollection(): void {
+    this.collectedBytes = this.heap.read().used_heap_size;
+    this.collectedAt = performance.now();
+  }
+
+  private collectIfFull(): void {
+    const age = performance.now() - this.collectedAt;
+    if (this.services.room.isFull && age >= COLLECTION_INTERVAL_MILLISECONDS) {
+      this.heap.collect();
+      this.recordCollection();
+    }
+  }
+
+  private updateRoom(heap: processHeap.HeapSizes): void {
     const {room, buffers, bodies, log} = this.services;
     const wasFull = room.isFull;
     const {answerBytes, bodyBytes} = room.update(
@@ -98,7 +115,8 @@
   }
 
   private sample(): MemoryUse {
-    const heap = v8.getHeapStatistics();
+    this.collectIfFull();
+    const heap = this.heap.read();
     this.updateRoom(heap);
     const use = {
       heap: heap.used_heap_size,
--- a/test/support/test_gateway.ts
+++ b/test/support/test_gateway.ts
@@ -7,11 +7,36 @@
 import * as gatewayPolicies from '../../src/gateway/node/gateway_policies';
 import * as gatewayProcess from '../../src/gateway/node/gateway_process';
 import * as gatewaySettings from '../../src/gateway/node/gateway_settings';
+import * as processHeap from '../../src/gateway/node/process_heap';
 import * as platformAdapter from '../../src/platform/platform_adapter';
 import * as platformObjects from '../../standins/platform_objects';
 import * as replicaStandin from '../../standins/replica_standin';
 import * as storeStandin from '../../standins/store_standin';
 
+const MEGABYTE = 1_000_000;
+
+/** A heap as that of a gateway: the test's own has the test runner in it. */
+export class SteadyHeap extends processHeap.Heap {
+  collections = 0;
+
+  constructor(public usedMegabytes = 25) {
+    super();
+  }
+
+  read(): processHeap.HeapSizes {
+    return {
+      total_heap_size: 40 * MEGABYTE,
+      used_heap_size: this.usedMegabytes * MEGABYTE,
+      heap_size_limit: 86 * MEGABYTE,
+      external_memory: 0,
+    };
+  }
+
+  collect(): void {
+    this.collections++;
+  }
+}
+
 export const HOST = 'h.example';
 export const KEY = 'key-one';
 
@@ -26,6 +51,7 @@
   readonly isMeasuringSpeeds?: boolean;
   /** Sections of the settings that differ from those of an older release. */
   readonly settings?: Partial<gatewaySettings.GatewaySettings>;
+  readonly heap?: processHeap.Heap;
 }
 
 /** A route of the tests' host. */
@@ -101,6 +127,7 @@
       regions = {},
       isMeasuringSpeeds = false,
       settings = {},
+      heap = new SteadyHeap(),
     }: GatewayVariation = {},
   ): Promise<TestGateway> {
     const test = new TestGateway(t);
@@ -141,6 +168,7 @@
       versionStore: platformAdapter.createVersionStore(store, () => undefined),
       client: platformAdapter.createInstanceClient(() => undefined),
       decoder: platformAdapter.createCallerDecoder(),
+      heap,
     });
     await gateway.start();
     t.teardown(() => gateway.dispose());
