--- a/src/base/node/client_agent.ts
+++ b/src/base/node/client_agent.ts
@@ -11,8 +11,8 @@
 const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
 
 /**
- * An agent whose connections are read into one buffer. A paused connection is
- * not read at all, so that small packets do not add up to many objects.
+ * An agent whose connections are read into one buffer. Nothing is read from a
+ * paused connection: each small packet would take an object of its own.
  */
 export class ClientAgent extends http.Agent {
   override createConnection(options: http.ClientRequestArgs): stream.Duplex {
