--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,57 +1,57 @@
-/** A request with many small headers, within the limit on their size. See claim.txt. */
+/** The store cuts off watches that wait, while a replica leaves. See claim.txt. */
 import * as path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import * as bed from '../lib-2/bed.mjs';
 import * as replica from '../lib-2/replica.mjs';
 
-const HEADERS = bed.isCalm ? 500 : 1_500;
-const LIMIT_BYTES = 16_384;
+const CUT_EVERY_MS = 1_000;
+/** Time for which the replica serves after its entry is gone: longer than drainMs. */
+const SERVES_ON_MS = 5_000;
+const CALLS_EVERY_MS = 20;
 
 await bed.main(path.dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
-  const writer = new replica.Replica(deployment, {id: 'writer-1', service: 'writers', ip: `${deployment.net}.111`, pieces: 5, pieceMs: 10});
-  const ledger = new replica.Replica(deployment, {id: 'ledger-1', service: 'ledger', ip: `${deployment.net}.112`});
-  for (const each of [writer, ledger]) {
-    deployment.replicas.push(each);
-    await each.listen();
-    each.register();
+  for (let index = 1; index <= 4; index++) {
+    const ledger = new replica.Replica(deployment, {id: `ledger-${index}`, service: 'ledger', ip: `${deployment.net}.${100 + index}`, workMs: 100});
+    deployment.replicas.push(ledger);
+    await ledger.listen();
+    ledger.register();
   }
-  deployment.configure(
-    [
-      bed.route('/file/', 'non_idempotent', 'ledger'),
-      bed.route('/draft/', 'streaming', 'writers', {timeoutMs: 39_000, sloMs: 1_800, affinity: true}),
-    ],
-    [bed.engineService('writers'), bed.plainService('ledger')],
-  );
+  deployment.configure([bed.route('/file/', 'non_idempotent', 'ledger', {timeoutMs: 2_000, sloMs: 300})], [bed.plainService('ledger')]);
   await deployment.startGateways(2);
   await bed.sleep(2_500);
-  const [gateway] = deployment.gateways;
-  const violations = [];
-  for (let index = 1; index <= 3; index++) {
-    const attemptId = `draft-${index}`;
-    const headers = [
-      ['Host', bed.HOST],
-      ['Authorization', `Bearer ${bed.KEY}`],
-      ['X-Rhubarbvane-Attempt-Id', attemptId],
-      ...Array.from({length: HEADERS}, (_, at) => ['X', String(at % 10)]),
-      ['Content-Length', '4'],
-      ['X-Rhubarbvane-Deadline-Ms', '10000'],
-      ['X-Rhubarbvane-Model', 'm'],
-      ['X-Rhubarbvane-Token-Count', '100,20'],
-      ['X-Rhubarbvane-Prompt-Prefix', `aa:50,b${index}:50`],
-    ];
-    const bytes = headers.reduce((sum, [name, value]) => sum + name.length + value.length + 4, 0);
-    record.add(`client sends ${attemptId} with ${headers.length} headers of ${bytes} bytes in all (maxHeaderBytes ${LIMIT_BYTES})`);
-    const answer = await bed.callRaw(gateway, `POST /draft/1 HTTP/1.1\r\n${headers.map(each => each.join(': ')).join('\r\n')}\r\n\r\nbody`);
-    const arrival = writer.arrivals.find(each => each.attemptId === attemptId);
-    record.add(`${attemptId}: answered ${answer.split('\r\n')[0]}; ${arrival ? `a replica ran it, with ${arrival.rawHeaders.length / 2} headers, X-Rhubarbvane-Model ${arrival.headers['x-rhubarbvane-model'] ?? 'missing'}, X-Rhubarbvane-Token-Count ${arrival.headers['x-rhubarbvane-token-count'] ?? 'missing'}` : 'no replica got it'}`);
-    if (arrival !== undefined) {
-      for (const [name, value] of headers.slice(-3)) {
-        const seen = arrival.headers[name.toLowerCase()];
-        if (seen !== value) {
-          violations.push(`UNASKED: a replica ran ${attemptId} with ${name} ${seen ?? 'missing'} in place of ${value}`);
-        }
-      }
-    }
+  const {store} = deployment;
+  const cutWatches = () => {
+    const cut = store.pendingWatches.splice(0);
+    record.add(`store: cuts off ${cut.length} waiting watches`);
+    cut.forEach(watch => watch.response.destroy());
+  };
+  const cuts = bed.isCalm ? undefined : setInterval(cutWatches, CUT_EVERY_MS);
+  const calls = [];
+  let count = 0;
+  const agents = deployment.gateways.map(() => undefined);
+  const timer = setInterval(() => {
+    const attemptId = `file-${++count}`;
+    const gateway = deployment.gateways[count % agents.length];
+    calls.push(bed.call(gateway, {target: '/file/1', attemptId, body: `notice ${count}`, deadlineMs: 2_000}).then(answer => ({...answer, gateway: gateway.name})));
+  }, CALLS_EVERY_MS);
+  // At no fixed distance from the cuts.
+  await bed.sleep(2_500 + Math.random() * CUT_EVERY_MS);
+  const leaving = deployment.replicas[0];
+  store.remove('servers', leaving.id);
+  const removedAt = bed.now();
+  record.add(`store: the entry of ${leaving.id} is removed; it serves on for ${SERVES_ON_MS} ms`);
+  await bed.sleep(SERVES_ON_MS);
+  leaving.close();
+  record.add(`${leaving.id}: exits`);
+  await bed.sleep(1_500);
+  clearInterval(timer);
+  clearInterval(cuts);
+  const answers = await Promise.all(calls);
+  const late = leaving.arrivals.filter(({at}) => at > removedAt + bed.BOUNDS.drainMs);
+  for (const {attemptId, gateway, sentAt, endedAt, status, error, isWhole} of answers) {
+    record.add(`${attemptId} by ${gateway}: sent ${sentAt}, answered ${endedAt}: ${status ?? error}${isWhole ? '' : ', not whole'}`);
   }
-  return violations;
+  const failed = answers.filter(({status}) => status !== 200).length;
+  record.add(`${failed} of ${answers.length} requests were not answered with 200`);
+  return late.map(({attemptId, at}) => `DRAIN: ${attemptId} reached ${leaving.id} ${at - removedAt} ms after the store had removed its entry`);
 });
--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -60,8 +60,8 @@
     this.address ??= this.ownAddress;
   }
 
-  register() {
-    this.bed.store.put('servers', this.id, registration(this.options, this));
+  register(seq = 1) {
+    this.bed.store.put('servers', this.id, {...registration(this.options, this), seq});
   }
 
   close() {
