--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -5,10 +5,10 @@
 import * as replica from '../lib-2/replica.mjs';
 
 const ENGINES = 10;
-/** Time for which one replica of ten is silent. */
-const FREEZE_MS = 3_400;
+/** Times for which one replica of ten is silent, another one each time. */
+const SILENCES_MS = [3_350, 3_500];
 const STREAMS = 40;
-const PIECES = 250;
+const PIECES = 320;
 
 await bed.main(path.dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
   for (let index = 1; index <= ENGINES; index++) {
@@ -36,11 +36,14 @@
     }));
   }
   await bed.sleep(2_500);
-  const [frozen] = deployment.replicas;
-  if (!bed.isCalm) {
-    frozen.signal('SIGSTOP');
-    await bed.sleep(FREEZE_MS);
-    frozen.signal('SIGCONT');
+  for (const [index, silence] of SILENCES_MS.entries()) {
+    const silent = deployment.replicas[index];
+    if (!bed.isCalm) {
+      silent.signal('SIGSTOP');
+      await bed.sleep(silence);
+      silent.signal('SIGCONT');
+      await bed.sleep(1_000);
+    }
   }
   const answers = await Promise.all(calls);
   const violations = [];
--- a/review/lib-2/bed.mjs
+++ b/review/lib-2/bed.mjs
@@ -212,7 +212,7 @@
   }
 
   async whenReady() {
-    const endsAt = performance.now() + 15_000;
+    const endsAt = performance.now() + 30_000;
     for (;;) {
       const states = await Promise.all(this.gateways.map(each => each.isReady()));
       if (states.every(Boolean)) {
@@ -374,6 +374,9 @@
   const record = new Record(folder);
   const bed = new Bed(record);
   let code = 2;
+  for (const name of ['SIGTERM', 'SIGINT']) {
+    process.once(name, () => void bed.stop().finally(() => process.exit(2)));
+  }
   const limit = setTimeout(() => {
     record.add('the script ran for too long');
     void bed.stop().finally(() => {
